--- /dev/null
+++ b/src/admission/index.ts
@@ -0,0 +1,7 @@
+export { Admission } from "./admission.js";
+export type {
+  AdmissionAnswer,
+  AdmissionLimits,
+  Arrival,
+  Released,
+} from "./admission.js";
--- /dev/null
+++ b/src/config/applyConfig.ts
@@ -0,0 +1,81 @@
+/**
+ * Accepts a configuration: its parts are written first, under names that
+ * never change their content; the head's conditional update is the moment
+ * at which it counts as accepted.
+ */
+import { randomUUID } from "node:crypto";
+
+import { OrderError } from "../shared/errors.js";
+import { ABSENT, settledWrite } from "../store/index.js";
+import type { ObjectStore, StoredObject } from "../store/index.js";
+import { toSnapshot } from "./configState.js";
+import type { ConfigHead, ConfigSnapshot, ConfigState } from "./configState.js";
+import { CONFIG_KIND, CONFIG_PART_KIND, HEAD_NAME } from "./configKeeper.js";
+import type { Config } from "./types.js";
+
+/** What was accepted, or who won the race. */
+export type ApplyResult =
+  | { kind: "accepted"; snapshot: ConfigSnapshot }
+  | { kind: "lost"; number: number };
+
+/** Writes parts that the store does not hold yet. */
+const writeParts = async (
+  store: ObjectStore,
+  snapshot: ConfigSnapshot,
+  known: ConfigState | undefined,
+): Promise<void> => {
+  for (const [print, body] of Object.entries(snapshot.bodies)) {
+    if (known?.bodies[print] !== undefined) continue;
+    const result = await settledWrite(
+      store,
+      CONFIG_PART_KIND,
+      print,
+      { body },
+      ABSENT,
+      randomUUID(),
+    );
+    const isThere = result.kind === "written" || result.kind === "conflict";
+    if (!isThere) throw new OrderError(`object API: ${result.why}`);
+  }
+};
+
+/**
+ * Applies a change to the configuration in force. `change` gets the stored
+ * configuration's number; a store that shows an older one than this process
+ * holds has lost its memory of order, and nothing is written to it.
+ */
+export const applyConfig = async (
+  store: ObjectStore,
+  known: ConfigState | undefined,
+  config: Config,
+): Promise<ApplyResult> => {
+  const head: StoredObject<ConfigHead> | undefined =
+    await store.get<ConfigHead>(CONFIG_KIND, HEAD_NAME);
+  const stored = head?.value.number ?? 0;
+  const held = known?.head.number ?? 0;
+  if (stored < held) {
+    throw new OrderError(
+      `the object API shows configuration ${stored}, older than ${held} ` +
+        "in force; nothing was changed",
+    );
+  }
+  if (stored > held) return { kind: "lost", number: stored };
+  const snapshot = toSnapshot(config, stored + 1);
+  await writeParts(store, snapshot, known);
+  const result = await settledWrite<ConfigHead>(
+    store,
+    CONFIG_KIND,
+    HEAD_NAME,
+    snapshot.head,
+    head?.version ?? ABSENT,
+    randomUUID(),
+  );
+  switch (result.kind) {
+    case "written":
+      return { kind: "accepted", snapshot };
+    case "conflict":
+      return { kind: "lost", number: result.current?.value.number ?? 0 };
+    default:
+      throw new OrderError(`object API: ${result.why}; ask again what holds`);
+  }
+};
--- /dev/null
+++ b/src/config/configKeeper.ts
@@ -0,0 +1,67 @@
+/**
+ * Owns the configuration of one process: adopts what the store or a peer
+ * says, and tells those who listen of each newer one.
+ */
+import { StoreError } from "../shared/errors.js";
+import type { ObjectStore } from "../store/index.js";
+import { adoptSnapshot, missingPrints } from "./configState.js";
+import type { ConfigHead, ConfigSnapshot, ConfigState } from "./configState.js";
+
+/** Object kind of the head; its one name is `HEAD_NAME`. */
+export const CONFIG_KIND = "config";
+/** Object kind of the parts; named by their fingerprints, never changed. */
+export const CONFIG_PART_KIND = "config-part";
+export const HEAD_NAME = "head";
+
+type Listener = (state: ConfigState) => void;
+
+export class ConfigKeeper {
+  private state: ConfigState | undefined;
+  private readonly listeners: Listener[] = [];
+
+  constructor(private readonly store: ObjectStore) {}
+
+  get current(): ConfigState | undefined {
+    return this.state;
+  }
+
+  /** Number of the configuration in force; 0 before the first. */
+  get number(): number {
+    return this.state?.head.number ?? 0;
+  }
+
+  onChange(listener: Listener): void {
+    this.listeners.push(listener);
+    if (this.state !== undefined) listener(this.state);
+  }
+
+  /** Takes a snapshot into force if it is newer. */
+  adopt(snapshot: ConfigSnapshot): void {
+    const next = adoptSnapshot(this.state, snapshot);
+    if (next === undefined || next === this.state) return;
+    this.state = next;
+    for (const listener of this.listeners) listener(next);
+  }
+
+  /** Reads the head, and the parts that are missing, from the store. */
+  async refresh(): Promise<void> {
+    const found = await this.store.get<ConfigHead>(CONFIG_KIND, HEAD_NAME);
+    if (found === undefined || found.value.number <= this.number) return;
+    const bodies: Record<string, string> = {};
+    for (const print of missingPrints(this.state, found.value)) {
+      bodies[print] = await this.readPart(print);
+    }
+    this.adopt({ head: found.value, bodies });
+  }
+
+  private async readPart(print: string): Promise<string> {
+    const part = await this.store.get<{ body: string }>(
+      CONFIG_PART_KIND,
+      print,
+    );
+    if (part === undefined) {
+      throw new StoreError(`part ${print} of the configuration is missing`);
+    }
+    return part.value.body;
+  }
+}
--- /dev/null
+++ b/src/config/configState.ts
@@ -0,0 +1,88 @@
+/**
+ * The configuration in force at one process. The rule of this aggregate: its
+ * number only grows, whatever a store or a peer says.
+ */
+import { fingerprint } from "../shared/utils.js";
+import { configSchema } from "./types.js";
+import type { Config } from "./types.js";
+
+/** Body of the part that holds sites and workspaces. */
+export const FLEET_PART = "fleet";
+
+const SERVICE_PREFIX = "service/";
+
+/** The accepted configuration as it is stored: a number and its parts. */
+export interface ConfigHead {
+  /** Grows by one with each accepted change. */
+  number: number;
+  /** Part name to the fingerprint of its body. */
+  parts: Record<string, string>;
+}
+
+/** A head with the bodies of its parts, by fingerprint. */
+export interface ConfigSnapshot {
+  head: ConfigHead;
+  bodies: Record<string, string>;
+}
+
+/** What one process has in force. `undefined` before the first one. */
+export interface ConfigState {
+  head: ConfigHead;
+  bodies: Record<string, string>;
+  config: Config;
+}
+
+/** Splits a configuration into parts; each is stored under its print. */
+export const toSnapshot = (config: Config, number: number): ConfigSnapshot => {
+  const parts: Record<string, string> = {};
+  const bodies: Record<string, string> = {};
+  const add = (name: string, value: unknown) => {
+    const body = JSON.stringify(value);
+    const print = fingerprint(body);
+    parts[name] = print;
+    bodies[print] = body;
+  };
+  add(FLEET_PART, config.fleet);
+  for (const service of config.services) {
+    add(SERVICE_PREFIX + service.name, service);
+  }
+  return { head: { number, parts }, bodies };
+};
+
+const assemble = (head: ConfigHead, bodies: Record<string, string>): Config => {
+  const parse = (print: string): unknown => JSON.parse(bodies[print] ?? "null");
+  const services = Object.keys(head.parts)
+    .filter((name) => name.startsWith(SERVICE_PREFIX))
+    .map((name) => parse(head.parts[name] ?? ""));
+  const fleet = parse(head.parts[FLEET_PART] ?? "");
+  return configSchema.parse({ fleet, services });
+};
+
+/** Prints of the parts that a head names and a state does not hold. */
+export const missingPrints = (
+  state: ConfigState | undefined,
+  head: ConfigHead,
+): string[] =>
+  Object.values(head.parts).filter((print) => !(state?.bodies[print] ?? ""));
+
+/**
+ * The state after hearing of a snapshot. An older or equal number changes
+ * nothing, so that a store that lost its memory can't turn a process back.
+ */
+export const adoptSnapshot = (
+  state: ConfigState | undefined,
+  snapshot: ConfigSnapshot,
+): ConfigState | undefined => {
+  if (state !== undefined && snapshot.head.number <= state.head.number) {
+    return state;
+  }
+  const held = { ...state?.bodies, ...snapshot.bodies };
+  const bodies: Record<string, string> = {};
+  for (const print of Object.values(snapshot.head.parts)) {
+    const body = held[print];
+    if (body === undefined) return state;
+    bodies[print] = body;
+  }
+  const config = assemble(snapshot.head, bodies);
+  return { head: snapshot.head, bodies, config };
+};
--- /dev/null
+++ b/src/config/configWatch.ts
@@ -0,0 +1,72 @@
+/**
+ * The task that keeps the configuration in step with the object API. Only a
+ * few processes of a failure domain watch; the others hear from peers.
+ */
+import type { ObjectStore } from "../store/index.js";
+import { errText } from "../shared/utils.js";
+import type { Rng } from "../shared/rng.js";
+import type { Log } from "../telemetry/index.js";
+import { CONFIG_KIND } from "./configKeeper.js";
+import type { ConfigKeeper } from "./configKeeper.js";
+
+const WATCH_MS = 10_000;
+const FIRST_BACKOFF_MS = 200;
+const LONGEST_BACKOFF_MS = 5000;
+const IDLE_MS = 1000;
+
+export interface ConfigWatchOptions {
+  store: ObjectStore;
+  keeper: ConfigKeeper;
+  /** Whether this process is one of its domain's watchers now. */
+  isWatcher: () => boolean;
+  log: Log;
+  rng: Rng;
+}
+
+/** One step at a time; says how long to wait before the next. */
+export class ConfigWatch {
+  private revision = 0;
+  private needsRead = true;
+  private failures = 0;
+
+  constructor(private readonly options: ConfigWatchOptions) {}
+
+  /** Pause before the next step, ms. */
+  get pauseMs(): number {
+    if (this.failures > 0) {
+      const longest = Math.min(
+        LONGEST_BACKOFF_MS,
+        FIRST_BACKOFF_MS * 2 ** this.failures,
+      );
+      return longest * (0.5 + this.options.rng() / 2);
+    }
+    return this.options.isWatcher() ? 0 : IDLE_MS;
+  }
+
+  async step(): Promise<void> {
+    if (!this.options.isWatcher()) return;
+    try {
+      await this.watchOnce();
+      this.failures = 0;
+    } catch (err) {
+      if (this.failures === 0) {
+        this.options.log.warn("object API watch failed", {
+          cause: errText(err),
+        });
+      }
+      this.failures += 1;
+      this.needsRead = true;
+    }
+  }
+
+  private async watchOnce(): Promise<void> {
+    const { store, keeper } = this.options;
+    if (this.needsRead) {
+      await keeper.refresh();
+      this.needsRead = false;
+    }
+    const reply = await store.watch([CONFIG_KIND], this.revision, WATCH_MS);
+    this.revision = reply.revision;
+    if (reply.events.length > 0) await keeper.refresh();
+  }
+}
--- /dev/null
+++ b/src/config/types.ts
@@ -0,0 +1,169 @@
+/**
+ * The configuration that operators declare: services, upstreams, sites and
+ * workspaces. Outside text is checked here once; inside, types are trusted.
+ */
+import { z } from "zod/v4";
+
+const MAX_PERCENT = 100;
+const name = z
+  .string()
+  .regex(/^[a-z0-9][a-z0-9._-]{0,62}$/, "expected a-z, 0-9, '.', '_', '-'");
+const address = z
+  .string()
+  .regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, "expected IP:port");
+const positive = z.number().positive();
+
+export const URGENCIES = ["urgent", "normal", "batch"] as const;
+
+/** How soon a request class must be served, most urgent first. */
+export type Urgency = (typeof URGENCIES)[number];
+
+export const REPEATS = ["safe", "never"] as const;
+
+/** Whether a request that may have run can be sent again. */
+export type Repeat = (typeof REPEATS)[number];
+
+export const ROLES = ["mixed", "prefill", "decode"] as const;
+
+/** What kind of work a model engine is set up for. */
+export type Role = (typeof ROLES)[number];
+
+const requestClass = z.strictObject({
+  name,
+  urgency: z.enum(URGENCIES),
+  /** Longest time from arrival to the end of the answer, ms. */
+  deadlineMs: z.number().int().min(10).max(3_600_000),
+  repeat: z.enum(REPEATS).default("safe"),
+  /** Requests that belong to this class without a header. */
+  match: z
+    .strictObject({
+      method: z.enum(["GET", "POST", "PUT", "DELETE", "PATCH"]),
+      path: z.string().startsWith("/"),
+    })
+    .optional(),
+});
+
+const upstream = z.strictObject({
+  id: name,
+  vm: name,
+  site: name,
+  /** Where its side takes requests. */
+  dataAddress: address,
+  /** Where its side takes calls of other processes. */
+  peerAddress: address,
+});
+
+const capacity = z.strictObject({
+  /** Prompt tokens that a mixed engine reads in a second. */
+  prefillTokensPerSecond: positive.default(8000),
+  /** Output tokens a second of one sequence on a mixed engine. */
+  decodeTokensPerSecond: positive.default(40),
+  /** Sequences that an engine works on at once. */
+  maxSequences: z.number().int().min(1).default(32),
+});
+
+const rolePolicy = z.strictObject({
+  /** Goodput share that a change must win to be worth it, 0 to 1. */
+  changeCost: z.number().min(0).max(1).default(0.1),
+  /** Least time between two changes of one service, ms. */
+  dwellMs: z.number().int().min(0).default(60_000),
+  /** Time over which a gain counts, ms. */
+  horizonMs: z.number().int().min(1000).default(120_000),
+  /** Engines that must keep the role mixed. */
+  mixedFloor: z.number().int().min(0).default(2),
+  /** False: operators alone change roles. */
+  automatic: z.boolean().default(true),
+});
+
+export const serviceSchema = z
+  .strictObject({
+    name,
+    kind: z.enum(["model", "plain"]),
+    models: z.array(z.strictObject({ name, version: name })).default([]),
+    /** Path prefixes of a plain service. */
+    paths: z.array(z.string().startsWith("/")).default([]),
+    classes: z.array(requestClass).min(1),
+    defaultClass: name,
+    capacity: capacity.prefault({}),
+    roles: rolePolicy.prefault({}),
+    /** Percent of the traffic that each site takes; absent: by capacity. */
+    shares: z.record(name, z.number().min(0).max(MAX_PERCENT)).optional(),
+    upstreams: z.array(upstream).max(2000),
+  })
+  .superRefine((service, ctx) => {
+    const classNames = service.classes.map((item) => item.name);
+    if (!classNames.includes(service.defaultClass)) {
+      ctx.addIssue({
+        code: "custom",
+        path: ["defaultClass"],
+        message: `names no class; expected one of ${classNames.join(", ")}`,
+      });
+    }
+    if (service.kind === "model" && service.models.length === 0) {
+      ctx.addIssue({
+        code: "custom",
+        path: ["models"],
+        message: "a model service needs at least one model",
+      });
+    }
+    if (service.kind === "plain" && service.paths.length === 0) {
+      ctx.addIssue({
+        code: "custom",
+        path: ["paths"],
+        message: "a plain service needs at least one path",
+      });
+    }
+    if (service.shares !== undefined) {
+      const sum = Object.values(service.shares).reduce((a, b) => a + b, 0);
+      if (Math.abs(sum - MAX_PERCENT) > 0.01) {
+        ctx.addIssue({
+          code: "custom",
+          path: ["shares"],
+          message: `shares must add up to 100, not ${sum}`,
+        });
+      }
+    }
+  });
+
+export const fleetSchema = z.strictObject({
+  name,
+  sites: z.array(z.strictObject({ name, region: name, domain: name })),
+  /** Weight of each workspace against the others; 1 where not named. */
+  workspaces: z.array(z.strictObject({ name, weight: positive })).default([]),
+});
+
+export const configSchema = z
+  .strictObject({
+    fleet: fleetSchema,
+    services: z.array(serviceSchema).min(1),
+  })
+  .superRefine((config, ctx) => {
+    const sites = new Set(config.fleet.sites.map((site) => site.name));
+    const seen = new Set<string>();
+    config.services.forEach((service, index) => {
+      service.upstreams.forEach((item, at) => {
+        const path = ["services", index, "upstreams", at];
+        if (!sites.has(item.site)) {
+          ctx.addIssue({
+            code: "custom",
+            path: [...path, "site"],
+            message: `unknown site "${item.site}"`,
+          });
+        }
+        if (seen.has(item.id)) {
+          ctx.addIssue({
+            code: "custom",
+            path: [...path, "id"],
+            message: `upstream "${item.id}" is declared twice`,
+          });
+        }
+        seen.add(item.id);
+      });
+    });
+  });
+
+export type Service = z.infer<typeof serviceSchema>;
+export type Upstream = Service["upstreams"][number];
+export type RequestClass = Service["classes"][number];
+export type Fleet = z.infer<typeof fleetSchema>;
+export type Config = z.infer<typeof configSchema>;
--- /dev/null
+++ b/src/daemon/main.ts
@@ -0,0 +1,93 @@
+#!/usr/bin/env node
+/** `snowgated`: the daemon, in the role that its settings name. */
+import { cac } from "cac";
+
+import { startEntry } from "../entry/entryDaemon.js";
+import type { Daemon } from "../entry/entryDaemon.js";
+import { loadSettings } from "../settings/index.js";
+import type { Settings } from "../settings/index.js";
+import { settingsReference } from "../settings/reference.js";
+import { startSide } from "../side/sideDaemon.js";
+import { errText } from "../shared/utils.js";
+import { createRuntime } from "./runtime.js";
+
+const EXIT_BAD_SETTINGS = 2;
+const EXIT_START_FAILED = 1;
+
+interface Flags {
+  settings?: string;
+  check?: boolean;
+  reference?: boolean;
+}
+
+const start = (settings: Settings): Promise<Daemon> => {
+  const runtime = createRuntime(settings);
+  switch (settings.role) {
+    case "entry":
+      return startEntry(runtime, settings);
+    case "side":
+      return startSide(runtime, settings);
+  }
+};
+
+const fail = (code: number, err: unknown): never => {
+  process.stderr.write(`snowgated: ${errText(err)}\n`);
+  process.exit(code);
+};
+
+/** A second signal while stopping changes nothing: the stop goes on. */
+const stopOnSignals = (daemon: Daemon): void => {
+  let isStopping = false;
+  const stop = () => {
+    if (isStopping) return;
+    isStopping = true;
+    daemon.stop().then(
+      () => process.exit(0),
+      (err) => fail(EXIT_START_FAILED, err),
+    );
+  };
+  process.on("SIGTERM", stop);
+  process.on("SIGINT", stop);
+};
+
+const run = async (flags: Flags): Promise<void> => {
+  if (flags.reference) {
+    process.stdout.write(settingsReference());
+    return;
+  }
+  if (typeof flags.settings !== "string") {
+    fail(EXIT_BAD_SETTINGS, "--settings FILE is needed; see --help");
+  }
+  let settings: Settings;
+  try {
+    settings = loadSettings(flags.settings as string);
+  } catch (err) {
+    return fail(EXIT_BAD_SETTINGS, err);
+  }
+  if (flags.check) {
+    process.stdout.write("settings are valid\n");
+    return;
+  }
+  try {
+    const daemon = await start(settings);
+    stopOnSignals(daemon);
+    process.stdout.write(`${JSON.stringify(daemon.addresses)}\n`);
+  } catch (err) {
+    fail(EXIT_START_FAILED, err);
+  }
+};
+
+const cli = cac("snowgated");
+cli
+  .command("", "Run one process of the system")
+  .option("--settings <file>", "YAML settings of this process")
+  .option("--check", "Check the settings and exit")
+  .option("--reference", "Print every setting and exit")
+  .example("snowgated --settings entry.yaml")
+  .action((flags: Flags) => run(flags));
+cli.help();
+try {
+  cli.parse();
+} catch (err) {
+  fail(EXIT_BAD_SETTINGS, err);
+}
--- /dev/null
+++ b/src/daemon/runtime.ts
@@ -0,0 +1,140 @@
+/**
+ * What every role of the daemon has: store, configuration, membership, the
+ * exchange with peers, and the tasks that run them.
+ */
+import csp from "js-csp";
+
+import { ConfigKeeper, ConfigWatch } from "../config/index.js";
+import { isRankedFor, Membership } from "../membership/index.js";
+import type { MemberKind } from "../membership/index.js";
+import { Gossip, PeerLink } from "../peers/index.js";
+import { seededRng } from "../shared/rng.js";
+import type { Rng } from "../shared/rng.js";
+import type { Settings } from "../settings/index.js";
+import { BudgetedStore, HttpObjectStore } from "../store/index.js";
+import { settle, Supervisor } from "../tasks/index.js";
+import { createLog, StatsdMetrics } from "../telemetry/index.js";
+import type { Log, Metrics } from "../telemetry/index.js";
+import { splitAddress } from "../http/index.js";
+
+const WATCHERS_PER_DOMAIN = 2;
+
+/** The shared parts of one process. */
+export interface Runtime {
+  settings: Settings;
+  log: Log;
+  metrics: Metrics;
+  rng: Rng;
+  now: () => number;
+  store: BudgetedStore;
+  keeper: ConfigKeeper;
+  link: PeerLink;
+  supervisor: Supervisor;
+}
+
+/** Milliseconds of a clock that only goes forward. */
+export const monotonicNow = (): number => performance.now();
+
+export const createRuntime = (settings: Settings): Runtime => {
+  const log = createLog(settings.logLevel, settings.id);
+  const statsd =
+    settings.statsd === undefined ? undefined : splitAddress(settings.statsd);
+  const { url, timeoutMs, callsPerSecond } = settings.objectApi;
+  const http = new HttpObjectStore(url, timeoutMs);
+  const store = new BudgetedStore(http, callsPerSecond, monotonicNow);
+  return {
+    settings,
+    log,
+    metrics: new StatsdMetrics(statsd),
+    rng: seededRng((Date.now() ^ (process.pid << 12)) | 0),
+    now: monotonicNow,
+    store,
+    keeper: new ConfigKeeper(store),
+    link: new PeerLink(settings.peers.secret),
+    supervisor: new Supervisor(log),
+  };
+};
+
+export const createMembership = (
+  runtime: Runtime,
+  id: string,
+  kind: MemberKind,
+  peerAddress: string,
+): Membership =>
+  new Membership({
+    id,
+    kind,
+    state: "alive",
+    incarnation: Date.now(),
+    peerAddress,
+    domain: runtime.settings.domain,
+  });
+
+export const createGossip = (
+  runtime: Runtime,
+  membership: Membership,
+): Gossip => {
+  const { settings, keeper, link, log, rng, now } = runtime;
+  const { seeds, fanout } = settings.peers;
+  return new Gossip({
+    membership,
+    keeper,
+    link,
+    log,
+    rng,
+    now,
+    fanout,
+    seeds,
+  });
+};
+
+/** Whether this process watches the store for its failure domain. */
+const isWatcher = (membership: Membership): boolean => {
+  const { self } = membership;
+  const domain = membership
+    .all()
+    .filter((item) => item.domain === self.domain && item.state === "alive");
+  return isRankedFor("watch", domain, WATCHERS_PER_DOMAIN, self.id);
+};
+
+/** Starts the tasks that keep members and configuration up to date. */
+export const startCommonTasks = (
+  runtime: Runtime,
+  membership: Membership,
+  gossip: Gossip,
+): void => {
+  const { supervisor, settings, store, keeper, log, rng } = runtime;
+  supervisor.every("gossip", settings.peers.periodMs, () => gossip.round());
+  const watch = new ConfigWatch({
+    store,
+    keeper,
+    isWatcher: () => isWatcher(membership),
+    log,
+    rng,
+  });
+  supervisor.start("config-watch", function* () {
+    while (!supervisor.isStopped) {
+      yield csp.take(settle(watch.step()));
+      yield supervisor.pause(watch.pauseMs);
+    }
+  });
+};
+
+/**
+ * A process that starts takes the newest configuration that its peers or the
+ * store know before it serves.
+ */
+export const learnConfiguration = async (
+  runtime: Runtime,
+  gossip: Gossip,
+): Promise<void> => {
+  const { keeper, log } = runtime;
+  const refresh = async () => {
+    try {
+      await keeper.refresh();
+    } catch {
+      log.warn("object API not reached at start; peers are asked");
+    }
+  };
+  await Promise.all([gossip.join(), refresh()]);
+};
--- /dev/null
+++ b/src/entry/callerServer.ts
@@ -0,0 +1,156 @@
+/** The HTTP server that callers connect to. */
+import http from "node:http";
+
+import type { ConfigState } from "../config/index.js";
+import { BodyTooLargeError, readBody, sendJson } from "../http/index.js";
+import { errText } from "../shared/utils.js";
+import type { RequestFailure } from "../shared/errors.js";
+import type { EntrySettings } from "../settings/index.js";
+import type { Log } from "../telemetry/index.js";
+import { newRequestId, sendCallerFailure } from "./requestFlow.js";
+import type { RequestFlow } from "./requestFlow.js";
+import { planRequest } from "./requestPlan.js";
+
+const HEADERS_TIMEOUT_MS = 10_000;
+const BODY_TIMEOUT_MS = 60_000;
+const START_RETRY_MS = 1000;
+
+export interface CallerServerOptions {
+  settings: EntrySettings;
+  flow: RequestFlow;
+  config: () => ConfigState | undefined;
+  log: Log;
+  now: () => number;
+}
+
+export class CallerServer {
+  readonly server: http.Server;
+  private isLeaving = false;
+  private inFlight = 0;
+  private onIdle: (() => void) | undefined;
+
+  constructor(private readonly options: CallerServerOptions) {
+    const { limits } = options.settings;
+    this.server = http.createServer(
+      {
+        maxHeaderSize: limits.maxHeaderBytes,
+        headersTimeout: HEADERS_TIMEOUT_MS,
+        requestTimeout: BODY_TIMEOUT_MS,
+      },
+      (req, res) => void this.onRequest(req, res),
+    );
+    this.server.maxConnections = limits.maxConnections;
+  }
+
+  /** Whether this entry should get work from the balancer. */
+  get isReady(): boolean {
+    return !this.isLeaving && this.options.config() !== undefined;
+  }
+
+  /** Not ready any more; requests are still answered. */
+  startLeaving(): void {
+    this.isLeaving = true;
+  }
+
+  /** Closes the listener and resolves when nothing is in flight. */
+  finish(): Promise<void> {
+    this.server.close();
+    this.server.closeIdleConnections();
+    if (this.inFlight === 0) return Promise.resolve();
+    return new Promise((resolve) => (this.onIdle = resolve));
+  }
+
+  private async onRequest(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    if (this.isLeaving) res.setHeader("connection", "close");
+    const path = (req.url ?? "/").split("?")[0] ?? "/";
+    if (path === "/healthz") return sendJson(res, 200, { ok: true });
+    if (path === "/readyz") {
+      return sendJson(res, this.isReady ? 200 : 503, { ready: this.isReady });
+    }
+    this.inFlight += 1;
+    res.on("close", () => this.onClosed());
+    const id = newRequestId();
+    try {
+      await this.serve(req, res, path, id);
+    } catch (err) {
+      this.onThrow(res, id, err);
+    }
+  }
+
+  private onClosed(): void {
+    this.inFlight -= 1;
+    if (this.inFlight === 0) this.onIdle?.();
+  }
+
+  private async serve(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    path: string,
+    id: string,
+  ): Promise<void> {
+    const arrivedAt = this.options.now();
+    const state = this.options.config();
+    if (state === undefined) {
+      return sendCallerFailure(res, id, noConfiguration());
+    }
+    if (path === "/v1/models" && req.method === "GET") {
+      return sendJson(res, 200, modelList(state));
+    }
+    const { maxBodyBytes } = this.options.settings.limits;
+    const body = await readBody(req, maxBodyBytes);
+    const result = planRequest(state.config, {
+      method: req.method ?? "GET",
+      path,
+      headers: req.headers,
+      body,
+    });
+    if (result.kind === "failure") {
+      return sendCallerFailure(res, id, result.failure);
+    }
+    const request = { id, req, res, plan: result.plan, arrivedAt };
+    await this.options.flow.run(request);
+  }
+
+  private onThrow(res: http.ServerResponse, id: string, err: unknown): void {
+    if (err instanceof BodyTooLargeError) {
+      res.setHeader("connection", "close");
+      return sendCallerFailure(res, id, tooLarge(err.message));
+    }
+    this.options.log.error("request threw", {
+      requestId: id,
+      cause: errText(err),
+    });
+    res.destroy();
+  }
+}
+
+const noConfiguration = (): RequestFailure => ({
+  status: 503,
+  code: "no_configuration",
+  message: "this entry has no configuration yet",
+  verdict: "not-run",
+  retryAfterMs: START_RETRY_MS,
+});
+
+const tooLarge = (message: string): RequestFailure => ({
+  status: 413,
+  code: "body_too_large",
+  message,
+  verdict: "not-run",
+});
+
+const modelList = ({ config }: ConfigState) => ({
+  object: "list",
+  data: config.services.flatMap((service) =>
+    service.models.map(({ name, version }) => ({
+      id: name,
+      object: "model",
+      created: 0,
+      owned_by: service.name,
+      version,
+    })),
+  ),
+});
--- /dev/null
+++ b/src/entry/entryDaemon.ts
@@ -0,0 +1,116 @@
+/** Role `entry`: takes callers' requests and operators' commands. */
+import { StoredClaims } from "../claims/index.js";
+import {
+  createGossip,
+  createMembership,
+  learnConfiguration,
+  startCommonTasks,
+} from "../daemon/runtime.js";
+import type { Runtime } from "../daemon/runtime.js";
+import { HttpVmList, noteLeavingVms } from "../daemon/vmListWatch.js";
+import { listen } from "../http/index.js";
+import type { Membership } from "../membership/index.js";
+import { PeerServer } from "../peers/index.js";
+import { createPolicy, Router } from "../routing/index.js";
+import type { EntrySettings } from "../settings/index.js";
+import { CallerServer } from "./callerServer.js";
+import { RequestFlow } from "./requestFlow.js";
+import { SideClient } from "./sideClient.js";
+
+/** A running process: its addresses, and how to stop it. */
+export interface Daemon {
+  addresses: Record<string, string>;
+  /** Planned stop: resolves when nothing is in flight. */
+  stop(): Promise<void>;
+}
+
+const pauseFor = (durationMs: number): Promise<void> =>
+  new Promise((resolve) => setTimeout(resolve, durationMs));
+
+export const startEntry = async (
+  runtime: Runtime,
+  settings: EntrySettings,
+): Promise<Daemon> => {
+  const { keeper, log, metrics, now, rng, supervisor, link } = runtime;
+  const router = new Router(createPolicy(settings.routingPolicy, rng), rng);
+  const peerServer = new PeerServer(settings.peers.secret);
+  const peers = await peerServer.listen(settings.listen.peers);
+  const membership = createMembership(runtime, settings.id, "entry", peers);
+  const gossip = createGossip(runtime, membership);
+  peerServer.answer(gossip);
+  const client = new SideClient(
+    (upstream, load) => router.onReport(upstream, load, now()),
+    (number, upstream) => {
+      const address = membership.get(upstream)?.peerAddress;
+      if (number <= keeper.number || address === undefined) return;
+      void gossip.pullConfig(address);
+    },
+  );
+  const flow = new RequestFlow({
+    router,
+    client,
+    claims: new StoredClaims(runtime.store, () => Date.now()),
+    log,
+    metrics,
+    secret: settings.peers.secret,
+    maxAnswerBytes: settings.limits.maxAnswerBytes,
+    now,
+  });
+  const callers = new CallerServer({
+    settings,
+    flow,
+    config: () => keeper.current,
+    log,
+    now,
+  });
+  followMembers(membership, router, now);
+  keeper.onChange(({ config }) => {
+    const ids = config.services.flatMap((item) =>
+      item.upstreams.map((upstream) => upstream.id),
+    );
+    router.retain(new Set(ids));
+  });
+  await learnConfiguration(runtime, gossip);
+  startCommonTasks(runtime, membership, gossip);
+  startVmList(runtime, settings, membership);
+  const callersAt = await listen(callers.server, settings.listen.callers);
+  return {
+    addresses: { callers: callersAt, peers },
+    stop: async () => {
+      callers.startLeaving();
+      membership.announce("leaving");
+      void gossip.spread();
+      await pauseFor(settings.lameDuckMs);
+      await callers.finish();
+      supervisor.stop();
+      client.close();
+      link.close();
+      peerServer.close();
+    },
+  };
+};
+
+/** Routing heeds what the members say of themselves. */
+const followMembers = (
+  membership: Membership,
+  router: Router,
+  now: () => number,
+): void => {
+  membership.onChange((member) => {
+    if (member.kind !== "side") return;
+    router.onMember(member.id, member.state, now());
+  });
+};
+
+const startVmList = (
+  runtime: Runtime,
+  settings: EntrySettings,
+  membership: Membership,
+): void => {
+  if (settings.vmList === undefined) return;
+  const list = new HttpVmList(settings.vmList.url);
+  const { supervisor, keeper, now } = runtime;
+  supervisor.every("vm-list", settings.vmList.pollMs, async () => {
+    noteLeavingVms(await list.read(), keeper, membership, now());
+  });
+};
--- /dev/null
+++ b/src/entry/requestPlan.ts
@@ -0,0 +1,260 @@
+/**
+ * What a caller's request is: its service, class, deadline and cost. Pure:
+ * the configuration and the request come in, a plan or a failure comes out.
+ */
+import type http from "node:http";
+
+import type { Config, RequestClass, Service } from "../config/index.js";
+import { estimateTokens, prefixChain } from "../routing/index.js";
+import { HEADERS } from "../shared/constants.js";
+import type { FailureCode, RequestFailure } from "../shared/errors.js";
+import { fingerprint } from "../shared/utils.js";
+
+const CHAT_PATH = "/v1/chat/completions";
+const COMPLETION_PATH = "/v1/completions";
+const DEFAULT_OUTPUT_TOKENS = 16;
+const MAX_KEY_CHARS = 255;
+const DEFAULT_WORKSPACE = "default";
+
+/** Everything that the later steps need to know of a request. */
+export interface RequestPlan {
+  service: Service;
+  requestClass: RequestClass;
+  workspace: string;
+  /** From arrival to the end of the answer, ms. */
+  budgetMs: number;
+  /** Whether the answer is a stream of server-sent events. */
+  isStream: boolean;
+  promptTokens: number;
+  outputTokens: number;
+  prefixes: readonly string[];
+  /** Body as it goes to the upstream. */
+  body: Buffer;
+  idempotencyKey: string | undefined;
+  /** Fingerprint of method, path and body. */
+  print: string;
+}
+
+/** The parts of a request that a plan is made from. */
+export interface IncomingRequest {
+  method: string;
+  path: string;
+  headers: http.IncomingHttpHeaders;
+  body: Buffer;
+}
+
+export type PlanResult =
+  | { kind: "plan"; plan: RequestPlan }
+  | { kind: "failure"; failure: RequestFailure };
+
+interface ModelBody {
+  model: string;
+  stream?: boolean;
+  max_tokens?: number;
+  max_completion_tokens?: number;
+  prompt?: unknown;
+  messages?: { content?: unknown }[];
+}
+
+const failed = (
+  status: number,
+  code: FailureCode,
+  message: string,
+): PlanResult => ({
+  kind: "failure",
+  failure: { status, code, message, verdict: "not-run" },
+});
+
+const headerOf = (
+  headers: http.IncomingHttpHeaders,
+  name: string,
+): string | undefined => {
+  const value = headers[name];
+  return Array.isArray(value) ? value[0] : value;
+};
+
+const isModelPath = (path: string): boolean =>
+  path === CHAT_PATH || path === COMPLETION_PATH;
+
+const textOf = (content: unknown): string =>
+  typeof content === "string" ? content : JSON.stringify(content ?? "");
+
+const promptOf = (body: ModelBody): string => {
+  if (!Array.isArray(body.messages)) return textOf(body.prompt);
+  return body.messages.map((item) => textOf(item.content)).join("\n");
+};
+
+const parseModelBody = (body: Buffer): ModelBody | string => {
+  let parsed: unknown;
+  try {
+    parsed = JSON.parse(body.toString("utf8"));
+  } catch {
+    return "the body is not valid JSON";
+  }
+  if (typeof parsed !== "object" || parsed === null) {
+    return "the body is not a JSON object";
+  }
+  const { model } = parsed as { model?: unknown };
+  if (typeof model !== "string") return 'the body names no "model"';
+  return parsed as ModelBody;
+};
+
+/** The service and the exact version that a model name stands for. */
+const findModel = (
+  config: Config,
+  asked: string,
+): { service: Service; exact: string } | undefined => {
+  for (const service of config.services) {
+    for (const { name, version } of service.models) {
+      const exact = `${name}@${version}`;
+      if (asked === name || asked === exact) return { service, exact };
+    }
+  }
+  return undefined;
+};
+
+const findPlainService = (
+  config: Config,
+  path: string,
+): Service | undefined => {
+  let best: Service | undefined;
+  let bestLength = -1;
+  for (const service of config.services) {
+    for (const prefix of service.paths) {
+      if (!path.startsWith(prefix) || prefix.length <= bestLength) continue;
+      best = service;
+      bestLength = prefix.length;
+    }
+  }
+  return best;
+};
+
+const classOf = (
+  service: Service,
+  request: IncomingRequest,
+): RequestClass | undefined => {
+  const matched = service.classes.find(
+    ({ match }) =>
+      match !== undefined &&
+      match.method === request.method &&
+      request.path.startsWith(match.path),
+  );
+  const asked = headerOf(request.headers, HEADERS.className);
+  // A declared match goes first: a header can't make a reservation repeatable.
+  const wanted = matched?.name ?? asked ?? service.defaultClass;
+  return service.classes.find((item) => item.name === wanted);
+};
+
+/** A caller may tighten the declared deadline, never loosen it. */
+const budgetOf = (
+  requestClass: RequestClass,
+  headers: http.IncomingHttpHeaders,
+): number | undefined => {
+  const text = headerOf(headers, HEADERS.deadline);
+  if (text === undefined) return requestClass.deadlineMs;
+  const asked = Number(text);
+  if (!Number.isFinite(asked) || asked <= 0) return undefined;
+  return Math.min(requestClass.deadlineMs, asked);
+};
+
+const planFor = (
+  service: Service,
+  request: IncomingRequest,
+  cost: Pick<
+    RequestPlan,
+    "isStream" | "promptTokens" | "outputTokens" | "prefixes" | "body"
+  >,
+): PlanResult => {
+  const { headers } = request;
+  const requestClass = classOf(service, request);
+  if (requestClass === undefined) {
+    const asked = headerOf(headers, HEADERS.className) ?? "";
+    const known = service.classes.map((item) => item.name).join(", ");
+    return failed(
+      400,
+      "bad_request",
+      `service ${service.name} has no class "${asked}"; it has ${known}`,
+    );
+  }
+  const budgetMs = budgetOf(requestClass, headers);
+  if (budgetMs === undefined) {
+    return failed(
+      400,
+      "bad_request",
+      `${HEADERS.deadline} is not a time in ms`,
+    );
+  }
+  const key = headerOf(headers, HEADERS.idempotencyKey);
+  if (requestClass.repeat === "never" && !key) {
+    return failed(
+      400,
+      "key_missing",
+      `class ${requestClass.name} must never be repeated: send an ` +
+        "Idempotency-Key header",
+    );
+  }
+  if (key !== undefined && key.length > MAX_KEY_CHARS) {
+    return failed(400, "bad_request", "the Idempotency-Key is too long");
+  }
+  const { method, path, body } = request;
+  const plan: RequestPlan = {
+    service,
+    requestClass,
+    workspace: headerOf(headers, HEADERS.workspace) ?? DEFAULT_WORKSPACE,
+    budgetMs,
+    idempotencyKey: key,
+    print: fingerprint(`${method} ${path}\n${body.toString("utf8")}`),
+    ...cost,
+  };
+  return { kind: "plan", plan };
+};
+
+const planModelRequest = (
+  config: Config,
+  request: IncomingRequest,
+): PlanResult => {
+  const body = parseModelBody(request.body);
+  if (typeof body === "string") return failed(400, "bad_request", body);
+  const found = findModel(config, body.model);
+  if (found === undefined) {
+    return failed(404, "unknown_model", `no service has model ${body.model}`);
+  }
+  const prompt = promptOf(body);
+  const asked = body.max_completion_tokens ?? body.max_tokens;
+  const outputTokens = Number(asked ?? DEFAULT_OUTPUT_TOKENS);
+  if (!Number.isInteger(outputTokens) || outputTokens < 1) {
+    return failed(400, "bad_request", "max_tokens is not a count of tokens");
+  }
+  const sent = { ...body, model: found.exact, max_tokens: outputTokens };
+  return planFor(found.service, request, {
+    isStream: body.stream === true,
+    promptTokens: estimateTokens(prompt),
+    outputTokens,
+    prefixes: prefixChain(found.exact, prompt),
+    body: Buffer.from(JSON.stringify(sent)),
+  });
+};
+
+/** Makes the plan of one request. */
+export const planRequest = (
+  config: Config,
+  request: IncomingRequest,
+): PlanResult => {
+  if (isModelPath(request.path)) {
+    if (request.method !== "POST") {
+      return failed(405, "bad_request", "use POST here");
+    }
+    return planModelRequest(config, request);
+  }
+  const service = findPlainService(config, request.path);
+  if (service === undefined) {
+    return failed(404, "unknown_route", `no service has ${request.path}`);
+  }
+  return planFor(service, request, {
+    isStream: false,
+    promptTokens: 0,
+    outputTokens: 0,
+    prefixes: [],
+    body: request.body,
+  });
+};
--- /dev/null
+++ b/src/entry/wholeAnswer.ts
@@ -0,0 +1,55 @@
+/** Answers that are held until they are whole, so that a cut one is unseen. */
+import type http from "node:http";
+
+import type { RequestFailure } from "../shared/errors.js";
+
+export interface WholeAnswer {
+  status: number;
+  headers: http.IncomingHttpHeaders;
+  body: Buffer;
+}
+
+export type WholeResult =
+  | { kind: "whole"; answer: WholeAnswer }
+  | { kind: "failure"; failure: RequestFailure };
+
+const cut = (): RequestFailure => ({
+  status: 502,
+  code: "cut",
+  message: "the answer was cut before its end",
+  verdict: "may-have-run",
+});
+
+const tooLarge = (maxBytes: number): RequestFailure => ({
+  status: 502,
+  code: "answer_too_large",
+  message: `the answer is over ${maxBytes} bytes`,
+  verdict: "ran",
+});
+
+/** Reads an answer to its end. */
+export const readWhole = (
+  res: http.IncomingMessage,
+  maxBytes: number,
+): Promise<WholeResult> =>
+  new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    res.on("data", (chunk: Buffer) => {
+      size += chunk.length;
+      chunks.push(chunk);
+      if (size <= maxBytes) return;
+      resolve({ kind: "failure", failure: tooLarge(maxBytes) });
+      res.destroy();
+    });
+    res.on("error", () => undefined);
+    res.on("close", () => {
+      if (!res.complete) return resolve({ kind: "failure", failure: cut() });
+      const answer: WholeAnswer = {
+        status: res.statusCode ?? 0,
+        headers: res.headers,
+        body: Buffer.concat(chunks),
+      };
+      resolve({ kind: "whole", answer });
+    });
+  });
--- /dev/null
+++ b/src/http/request.ts
@@ -0,0 +1,80 @@
+/** One HTTP exchange with a small JSON body, by Node's `http`. */
+import http from "node:http";
+
+/** Reused connections of control traffic. */
+const agent = new http.Agent({ keepAlive: true, maxSockets: 64 });
+
+/** A whole answer. */
+export interface JsonAnswer {
+  status: number;
+  headers: http.IncomingHttpHeaders;
+  text: string;
+}
+
+/** Thrown by `exchange`; tells whether the request left this process. */
+export class ExchangeError extends Error {
+  constructor(
+    message: string,
+    readonly sent: boolean,
+  ) {
+    super(message);
+  }
+}
+
+/** What to send. */
+export interface ExchangeOptions {
+  method: string;
+  url: string;
+  headers?: Record<string, string>;
+  body?: unknown;
+  timeoutMs: number;
+}
+
+/** Sends and reads whole; rejects with `ExchangeError`. */
+export const exchange = (options: ExchangeOptions): Promise<JsonAnswer> =>
+  new Promise((resolve, reject) => {
+    const body =
+      options.body === undefined ? undefined : JSON.stringify(options.body);
+    let connected = false;
+    const req = http.request(options.url, {
+      method: options.method,
+      agent,
+      headers: {
+        ...options.headers,
+        ...(body === undefined
+          ? {}
+          : {
+              "content-type": "application/json",
+              "content-length": Buffer.byteLength(body),
+            }),
+      },
+    });
+    const timer = setTimeout(
+      () => req.destroy(new Error("timed out")),
+      options.timeoutMs,
+    );
+    const fail = (err: Error) => {
+      clearTimeout(timer);
+      reject(new ExchangeError(err.message, connected));
+    };
+    req.on("socket", (socket) => {
+      if (!socket.connecting) connected = true;
+      socket.once("connect", () => (connected = true));
+    });
+    req.on("error", fail);
+    req.on("response", (res) => {
+      const chunks: Buffer[] = [];
+      res.on("data", (chunk: Buffer) => chunks.push(chunk));
+      res.on("error", fail);
+      res.on("close", () => {
+        if (!res.complete) return fail(new Error("answer was cut"));
+        clearTimeout(timer);
+        resolve({
+          status: res.statusCode ?? 0,
+          headers: res.headers,
+          text: Buffer.concat(chunks).toString("utf8"),
+        });
+      });
+    });
+    req.end(body);
+  });
--- /dev/null
+++ b/src/peers/gossip.ts
@@ -0,0 +1,194 @@
+/**
+ * The task that exchanges digests with a few peers: members' news and the
+ * number of the configuration. A newer configuration is fetched from the
+ * peer that has it and passed on at once, so that it spreads in a few hops.
+ */
+import type { ConfigKeeper } from "../config/index.js";
+import type {
+  Digest,
+  FetchConfigReply,
+  FetchConfigRequest,
+} from "../gen/snowgate.js";
+import { restoreMember } from "../membership/index.js";
+import type { Member, Membership } from "../membership/index.js";
+import type { Rng } from "../shared/rng.js";
+import { errText } from "../shared/utils.js";
+import type { Log } from "../telemetry/index.js";
+import type { PeerHandlers, PeerLink } from "./peerLink.js";
+
+/** Exchanges in a row with a differing hash before all members are asked. */
+const DIFFERENCES_TO_FETCH = 5;
+
+export interface GossipOptions {
+  membership: Membership;
+  keeper: ConfigKeeper;
+  link: PeerLink;
+  log: Log;
+  rng: Rng;
+  now: () => number;
+  fanout: number;
+  seeds: string[];
+}
+
+export class Gossip implements PeerHandlers {
+  private differences = 0;
+  private isSpreading = false;
+  private hasHeardPeer = false;
+
+  constructor(private readonly options: GossipOptions) {
+    options.keeper.onChange(() => void this.spread());
+  }
+
+  /** Whether any peer has answered since the start. */
+  get isConnected(): boolean {
+    return this.hasHeardPeer;
+  }
+
+  /** One round: exchange with a few members, or with seeds while alone. */
+  async round(): Promise<void> {
+    const { membership, now } = this.options;
+    membership.tick(now());
+    await Promise.all(this.targets().map((target) => this.talkTo(target)));
+  }
+
+  /** Asks every seed and declared side, for a process that starts. */
+  async join(): Promise<void> {
+    const addresses = this.seedAddresses();
+    await Promise.all(
+      addresses.map((peerAddress) => this.talkTo({ peerAddress })),
+    );
+    const first = this.options.membership.reachable()[0];
+    if (first !== undefined) await this.pullMembers(first.peerAddress);
+  }
+
+  /** Passes news on at once, outside the usual pace. */
+  async spread(): Promise<void> {
+    if (this.isSpreading) return;
+    this.isSpreading = true;
+    await Promise.all(this.targets().map((target) => this.talkTo(target)));
+    this.isSpreading = false;
+  }
+
+  exchange(digest: Digest): Digest {
+    this.absorb(digest);
+    if (digest.configNumber > this.options.keeper.number) {
+      void this.pullConfig(digest.peerAddress);
+    }
+    return this.digest();
+  }
+
+  fetchMembers(): { members: Member[] } {
+    return { members: this.options.membership.all() };
+  }
+
+  fetchConfig({ haveNumber, haveParts }: FetchConfigRequest): FetchConfigReply {
+    const state = this.options.keeper.current;
+    if (state === undefined || state.head.number <= haveNumber) {
+      return { number: 0, parts: {}, bodies: {} };
+    }
+    const held = new Set(Object.values(haveParts));
+    const bodies = Object.fromEntries(
+      Object.entries(state.bodies).filter(([print]) => !held.has(print)),
+    );
+    return { number: state.head.number, parts: state.head.parts, bodies };
+  }
+
+  /** Fetches what a peer has newer. */
+  async pullConfig(address: string): Promise<void> {
+    const { keeper, link } = this.options;
+    try {
+      const reply = await link.fetchConfig(address, {
+        haveNumber: keeper.number,
+        haveParts: keeper.current?.head.parts ?? {},
+      });
+      if (reply.number === 0) return;
+      const { number, parts, bodies } = reply;
+      keeper.adopt({ head: { number, parts }, bodies });
+    } catch (err) {
+      this.note("configuration not fetched", err);
+    }
+  }
+
+  private async pullMembers(address: string): Promise<void> {
+    const { membership, link, now } = this.options;
+    try {
+      const { members } = await link.fetchMembers(address);
+      membership.hear(restoreAll(members), now());
+    } catch (err) {
+      this.note("members not fetched", err);
+    }
+  }
+
+  private seedAddresses(): string[] {
+    const { seeds, keeper, membership } = this.options;
+    const declared = (keeper.current?.config.services ?? []).flatMap(
+      (service) => service.upstreams.map((item) => item.peerAddress),
+    );
+    const all = new Set([...seeds, ...declared]);
+    all.delete(membership.self.peerAddress);
+    return [...all];
+  }
+
+  private targets(): { id?: string; peerAddress: string }[] {
+    const { membership, fanout, rng } = this.options;
+    const members = membership.pickPeers(fanout, rng);
+    if (members.length >= fanout) return members;
+    const seeds = this.seedAddresses();
+    const seed = seeds[Math.floor(rng() * seeds.length)];
+    return seed === undefined ? members : [...members, { peerAddress: seed }];
+  }
+
+  private async talkTo(target: {
+    id?: string;
+    peerAddress: string;
+  }): Promise<void> {
+    const { link, membership, keeper, now } = this.options;
+    try {
+      const reply = await link.exchange(target.peerAddress, this.digest());
+      this.absorb(reply);
+      if (reply.configNumber > keeper.number) {
+        await this.pullConfig(target.peerAddress);
+      }
+      await this.compare(reply, target.peerAddress);
+    } catch (err) {
+      if (target.id !== undefined) membership.silent(target.id, now());
+      this.note("peer silent", err);
+    }
+  }
+
+  /** Rumours can be missed; a hash that keeps differing fetches all. */
+  private async compare(reply: Digest, address: string): Promise<void> {
+    if (reply.membersHash === this.options.membership.hash) {
+      this.differences = 0;
+      return;
+    }
+    this.differences += 1;
+    if (this.differences < DIFFERENCES_TO_FETCH) return;
+    this.differences = 0;
+    await this.pullMembers(address);
+  }
+
+  private absorb(digest: Digest): void {
+    this.hasHeardPeer = true;
+    const { membership, now } = this.options;
+    membership.hear(restoreAll(digest.rumours), now());
+  }
+
+  private digest(): Digest {
+    const { membership, keeper } = this.options;
+    return {
+      from: membership.self.id,
+      peerAddress: membership.self.peerAddress,
+      configNumber: keeper.number,
+      membersHash: membership.hash,
+      rumours: membership.takeRumours(),
+    };
+  }
+
+  private note(message: string, err: unknown): void {
+    this.options.log.debug(message, { cause: errText(err) });
+  }
+}
+
+const restoreAll = (raw: Parameters<typeof restoreMember>[0][]): Member[] =>
+  raw.map(restoreMember).filter((item) => item !== undefined);
--- /dev/null
+++ b/src/peers/index.ts
@@ -0,0 +1,3 @@
+export { Gossip } from "./gossip.js";
+export { PeerLink, PeerServer } from "./peerLink.js";
+export type { PeerHandlers, SideHandlers } from "./peerLink.js";
--- /dev/null
+++ b/src/peers/peerLink.ts
@@ -0,0 +1,236 @@
+/** gRPC between the processes of the system: server and calls. */
+import {
+  credentials,
+  Metadata,
+  Server,
+  ServerCredentials,
+  status,
+} from "@grpc/grpc-js";
+import type {
+  sendUnaryData,
+  ServerUnaryCall,
+  ServiceError,
+} from "@grpc/grpc-js";
+import { LRUCache } from "lru-cache";
+
+import {
+  PeerClient,
+  PeerService,
+  SideClient,
+  SideService,
+} from "../gen/snowgate.js";
+import type {
+  Digest,
+  FetchConfigReply,
+  FetchConfigRequest,
+  FetchMembersReply,
+  FetchMembersRequest,
+  NudgeReply,
+  NudgeRequest,
+  ReportReply,
+  ReportRequest,
+} from "../gen/snowgate.js";
+import { splitAddress } from "../http/index.js";
+import { HEADERS } from "../shared/constants.js";
+import { SnowgateError } from "../shared/errors.js";
+import { isSameSecret } from "../shared/utils.js";
+
+const CALL_MS = 1000;
+const MAX_CLIENTS = 64;
+
+/** What a process answers to its peers. */
+export interface PeerHandlers {
+  exchange(digest: Digest): Digest;
+  fetchConfig(request: FetchConfigRequest): FetchConfigReply;
+  fetchMembers(): FetchMembersReply;
+}
+
+/** What a side answers besides. */
+export interface SideHandlers {
+  nudge(request: NudgeRequest): NudgeReply;
+  report(): ReportReply;
+}
+
+type Answer<Req, Res> = (request: Req) => Res;
+
+/** Serves peers; resolves with the address in use. */
+export class PeerServer {
+  private readonly server = new Server();
+  private peer: PeerHandlers | undefined;
+  private side: SideHandlers | undefined;
+
+  constructor(private readonly secret: string) {
+    this.server.addService(PeerService, {
+      exchange: this.guarded<Digest, Digest>(
+        () => this.peer && ((digest) => this.peer!.exchange(digest)),
+      ),
+      fetchConfig: this.guarded<FetchConfigRequest, FetchConfigReply>(
+        () => this.peer && ((request) => this.peer!.fetchConfig(request)),
+      ),
+      fetchMembers: this.guarded<FetchMembersRequest, FetchMembersReply>(
+        () => this.peer && (() => this.peer!.fetchMembers()),
+      ),
+    });
+    this.server.addService(SideService, {
+      nudge: this.guarded<NudgeRequest, NudgeReply>(
+        () => this.side && ((request) => this.side!.nudge(request)),
+      ),
+      report: this.guarded<ReportRequest, ReportReply>(
+        () => this.side && (() => this.side!.report()),
+      ),
+    });
+  }
+
+  /** Answers calls from now on; before, callers are told to come back. */
+  answer(peer: PeerHandlers, side?: SideHandlers): void {
+    this.peer = peer;
+    this.side = side;
+  }
+
+  private guarded<Req, Res>(find: () => Answer<Req, Res> | undefined) {
+    return (
+      call: ServerUnaryCall<Req, Res>,
+      callback: sendUnaryData<Res>,
+    ): void => {
+      const [given] = call.metadata.get(HEADERS.auth);
+      if (!isSameSecret(String(given ?? ""), this.secret)) {
+        const details = "not a process of this fleet";
+        return callback({ code: status.UNAUTHENTICATED, details });
+      }
+      const handle = find();
+      if (handle === undefined) {
+        return callback({ code: status.UNAVAILABLE, details: "starting" });
+      }
+      callback(null, handle(call.request));
+    };
+  }
+
+  listen(address: string): Promise<string> {
+    const { host } = splitAddress(address);
+    return new Promise((resolve, reject) => {
+      const insecure = ServerCredentials.createInsecure();
+      this.server.bindAsync(address, insecure, (err, port) => {
+        if (err !== null) return reject(err);
+        resolve(`${host}:${port}`);
+      });
+    });
+  }
+
+  close(): void {
+    this.server.forceShutdown();
+  }
+}
+
+type Unary<Req, Res> = (
+  request: Req,
+  metadata: Metadata,
+  options: { deadline: number },
+  callback: (err: ServiceError | null, reply: Res) => void,
+) => unknown;
+
+const OPTIONS = {
+  "grpc.initial_reconnect_backoff_ms": 200,
+  "grpc.max_reconnect_backoff_ms": 2000,
+} as const;
+
+/** Calls to peers; channels are opened on use and bounded in number. */
+export class PeerLink {
+  private readonly metadata = new Metadata();
+  private readonly peers = new LRUCache<string, PeerClient>({
+    max: MAX_CLIENTS,
+    dispose: (client) => client.close(),
+  });
+  private readonly sides = new LRUCache<string, SideClient>({
+    max: MAX_CLIENTS,
+    dispose: (client) => client.close(),
+  });
+
+  constructor(secret: string) {
+    this.metadata.set(HEADERS.auth, secret);
+  }
+
+  close(): void {
+    this.peers.clear();
+    this.sides.clear();
+  }
+
+  exchange(address: string, digest: Digest): Promise<Digest> {
+    const peer = this.peer(address);
+    return this.call(peer.exchange.bind(peer) as Unary<Digest, Digest>, digest);
+  }
+
+  fetchConfig(
+    address: string,
+    request: FetchConfigRequest,
+  ): Promise<FetchConfigReply> {
+    const peer = this.peer(address);
+    return this.call(
+      peer.fetchConfig.bind(peer) as Unary<
+        FetchConfigRequest,
+        FetchConfigReply
+      >,
+      request,
+    );
+  }
+
+  fetchMembers(address: string): Promise<FetchMembersReply> {
+    const peer = this.peer(address);
+    return this.call(
+      peer.fetchMembers.bind(peer) as Unary<
+        FetchMembersRequest,
+        FetchMembersReply
+      >,
+      {},
+    );
+  }
+
+  nudge(address: string, request: NudgeRequest): Promise<NudgeReply> {
+    const side = this.side(address);
+    return this.call(
+      side.nudge.bind(side) as Unary<NudgeRequest, NudgeReply>,
+      request,
+    );
+  }
+
+  report(address: string): Promise<ReportReply> {
+    const side = this.side(address);
+    return this.call(
+      side.report.bind(side) as Unary<ReportRequest, ReportReply>,
+      {},
+    );
+  }
+
+  private peer(address: string): PeerClient {
+    const known = this.peers.get(address);
+    if (known !== undefined) return known;
+    const fresh = new PeerClient(
+      address,
+      credentials.createInsecure(),
+      OPTIONS,
+    );
+    this.peers.set(address, fresh);
+    return fresh;
+  }
+
+  private side(address: string): SideClient {
+    const known = this.sides.get(address);
+    if (known !== undefined) return known;
+    const fresh = new SideClient(
+      address,
+      credentials.createInsecure(),
+      OPTIONS,
+    );
+    this.sides.set(address, fresh);
+    return fresh;
+  }
+
+  private call<Req, Res>(unary: Unary<Req, Res>, request: Req): Promise<Res> {
+    return new Promise((resolve, reject) => {
+      const deadline = Date.now() + CALL_MS;
+      unary(request, this.metadata, { deadline }, (err, reply) => {
+        if (err === null) return resolve(reply);
+        reject(new SnowgateError(`peer call: ${err.details || err.message}`));
+      });
+    });
+  }
+}
--- /dev/null
+++ b/src/retry/index.ts
@@ -0,0 +1,2 @@
+export { decideRetry, earnRetry, newRetryBudget } from "./retry.js";
+export type { RetryAnswer, RetryQuestion } from "./retry.js";
--- /dev/null
+++ b/src/routing/router.ts
@@ -0,0 +1,254 @@
+/**
+ * Routing of one entry: which upstream a request goes to. It holds what is
+ * known of each upstream and asks the policy to pick one of a few. No I/O;
+ * the clock and the random source come in.
+ */
+import type { Service, Upstream } from "../config/index.js";
+import type { MemberState } from "../membership/index.js";
+import type { Rng } from "../shared/rng.js";
+import {
+  afterFailure,
+  afterProbeSent,
+  afterSuccess,
+  HEALTHY,
+  isEjected,
+  needsProbe,
+  warmth,
+} from "./health.js";
+import type { Health } from "./health.js";
+import { prefillRate } from "./loadModel.js";
+import { hashText, PrefixIndex } from "./prefixes.js";
+import type {
+  Candidate,
+  Choice,
+  LoadReport,
+  RouteRequest,
+  RoutingPolicy,
+} from "./types.js";
+
+const AFFINE_CANDIDATES = 2;
+const RANDOM_CANDIDATES = 2;
+/** A small fleet is looked at whole; a large one by a few candidates. */
+const LOOK_AT_ALL = 8;
+/** How long a refusal keeps an upstream out, where it names no time, ms. */
+const REFUSAL_MS = 250;
+/** How long news that an upstream leaves is believed without more, ms. */
+const LEAVING_MS = 10_000;
+
+interface Known {
+  report: LoadReport | undefined;
+  reportAt: number;
+  /** This entry's sends since the last report: prompt tokens. */
+  sentTokens: number;
+  sentCount: number;
+  ownInFlight: number;
+  health: Health;
+  /** Instant until which it said to stay away, ms. */
+  refusedUntil: number;
+  /** Its VM is leaving: no new work until it comes back as a new process. */
+  isLeaving: boolean;
+}
+
+const MS = 1000;
+
+export class Router {
+  private readonly known = new Map<string, Known>();
+  private readonly prefixIndex = new PrefixIndex();
+
+  constructor(
+    private readonly policy: RoutingPolicy,
+    private readonly rng: Rng,
+  ) {}
+
+  /** The upstream to send to, or undefined where none may be used now. */
+  choose(request: RouteRequest, now: number): Choice | undefined {
+    const open = this.openUpstreams(request, now);
+    const matches = this.prefixIndex.match(request.prefixes);
+    const few = this.fewOf(open, request, matches);
+    const candidates = few.map((upstream) =>
+      this.candidate(upstream, request.service, matches, now),
+    );
+    return this.policy.pick(candidates, request);
+  }
+
+  /** A request was sent. */
+  onSent(upstream: string, request: RouteRequest, now: number): void {
+    const known = this.of(upstream);
+    known.ownInFlight += 1;
+    known.sentCount += 1;
+    const cached = this.prefixIndex.match(request.prefixes).get(upstream) ?? 0;
+    known.sentTokens += Math.max(0, request.promptTokens - cached);
+    this.prefixIndex.learn(upstream, request.prefixes);
+    if (needsProbe(known.health, now)) {
+      known.health = afterProbeSent(known.health, now);
+    }
+  }
+
+  /** A request ended, well or not. */
+  onEnd(upstream: string): void {
+    const known = this.of(upstream);
+    known.ownInFlight = Math.max(0, known.ownInFlight - 1);
+  }
+
+  onSuccess(upstream: string, now: number): void {
+    const known = this.of(upstream);
+    known.health = afterSuccess(known.health, now);
+  }
+
+  /** A failure that speaks against the upstream. */
+  onFailure(upstream: string, now: number, isUnreachable: boolean): void {
+    const known = this.of(upstream);
+    known.health = afterFailure(known.health, now, isUnreachable);
+    if (isUnreachable) this.prefixIndex.forget(upstream);
+  }
+
+  /** The side refused before it wrote. */
+  onRefusal(upstream: string, retryAfterMs: number, now: number): void {
+    const pause = retryAfterMs > 0 ? retryAfterMs : REFUSAL_MS;
+    this.of(upstream).refusedUntil = now + pause;
+  }
+
+  /** A side said that its VM is leaving. */
+  onLeaving(upstream: string, now: number): void {
+    this.of(upstream).refusedUntil = now + LEAVING_MS;
+  }
+
+  /** News of a side from peers or the VM list. */
+  onMember(upstream: string, state: MemberState, now: number): void {
+    const known = this.of(upstream);
+    known.isLeaving = state === "leaving";
+    if (state === "alive")
+      known.refusedUntil = Math.min(now, known.refusedUntil);
+  }
+
+  /** The load that a reply carried. */
+  onReport(upstream: string, report: LoadReport, now: number): void {
+    const known = this.of(upstream);
+    const isNewRole = known.report && known.report.role !== report.role;
+    if (isNewRole) this.prefixIndex.forget(upstream);
+    known.report = report;
+    known.reportAt = now;
+    known.sentTokens = 0;
+    known.sentCount = 0;
+  }
+
+  /** What is known of one upstream, for operators. */
+  view(upstream: string, now: number) {
+    const known = this.of(upstream);
+    return {
+      inFlight: known.ownInFlight,
+      report: known.report,
+      reportAgeMs: known.report ? now - known.reportAt : undefined,
+      ejected: isEjected(known.health, now),
+      refused: known.refusedUntil > now,
+    };
+  }
+
+  /** Drops what is known of upstreams that are not declared any more. */
+  retain(ids: ReadonlySet<string>): void {
+    for (const id of this.known.keys()) {
+      if (ids.has(id)) continue;
+      this.known.delete(id);
+      this.prefixIndex.forget(id);
+    }
+  }
+
+  private of(id: string): Known {
+    const known = this.known.get(id);
+    if (known !== undefined) return known;
+    const fresh: Known = {
+      report: undefined,
+      reportAt: 0,
+      sentTokens: 0,
+      sentCount: 0,
+      ownInFlight: 0,
+      health: HEALTHY,
+      refusedUntil: 0,
+      isLeaving: false,
+    };
+    this.known.set(id, fresh);
+    return fresh;
+  }
+
+  private openUpstreams(request: RouteRequest, now: number): Upstream[] {
+    const { upstreams } = request.service;
+    const usable = upstreams.filter((upstream) => {
+      if (request.tried.has(upstream.id)) return false;
+      const known = this.of(upstream.id);
+      if (known.isLeaving) return false;
+      return known.refusedUntil <= now && !isEjected(known.health, now);
+    });
+    return this.inShare(usable, request.service);
+  }
+
+  /** Keeps the upstreams of one site, drawn by the cutover's shares. */
+  private inShare(upstreams: Upstream[], service: Service): Upstream[] {
+    const { shares } = service;
+    if (shares === undefined) return upstreams;
+    const sites = Object.entries(shares).filter(
+      ([site, share]) =>
+        share > 0 && upstreams.some((upstream) => upstream.site === site),
+    );
+    const total = sites.reduce((sum, [, share]) => sum + share, 0);
+    // Better the other site than nobody: a share is a wish, an answer a must.
+    if (total === 0) return upstreams;
+    let draw = this.rng() * total;
+    const drawn = sites.find(([, share]) => (draw -= share) < 0) ?? sites[0];
+    return upstreams.filter((upstream) => upstream.site === drawn?.[0]);
+  }
+
+  private fewOf(
+    open: Upstream[],
+    request: RouteRequest,
+    matches: Map<string, number>,
+  ): Upstream[] {
+    if (open.length <= LOOK_AT_ALL) return open;
+    const few = new Set<Upstream>();
+    for (const upstream of open) {
+      if (matches.has(upstream.id)) few.add(upstream);
+    }
+    const [first] = request.prefixes;
+    if (first !== undefined) {
+      for (const upstream of rendezvous(open, first)) few.add(upstream);
+    }
+    for (let draw = 0; draw < RANDOM_CANDIDATES; draw += 1) {
+      const item = open[Math.floor(this.rng() * open.length)];
+      if (item !== undefined) few.add(item);
+    }
+    return [...few];
+  }
+
+  private candidate(
+    upstream: Upstream,
+    service: Service,
+    matches: Map<string, number>,
+    now: number,
+  ): Candidate {
+    const known = this.of(upstream.id);
+    const role = known.report?.role ?? "mixed";
+    const rate = prefillRate(service.capacity, role);
+    const drained = ((now - known.reportAt) * rate) / MS;
+    const reported = known.report?.prefillTokens ?? 0;
+    const active = (known.report?.active ?? 0) + known.sentCount;
+    return {
+      upstream,
+      role,
+      work: {
+        prefillTokens: Math.max(0, reported + known.sentTokens - drained),
+        active: Math.max(active, known.ownInFlight),
+        queued: known.report?.queued ?? 0,
+      },
+      ownInFlight: known.ownInFlight,
+      cachedTokens: matches.get(upstream.id) ?? 0,
+      warmth: warmth(known.health, now),
+    };
+  }
+}
+
+/** The upstreams that every entry prefers for a prefix, without talking. */
+const rendezvous = (open: Upstream[], prefix: string): Upstream[] =>
+  open
+    .map((upstream) => ({ upstream, rank: hashText(prefix + upstream.id) }))
+    .sort((left, right) => (left.rank < right.rank ? 1 : -1))
+    .slice(0, AFFINE_CANDIDATES)
+    .map((item) => item.upstream);
--- /dev/null
+++ b/src/routing/types.ts
@@ -0,0 +1,58 @@
+/** Typed events and answers of the routing decisions. */
+import type { Role, Service, Upstream, Urgency } from "../config/index.js";
+import type { UpstreamWork } from "./loadModel.js";
+
+export const SIDE_STATES = ["open", "draining", "leaving", "busy"] as const;
+
+/** Whether a side takes new work, and if not, why. */
+export type SideState = (typeof SIDE_STATES)[number];
+
+/** The load that a side puts on each of its replies. */
+export interface LoadReport extends UpstreamWork {
+  role: Role;
+  state: SideState;
+  /** Prompt tokens that the engine read in a second lately; 0 unknown. */
+  measuredPrefillRate: number;
+}
+
+/** One request as routing sees it. */
+export interface RouteRequest {
+  service: Service;
+  urgency: Urgency;
+  promptTokens: number;
+  outputTokens: number;
+  /** Hashes of the prompt's growing prefixes, shortest first. */
+  prefixes: readonly string[];
+  /** Instant by which the answer must be whole, ms. */
+  deadlineAt: number;
+  /** Upstreams that this request has tried already. */
+  tried: ReadonlySet<string>;
+}
+
+/** One upstream that could take the request, with what is known of it. */
+export interface Candidate {
+  upstream: Upstream;
+  work: UpstreamWork;
+  role: Role;
+  /** Requests of this entry that are in flight there. */
+  ownInFlight: number;
+  /** Prompt tokens expected in its cache. */
+  cachedTokens: number;
+  /** 0 to 1: how far a returning upstream has been warmed up. */
+  warmth: number;
+}
+
+/** Why a candidate was chosen, for `explain`. */
+export interface Choice {
+  upstream: Upstream;
+  /** Expected time from now to the end of the answer, ms. */
+  expectedMs: number;
+  cachedTokens: number;
+  considered: { id: string; expectedMs: number }[];
+}
+
+/** Picks one of a few candidates. */
+export interface RoutingPolicy {
+  readonly name: string;
+  pick(candidates: Candidate[], request: RouteRequest): Choice | undefined;
+}
--- /dev/null
+++ b/src/shared/utils.ts
@@ -0,0 +1,25 @@
+/** Small pure helpers without a home of their own. */
+import { timingSafeEqual, createHash } from "node:crypto";
+
+/** Closes an exhaustive `switch`: reaching it is a programming error. */
+export const assertNever = (value: never): never => {
+  throw new TypeError(`unexpected value: ${JSON.stringify(value)}`);
+};
+
+export const clamp = (value: number, low: number, high: number): number =>
+  Math.min(high, Math.max(low, value));
+
+const digest = (text: string): Buffer =>
+  createHash("sha256").update(text).digest();
+
+/** Compares two secrets in time that does not depend on their content. */
+export const isSameSecret = (left: string, right: string): boolean =>
+  timingSafeEqual(digest(left), digest(right));
+
+/** A short stable fingerprint of text, 16 hexadecimal digits. */
+export const fingerprint = (text: string | Buffer): string =>
+  createHash("sha256").update(text).digest("hex").slice(0, 16);
+
+/** The message of anything that was thrown. */
+export const errText = (err: unknown): string =>
+  err instanceof Error ? err.message : String(err);
--- /dev/null
+++ b/src/side/dataServer.ts
@@ -0,0 +1,244 @@
+/**
+ * The side's HTTP server: admission, then the call to the upstream.
+ *
+ * An entry sends the head of a request first (`Expect: 100-continue`) and
+ * its body only after this side has let it in. A connection that is lost
+ * before proves that nothing ran.
+ */
+import http from "node:http";
+
+import type { Admission, Arrival } from "../admission/index.js";
+import { URGENCIES } from "../config/index.js";
+import type { Urgency } from "../config/index.js";
+import { readBody } from "../http/index.js";
+import type { LoadReport } from "../routing/index.js";
+import { HEADERS } from "../shared/constants.js";
+import type { RequestFailure } from "../shared/errors.js";
+import { errText, isSameSecret } from "../shared/utils.js";
+import type { Log } from "../telemetry/index.js";
+import type { SideSettings } from "../settings/index.js";
+import {
+  cutOff,
+  refused,
+  sendFailure,
+  unauthorized,
+  wrongUpstream,
+} from "./failures.js";
+import type { SideGate } from "./sideGate.js";
+import type { SideRequest } from "./types.js";
+import { callUpstream, passedHeaders } from "./upstreamCall.js";
+
+const EXPIRE_PERIOD_MS = 50;
+const DRAINING_RETRY_MS = 1000;
+
+const numberOf = (value: string | string[] | undefined): number => {
+  const number = Number(value ?? 0);
+  return Number.isFinite(number) && number >= 0 ? number : 0;
+};
+
+const urgencyOf = (value: string | string[] | undefined): Urgency =>
+  URGENCIES.find((item) => item === value) ?? "normal";
+
+export interface DataServerOptions {
+  settings: SideSettings;
+  admission: Admission;
+  gate: SideGate;
+  log: Log;
+  now: () => number;
+  configNumber: () => number;
+}
+
+export class DataServer {
+  readonly server: http.Server;
+  private readonly waiting = new Map<string, SideRequest>();
+  private readonly agent = new http.Agent({ keepAlive: true });
+  private readonly timer: NodeJS.Timeout;
+  private sequence = 0;
+
+  constructor(private readonly options: DataServerOptions) {
+    const { limits } = options.settings;
+    this.server = http.createServer(
+      { maxHeaderSize: limits.maxHeaderBytes },
+      (req, res) => this.onRequest(req, res),
+    );
+    this.server.on("checkContinue", (req, res) => this.onRequest(req, res));
+    this.server.keepAliveTimeout = 0;
+    this.server.requestTimeout = 0;
+    this.timer = setInterval(() => this.letIn(), EXPIRE_PERIOD_MS);
+    options.gate.onChange(() => this.onGateChange());
+  }
+
+  close(): void {
+    clearInterval(this.timer);
+    this.agent.destroy();
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  private onRequest(req: http.IncomingMessage, res: http.ServerResponse) {
+    const request = this.toSideRequest(req, res);
+    const refusal = this.refusalOf(request);
+    if (refusal !== undefined) return this.refuse(request, refusal);
+    res.on("close", () => this.onClosed(request));
+    const { admission, now } = this.options;
+    const answer = admission.arrive(request.arrival, now());
+    switch (answer.kind) {
+      case "admitted":
+        return void this.run(request);
+      case "queued":
+        return void this.waiting.set(request.id, request);
+      case "refused":
+        return this.refuse(request, refused(answer.why, answer.retryAfterMs));
+    }
+  }
+
+  private toSideRequest(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): SideRequest {
+    this.sequence += 1;
+    const id = `${String(req.headers[HEADERS.requestId])}/${this.sequence}`;
+    const urgency = urgencyOf(req.headers[HEADERS.urgency]);
+    const budget = numberOf(req.headers[HEADERS.deadline]);
+    const arrival: Arrival = {
+      id,
+      workspace: String(req.headers[HEADERS.workspace] ?? ""),
+      urgency,
+      prefillTokens: numberOf(req.headers[HEADERS.prefillTokens]),
+      outputTokens: numberOf(req.headers[HEADERS.outputTokens]),
+      deadlineAt: this.options.now() + budget,
+    };
+    return { id, req, res, arrival, urgency, isSent: false };
+  }
+
+  private refusalOf({ req }: SideRequest): RequestFailure | undefined {
+    const { settings, gate } = this.options;
+    const auth = String(req.headers[HEADERS.auth] ?? "");
+    if (!isSameSecret(auth, settings.peers.secret)) return unauthorized();
+    const asked = String(req.headers[HEADERS.upstream] ?? "");
+    if (asked !== settings.upstream.id) return wrongUpstream(asked);
+    switch (gate.state) {
+      case "open":
+        return undefined;
+      case "leaving":
+        return refused("leaving", 0);
+      case "draining":
+      case "busy":
+        return refused("draining", DRAINING_RETRY_MS);
+    }
+  }
+
+  private refuse(request: SideRequest, failure: RequestFailure): void {
+    sendFailure(request.res, failure, this.replyHeaders());
+  }
+
+  private replyHeaders(): Record<string, string> {
+    const { gate, settings, configNumber } = this.options;
+    return {
+      [HEADERS.load]: JSON.stringify(this.load()),
+      [HEADERS.upstream]: settings.upstream.id,
+      [HEADERS.configNumber]: String(configNumber()),
+      ...(gate.state === "leaving" ? { connection: "close" } : {}),
+    };
+  }
+
+  /** The load that goes with each reply. */
+  load(): LoadReport {
+    const { admission, gate } = this.options;
+    return {
+      ...admission.work,
+      role: gate.role,
+      state: gate.state,
+      measuredPrefillRate: 0,
+    };
+  }
+
+  private onGateChange(): void {
+    const { gate, admission } = this.options;
+    if (gate.state === "open") return;
+    const code = gate.state === "leaving" ? "leaving" : "draining";
+    for (const id of admission.refuseWaiting()) {
+      const request = this.waiting.get(id);
+      this.waiting.delete(id);
+      if (request) this.refuse(request, refused(code, DRAINING_RETRY_MS));
+    }
+  }
+
+  private onClosed(request: SideRequest): void {
+    this.waiting.delete(request.id);
+    this.options.admission.leave(request.id);
+    this.options.gate.onWorkEnded();
+    this.letIn();
+  }
+
+  private letIn(): void {
+    const { admitted, expired } = this.options.admission.release(
+      this.options.now(),
+    );
+    for (const id of expired) {
+      const request = this.waiting.get(id);
+      this.waiting.delete(id);
+      if (request) this.refuse(request, refused("deadline", 0));
+    }
+    for (const id of admitted) {
+      const request = this.waiting.get(id);
+      this.waiting.delete(id);
+      if (request) void this.run(request);
+    }
+  }
+
+  private async run(request: SideRequest): Promise<void> {
+    const { req, res } = request;
+    const { limits } = this.options.settings;
+    res.writeContinue();
+    let body: Buffer;
+    try {
+      body = await readBody(req, limits.maxBodyBytes);
+    } catch (err) {
+      // The body never came whole, so the upstream saw nothing of it.
+      this.options.log.debug("body not read", { cause: errText(err) });
+      return void res.destroy();
+    }
+    if (res.destroyed) return;
+    await this.forward(request, body);
+  }
+
+  private async forward(request: SideRequest, body: Buffer): Promise<void> {
+    const { req, res } = request;
+    const { upstream } = this.options.settings;
+    request.isSent = true;
+    const result = await callUpstream({
+      url: upstream.url,
+      agent: this.agent,
+      req,
+      body,
+      requestId: String(req.headers[HEADERS.requestId]),
+      echoesRequestId: upstream.echoesRequestId,
+      onRequest: (upstreamReq) => {
+        res.on("close", () => upstreamReq.destroy());
+      },
+    });
+    if (result.kind === "failure") return this.refuse(request, result.failure);
+    this.relay(request, result.res);
+  }
+
+  private relay(request: SideRequest, upstream: http.IncomingMessage): void {
+    const { res, id } = request;
+    const { admission } = this.options;
+    res.writeHead(upstream.statusCode ?? 0, {
+      ...passedHeaders(upstream.headers, () => false),
+      ...(upstream.headers["content-length"] === undefined
+        ? {}
+        : { "content-length": upstream.headers["content-length"] }),
+      ...this.replyHeaders(),
+    });
+    res.flushHeaders();
+    upstream.once("data", () => admission.prefillDone(id));
+    upstream.on("error", () => res.destroy());
+    upstream.on("close", () => {
+      // Closing without a last chunk tells the entry that it was cut.
+      if (!upstream.complete) res.destroy(new Error(cutOff("cut").message));
+    });
+    upstream.pipe(res);
+  }
+}
--- /dev/null
+++ b/src/side/failures.ts
@@ -0,0 +1,83 @@
+/** The failures that a side tells an entry. */
+import type http from "node:http";
+
+import { sendJson } from "../http/index.js";
+import { HEADERS } from "../shared/constants.js";
+import type { RequestFailure } from "../shared/errors.js";
+
+const HTTP_UNAVAILABLE = 503;
+const HTTP_BAD_GATEWAY = 502;
+const HTTP_MISDIRECTED = 421;
+const HTTP_UNAUTHORIZED = 401;
+
+/** Refused before anything was written to the upstream. */
+export const refused = (
+  code: "overloaded" | "deadline" | "draining" | "leaving",
+  retryAfterMs: number,
+): RequestFailure => ({
+  status: HTTP_UNAVAILABLE,
+  code,
+  message: `the side refused before it wrote: ${code}`,
+  verdict: "not-run",
+  retryAfterMs,
+});
+
+export const unauthorized = (): RequestFailure => ({
+  status: HTTP_UNAUTHORIZED,
+  code: "unauthorized",
+  message: "only entries of this fleet may send requests",
+  verdict: "not-run",
+});
+
+export const wrongUpstream = (asked: string): RequestFailure => ({
+  status: HTTP_MISDIRECTED,
+  code: "wrong_upstream",
+  message: `this side does not serve ${asked}`,
+  verdict: "not-run",
+});
+
+/** The upstream could not be reached: no byte was written to it. */
+export const unreachable = (why: string): RequestFailure => ({
+  status: HTTP_BAD_GATEWAY,
+  code: "unreachable",
+  message: `upstream not reached: ${why}`,
+  verdict: "not-run",
+});
+
+/** The connection was lost after bytes were written. */
+export const cutOff = (why: string): RequestFailure => ({
+  status: HTTP_BAD_GATEWAY,
+  code: "cut",
+  message: `upstream connection lost: ${why}`,
+  verdict: "may-have-run",
+});
+
+/** The answer carries the id of another request. */
+export const crossed = (): RequestFailure => ({
+  status: HTTP_BAD_GATEWAY,
+  code: "crossed",
+  message: "the upstream answered with another request's id",
+  verdict: "may-have-run",
+});
+
+/** Sends a failure with its verdict. */
+export const sendFailure = (
+  res: http.ServerResponse,
+  failure: RequestFailure,
+  headers: Record<string, string> = {},
+): void => {
+  const retry: Record<string, string> =
+    failure.retryAfterMs === undefined
+      ? {}
+      : { [HEADERS.retryAfterMs]: String(Math.ceil(failure.retryAfterMs)) };
+  sendJson(
+    res,
+    failure.status,
+    { error: failure },
+    {
+      [HEADERS.verdict]: failure.verdict,
+      ...retry,
+      ...headers,
+    },
+  );
+};
--- /dev/null
+++ b/src/side/sideDaemon.ts
@@ -0,0 +1,89 @@
+/** Role `side`: the only door to its upstream. */
+import { Admission } from "../admission/index.js";
+import type { AdmissionLimits } from "../admission/index.js";
+import type { Config } from "../config/index.js";
+import {
+  createGossip,
+  createMembership,
+  learnConfiguration,
+  startCommonTasks,
+} from "../daemon/runtime.js";
+import type { Runtime } from "../daemon/runtime.js";
+import type { Daemon } from "../entry/entryDaemon.js";
+import { listen } from "../http/index.js";
+import { PeerServer } from "../peers/index.js";
+import type { SideSettings } from "../settings/index.js";
+import { DataServer } from "./dataServer.js";
+import { SideGate } from "./sideGate.js";
+
+const MAX_QUEUED = 256;
+const PLAIN_SEQUENCES = 64;
+
+const DEFAULT_LIMITS: AdmissionLimits = {
+  capacity: {
+    prefillTokensPerSecond: 8000,
+    decodeTokensPerSecond: 40,
+    maxSequences: PLAIN_SEQUENCES,
+  },
+  maxQueued: MAX_QUEUED,
+  weightOf: () => 1,
+};
+
+/** Admission's limits as the configuration declares them. */
+const limitsFrom = (config: Config, serviceName: string): AdmissionLimits => {
+  const service = config.services.find((item) => item.name === serviceName);
+  if (service === undefined) return DEFAULT_LIMITS;
+  const weights = new Map(
+    config.fleet.workspaces.map((item) => [item.name, item.weight]),
+  );
+  return {
+    capacity: service.capacity,
+    maxQueued: MAX_QUEUED,
+    weightOf: (workspace) => weights.get(workspace) ?? 1,
+  };
+};
+
+export const startSide = async (
+  runtime: Runtime,
+  settings: SideSettings,
+): Promise<Daemon> => {
+  const { keeper, log, now, supervisor, link } = runtime;
+  const admission = new Admission(DEFAULT_LIMITS);
+  const gate = new SideGate(() => admission.inFlight);
+  const data = new DataServer({
+    settings,
+    admission,
+    gate,
+    log,
+    now,
+    configNumber: () => keeper.number,
+  });
+  const peerServer = new PeerServer(settings.peers.secret);
+  const peers = await peerServer.listen(settings.listen.peers);
+  const { id } = settings.upstream;
+  const membership = createMembership(runtime, id, "side", peers);
+  const gossip = createGossip(runtime, membership);
+  peerServer.answer(gossip);
+  keeper.onChange(({ config }) =>
+    admission.setLimits(limitsFrom(config, settings.upstream.service)),
+  );
+  membership.onChange((member) => {
+    if (member.id === id && member.state === "leaving") gate.shut("leaving");
+  });
+  await learnConfiguration(runtime, gossip);
+  startCommonTasks(runtime, membership, gossip);
+  const dataAt = await listen(data.server, settings.listen.data);
+  return {
+    addresses: { data: dataAt, peers },
+    stop: async () => {
+      gate.shut("leaving");
+      membership.announce("leaving");
+      await gossip.spread();
+      await gate.idle();
+      data.close();
+      supervisor.stop();
+      link.close();
+      peerServer.close();
+    },
+  };
+};
--- /dev/null
+++ b/src/side/sideGate.ts
@@ -0,0 +1,59 @@
+/**
+ * Whether the side takes new work, and its engine's role. Several reasons
+ * may close it at once; it opens when none is left.
+ */
+import type { Role } from "../config/index.js";
+import type { SideState } from "../routing/index.js";
+
+export const GATE_REASONS = ["leaving", "draining", "busy"] as const;
+
+/** A reason to take no new work; the first that holds is the state. */
+export type GateReason = (typeof GATE_REASONS)[number];
+
+type Listener = () => void;
+
+export class SideGate {
+  private readonly reasons = new Set<GateReason>();
+  private readonly listeners: Listener[] = [];
+  private idleWaiters: Listener[] = [];
+  role: Role = "mixed";
+
+  constructor(private readonly inFlight: () => number) {}
+
+  get state(): SideState {
+    return GATE_REASONS.find((reason) => this.reasons.has(reason)) ?? "open";
+  }
+
+  onChange(listener: Listener): void {
+    this.listeners.push(listener);
+  }
+
+  shut(reason: GateReason): void {
+    if (this.reasons.has(reason)) return;
+    this.reasons.add(reason);
+    this.notify();
+  }
+
+  open(reason: GateReason): void {
+    if (!this.reasons.delete(reason)) return;
+    this.notify();
+  }
+
+  /** Resolves when no request is in flight. */
+  idle(): Promise<void> {
+    if (this.inFlight() === 0) return Promise.resolve();
+    return new Promise((resolve) => this.idleWaiters.push(resolve));
+  }
+
+  /** A request ended. */
+  onWorkEnded(): void {
+    if (this.inFlight() > 0) return;
+    const waiters = this.idleWaiters;
+    this.idleWaiters = [];
+    for (const resolve of waiters) resolve();
+  }
+
+  private notify(): void {
+    for (const listener of this.listeners) listener();
+  }
+}
--- /dev/null
+++ b/src/side/upstreamCall.ts
@@ -0,0 +1,97 @@
+/** One call from a side to its upstream. */
+import http from "node:http";
+
+import { HEADERS, INTERNAL_HEADER_PREFIX } from "../shared/constants.js";
+import type { RequestFailure } from "../shared/errors.js";
+import { errText } from "../shared/utils.js";
+import { crossed, cutOff, unreachable } from "./failures.js";
+
+/** Headers of one connection that are not passed on. */
+const HOP_HEADERS = new Set([
+  "connection",
+  "keep-alive",
+  "transfer-encoding",
+  "expect",
+  "host",
+  "content-length",
+  "upgrade",
+  "te",
+  "trailer",
+  "proxy-authorization",
+  "proxy-authenticate",
+]);
+
+/** Internal headers that the upstream reads. */
+const FOR_UPSTREAM: readonly string[] = [
+  HEADERS.urgency,
+  HEADERS.resumeFrom,
+  HEADERS.deadline,
+];
+
+/** What the call came to once the upstream's head is here. */
+export type UpstreamResult =
+  | { kind: "response"; res: http.IncomingMessage; req: http.ClientRequest }
+  | { kind: "failure"; failure: RequestFailure };
+
+/** Header names of a hop are dropped, and internal ones where not wanted. */
+export const passedHeaders = (
+  headers: http.IncomingHttpHeaders,
+  keepInternal: (name: string) => boolean,
+): http.OutgoingHttpHeaders => {
+  const passed: http.OutgoingHttpHeaders = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (HOP_HEADERS.has(name) || value === undefined) continue;
+    const isInternal = name.startsWith(INTERNAL_HEADER_PREFIX);
+    if (isInternal && !keepInternal(name)) continue;
+    passed[name] = value;
+  }
+  return passed;
+};
+
+export interface UpstreamCallOptions {
+  url: string;
+  agent: http.Agent;
+  req: http.IncomingMessage;
+  body: Buffer;
+  requestId: string;
+  echoesRequestId: boolean;
+  /** Called with the request, so that it can be cancelled. */
+  onRequest: (req: http.ClientRequest) => void;
+}
+
+/** Writes the request and waits for the head of the answer. */
+export const callUpstream = (
+  options: UpstreamCallOptions,
+): Promise<UpstreamResult> =>
+  new Promise((resolve) => {
+    const { url, agent, req, body, requestId } = options;
+    const upstreamReq = http.request(url + (req.url ?? "/"), {
+      method: req.method ?? "GET",
+      agent,
+      headers: {
+        ...passedHeaders(req.headers, (name) => FOR_UPSTREAM.includes(name)),
+        ...(body.length > 0 ? { "content-length": body.length } : {}),
+      },
+    });
+    let isConnected = false;
+    upstreamReq.on("socket", (socket) => {
+      if (!socket.connecting) isConnected = true;
+      socket.once("connect", () => (isConnected = true));
+    });
+    upstreamReq.on("error", (err) => {
+      const failure = isConnected
+        ? cutOff(errText(err))
+        : unreachable(errText(err));
+      resolve({ kind: "failure", failure });
+    });
+    upstreamReq.on("response", (res) => {
+      const echoed = res.headers[HEADERS.requestId];
+      if (options.echoesRequestId && echoed !== requestId) {
+        upstreamReq.destroy();
+        return resolve({ kind: "failure", failure: crossed() });
+      }
+      resolve({ kind: "response", res, req: upstreamReq });
+    });
+    options.onRequest(upstreamReq);
+    upstreamReq.end(body);
+  });
--- /dev/null
+++ b/src/store/budgetedStore.ts
@@ -0,0 +1,73 @@
+/**
+ * An object store behind this process's call budget. Calls over the budget
+ * are refused here, so that an outage's retries can't grow past it.
+ */
+import { newTokenBucket, takeTokens } from "../shared/tokenBucket.js";
+import type { TokenBucket } from "../shared/tokenBucket.js";
+import { StoreError } from "../shared/errors.js";
+import type {
+  ObjectStore,
+  StoredObject,
+  WatchReply,
+  WriteResult,
+} from "./types.js";
+
+/** Calls that may be made at once after a quiet time, in seconds' worth. */
+const BURST_SECONDS = 2;
+const OVER_BUDGET = "over this process's call budget";
+
+export class BudgetedStore implements ObjectStore {
+  private bucket: TokenBucket;
+  /** Calls let through since start. */
+  calls = 0;
+
+  constructor(
+    private readonly inner: ObjectStore,
+    callsPerSecond: number,
+    private readonly now: () => number,
+  ) {
+    const capacity = callsPerSecond * BURST_SECONDS;
+    this.bucket = newTokenBucket(capacity, callsPerSecond, now());
+  }
+
+  get<T>(kind: string, name: string): Promise<StoredObject<T> | undefined> {
+    this.spendOrThrow();
+    return this.inner.get<T>(kind, name);
+  }
+
+  list<T>(kind: string): Promise<StoredObject<T>[]> {
+    this.spendOrThrow();
+    return this.inner.list<T>(kind);
+  }
+
+  async put<T>(
+    kind: string,
+    name: string,
+    value: T,
+    expected: number,
+    writeId: string,
+  ): Promise<WriteResult<T>> {
+    if (!this.spend()) return { kind: "refused", why: OVER_BUDGET };
+    return this.inner.put(kind, name, value, expected, writeId);
+  }
+
+  watch(
+    kinds: string[],
+    revision: number,
+    waitMs: number,
+  ): Promise<WatchReply> {
+    this.spendOrThrow();
+    return this.inner.watch(kinds, revision, waitMs);
+  }
+
+  private spend(): boolean {
+    const { bucket, taken } = takeTokens(this.bucket, 1, this.now());
+    this.bucket = bucket;
+    if (taken) this.calls += 1;
+    return taken;
+  }
+
+  private spendOrThrow(): void {
+    if (!this.spend()) throw new StoreError(OVER_BUDGET);
+  }
+}
--- /dev/null
+++ b/src/store/index.ts
@@ -0,0 +1,11 @@
+export { BudgetedStore } from "./budgetedStore.js";
+export { HttpObjectStore } from "./httpObjectStore.js";
+export { settledWrite } from "./settledWrite.js";
+export { ABSENT } from "./types.js";
+export type {
+  ObjectStore,
+  StoredObject,
+  WatchEvent,
+  WatchReply,
+  WriteResult,
+} from "./types.js";
--- /dev/null
+++ b/src/store/settledWrite.ts
@@ -0,0 +1,59 @@
+/**
+ * A conditional write whose lost answer is cleared up. After `unknown` the
+ * object is read back and the writer's unique id compared. Where the version
+ * has not moved, the same write is sent again under the same id: a delayed
+ * first copy and the second can't both take effect.
+ */
+import type { ObjectStore, StoredObject, WriteResult } from "./types.js";
+import { ABSENT } from "./types.js";
+
+const ATTEMPTS = 4;
+
+/** As `put`, but `unknown` is left only when the store stays silent. */
+export const settledWrite = async <T>(
+  store: ObjectStore,
+  kind: string,
+  name: string,
+  value: T,
+  expected: number,
+  writeId: string,
+): Promise<WriteResult<T>> => {
+  let isUnsure = false;
+  let why = "";
+  for (let attempt = 0; attempt < ATTEMPTS; attempt += 1) {
+    const result = await store.put(kind, name, value, expected, writeId);
+    if (result.kind === "written") return result;
+    if (result.kind === "refused" && !isUnsure) return result;
+    if (result.kind === "conflict") {
+      const { current } = result;
+      if (current?.writeId !== writeId) return result;
+      return { kind: "written", version: current.version };
+    }
+    isUnsure = true;
+    why = result.why;
+    const found = await readBack<T>(store, kind, name, expected, writeId);
+    if (found !== undefined) return found;
+  }
+  return { kind: "unknown", why };
+};
+
+const readBack = async <T>(
+  store: ObjectStore,
+  kind: string,
+  name: string,
+  expected: number,
+  writeId: string,
+): Promise<WriteResult<T> | undefined> => {
+  let current: StoredObject<T> | undefined;
+  try {
+    current = await store.get<T>(kind, name);
+  } catch {
+    return undefined;
+  }
+  if (current?.writeId === writeId) {
+    return { kind: "written", version: current.version };
+  }
+  const version = current?.version ?? ABSENT;
+  if (version !== expected) return { kind: "conflict", current };
+  return undefined;
+};
--- /dev/null
+++ b/standins/engine.ts
@@ -0,0 +1,271 @@
+/**
+ * Stand-in of a model engine: OpenAI-compatible HTTP for requests, and
+ * `/admin` for orders, state, load and KV cache. It records all that it ran
+ * and every order that it took, for tests to compare.
+ */
+import { createHash } from "node:crypto";
+
+import { EngineModel } from "./engineModel.js";
+import type { Sequence } from "./engineModel.js";
+import { readOptions, reply, serve } from "./support.js";
+import type { Call } from "./support.js";
+
+interface Faults {
+  /** So many answers carry another request's id. */
+  cross: number;
+  /** So many streams are cut after `cutAfter` tokens. */
+  cut: number;
+  cutAfter: number;
+  /** So many streams repeat each chunk. */
+  duplicate: number;
+  /** The process ends in the middle of the next order. */
+  dieInOrder: boolean;
+  /** So many orders are carried out and lose their answer. */
+  loseOrderAnswers: number;
+}
+
+interface Order {
+  orderId: string;
+  fence: number;
+  action: { kind: string; value?: string };
+}
+
+interface ChatBody {
+  model?: string;
+  stream?: boolean;
+  max_tokens?: number;
+  messages?: { role: string; content: string }[];
+  prompt?: string;
+}
+
+const options = readOptions({
+  prefillTokensPerSecond: 8000,
+  stepMs: 12,
+  sequenceMs: 0.4,
+  maxSequences: 32,
+  chunkTokens: 512,
+  cacheBlocks: 512,
+  orderMs: 300,
+  loadLagMs: 0,
+  models: ["parts-8b@1"],
+  checksFence: true,
+});
+const engine = new EngineModel(options);
+const models = new Set(options.models);
+const adapters = new Set<string>();
+let faults: Faults = {
+  cross: 0,
+  cut: 0,
+  cutAfter: 2,
+  duplicate: 0,
+  dieInOrder: false,
+  loseOrderAnswers: 0,
+};
+const runs: { requestId: string; from: number; state: string }[] = [];
+const orders: (Order & { outcome: string; clash: boolean })[] = [];
+let highestFence = 0;
+let busyWith: Order | undefined;
+let lastOrder: { orderId: string; fence: number; outcome: string } | undefined;
+
+const URGENCIES = ["urgent", "normal", "batch"];
+
+const promptOf = (body: ChatBody): string =>
+  body.prompt ?? (body.messages ?? []).map((item) => item.content).join("\n");
+
+const wordsOf = (prompt: string): string =>
+  createHash("sha256").update(prompt).digest("hex").slice(0, 8);
+
+const cutStream = (call: Call, sequence: Sequence): void => {
+  engine.cancel(sequence.id);
+  call.res.destroy();
+};
+
+const generate = (call: Call, isChat: boolean): void => {
+  const { req, res, body: raw } = call;
+  const body = JSON.parse(raw.toString("utf8")) as ChatBody;
+  const requestId = String(req.headers["x-request-id"] ?? "");
+  if (!models.has(body.model ?? "")) {
+    return reply(
+      res,
+      404,
+      { error: { message: `model ${body.model} is not loaded` } },
+      { "x-request-id": requestId },
+    );
+  }
+  const prompt = promptOf(body);
+  const mark = wordsOf(prompt);
+  const outputTokens = Math.max(1, body.max_tokens ?? 16);
+  const from = Number(req.headers["x-snowgate-resume-from"] ?? 0);
+  const urgency = String(req.headers["x-snowgate-urgency"] ?? "normal");
+  const run = { requestId, from, state: "running" };
+  runs.push(run);
+  const isCrossed = faults.cross > 0;
+  if (isCrossed) faults.cross -= 1;
+  const shownId = isCrossed ? "some-other-request" : requestId;
+  const isCut = faults.cut > 0;
+  if (isCut) faults.cut -= 1;
+  const isDoubled = faults.duplicate > 0;
+  if (isDoubled) faults.duplicate -= 1;
+  const id = `cmpl-${shownId}`;
+  const created = Math.floor(Date.now() / 1000);
+  const object = isChat ? "chat.completion" : "text_completion";
+  const words: string[] = [];
+  const chunkOf = (text: string, finish: string | null, index: number) => {
+    const choice = isChat
+      ? { index: 0, delta: { content: text }, finish_reason: finish }
+      : { index: 0, text, finish_reason: finish };
+    const chunk = {
+      id,
+      object: isChat ? `${object}.chunk` : object,
+      created,
+      model: body.model,
+      choices: [choice],
+      token_index: index,
+    };
+    return `data: ${JSON.stringify(chunk)}\n\n`;
+  };
+  const onToken = (index: number) => {
+    const word = `w${index}-${mark} `;
+    words.push(word);
+    if (isCut && words.length > faults.cutAfter) {
+      run.state = "cut";
+      return cutStream(call, sequence);
+    }
+    if (!body.stream) return;
+    const finish = index + 1 >= outputTokens ? "stop" : null;
+    const text = chunkOf(word, finish, index);
+    res.write(isDoubled ? text + text : text);
+  };
+  const onEnd = () => {
+    run.state = "done";
+    if (body.stream) return void res.end("data: [DONE]\n\n");
+    const text = words.join("");
+    const choice = isChat
+      ? { index: 0, message: { role: "assistant", content: text } }
+      : { index: 0, text };
+    reply(
+      res,
+      200,
+      {
+        id,
+        object,
+        created,
+        model: body.model,
+        choices: [{ ...choice, finish_reason: "stop" }],
+        usage: { completion_tokens: outputTokens },
+      },
+      { "x-request-id": shownId },
+    );
+  };
+  const promptTokens = Math.ceil(prompt.length / 4);
+  const sequence: Sequence = {
+    id: `${requestId}/${runs.length}`,
+    urgency: URGENCIES.indexOf(urgency),
+    promptTokens,
+    blocks: EngineModel.blocksOf(body.model ?? "", prompt),
+    unread: promptTokens,
+    next: Math.min(from, outputTokens - 1),
+    outputTokens,
+    onToken,
+    onEnd,
+  };
+  res.on("close", () => {
+    if (run.state !== "running") return;
+    run.state = "cancelled";
+    engine.cancel(sequence.id);
+  });
+  if (body.stream) {
+    res.writeHead(200, {
+      "content-type": "text/event-stream",
+      "x-request-id": shownId,
+    });
+    res.flushHeaders();
+  }
+  engine.add(sequence);
+};
+
+const applyOrder = ({ action }: Order): void => {
+  const value = action.value ?? "";
+  switch (action.kind) {
+    case "role":
+      engine.role = value;
+      return engine.clearCache();
+    case "load-model":
+      return void models.add(value);
+    case "unload-model":
+      return void models.delete(value);
+    case "load-adapter":
+      return void adapters.add(value);
+    default:
+      throw new Error(`unknown action ${action.kind}`);
+  }
+};
+
+const takeOrder = ({ res, body }: Call): void => {
+  const order = JSON.parse(body.toString("utf8")) as Order;
+  if (options.checksFence && order.fence < highestFence) {
+    return reply(res, 412, { error: "old fencing number", highestFence });
+  }
+  const clash = busyWith !== undefined;
+  orders.push({ ...order, outcome: "started", clash });
+  if (clash && options.checksFence) {
+    return reply(res, 409, { error: "busy", busyWith });
+  }
+  highestFence = Math.max(highestFence, order.fence);
+  busyWith = order;
+  if (faults.dieInOrder) process.exit(1);
+  setTimeout(() => {
+    applyOrder(order);
+    busyWith = undefined;
+    lastOrder = { orderId: order.orderId, fence: order.fence, outcome: "done" };
+  }, options.orderMs);
+  if (faults.loseOrderAnswers > 0) {
+    faults.loseOrderAnswers -= 1;
+    return void res.destroy();
+  }
+  reply(res, 202, { started: order.orderId });
+};
+
+const state = () => ({
+  role: engine.role,
+  models: [...models],
+  adapters: [...adapters],
+  highestFence,
+  busyWith: busyWith?.orderId ?? null,
+  lastOrder: lastOrder ?? null,
+});
+
+await serve((call) => {
+  const { url, res, body } = call;
+  switch (url.pathname) {
+    case "/v1/chat/completions":
+      return generate(call, true);
+    case "/v1/completions":
+      return generate(call, false);
+    case "/admin/orders":
+      return takeOrder(call);
+    case "/admin/state":
+      return reply(res, 200, state());
+    case "/admin/record":
+      return reply(res, 200, {
+        runs,
+        orders,
+        reusedTokens: engine.reusedTokens,
+        readTokens: engine.readTokens,
+      });
+    case "/admin/load":
+      return void setTimeout(
+        () =>
+          reply(res, 200, {
+            active: engine.active,
+            unreadTokens: engine.unreadTokens,
+          }),
+        options.loadLagMs,
+      );
+    case "/admin/faults":
+      faults = { ...faults, ...(JSON.parse(body.toString()) as Faults) };
+      return reply(res, 200, faults);
+    default:
+      return reply(res, 404, { error: { message: "no such path" } });
+  }
+});
--- /dev/null
+++ b/standins/plainService.ts
@@ -0,0 +1,80 @@
+/**
+ * Stand-in of a plain service. Each call is recorded when it starts to run;
+ * `GET /admin/record` shows what ran, so that a test can compare it with
+ * what callers were told.
+ */
+import { readOptions, reply, serve } from "./support.js";
+import type { Call } from "./support.js";
+
+interface Faults {
+  /** So many answers carry another request's id. */
+  cross: number;
+  /** So many answers are cut in the middle. */
+  cut: number;
+  /** So many requests run and then lose their connection. */
+  dropAfterRun: number;
+  /** Time that each call takes, ms. */
+  delayMs: number;
+  /** The process ends after its next run, before it answers. */
+  dieAfterRun: boolean;
+}
+
+interface Run {
+  requestId: string;
+  key: string;
+  path: string;
+  body: string;
+}
+
+const options = readOptions({ delayMs: 5 });
+let faults: Faults = {
+  cross: 0,
+  cut: 0,
+  dropAfterRun: 0,
+  delayMs: options.delayMs,
+  dieAfterRun: false,
+};
+const runs: Run[] = [];
+let active = 0;
+
+const pause = (durationMs: number): Promise<void> =>
+  new Promise((resolve) => setTimeout(resolve, durationMs));
+
+const run = async ({ req, res, url, body }: Call): Promise<void> => {
+  const requestId = String(req.headers["x-request-id"] ?? "");
+  const key = String(req.headers["idempotency-key"] ?? "");
+  const text = body.toString("utf8");
+  runs.push({ requestId, key, path: url.pathname, body: text });
+  if (faults.dieAfterRun) process.exit(1);
+  active += 1;
+  await pause(Number(url.searchParams.get("delayMs") ?? faults.delayMs));
+  active -= 1;
+  if (faults.dropAfterRun > 0) {
+    faults.dropAfterRun -= 1;
+    return void res.destroy();
+  }
+  const answer = { answerTo: requestId, path: url.pathname, echo: text };
+  if (faults.cut > 0) {
+    faults.cut -= 1;
+    res.writeHead(200, { "content-length": 1000, "x-request-id": requestId });
+    res.write("{");
+    return void setTimeout(() => res.destroy(), 5);
+  }
+  const isCrossed = faults.cross > 0;
+  if (isCrossed) faults.cross -= 1;
+  const echoed = isCrossed ? "some-other-request" : requestId;
+  reply(res, 200, answer, { "x-request-id": echoed });
+};
+
+await serve(async (call) => {
+  const { url, res, body } = call;
+  switch (url.pathname) {
+    case "/admin/record":
+      return reply(res, 200, { runs, active });
+    case "/admin/faults":
+      faults = { ...faults, ...(JSON.parse(body.toString()) as Faults) };
+      return reply(res, 200, faults);
+    default:
+      return run(call);
+  }
+});
--- /dev/null
+++ b/standins/support.ts
@@ -0,0 +1,62 @@
+/** What the stand-ins share: options, a server, and their first line. */
+import http from "node:http";
+
+import { listen, readBody } from "../src/http/index.js";
+
+const MAX_BODY = 16 * 1024 * 1024;
+
+/** Options come as one JSON argument. */
+export const readOptions = <T extends object>(defaults: T): T => {
+  const text = process.argv[2];
+  const given = text === undefined ? {} : (JSON.parse(text) as Partial<T>);
+  return { ...defaults, ...given };
+};
+
+/** One request with its body read. */
+export interface Call {
+  req: http.IncomingMessage;
+  res: http.ServerResponse;
+  method: string;
+  url: URL;
+  body: Buffer;
+}
+
+export const reply = (
+  res: http.ServerResponse,
+  status: number,
+  value: unknown,
+  headers: Record<string, string> = {},
+): void => {
+  if (res.destroyed) return;
+  const text = JSON.stringify(value);
+  res.writeHead(status, {
+    "content-type": "application/json",
+    "content-length": Buffer.byteLength(text),
+    ...headers,
+  });
+  res.end(text);
+};
+
+/** Serves on a port of the system's choice and prints the address. */
+export const serve = async (
+  handle: (call: Call) => Promise<void> | void,
+  address = "127.0.0.1:0",
+): Promise<http.Server> => {
+  const onRequest = async (
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ) => {
+    try {
+      const body = await readBody(req, MAX_BODY);
+      const url = new URL(req.url ?? "/", "http://localhost");
+      await handle({ req, res, method: req.method ?? "GET", url, body });
+    } catch {
+      res.destroy();
+    }
+  };
+  const server = http.createServer((req, res) => void onRequest(req, res));
+  server.keepAliveTimeout = 60_000;
+  const at = await listen(server, address);
+  process.stdout.write(`${JSON.stringify({ listening: at })}\n`);
+  return server;
+};
