Operators: control records, leases, orders, query language, command line

Cause: nothing could be asked or ordered.

Change: one stored control record a service holds its lease and the desired state of its engines, so that one conditional update decides both; a side carries out orders from the record alone, claims its engine by its own status record, and sends inside a window. Role planning is a pure function.

--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -64,6 +64,9 @@
 
   constructor(private limits: AdmissionLimits) {}
 
+  /** Tokens of all requests that were let in or queued since the start. */
+  readonly totals = { prefillTokens: 0, outputTokens: 0 };
+
   setLimits(limits: AdmissionLimits): void {
     this.limits = limits;
   }
@@ -101,6 +104,7 @@
       return { kind: "refused", why: "deadline", retryAfterMs };
     }
     if (this.waiting.length === 0 && this.hasRoom(arrival)) {
+      this.count(arrival);
       this.admit(arrival);
       return { kind: "admitted" };
     }
@@ -108,6 +112,7 @@
       const retryAfterMs = Math.max(LEAST_RETRY_MS, Math.ceil(wait));
       return { kind: "refused", why: "overloaded", retryAfterMs };
     }
+    this.count(arrival);
     this.enqueue(arrival, now);
     return { kind: "queued" };
   }
@@ -149,6 +154,11 @@
     return ids;
   }
 
+  private count(arrival: Arrival): void {
+    this.totals.prefillTokens += arrival.prefillTokens;
+    this.totals.outputTokens += arrival.outputTokens;
+  }
+
   private admit(arrival: Arrival): void {
     this.active.set(arrival.id, arrival);
     if (arrival.prefillTokens > 0) this.reading.add(arrival.id);
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,165 @@
+#!/usr/bin/env node
+/** `snowgate`: the operators' command line. */
+import { userInfo } from "node:os";
+import { cac } from "cac";
+
+import { ACTIONS } from "../operator/actions/index.js";
+import type { OperatorAnswer } from "../operator/operatorServer.js";
+import { readText } from "../settings/index.js";
+import { errText } from "../shared/utils.js";
+import { askEntry } from "./operatorClient.js";
+import type { OperatorTarget } from "./operatorClient.js";
+import { renderSyntax, renderTable } from "./render.js";
+
+/** Exit codes that scripts can rely on. */
+const EXIT = {
+  ok: 0,
+  /** Refused, or another operator was faster. */
+  refused: 1,
+  /** The statement or the file is wrong. */
+  usage: 2,
+  /** No entry answered, or it could not carry the command out now. */
+  unreachable: 3,
+  unauthorized: 4,
+} as const;
+
+const WATCH_PERIOD_MS = 200;
+
+interface Flags {
+  entry?: string;
+  token?: string;
+  as?: string;
+  json?: boolean;
+}
+
+const targetOf = (flags: Flags): OperatorTarget => {
+  const entry = flags.entry ?? process.env.SNOWGATE_ENTRY;
+  if (entry === undefined) {
+    throw new TypeError("--entry IP:port or SNOWGATE_ENTRY is needed");
+  }
+  return {
+    entry,
+    token: flags.token ?? process.env.SNOWGATE_TOKEN ?? "",
+    operator: flags.as ?? userInfo().username,
+  };
+};
+
+const print = (text: string): void => void process.stdout.write(`${text}\n`);
+const complain = (text: string): void => void process.stderr.write(`${text}\n`);
+
+/** Shows an answer and gives the exit code that it stands for. */
+const show = (
+  answer: OperatorAnswer,
+  statement: string,
+  isJson: boolean,
+): number => {
+  if (isJson) print(JSON.stringify(answer));
+  switch (answer.kind) {
+    case "table":
+      if (!isJson) print(renderTable(answer.columns, answer.rows));
+      return EXIT.ok;
+    case "message":
+      if (!isJson) print(answer.text);
+      return EXIT.ok;
+    case "refused":
+      complain(answer.text);
+      return EXIT.refused;
+    case "syntax":
+      complain(renderSyntax(statement, answer.text, answer.at));
+      return EXIT.usage;
+    case "unauthorized":
+      complain(answer.text);
+      return EXIT.unauthorized;
+    case "failed":
+      complain(answer.text);
+      return EXIT.unreachable;
+  }
+};
+
+const end = async (work: () => Promise<number>): Promise<void> => {
+  try {
+    process.exitCode = await work();
+  } catch (err) {
+    complain(`snowgate: ${errText(err)}`);
+    const isUsage = err instanceof TypeError;
+    process.exitCode = isUsage ? EXIT.usage : EXIT.unreachable;
+  }
+};
+
+const runStatement = (words: string[], flags: Flags) =>
+  end(async () => {
+    const statement = words.join(" ");
+    if (statement === "") throw new TypeError("a statement is needed");
+    const answer = await askEntry(targetOf(flags), "/command", statement);
+    return show(answer, statement, flags.json ?? false);
+  });
+
+const runApply = (file: string, flags: Flags) =>
+  end(async () => {
+    let text: string;
+    try {
+      text = readText(file);
+    } catch (err) {
+      throw new TypeError(errText(err));
+    }
+    const answer = await askEntry(targetOf(flags), "/config", text);
+    if (answer.kind !== "syntax") {
+      return show(answer, "", flags.json ?? false);
+    }
+    complain(answer.text.replaceAll("configuration:", `${file}:`));
+    return EXIT.usage;
+  });
+
+/** Waits until the newest order of an upstream is finished. */
+const runWatch = (upstream: string, flags: Flags) =>
+  end(async () => {
+    const target = targetOf(flags);
+    const statement = `show engines where upstream = ${upstream}`;
+    for (;;) {
+      const answer = await askEntry(target, "/command", statement);
+      if (answer.kind !== "table") return show(answer, statement, false);
+      const [row] = answer.rows;
+      if (row === undefined) throw new TypeError(`no upstream ${upstream}`);
+      const order = String(row.order ?? "");
+      if (!order.endsWith(" open")) {
+        print(order === "" ? `${upstream} has no order` : order);
+        return order.endsWith(" failed") ? EXIT.refused : EXIT.ok;
+      }
+      await new Promise((resolve) => setTimeout(resolve, WATCH_PERIOD_MS));
+    }
+  });
+
+const cli = cac("snowgate");
+cli.option("--entry <address>", "Operators' address of an entry, IP:port");
+cli.option("--token <token>", "Operator token (or SNOWGATE_TOKEN)");
+cli.option("--as <name>", "Name under which orders are given");
+cli.option("--json", "Print JSON for programs");
+cli
+  .command("apply <file>", "Put a configuration into force")
+  .action((file: string, flags: Flags) => runApply(file, flags));
+cli
+  .command("watch <upstream>", "Wait until the upstream's order is finished")
+  .action((upstream: string, flags: Flags) => runWatch(upstream, flags));
+cli
+  .command("[...statement]", "Run one statement of the language")
+  .action((words: string[], flags: Flags) => runStatement(words, flags));
+for (const { example } of ACTIONS) cli.example(`snowgate ${example}`);
+cli.help((sections) => [
+  ...sections,
+  {
+    title: "Statements",
+    body: ACTIONS.map((action) => `  ${action.usage}`).join("\n"),
+  },
+  {
+    title: "Exit codes",
+    body: Object.entries(EXIT)
+      .map(([name, code]) => `  ${code}  ${name}`)
+      .join("\n"),
+  },
+]);
+try {
+  cli.parse();
+} catch (err) {
+  complain(`snowgate: ${errText(err)}`);
+  process.exitCode = EXIT.usage;
+}
--- /dev/null
+++ b/src/control/controlStore.ts
@@ -0,0 +1,104 @@
+/** Reads and conditionally updates control records and statuses. */
+import { randomUUID } from "node:crypto";
+
+import { OrderError } from "../shared/errors.js";
+import { ABSENT, settledWrite } from "../store/index.js";
+import type { ObjectStore } from "../store/index.js";
+import { giveOrder } from "./controlRecord.js";
+import type { OrderAnswer, OrderRequest } from "./controlRecord.js";
+import { CONTROL_KIND, EMPTY_CONTROL, STATUS_KIND } from "./types.js";
+import type { ControlRecord, UpstreamStatus } from "./types.js";
+
+const ORDER_ROUNDS = 5;
+
+/** A record with the version that an update must expect. */
+export interface Versioned<T> {
+  value: T;
+  version: number;
+}
+
+export class ControlStore {
+  constructor(private readonly store: ObjectStore) {}
+
+  async readControl(service: string): Promise<Versioned<ControlRecord>> {
+    const found = await this.store.get<ControlRecord>(CONTROL_KIND, service);
+    return {
+      value: found?.value ?? EMPTY_CONTROL,
+      version: found?.version ?? ABSENT,
+    };
+  }
+
+  async readStatus(
+    upstream: string,
+  ): Promise<Versioned<UpstreamStatus> | undefined> {
+    return this.store.get<UpstreamStatus>(STATUS_KIND, upstream);
+  }
+
+  async listStatus(): Promise<Map<string, UpstreamStatus>> {
+    const items = await this.store.list<UpstreamStatus>(STATUS_KIND);
+    return new Map(items.map((item) => [item.name, item.value]));
+  }
+
+  /** New version, or undefined where somebody else was faster. */
+  async writeControl(
+    service: string,
+    record: ControlRecord,
+    expected: number,
+  ): Promise<number | undefined> {
+    return this.write(CONTROL_KIND, service, record, expected);
+  }
+
+  async writeStatus(
+    upstream: string,
+    status: UpstreamStatus,
+    expected: number,
+  ): Promise<number | undefined> {
+    return this.write(STATUS_KIND, upstream, status, expected);
+  }
+
+  /** Gives an operator's order; a race is decided on the newest record. */
+  async order(service: string, request: OrderRequest): Promise<OrderAnswer> {
+    for (let round = 0; round < ORDER_ROUNDS; round += 1) {
+      const control = await this.readControl(service);
+      const given = control.value.desired[request.upstream]?.order;
+      // An own write whose answer was lost and that others wrote over since.
+      if (given?.id === request.id) {
+        return { kind: "accepted", record: control.value, order: given };
+      }
+      const status = await this.readStatus(request.upstream);
+      const answer = giveOrder(control.value, status?.value, request);
+      if (answer.kind !== "accepted") return answer;
+      const version = await this.writeControl(
+        service,
+        answer.record,
+        control.version,
+      );
+      if (version !== undefined) return answer;
+    }
+    throw new OrderError("too many writers; nothing was changed");
+  }
+
+  private async write<T>(
+    kind: string,
+    name: string,
+    value: T,
+    expected: number,
+  ): Promise<number | undefined> {
+    const result = await settledWrite<T>(
+      this.store,
+      kind,
+      name,
+      value,
+      expected,
+      randomUUID(),
+    );
+    switch (result.kind) {
+      case "written":
+        return result.version;
+      case "conflict":
+        return undefined;
+      default:
+        throw new OrderError(`object API: ${result.why}`);
+    }
+  }
+}
--- /dev/null
+++ b/src/entry/controlLoop.ts
@@ -0,0 +1,189 @@
+/**
+ * The control loop of one service, run by whichever entry holds its lease:
+ * keeps the lease, reminds sides of open orders, and plans roles.
+ */
+import { randomUUID } from "node:crypto";
+
+import {
+  isHolding,
+  isOpen,
+  leaseStep,
+  leaseWritten,
+  NO_LEASE,
+  noteRoleChange,
+  giveOrder,
+  renewLease,
+  seeLease,
+  takeLease,
+} from "../control/index.js";
+import type {
+  ControlRecord,
+  ControlStore,
+  LeaseState,
+  Versioned,
+} from "../control/index.js";
+import type { Service } from "../config/index.js";
+import type { PeerLink } from "../peers/index.js";
+import { nextDemand, planRole } from "../roles/index.js";
+import type { Demand, EngineReport, RolePlan } from "../roles/index.js";
+import { restoreReport } from "../side/sideReport.js";
+import type { SideReport } from "../side/sideReport.js";
+import type { Log } from "../telemetry/index.js";
+
+/** How long a role change is taken to keep an engine away, ms. */
+const AWAY_MS = 5000;
+const REPORT_PERIOD_MS = 2000;
+
+export interface ControlLoopOptions {
+  self: string;
+  leaseMs: number;
+  control: ControlStore;
+  link: PeerLink;
+  log: Log;
+  now: () => number;
+  wallClock: () => number;
+}
+
+export class ControlLoop {
+  private lease: LeaseState = NO_LEASE;
+  private readonly demand = new Map<string, Demand>();
+  private readonly reports = new Map<string, SideReport>();
+  private lastReportAt = -Infinity;
+  /** The newest decision about roles, for `explain`. */
+  lastPlan: RolePlan = { kind: "keep", why: "no plan was made yet" };
+
+  constructor(private readonly options: ControlLoopOptions) {}
+
+  get isHolder(): boolean {
+    const { self, leaseMs, now } = this.options;
+    return isHolding(this.lease, self, leaseMs, now());
+  }
+
+  get epoch(): number {
+    return this.lease.seen?.epoch ?? 0;
+  }
+
+  /** One step for a service as it is declared now. */
+  async step(service: Service): Promise<void> {
+    const { control, self, leaseMs, now } = this.options;
+    const read = await control.readControl(service.name);
+    this.lease = seeLease(this.lease, read.value.lease, self, now());
+    const current = await this.keepLease(service.name, read);
+    if (current === undefined) return;
+    if (!isHolding(this.lease, self, leaseMs, now())) return;
+    await this.remind(service, current.value);
+    await this.planRoles(service, current);
+  }
+
+  /** The record if this process holds the lease, else undefined. */
+  private async keepLease(
+    service: string,
+    read: Versioned<ControlRecord>,
+  ): Promise<Versioned<ControlRecord> | undefined> {
+    const { control, self, leaseMs, now, log } = this.options;
+    const step = leaseStep(this.lease, self, leaseMs, now());
+    if (step === "wait") return this.isHolder ? read : undefined;
+    const { lease } = read.value;
+    const next =
+      step === "renew" && lease !== null
+        ? renewLease(read.value, lease)
+        : takeLease(read.value, self);
+    const sentAt = now();
+    const version = await control.writeControl(service, next, read.version);
+    if (version === undefined || next.lease === null) return undefined;
+    this.lease = leaseWritten(next.lease, sentAt);
+    if (step === "take") {
+      log.info("lease taken", { service, epoch: next.lease.epoch });
+    }
+    return { value: next, version };
+  }
+
+  private async remind(service: Service, record: ControlRecord): Promise<void> {
+    const { control, link, log } = this.options;
+    for (const upstream of service.upstreams) {
+      const desired = record.desired[upstream.id];
+      if (desired === undefined) continue;
+      const status = await control.readStatus(upstream.id);
+      if (!isOpen(desired, status?.value)) continue;
+      const { seq } = desired.order;
+      const hint = { upstream: upstream.id, seq };
+      link.nudge(upstream.peerAddress, hint).catch(() => {
+        log.debug("side not reminded", { upstream: upstream.id });
+      });
+    }
+  }
+
+  private async planRoles(
+    service: Service,
+    current: Versioned<ControlRecord>,
+  ): Promise<void> {
+    const { now, wallClock, control, log, self } = this.options;
+    if (service.kind !== "model") return;
+    if (now() - this.lastReportAt < REPORT_PERIOD_MS) return;
+    this.lastReportAt = now();
+    await this.askSides(service);
+    const { roleChangedAt } = current.value;
+    this.lastPlan = planRole({
+      service,
+      engines: this.engineReports(service),
+      sinceChangeMs: wallClock() - roleChangedAt,
+      awayMs: AWAY_MS,
+    });
+    if (this.lastPlan.kind === "keep" || !this.isHolder) return;
+    const { upstream, role, why } = this.lastPlan;
+    const status = await control.readStatus(upstream);
+    const answer = giveOrder(current.value, status?.value, {
+      id: randomUUID(),
+      upstream,
+      action: { kind: "role", value: role },
+      by: `control loop of ${self}`,
+    });
+    if (answer.kind !== "accepted") return;
+    const record = noteRoleChange(answer.record, wallClock());
+    // The expected version is from before the plan: a lease that was taken
+    // since makes this write fail.
+    const version = await control.writeControl(
+      service.name,
+      record,
+      current.version,
+    );
+    if (version !== undefined)
+      log.info("role change ordered", { upstream, why });
+  }
+
+  private async askSides(service: Service): Promise<void> {
+    const { link, now } = this.options;
+    await Promise.all(
+      service.upstreams.map(async ({ id, peerAddress }) => {
+        try {
+          const { json } = await link.report(peerAddress);
+          const report = restoreReport(json);
+          this.reports.set(id, report);
+          const next = nextDemand(this.demand.get(id), report, now());
+          this.demand.set(id, next);
+        } catch {
+          this.reports.delete(id);
+        }
+      }),
+    );
+  }
+
+  private engineReports(service: Service): EngineReport[] {
+    const { now } = this.options;
+    const found: EngineReport[] = [];
+    for (const { id } of service.upstreams) {
+      const report = this.reports.get(id);
+      const demand = this.demand.get(id);
+      if (report === undefined || demand === undefined) continue;
+      found.push({
+        upstream: id,
+        role: report.role,
+        isOpen: report.state === "open",
+        prefillPerSecond: demand.prefillPerSecond,
+        decodePerSecond: demand.decodePerSecond,
+        ageMs: now() - demand.at,
+      });
+    }
+    return found;
+  }
+}
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -13,7 +13,10 @@
 import { PeerServer } from "../peers/index.js";
 import { createPolicy, Router } from "../routing/index.js";
 import type { EntrySettings } from "../settings/index.js";
+import { ControlStore } from "../control/index.js";
+import { OperatorServer } from "../operator/index.js";
 import { CallerServer } from "./callerServer.js";
+import { ControlLoops } from "./controlLoops.js";
 import { RequestFlow } from "./requestFlow.js";
 import { SideClient } from "./sideClient.js";
 
@@ -24,6 +27,8 @@
   stop(): Promise<void>;
 }
 
+const STEPS_PER_LEASE = 6;
+
 const pauseFor = (durationMs: number): Promise<void> =>
   new Promise((resolve) => setTimeout(resolve, durationMs));
 
@@ -63,6 +68,35 @@
     log,
     now,
   });
+  const control = new ControlStore(runtime.store);
+  const loops = new ControlLoops(
+    {
+      self: `${settings.id}/${membership.self.incarnation}`,
+      leaseMs: settings.leaseMs,
+      control,
+      link,
+      log,
+      now,
+      wallClock: () => Date.now(),
+    },
+    keeper,
+    membership,
+  );
+  const operators = new OperatorServer({
+    token: settings.operatorToken,
+    log,
+    context: {
+      keeper,
+      control,
+      store: runtime.store,
+      router,
+      membership,
+      metrics,
+      link,
+      planOf: (service) => loops.planOf(service),
+      now,
+    },
+  });
   followMembers(membership, router, now);
   keeper.onChange(({ config }) => {
     const ids = config.services.flatMap((item) =>
@@ -73,15 +107,21 @@
   await learnConfiguration(runtime, gossip);
   startCommonTasks(runtime, membership, gossip);
   startVmList(runtime, settings, membership);
+  supervisor.every("control", settings.leaseMs / STEPS_PER_LEASE, () =>
+    loops.step(),
+  );
+  const operatorsAt = await listen(operators.server, settings.listen.operators);
   const callersAt = await listen(callers.server, settings.listen.callers);
   return {
-    addresses: { callers: callersAt, peers },
+    addresses: { callers: callersAt, operators: operatorsAt, peers },
     stop: async () => {
       callers.startLeaving();
       membership.announce("leaving");
       void gossip.spread();
       await pauseFor(settings.lameDuckMs);
       await callers.finish();
+      operators.server.close();
+      operators.server.closeAllConnections();
       supervisor.stop();
       client.close();
       link.close();
--- a/src/http/request.ts
+++ b/src/http/request.ts
@@ -26,7 +26,10 @@
   method: string;
   url: string;
   headers?: Record<string, string>;
+  /** Sent as JSON. */
   body?: unknown;
+  /** Sent as it is, in place of `body`. */
+  text?: string;
   timeoutMs: number;
 }
 
@@ -34,19 +37,17 @@
 export const exchange = (options: ExchangeOptions): Promise<JsonAnswer> =>
   new Promise((resolve, reject) => {
     const body =
-      options.body === undefined ? undefined : JSON.stringify(options.body);
+      options.body === undefined ? options.text : JSON.stringify(options.body);
     let connected = false;
     const req = http.request(options.url, {
       method: options.method,
       agent,
       headers: {
+        "content-type": "application/json",
         ...options.headers,
         ...(body === undefined
           ? {}
-          : {
-              "content-type": "application/json",
-              "content-length": Buffer.byteLength(body),
-            }),
+          : { "content-length": Buffer.byteLength(body) }),
       },
     });
     const timer = setTimeout(
--- /dev/null
+++ b/src/operator/actions/actionUndrain.ts
@@ -0,0 +1,15 @@
+import { giveUpstreamOrder } from "../giveOrder.js";
+import { needWord } from "../lookup.js";
+import type { Action } from "../types.js";
+
+/** Lets a drained upstream take work again. */
+export const actionUndrain: Action = {
+  name: "undrain",
+  keywords: ["resume", "open", "return"],
+  usage: "undrain UPSTREAM",
+  example: "undrain parts-1",
+  perform: (ctx, statement) => {
+    const name = needWord(statement, 0, "an upstream");
+    return giveUpstreamOrder(ctx, name, { kind: "undrain" });
+  },
+};
--- /dev/null
+++ b/src/operator/actions/actionUnload.ts
@@ -0,0 +1,20 @@
+import { StatementError } from "../../query/index.js";
+import { giveUpstreamOrder } from "../giveOrder.js";
+import { needOption, needWord } from "../lookup.js";
+import type { Action } from "../types.js";
+
+/** Removes a model version from an engine, once nothing is in flight. */
+export const actionUnload: Action = {
+  name: "unload",
+  keywords: ["model", "remove"],
+  usage: "unload model NAME@VERSION on UPSTREAM",
+  example: "unload model parts-8b@1 on parts-1",
+  perform: (ctx, statement) => {
+    const what = needWord(statement, 0, "model");
+    if (what.text !== "model")
+      throw new StatementError("expected model", what.at);
+    const { text: value } = needWord(statement, 1, "a name@version");
+    const name = needOption(statement, "on", "an engine");
+    return giveUpstreamOrder(ctx, name, { kind: "unload-model", value });
+  },
+};
--- /dev/null
+++ b/src/operator/lookup.ts
@@ -0,0 +1,70 @@
+/** Finds what a statement names, or says what there is instead. */
+import type { Config, Service } from "../config/index.js";
+import { StatementError } from "../query/index.js";
+import type { ParsedValue, Statement } from "../query/index.js";
+import type { FoundUpstream, OperatorContext } from "./types.js";
+
+const MAX_LISTED = 12;
+
+const listed = (names: string[]): string => {
+  const shown = names.slice(0, MAX_LISTED).join(", ");
+  return names.length > MAX_LISTED ? `${shown}, ...` : shown;
+};
+
+export const configOf = (ctx: OperatorContext): Config => {
+  const state = ctx.keeper.current;
+  if (state === undefined) throw new StatementError("no configuration yet", 0);
+  return state.config;
+};
+
+/** The word at `index`, or an error that says what belongs there. */
+export const needWord = (
+  statement: Statement,
+  index: number,
+  what: string,
+): ParsedValue => {
+  const word = statement.words[index];
+  if (word !== undefined) return word;
+  throw new StatementError(`expected ${what}`, endOf(statement));
+};
+
+export const needOption = (
+  statement: Statement,
+  name: string,
+  what: string,
+): ParsedValue => {
+  const value = statement.options[name];
+  if (value !== undefined) return value;
+  throw new StatementError(`expected "${name}" ${what}`, endOf(statement));
+};
+
+const endOf = (statement: Statement): number => {
+  const values = [...statement.words, ...Object.values(statement.options)];
+  const ends = values.map((value) => value.at + value.text.length);
+  return Math.max(statement.verb.length, ...ends);
+};
+
+export const findUpstream = (
+  ctx: OperatorContext,
+  { text, at }: ParsedValue,
+): FoundUpstream => {
+  const all: string[] = [];
+  for (const service of configOf(ctx).services) {
+    for (const upstream of service.upstreams) {
+      if (upstream.id === text) return { service, upstream };
+      all.push(upstream.id);
+    }
+  }
+  throw new StatementError(`no engine "${text}"; there are ${listed(all)}`, at);
+};
+
+export const findService = (
+  ctx: OperatorContext,
+  { text, at }: ParsedValue,
+): Service => {
+  const { services } = configOf(ctx);
+  const found = services.find((service) => service.name === text);
+  if (found !== undefined) return found;
+  const names = listed(services.map((service) => service.name));
+  throw new StatementError(`no service "${text}"; there are ${names}`, at);
+};
--- /dev/null
+++ b/src/operator/operatorServer.ts
@@ -0,0 +1,149 @@
+/** The HTTP server that the operators' command line talks to. */
+import http from "node:http";
+
+import { applyConfig, configSchema } from "../config/index.js";
+import { BodyTooLargeError, readBody, sendJson } from "../http/index.js";
+import { parseStatement, StatementError } from "../query/index.js";
+import { InvalidInputError } from "../shared/errors.js";
+import { parseCheckedYaml } from "../settings/index.js";
+import { errText, isSameSecret } from "../shared/utils.js";
+import type { Log } from "../telemetry/index.js";
+import { ACTIONS } from "./actions/index.js";
+import type { ActionResult, OperatorContext } from "./types.js";
+
+const MAX_BODY_BYTES = 1_048_576;
+const MAX_NAME_CHARS = 64;
+const BEARER = "Bearer ";
+
+/** What the command line gets back. */
+export type OperatorAnswer =
+  | ActionResult
+  /** The statement is wrong at `at`. */
+  | { kind: "syntax"; text: string; at: number }
+  | { kind: "unauthorized"; text: string }
+  /** It could not be carried out now. */
+  | { kind: "failed"; text: string };
+
+const STATUS: Record<OperatorAnswer["kind"], number> = {
+  table: 200,
+  message: 200,
+  refused: 409,
+  syntax: 400,
+  unauthorized: 401,
+  failed: 503,
+};
+
+export interface OperatorServerOptions {
+  token: string | undefined;
+  context: Omit<OperatorContext, "by">;
+  log: Log;
+}
+
+export class OperatorServer {
+  readonly server = http.createServer(
+    (req, res) => void this.onRequest(req, res),
+  );
+
+  constructor(private readonly options: OperatorServerOptions) {}
+
+  private async onRequest(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    let answer: OperatorAnswer;
+    try {
+      answer = await this.answer(req);
+    } catch (err) {
+      answer = this.answerError(err);
+    }
+    sendJson(res, STATUS[answer.kind], answer);
+  }
+
+  private async answer(req: http.IncomingMessage): Promise<OperatorAnswer> {
+    const denied = this.denied(req);
+    if (denied !== undefined) return { kind: "unauthorized", text: denied };
+    const body = await readBody(req, MAX_BODY_BYTES);
+    const by = this.nameOf(req);
+    const ctx: OperatorContext = { ...this.options.context, by };
+    const text = body.toString("utf8");
+    switch (`${req.method} ${req.url}`) {
+      case "POST /command":
+        return this.command(ctx, text);
+      case "POST /config":
+        return this.apply(ctx, text);
+      default:
+        return { kind: "failed", text: "no such path" };
+    }
+  }
+
+  private denied(req: http.IncomingMessage): string | undefined {
+    const { token } = this.options;
+    if (token === undefined) {
+      return "this entry has no operatorToken: commands are refused";
+    }
+    const given = req.headers.authorization ?? "";
+    const isRight =
+      given.startsWith(BEARER) &&
+      isSameSecret(given.slice(BEARER.length), token);
+    return isRight ? undefined : "the operator token is wrong";
+  }
+
+  private nameOf(req: http.IncomingMessage): string {
+    const name = String(req.headers["x-operator"] ?? "operator");
+    return name.slice(0, MAX_NAME_CHARS);
+  }
+
+  private async command(
+    ctx: OperatorContext,
+    text: string,
+  ): Promise<OperatorAnswer> {
+    const statement = parseStatement(text);
+    const action = ACTIONS.find((item) => item.name === statement.verb);
+    if (action === undefined) throw unknownVerb(statement.verb);
+    const result = await action.perform(ctx, statement);
+    this.options.log.info("command", {
+      operator: ctx.by,
+      command: text,
+      result: result.kind,
+    });
+    return result;
+  }
+
+  private async apply(
+    ctx: OperatorContext,
+    text: string,
+  ): Promise<OperatorAnswer> {
+    const config = parseCheckedYaml("configuration", text, configSchema);
+    const { keeper, store } = ctx;
+    const result = await applyConfig(store, keeper.current, config);
+    if (result.kind === "lost") {
+      await keeper.refresh();
+      const won = `configuration ${result.number} came first; nothing changed`;
+      return { kind: "refused", text: `refused: ${won}` };
+    }
+    keeper.adopt(result.snapshot);
+    const { number } = result.snapshot.head;
+    return { kind: "message", text: `configuration ${number} accepted` };
+  }
+
+  private answerError(err: unknown): OperatorAnswer {
+    if (err instanceof StatementError) {
+      return { kind: "syntax", text: err.message, at: err.at };
+    }
+    if (err instanceof InvalidInputError || err instanceof BodyTooLargeError) {
+      return { kind: "syntax", text: err.message, at: 0 };
+    }
+    return { kind: "failed", text: errText(err) };
+  }
+}
+
+/** Points at the verb and at commands whose keywords fit. */
+const unknownVerb = (verb: string): StatementError => {
+  const fitting = ACTIONS.filter(
+    (item) =>
+      item.keywords.includes(verb) || item.name.startsWith(verb.slice(0, 2)),
+  );
+  const shown = fitting.length > 0 ? fitting : ACTIONS;
+  const usages = shown.map((item) => item.usage).join("; ");
+  return new StatementError(`no command "${verb}"; try ${usages}`, 0);
+};
--- /dev/null
+++ b/src/operator/views/viewLatency.ts
@@ -0,0 +1,8 @@
+import type { View } from "../types.js";
+
+/** Latency by class and by workspace at this entry, in ms. */
+export const viewLatency: View = {
+  name: "latency",
+  columns: ["name", "count", "p50", "p95", "p99"],
+  rows: async (ctx) => ctx.metrics.latencyRows().map((row) => ({ ...row })),
+};
--- /dev/null
+++ b/src/operator/views/viewLeases.ts
@@ -0,0 +1,20 @@
+import type { View } from "../types.js";
+
+/** Who runs the control loop of each service. */
+export const viewLeases: View = {
+  name: "leases",
+  columns: ["service", "holder", "epoch"],
+  rows: async (ctx) => {
+    const services = ctx.keeper.current?.config.services ?? [];
+    return Promise.all(
+      services.map(async ({ name }) => {
+        const { value } = await ctx.control.readControl(name);
+        return {
+          service: name,
+          holder: value.lease?.holder ?? "",
+          epoch: value.lease?.epoch ?? 0,
+        };
+      }),
+    );
+  },
+};
--- /dev/null
+++ b/src/operator/views/viewMembers.ts
@@ -0,0 +1,15 @@
+import type { View } from "../types.js";
+
+/** The processes of the system, as this entry knows them. */
+export const viewMembers: View = {
+  name: "members",
+  columns: ["id", "kind", "state", "domain", "address"],
+  rows: async (ctx) =>
+    ctx.membership.all().map((member) => ({
+      id: member.id,
+      kind: member.kind,
+      state: member.state,
+      domain: member.domain,
+      address: member.peerAddress,
+    })),
+};
--- /dev/null
+++ b/src/operator/views/viewServices.ts
@@ -0,0 +1,20 @@
+import type { View } from "../types.js";
+
+/** Every service as it is declared. */
+export const viewServices: View = {
+  name: "services",
+  columns: ["service", "kind", "models", "upstreams", "classes", "shares"],
+  rows: async (ctx) =>
+    (ctx.keeper.current?.config.services ?? []).map((service) => ({
+      service: service.name,
+      kind: service.kind,
+      models: service.models
+        .map((model) => `${model.name}@${model.version}`)
+        .join(" "),
+      upstreams: service.upstreams.length,
+      classes: service.classes.map((item) => item.name).join(" "),
+      shares: Object.entries(service.shares ?? {})
+        .map(([site, share]) => `${site}=${Math.round(share)}%`)
+        .join(" "),
+    })),
+};
--- a/src/side/dataServer.ts
+++ b/src/side/dataServer.ts
@@ -25,6 +25,7 @@
   wrongUpstream,
 } from "./failures.js";
 import type { SideGate } from "./sideGate.js";
+import type { SideReport } from "./sideReport.js";
 import type { SideRequest } from "./types.js";
 import { callUpstream, passedHeaders } from "./upstreamCall.js";
 
@@ -153,6 +154,22 @@
     };
   }
 
+  /** Exact state for entries that ask. */
+  report(storeCalls: number): SideReport {
+    const { admission, gate, settings, configNumber } = this.options;
+    const { active, queued } = admission.work;
+    return {
+      upstream: settings.upstream.id,
+      role: gate.role,
+      state: gate.state,
+      inFlight: active,
+      queued,
+      ...admission.totals,
+      configNumber: configNumber(),
+      storeCalls,
+    };
+  }
+
   private onGateChange(): void {
     const { gate, admission } = this.options;
     if (gate.state === "open") return;
--- a/src/side/sideDaemon.ts
+++ b/src/side/sideDaemon.ts
@@ -1,4 +1,6 @@
 /** Role `side`: the only door to its upstream. */
+import { randomUUID } from "node:crypto";
+
 import { Admission } from "../admission/index.js";
 import type { AdmissionLimits } from "../admission/index.js";
 import type { Config } from "../config/index.js";
@@ -9,15 +11,20 @@
   startCommonTasks,
 } from "../daemon/runtime.js";
 import type { Runtime } from "../daemon/runtime.js";
+import { ControlStore } from "../control/index.js";
 import type { Daemon } from "../entry/entryDaemon.js";
 import { listen } from "../http/index.js";
 import { PeerServer } from "../peers/index.js";
 import type { SideSettings } from "../settings/index.js";
 import { DataServer } from "./dataServer.js";
+import { HttpModelEngine } from "./engineAdmin.js";
+import { OrderExecutor } from "./orderExecutor.js";
 import { SideGate } from "./sideGate.js";
 
 const MAX_QUEUED = 256;
 const PLAIN_SEQUENCES = 64;
+/** Orders come by hints; this only covers hints that were all lost. */
+const ORDER_POLL_MS = 30_000;
 
 const DEFAULT_LIMITS: AdmissionLimits = {
   capacity: {
@@ -43,6 +50,26 @@
   };
 };
 
+const createExecutor = (
+  runtime: Runtime,
+  settings: SideSettings,
+  gate: SideGate,
+): OrderExecutor => {
+  const { store, log, now } = runtime;
+  const { id, service, kind, url } = settings.upstream;
+  return new OrderExecutor({
+    upstream: id,
+    service,
+    incarnation: randomUUID(),
+    control: new ControlStore(store),
+    engine: kind === "engine" ? new HttpModelEngine(url) : undefined,
+    gate,
+    log,
+    now,
+    windowMs: settings.orderWindowMs,
+  });
+};
+
 export const startSide = async (
   runtime: Runtime,
   settings: SideSettings,
@@ -50,6 +77,7 @@
   const { keeper, log, now, supervisor, link } = runtime;
   const admission = new Admission(DEFAULT_LIMITS);
   const gate = new SideGate(() => admission.inFlight);
+  const executor = createExecutor(runtime, settings, gate);
   const data = new DataServer({
     settings,
     admission,
@@ -63,7 +91,13 @@
   const { id } = settings.upstream;
   const membership = createMembership(runtime, id, "side", peers);
   const gossip = createGossip(runtime, membership);
-  peerServer.answer(gossip);
+  peerServer.answer(gossip, {
+    nudge: () => {
+      void executor.reconcile();
+      return { accepted: !executor.superseded, reason: "" };
+    },
+    report: () => ({ json: JSON.stringify(data.report(runtime.store.calls)) }),
+  });
   keeper.onChange(({ config }) =>
     admission.setLimits(limitsFrom(config, settings.upstream.service)),
   );
@@ -72,6 +106,8 @@
   });
   await learnConfiguration(runtime, gossip);
   startCommonTasks(runtime, membership, gossip);
+  await executor.reconcile();
+  supervisor.every("orders", ORDER_POLL_MS, () => executor.reconcile());
   const dataAt = await listen(data.server, settings.listen.data);
   return {
     addresses: { data: dataAt, peers },
