--- a/src/entry/requestFlow.ts
+++ b/src/entry/requestFlow.ts
@@ -136,7 +136,7 @@
     this.earn(plan.service.name);
     for (;;) {
       const route = this.routeOf(plan, deadlineAt, tried);
-      const choice = this.options.router.choose(route, this.options.now());
+      const choice = this.choose(route);
       if (choice === undefined) {
         const failure = { ...noUpstream(), verdict };
         return this.giveUp(request, failure, relay, claim);
@@ -169,6 +169,14 @@
     }
   }
 
+  /** Where all have been tried, one that is still usable may go again. */
+  private choose(route: RouteRequest): Choice | undefined {
+    const { router, now } = this.options;
+    const fresh = router.choose(route, now());
+    if (fresh !== undefined || route.tried.size === 0) return fresh;
+    return router.choose({ ...route, tried: new Set() }, now());
+  }
+
   private routeOf(
     plan: RequestPlan,
     deadlineAt: number,
--- a/src/http/request.ts
+++ b/src/http/request.ts
@@ -60,7 +60,7 @@
     };
     req.on("socket", (socket) => {
       if (!socket.connecting) connected = true;
-      socket.once("connect", () => (connected = true));
+      else socket.once("connect", () => (connected = true));
     });
     req.on("error", fail);
     req.on("response", (res) => {
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -130,6 +130,11 @@
         .describe("Whether it refuses an order with an old fencing number"),
     })
     .describe("The upstream beside this process"),
+  orderPollMs: count(
+    "Pause between two readings of orders, in case every hint was lost, ms",
+    30_000,
+    100,
+  ),
   orderWindowMs: count(
     "How long after its record is written an order may be sent, ms",
     1500,
--- a/src/side/sideDaemon.ts
+++ b/src/side/sideDaemon.ts
@@ -23,8 +23,6 @@
 
 const MAX_QUEUED = 256;
 const PLAIN_SEQUENCES = 64;
-/** Orders come by hints; this only covers hints that were all lost. */
-const ORDER_POLL_MS = 30_000;
 
 const DEFAULT_LIMITS: AdmissionLimits = {
   capacity: {
@@ -107,7 +105,7 @@
   await learnConfiguration(runtime, gossip);
   startCommonTasks(runtime, membership, gossip);
   await executor.reconcile();
-  supervisor.every("orders", ORDER_POLL_MS, () => executor.reconcile());
+  supervisor.every("orders", settings.orderPollMs, () => executor.reconcile());
   const dataAt = await listen(data.server, settings.listen.data);
   return {
     addresses: { data: dataAt, peers },
--- a/src/side/upstreamCall.ts
+++ b/src/side/upstreamCall.ts
@@ -76,7 +76,7 @@
     let isConnected = false;
     upstreamReq.on("socket", (socket) => {
       if (!socket.connecting) isConnected = true;
-      socket.once("connect", () => (isConnected = true));
+      else socket.once("connect", () => (isConnected = true));
     });
     upstreamReq.on("error", (err) => {
       const failure = isConnected
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -49,6 +49,7 @@
   loadLagMs: 0,
   models: ["parts-8b@1"],
   checksFence: true,
+  address: "127.0.0.1:0",
 });
 const engine = new EngineModel(options);
 const models = new Set(options.models);
@@ -268,4 +269,4 @@
     default:
       return reply(res, 404, { error: { message: "no such path" } });
   }
-});
+}, options.address);
--- a/standins/plainService.ts
+++ b/standins/plainService.ts
@@ -26,7 +26,7 @@
   body: string;
 }
 
-const options = readOptions({ delayMs: 5 });
+const options = readOptions({ delayMs: 5, address: "127.0.0.1:0" });
 let faults: Faults = {
   cross: 0,
   cut: 0,
@@ -77,4 +77,4 @@
     default:
       return run(call);
   }
-});
+}, options.address);
--- a/tests/support/fleet.ts
+++ b/tests/support/fleet.ts
@@ -46,6 +46,14 @@
   peerPeriodMs?: number;
 }
 
+export type TableRow = Record<string, string | number>;
+
+export interface CommandAnswer {
+  kind: string;
+  text?: string;
+  rows?: TableRow[];
+}
+
 interface UpstreamParts {
   spec: UpstreamSpec;
   standin: Program;
@@ -188,6 +196,7 @@
         url: `http://${upstreamAddress}`,
         kind: spec.kind,
       },
+      orderPollMs: 1000,
       ...spec.side,
     };
     return this.startDaemon(`side-${spec.id}`, settings);
@@ -202,6 +211,48 @@
     return part.side;
   }
 
+  /** Starts an upstream's stand-in again, at the address it had. */
+  async restartStandin(id: string): Promise<void> {
+    const part = this.part(id);
+    const script = part.spec.kind === "engine" ? "engine" : "plainService";
+    const address = part.standin.at.listening;
+    const options = { ...part.spec.options, address };
+    part.standin = await startStandin(script, options);
+  }
+
+  /** Runs one statement of the language against an entry. */
+  async command(statement: string, entry = 0): Promise<CommandAnswer> {
+    const answer = await exchange({
+      method: "POST",
+      url: `http://${this.entries[entry]?.at.operators}/command`,
+      headers: { authorization: `Bearer ${OPERATOR_TOKEN}` },
+      text: statement,
+      timeoutMs: 10_000,
+    });
+    return JSON.parse(answer.text) as CommandAnswer;
+  }
+
+  /** The rows of a table. */
+  async rows(statement: string, entry = 0): Promise<TableRow[]> {
+    const answer = await this.command(statement, entry);
+    if (answer.rows === undefined) throw new Error(JSON.stringify(answer));
+    return answer.rows;
+  }
+
+  /** Resolves when the newest order of an upstream is finished. */
+  async orderFinished(id: string, entry = 0): Promise<string> {
+    let order = "";
+    await until(async () => {
+      const [row] = await this.rows(
+        `show engines where upstream = ${id}`,
+        entry,
+      );
+      order = String(row?.order ?? "");
+      return order !== "" && !order.endsWith("open");
+    }, `order of ${id}`);
+    return order;
+  }
+
   async addEntry(id: string, extra: object = {}): Promise<Program> {
     const settings = {
       role: "entry",
--- a/tests/support/runTests.ts
+++ b/tests/support/runTests.ts
@@ -10,6 +10,8 @@
 import { DIST, stopAll } from "./processes.js";
 
 const TIMEOUT_MS = 60_000;
+/** Tests slower than this are shown with their time. */
+const SLOW_MS = 3000;
 const MAX_KNOWN_RED = 3;
 const KNOWN_RED_FILE = path.resolve(DIST, "../KNOWN-RED.txt");
 
@@ -28,7 +30,7 @@
     .sort();
 
 const run = async (): Promise<number> => {
-  const mocha = new Mocha({ timeout: TIMEOUT_MS, slow: TIMEOUT_MS });
+  const mocha = new Mocha({ timeout: TIMEOUT_MS, slow: SLOW_MS });
   const only = process.argv[2];
   for (const file of testFiles(path.join(DIST, "tests"))) {
     if (only === undefined || file.includes(only)) mocha.addFile(file);
