--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -76,6 +76,12 @@
 const wordsOf = (prompt: string): string =>
   createHash("sha256").update(prompt).digest("hex").slice(0, 8);
 
+/** Requests that run now, with what ends their connection. */
+const connections = new Map<string, () => void>();
+
+/** Orders that take the engine away from the requests that it runs. */
+const TAKES_AWAY = ["role", "unload-model"];
+
 const cutStream = (call: Call, sequence: Sequence): void => {
   engine.cancel(sequence.id);
   call.res.destroy();
@@ -94,14 +100,14 @@
     );
   }
   const prompt = promptOf(body);
-  const mark = wordsOf(prompt);
+  const isCrossed = faults.cross > 0;
+  if (isCrossed) faults.cross -= 1;
+  const mark = isCrossed ? "othersXX" : wordsOf(prompt);
   const outputTokens = Math.max(1, body.max_tokens ?? 16);
   const from = Number(req.headers["x-snowgate-resume-from"] ?? 0);
   const urgency = String(req.headers["x-snowgate-urgency"] ?? "normal");
   const run = { requestId, from, state: "running" };
   runs.push(run);
-  const isCrossed = faults.cross > 0;
-  if (isCrossed) faults.cross -= 1;
   const shownId = isCrossed ? "some-other-request" : requestId;
   const isCut = faults.cut > 0;
   if (isCut) faults.cut -= 1;
@@ -170,7 +176,12 @@
     onToken,
     onEnd,
   };
+  connections.set(sequence.id, () => {
+    run.state = "taken-away";
+    cutStream(call, sequence);
+  });
   res.on("close", () => {
+    connections.delete(sequence.id);
     if (run.state !== "running") return;
     run.state = "cancelled";
     engine.cancel(sequence.id);
@@ -214,6 +225,9 @@
   }
   highestFence = Math.max(highestFence, order.fence);
   busyWith = order;
+  if (TAKES_AWAY.includes(order.action.kind)) {
+    for (const cut of connections.values()) cut();
+  }
   if (faults.dieInOrder) process.exit(1);
   setTimeout(() => {
     applyOrder(order);
--- a/standins/plainService.ts
+++ b/standins/plainService.ts
@@ -53,7 +53,6 @@
     faults.dropAfterRun -= 1;
     return void res.destroy();
   }
-  const answer = { answerTo: requestId, path: url.pathname, echo: text };
   if (faults.cut > 0) {
     faults.cut -= 1;
     res.writeHead(200, { "content-length": 1000, "x-request-id": requestId });
@@ -63,6 +62,8 @@
   const isCrossed = faults.cross > 0;
   if (isCrossed) faults.cross -= 1;
   const echoed = isCrossed ? "some-other-request" : requestId;
+  const echo = isCrossed ? '{"of":"another"}' : text;
+  const answer = { answerTo: echoed, path: url.pathname, echo };
   reply(res, 200, answer, { "x-request-id": echoed });
 };
 
--- /dev/null
+++ b/tests/promises/authority.test.ts
@@ -0,0 +1,286 @@
+import { expect } from "chai";
+import fc from "fast-check";
+
+import {
+  ControlStore,
+  isHolding,
+  leaseStep,
+  leaseWritten,
+  NO_LEASE,
+  seeLease,
+} from "../../src/control/index.js";
+import type { Lease, LeaseState } from "../../src/control/index.js";
+import { PeerLink } from "../../src/peers/index.js";
+import { OrderExecutor } from "../../src/side/orderExecutor.js";
+import { SideGate } from "../../src/side/sideGate.js";
+import type {
+  EngineOrder,
+  EngineState,
+  ModelEngine,
+} from "../../src/side/engineAdmin.js";
+import { Fleet, SECRET } from "../support/fleet.js";
+import { MemoryStore } from "../support/memoryStore.js";
+import { stopAll } from "../support/processes.js";
+import { engineSpec, MODEL_SERVICE } from "../support/specs.js";
+import { until } from "../support/until.js";
+
+const SILENT = {
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+  debug: () => undefined,
+};
+
+/** An engine that does at once what it is told, and ignores fences. */
+class FakeEngine implements ModelEngine {
+  readonly orders: EngineOrder[] = [];
+
+  async state(): Promise<EngineState> {
+    const last = this.orders.at(-1);
+    return {
+      role: last?.action.kind === "role" ? last.action.value : "mixed",
+      models: [],
+      adapters: [],
+      highestFence: 0,
+      busyWith: null,
+      lastOrder:
+        last === undefined
+          ? null
+          : { orderId: last.orderId, fence: last.fence, outcome: "done" },
+    };
+  }
+
+  async order(order: EngineOrder) {
+    this.orders.push(order);
+    return { kind: "started" } as const;
+  }
+}
+
+describe("promise 3: orders without authority change nothing", () => {
+  describe("lease, under pauses at any point", () => {
+    const LEASE_MS = 100;
+
+    /** One process: its view of the lease, and what it has read. */
+    interface Process {
+      state: LeaseState;
+      read: { lease: Lease | null; version: number } | undefined;
+    }
+
+    it("never has two holders", () => {
+      const event = fc.record({
+        who: fc.nat({ max: 2 }),
+        kind: fc.constantFrom("read", "write", "write-lost"),
+        passed: fc.integer({ min: 0, max: 70 }),
+      });
+      fc.assert(
+        fc.property(fc.array(event, { maxLength: 200 }), (events) => {
+          let now = 0;
+          let stored: { lease: Lease | null; version: number } = {
+            lease: null,
+            version: 0,
+          };
+          const all: Process[] = [0, 1, 2].map(() => ({
+            state: NO_LEASE,
+            read: undefined,
+          }));
+          for (const { who, kind, passed } of events) {
+            now += passed;
+            const self = `p${who}`;
+            const process_ = all[who] as Process;
+            if (kind === "read") {
+              process_.read = stored;
+              process_.state = seeLease(
+                process_.state,
+                stored.lease,
+                self,
+                now,
+              );
+            } else if (process_.read !== undefined) {
+              const step = leaseStep(process_.state, self, LEASE_MS, now);
+              const { lease, version } = process_.read;
+              process_.read = undefined;
+              if (step === "wait") continue;
+              const next: Lease =
+                step === "renew" && lease !== null
+                  ? { ...lease, beat: lease.beat + 1 }
+                  : { holder: self, epoch: (lease?.epoch ?? 0) + 1, beat: 0 };
+              if (version !== stored.version) continue;
+              stored = { lease: next, version: version + 1 };
+              if (kind === "write") {
+                process_.state = leaseWritten(next, now);
+              }
+            }
+            const holders = all.filter(({ state }, index) =>
+              isHolding(state, `p${index}`, LEASE_MS, now),
+            );
+            expect(holders.length).to.be.at.most(1);
+          }
+        }),
+        { seed: 7, numRuns: 500 },
+      );
+    });
+  });
+
+  describe("a side that was paused", () => {
+    const setUp = async () => {
+      const store = new MemoryStore();
+      const control = new ControlStore(store);
+      const engine = new FakeEngine();
+      const clock = { now: 0 };
+      const newSide = (incarnation: string) =>
+        new OrderExecutor({
+          upstream: "e1",
+          service: "s",
+          incarnation,
+          control,
+          engine,
+          gate: new SideGate(() => 0),
+          log: SILENT,
+          now: () => clock.now,
+          windowMs: 10,
+        });
+      const order = (id: string, value: "decode" | "prefill") =>
+        control.order("s", {
+          id,
+          upstream: "e1",
+          action: { kind: "role", value },
+          by: "test",
+        });
+      return { store, engine, clock, newSide, order };
+    };
+
+    it("sends nothing once another side has claimed the engine", async () => {
+      const { store, engine, clock, newSide, order } = await setUp();
+      const first = newSide("first");
+      await first.reconcile();
+      await order("o1", "decode");
+      const second = newSide("second");
+      let writes = 0;
+      store.beforePut = async (kind) => {
+        writes += 1;
+        // The first side is frozen right after it wrote "started": its
+        // window passes, and the second side claims the engine meanwhile.
+        if (kind !== "status" || writes !== 2) return;
+        store.beforePut = () => undefined;
+        clock.now += 1000;
+        await second.reconcile();
+      };
+      await first.reconcile();
+      store.beforePut = () => undefined;
+      await second.reconcile();
+      await first.reconcile();
+      expect(engine.orders.map((item) => item.orderId)).to.deep.equal(["o1"]);
+      expect(first.superseded).to.equal(true);
+    });
+
+    it("does not send after its window, even when nobody claimed", async () => {
+      const { store, engine, clock, newSide, order } = await setUp();
+      const side = newSide("only");
+      await side.reconcile();
+      await order("o2", "prefill");
+      let isFirst = true;
+      const sentAt: number[] = [];
+      const wrapped = engine.order.bind(engine);
+      engine.order = (item) => {
+        sentAt.push(clock.now);
+        return wrapped(item);
+      };
+      store.beforePut = () => {
+        if (!isFirst) return;
+        isFirst = false;
+        clock.now += 1000;
+      };
+      await side.reconcile();
+      // The write that took too long is followed by a second, in time.
+      expect(sentAt).to.deep.equal([1000]);
+      const status = await store.get<{ phase: string }>("status", "e1");
+      expect(status?.value.phase).to.equal("done");
+      expect(status?.version).to.equal(5);
+    });
+  });
+
+  describe("real processes", () => {
+    let fleet: Fleet;
+    const link = new PeerLink(SECRET);
+    const SERVICE = { ...MODEL_SERVICE, roles: { automatic: false } };
+
+    before(async () => {
+      fleet = await Fleet.start({
+        entries: 2,
+        services: [SERVICE],
+        upstreams: [engineSpec("parts-1"), engineSpec("parts-2")],
+      });
+    });
+
+    after(async () => {
+      link.close();
+      await stopAll();
+    });
+
+    const lease = async (entry: number) => {
+      const [row] = await fleet.rows("show leases", entry);
+      return { holder: String(row?.holder), epoch: Number(row?.epoch) };
+    };
+
+    const engineOrders = async (id: string) =>
+      (await fleet.record<{ orders: unknown[] }>(id)).orders.length;
+
+    it("a holder that is paused past its lease loses it for good", async () => {
+      await until(async () => (await lease(0)).epoch > 0);
+      const before = await lease(0);
+      const paused = before.holder.startsWith("entry-1") ? 0 : 1;
+      const other = 1 - paused;
+      fleet.entries[paused]?.signal("SIGSTOP");
+      await until(async () => (await lease(other)).epoch > before.epoch);
+      const taken = await lease(other);
+      // It wakes while the store is down: it must not act on its memory.
+      await fleet.storeFaults({ down: true });
+      fleet.entries[paused]?.signal("SIGCONT");
+      const refused = await fleet.command("role parts-1 to decode", paused);
+      expect(refused.kind).to.equal("failed");
+      await fleet.storeFaults({ down: false });
+      await until(async () => (await lease(other)).epoch >= taken.epoch);
+      expect((await lease(other)).holder).to.equal(taken.holder);
+      expect(await engineOrders("parts-1")).to.equal(0);
+    });
+
+    it("a hint without a record behind it does nothing", async () => {
+      const peer = fleet.part("parts-2").side.at.peers ?? "";
+      await link.nudge(peer, { upstream: "parts-2", seq: 99 });
+      await until(async () => {
+        const rows = await fleet.rows("show engines where upstream = parts-2");
+        return rows[0]?.state === "open";
+      });
+      expect(await engineOrders("parts-2")).to.equal(0);
+    });
+
+    it("a process without the fleet's secret is not heard", async () => {
+      const stranger = new PeerLink("not-the-secret");
+      const peer = fleet.part("parts-2").side.at.peers ?? "";
+      const outcome = await stranger
+        .nudge(peer, { upstream: "parts-2", seq: 1 })
+        .then(
+          () => "heard",
+          (err: Error) => err.message,
+        );
+      stranger.close();
+      expect(outcome).to.include("not a process of this fleet");
+    });
+
+    it("a side that starts with an empty memory repeats no order", async () => {
+      await fleet.command("role parts-2 to decode");
+      await fleet.orderFinished("parts-2");
+      const before = await engineOrders("parts-2");
+      const { side } = fleet.part("parts-2");
+      side.signal("SIGKILL");
+      await side.ended;
+      const fresh = await fleet.restartSide("parts-2");
+      await link.nudge(fresh.at.peers ?? "", { upstream: "parts-2", seq: 1 });
+      await until(async () => {
+        const rows = await fleet.rows("show engines where upstream = parts-2");
+        return rows[0]?.role === "decode" && rows[0]?.state === "open";
+      });
+      expect(await engineOrders("parts-2")).to.equal(before);
+    });
+  });
+});
--- a/tests/promises/wholeAnswers.test.ts
+++ b/tests/promises/wholeAnswers.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 
-import { openStream, post, wholeWords } from "../support/callers.js";
+import { markOf, openStream, post, wholeWords } from "../support/callers.js";
 import { Fleet } from "../support/fleet.js";
 import { stopAll } from "../support/processes.js";
 import {
@@ -52,8 +52,10 @@
     it("discards a crossed stream and asks elsewhere", async () => {
       await fleet.faults("parts-1", { cross: 2 });
       await fleet.faults("parts-2", { cross: 0 });
-      const all = await Promise.all(["a", "b", "c"].map(stream));
-      for (const told of all) {
+      const prompts = ["a", "b", "c"];
+      const all = await Promise.all(prompts.map(stream));
+      for (const [at, told] of all.entries()) {
+        expect([...told.marks]).to.deep.equal([markOf(prompts[at] ?? "")]);
         expect(told.words).to.deep.equal(wholeWords(TOKENS));
         expect(told.isWhole).to.equal(true);
       }
@@ -62,6 +64,7 @@
     it("goes on elsewhere after a cut, no token lost or doubled", async () => {
       await onEngines({ cross: 0, cut: 1, cutAfter: 7 });
       const told = await stream("cut in the middle");
+      expect([...told.marks]).to.deep.equal([markOf("cut in the middle")]);
       expect(told.words).to.deep.equal(wholeWords(TOKENS));
       expect(told.isWhole).to.equal(true);
       const resumed = (await runs()).filter((run) => run.from > 0);
--- a/tests/support/callers.ts
+++ b/tests/support/callers.ts
@@ -1,4 +1,5 @@
 /** Callers of tests: requests with what came back, and their verdicts. */
+import { createHash } from "node:crypto";
 import http from "node:http";
 import { createParser } from "eventsource-parser";
 
@@ -65,6 +66,8 @@
 export interface StreamTold {
   status: number;
   words: string[];
+  /** What the words say of the prompt that they answer; one each. */
+  marks: Set<string>;
   isWhole: boolean;
   error: string | undefined;
 }
@@ -84,6 +87,7 @@
   const told: StreamTold = {
     status: 0,
     words: [],
+    marks: new Set(),
     isWhole: false,
     error: undefined,
   };
@@ -100,7 +104,9 @@
         const chunk = JSON.parse(data) as Chunk;
         if (chunk.error) return void (told.error = chunk.error.code);
         const word = chunk.choices?.[0]?.delta?.content ?? "";
-        told.words.push(word.split("-")[0] ?? "");
+        const [index = "", mark = ""] = word.trim().split("-");
+        told.words.push(index);
+        told.marks.add(mark);
         begin();
       },
     });
@@ -124,6 +130,10 @@
   return { begun, ended, hangUp: () => req.destroy() };
 };
 
+/** The mark of an answer to a prompt. */
+export const markOf = (prompt: string): string =>
+  createHash("sha256").update(prompt).digest("hex").slice(0, 8);
+
 /** The words of a whole answer of so many tokens. */
 export const wholeWords = (tokens: number): string[] =>
   Array.from({ length: tokens }, (_item, index) => `w${index}`);
