--- /dev/null
+++ b/bench/lib/figures.ts
@@ -0,0 +1,34 @@
+/** Percentiles and shares of bench results. */
+import { build } from "hdr-histogram-js";
+
+const HIGHEST = 3_600_000_000;
+
+/** p50, p95 and p99 of values in ms, to a microsecond. */
+export const percentiles = (values: number[]): [number, number, number] => {
+  const histogram = build({
+    highestTrackableValue: HIGHEST,
+    numberOfSignificantValueDigits: 3,
+  });
+  for (const value of values) {
+    histogram.recordValue(Math.max(1, Math.round(value * 1000)));
+  }
+  const at = (percent: number) =>
+    histogram.getValueAtPercentile(percent) / 1000;
+  return [at(50), at(95), at(99)];
+};
+
+/** Jain's index: 1 where all shares are equal, 1/n where one has all. */
+export const fairness = (shares: number[]): number => {
+  const sum = shares.reduce((total, share) => total + share, 0);
+  const squares = shares.reduce((total, share) => total + share * share, 0);
+  return squares === 0 ? 1 : (sum * sum) / (shares.length * squares);
+};
+
+/** Middle, least and largest of several seeds. */
+export const spread = (values: number[]): string => {
+  const sorted = [...values].sort((left, right) => left - right);
+  const middle = sorted[Math.floor(sorted.length / 2)] ?? 0;
+  const show = (value: number | undefined) => (value ?? 0).toFixed(3);
+  if (sorted.length === 1) return show(middle);
+  return `${show(middle)} (${show(sorted[0])}-${show(sorted.at(-1))})`;
+};
--- /dev/null
+++ b/bench/lib/traces.ts
@@ -0,0 +1,173 @@
+/**
+ * Seeded traces of requests. Sizes are in tokens; a manual or log is a long
+ * text that many requests share, a question is the requester's own.
+ */
+import { seededRng } from "../../src/shared/rng.js";
+import type { Rng } from "../../src/shared/rng.js";
+
+/** One request of a trace. */
+export interface TraceRequest {
+  /** When it is sent, ms from the start. */
+  at: number;
+  className: "confirm" | "lookup" | "draft";
+  workspace: string;
+  /** Shared text that the prompt starts with; -1: none. */
+  manual: number;
+  manualTokens: number;
+  questionTokens: number;
+  outputTokens: number;
+}
+
+/** A part of a trace in which the mix stays as it is. */
+interface Phase {
+  untilMs: number;
+  /** Requests a second with long shared prompts and one-word answers. */
+  longPerSecond: number;
+  /** Requests a second with short prompts and long answers. */
+  draftsPerSecond: number;
+  /** Urgent confirmations a second. */
+  urgentPerSecond: number;
+}
+
+export interface TraceSpec {
+  name: string;
+  manuals: number;
+  manualTokens: number;
+  phases: Phase[];
+}
+
+const SECOND = 1000;
+const WORKSPACES = ["bus-depot", "rail-depot", "workshops", "fleets"];
+/** One workspace sends this share of all, the others the rest. */
+const GREEDY_SHARE = 0.55;
+
+export const TRACES: Record<string, TraceSpec> = {
+  catalogue: {
+    name: "catalogue",
+    manuals: 24,
+    manualTokens: 6000,
+    phases: [
+      {
+        untilMs: 9 * SECOND,
+        longPerSecond: 36,
+        draftsPerSecond: 3,
+        urgentPerSecond: 4,
+      },
+      {
+        untilMs: 18 * SECOND,
+        longPerSecond: 4,
+        draftsPerSecond: 36,
+        urgentPerSecond: 4,
+      },
+    ],
+  },
+  kilima: {
+    name: "kilima",
+    manuals: 12,
+    manualTokens: 9000,
+    phases: [
+      {
+        untilMs: 7 * SECOND,
+        longPerSecond: 26,
+        draftsPerSecond: 4,
+        urgentPerSecond: 2,
+      },
+      {
+        untilMs: 12 * SECOND,
+        longPerSecond: 6,
+        draftsPerSecond: 30,
+        urgentPerSecond: 2,
+      },
+      {
+        untilMs: 18 * SECOND,
+        longPerSecond: 6,
+        draftsPerSecond: 24,
+        urgentPerSecond: 24,
+      },
+    ],
+  },
+  steady: {
+    name: "steady",
+    manuals: 24,
+    manualTokens: 6000,
+    phases: [
+      {
+        untilMs: 18 * SECOND,
+        longPerSecond: 14,
+        draftsPerSecond: 14,
+        urgentPerSecond: 4,
+      },
+    ],
+  },
+};
+
+const pick = (rng: Rng): string => {
+  if (rng() < GREEDY_SHARE) return WORKSPACES[0] as string;
+  const at = 1 + Math.floor(rng() * (WORKSPACES.length - 1));
+  return WORKSPACES[at] as string;
+};
+
+/** Some manuals are asked for much more often than others. */
+const pickManual = (rng: Rng, manuals: number): number =>
+  Math.floor(manuals * rng() ** 1.5);
+
+const between = (rng: Rng, low: number, high: number): number =>
+  Math.round(low + rng() * (high - low));
+
+/** All requests of a trace, in order of time. */
+export const makeTrace = (spec: TraceSpec, seed: number): TraceRequest[] => {
+  const rng = seededRng(seed);
+  const requests: TraceRequest[] = [];
+  let from = 0;
+  for (const phase of spec.phases) {
+    const add = (
+      perSecond: number,
+      make: () => Omit<TraceRequest, "at" | "workspace">,
+    ) => {
+      let at = from;
+      for (;;) {
+        at += (-Math.log(1 - rng()) / perSecond) * SECOND;
+        if (at >= phase.untilMs) return;
+        requests.push({ at, workspace: pick(rng), ...make() });
+      }
+    };
+    add(phase.longPerSecond, () => ({
+      className: "lookup",
+      manual: pickManual(rng, spec.manuals),
+      manualTokens: spec.manualTokens,
+      questionTokens: between(rng, 20, 120),
+      outputTokens: between(rng, 1, 3),
+    }));
+    add(phase.draftsPerSecond, () => ({
+      className: "draft",
+      manual: -1,
+      manualTokens: 0,
+      questionTokens: between(rng, 40, 200),
+      outputTokens: between(rng, 60, 120),
+    }));
+    add(phase.urgentPerSecond, () => ({
+      className: "confirm",
+      manual: pickManual(rng, spec.manuals),
+      manualTokens: spec.manualTokens,
+      questionTokens: between(rng, 10, 30),
+      outputTokens: 2,
+    }));
+    from = phase.untilMs;
+  }
+  return requests.sort((left, right) => left.at - right.at);
+};
+
+const CHARS_PER_TOKEN = 4;
+
+const filler = (label: string, tokens: number): string => {
+  const length = tokens * CHARS_PER_TOKEN;
+  const unit = `${label} `;
+  return unit.repeat(Math.ceil(length / unit.length)).slice(0, length);
+};
+
+/** The prompt of a request. */
+export const promptOf = (request: TraceRequest, index: number): string => {
+  const question = filler(`question-${index}`, request.questionTokens);
+  if (request.manual < 0) return question;
+  return filler(`manual-${request.manual}`, request.manualTokens) + question;
+};
--- /dev/null
+++ b/bench/slopes.ts
@@ -0,0 +1,331 @@
+/**
+ * Cost of each decision and message against its size, at three sizes or
+ * more: processor time, bytes, memory. docs/CAPACITY.md is worked out from
+ * these.
+ */
+import Table from "cli-table3";
+
+import { Admission } from "../src/admission/index.js";
+import { applyClaimEvent, EMPTY_CLAIMS } from "../src/claims/claimTable.js";
+import {
+  adoptSnapshot,
+  configSchema,
+  toSnapshot,
+} from "../src/config/index.js";
+import type { Config } from "../src/config/index.js";
+import { giveOrder } from "../src/control/index.js";
+import type { ControlRecord } from "../src/control/index.js";
+import { Digest } from "../src/gen/snowgate.js";
+import { isRankedFor, Membership } from "../src/membership/index.js";
+import type { Member } from "../src/membership/index.js";
+import { planRole } from "../src/roles/index.js";
+import { createPolicy, prefixChain, Router } from "../src/routing/index.js";
+import { seededRng } from "../src/shared/rng.js";
+import { StatsdMetrics } from "../src/telemetry/index.js";
+
+const MICRO = 1000;
+const LEAST_MS = 200;
+
+/** Mean time of one call, µs. */
+const timeOf = (work: (round: number) => void): number => {
+  for (let round = 0; round < 20; round += 1) work(round);
+  const startedAt = performance.now();
+  let rounds = 0;
+  while (performance.now() - startedAt < LEAST_MS) {
+    work(rounds);
+    rounds += 1;
+  }
+  return ((performance.now() - startedAt) / rounds) * MICRO;
+};
+
+/** Heap that a value holds, KB. */
+const heapOf = (make: () => unknown): number => {
+  global.gc?.();
+  const before = process.memoryUsage().heapUsed;
+  const kept = make();
+  global.gc?.();
+  const after = process.memoryUsage().heapUsed;
+  void kept;
+  return Math.max(0, after - before) / 1024;
+};
+
+const table = new Table({
+  head: ["what", "size", "µs each", "bytes", "heap KB"],
+  style: { head: [], compact: true },
+});
+
+const add = (
+  what: string,
+  size: number,
+  us: number | undefined,
+  bytes?: number,
+  heapKb?: number,
+): void => {
+  const cell = (value: number | undefined, digits: number) =>
+    value === undefined ? "" : value.toFixed(digits);
+  table.push([what, size, cell(us, 2), cell(bytes, 0), cell(heapKb, 0)]);
+};
+
+const upstreamsOf = (prefix: string, count: number) =>
+  Array.from({ length: count }, (_item, at) => ({
+    id: `${prefix}-${at}`,
+    vm: `vm-${prefix}-${at}`,
+    site: "bilbao",
+    dataAddress: "10.11.12.13:8080",
+    peerAddress: "10.11.12.13:8082",
+  }));
+
+const configOf = (services: number, replicas: number): Config =>
+  configSchema.parse({
+    fleet: {
+      name: "f",
+      sites: [{ name: "bilbao", region: "r", domain: "d" }],
+    },
+    services: Array.from({ length: services }, (_item, at) => ({
+      name: `service-${at}`,
+      kind: "model",
+      models: [{ name: `model-${at}`, version: "1" }],
+      classes: [{ name: "c", urgency: "normal", deadlineMs: 1000 }],
+      defaultClass: "c",
+      upstreams: upstreamsOf(`s${at}`, replicas),
+    })),
+  });
+
+const routing = (replicas: number): void => {
+  const service = configOf(1, replicas).services[0]!;
+  const rng = seededRng(1);
+  const router = new Router(createPolicy("expected-finish", rng), rng);
+  const prompt = "manual ".repeat(2000);
+  const chains = Array.from({ length: 50 }, (_item, at) =>
+    prefixChain("m", `${at} ${prompt}`),
+  );
+  const request = (round: number) => ({
+    service,
+    urgency: "normal" as const,
+    promptTokens: 3500,
+    outputTokens: 100,
+    prefixes: chains[round % chains.length]!,
+    deadlineAt: 1e9,
+    tried: new Set<string>(),
+  });
+  const us = timeOf((round) => {
+    const one = request(round);
+    const choice = router.choose(one, round);
+    router.onSent(choice!.upstream.id, one, round);
+    router.onEnd(choice!.upstream.id);
+  });
+  add("route one request, by replicas", replicas, us);
+};
+
+const prefixes = (tokens: number): void => {
+  const prompt = "x".repeat(tokens * 4);
+  add(
+    "hash a prompt's prefixes, by tokens",
+    tokens,
+    timeOf(() => void prefixChain("m", prompt)),
+  );
+};
+
+const admission = (queued: number): void => {
+  const capacity = {
+    prefillTokensPerSecond: 8000,
+    decodeTokensPerSecond: 40,
+    maxSequences: 32,
+  };
+  const limits = { capacity, maxQueued: queued + 10, weightOf: () => 1 };
+  const gate = new Admission(limits);
+  const arrival = (id: string) => ({
+    id,
+    workspace: `w${id.length % 7}`,
+    urgency: "normal" as const,
+    prefillTokens: 1,
+    outputTokens: 1,
+    deadlineAt: 1e12,
+  });
+  for (let at = 0; at < queued + 32; at += 1) gate.arrive(arrival(`q${at}`), 0);
+  let oldest = 0;
+  const us = timeOf((round) => {
+    gate.arrive(arrival(`r${round}`), 0);
+    gate.leave(`q${oldest}`);
+    oldest += 1;
+    gate.release(0);
+    gate.leave(`r${round}`);
+  });
+  add("admit and release, by queue", queued, us);
+};
+
+const memberOf = (at: number): Member => ({
+  id: `member-${at}`,
+  kind: at % 6 === 0 ? "entry" : "side",
+  state: "alive",
+  incarnation: 1_700_000_000_000 + at,
+  peerAddress: `10.${at % 250}.12.13:8082`,
+  domain: `domain-${at % 7}`,
+});
+
+const membership = (size: number): void => {
+  const members = Array.from({ length: size }, (_item, at) => memberOf(at));
+  const rng = seededRng(2);
+  const make = () => {
+    const one = new Membership(memberOf(0));
+    one.hear(members, 0);
+    return one;
+  };
+  const heap = heapOf(make);
+  const one = make();
+  for (let at = 0; at < size * 20; at += 1) one.takeRumours();
+  const quiet = Digest.encode({
+    from: "member-0",
+    peerAddress: "10.1.12.13:8082",
+    configNumber: 14_000,
+    membersHash: one.hash,
+    rumours: one.takeRumours(),
+  }).finish().length;
+  add(
+    "pick peers and tick, by members (quiet digest)",
+    size,
+    timeOf((round) => {
+      one.tick(round);
+      one.pickPeers(2, rng);
+    }),
+    quiet,
+    heap,
+  );
+  add(
+    "am I a watcher, by members",
+    size,
+    timeOf(() => {
+      const mine = one.all().filter((item) => item.domain === "domain-0");
+      isRankedFor("watch", mine, 2, "member-0");
+    }),
+  );
+  const full = Digest.encode({
+    from: "member-0",
+    peerAddress: "10.1.12.13:8082",
+    configNumber: 14_000,
+    membersHash: one.hash,
+    rumours: members.slice(0, 12),
+  }).finish().length;
+  add("digest with 12 rumours", 12, undefined, full);
+};
+
+const configuration = (services: number, replicas: number): void => {
+  const config = configOf(services, replicas);
+  const snapshot = toSnapshot(config, 1);
+  const total = Object.values(snapshot.bodies).reduce(
+    (sum, body) => sum + body.length,
+    0,
+  );
+  const heap = heapOf(() => adoptSnapshot(undefined, snapshot));
+  add(
+    "take a whole configuration, by replicas",
+    services * replicas,
+    timeOf((round) => {
+      adoptSnapshot(undefined, toSnapshot(config, round + 1));
+    }),
+    total,
+    heap,
+  );
+  const part = snapshot.bodies[snapshot.head.parts["service/service-0"] ?? ""];
+  add("one service's part, by replicas", replicas, undefined, part?.length);
+  const head = JSON.stringify(snapshot.head).length;
+  add("head, by services", services, undefined, head);
+};
+
+const claims = (held: number): void => {
+  let filled = EMPTY_CLAIMS;
+  const request = (at: number) => ({
+    service: "s",
+    key: `0f8fad5b-d9cb-469f-a165-70867728950e-${at}`,
+    print: "0123456789abcdef",
+    requestId: `7c9e6679-7425-40de-944b-e07fc1f90ae7-${at}`,
+  });
+  for (let at = 0; at < held; at += 1) {
+    filled = applyClaimEvent(
+      filled,
+      { kind: "begin", request: request(at) },
+      0,
+    );
+  }
+  const us = timeOf((round) => {
+    const event = { kind: "begin", request: request(held + round) } as const;
+    JSON.stringify(applyClaimEvent(filled, event, 0));
+  });
+  add(
+    "claim a key, by keys held in its shard",
+    held,
+    us,
+    JSON.stringify(filled).length,
+  );
+};
+
+const control = (replicas: number): void => {
+  let record: ControlRecord = {
+    lease: { holder: "entry-1/1700000000000", epoch: 1, beat: 1 },
+    desired: {},
+    roleChangedAt: 0,
+  };
+  for (let at = 0; at < replicas; at += 1) {
+    const answer = giveOrder(record, undefined, {
+      id: "7c9e6679-7425-40de-944b-e07fc1f90ae7",
+      upstream: `s0-${at}`,
+      action: { kind: "drain" },
+      by: "operator",
+    });
+    if (answer.kind === "accepted") record = answer.record;
+  }
+  const us = timeOf(() => void JSON.parse(JSON.stringify(record)));
+  const bytes = JSON.stringify(record).length;
+  add("read and write a control record, by replicas", replicas, us, bytes);
+};
+
+const roles = (replicas: number): void => {
+  const service = configOf(1, replicas).services[0]!;
+  const engines = service.upstreams.map(({ id }) => ({
+    upstream: id,
+    role: "mixed" as const,
+    isOpen: true,
+    prefillPerSecond: 6000,
+    decodePerSecond: 700,
+    ageMs: 10,
+  }));
+  add(
+    "plan roles, by replicas",
+    replicas,
+    timeOf(() => {
+      planRole({ service, engines, sinceChangeMs: 1e9, awayMs: 5000 });
+    }),
+  );
+};
+
+const histograms = (workspaces: number): void => {
+  const metrics = new StatsdMetrics(undefined);
+  const heap = heapOf(() => {
+    for (let at = 0; at < workspaces * 10; at += 1) {
+      metrics.latency("s/c", `workspace-${at % workspaces}`, at % 5000);
+    }
+    return metrics;
+  });
+  add(
+    "record a latency, by workspaces",
+    workspaces,
+    timeOf((round) => {
+      metrics.latency("s/c", `workspace-${round % workspaces}`, round % 5000);
+    }),
+    undefined,
+    heap,
+  );
+};
+
+for (const size of [8, 50, 200, 800]) routing(size);
+for (const size of [100, 1000, 10_000]) prefixes(size);
+for (const size of [10, 100, 250]) admission(size);
+for (const size of [100, 1000, 4100]) membership(size);
+configuration(2, 8);
+configuration(17, 50);
+configuration(17, 200);
+for (const size of [10, 100, 1000]) claims(size);
+for (const size of [8, 50, 200]) control(size);
+for (const size of [8, 50, 200]) roles(size);
+for (const size of [10, 64, 1000, 6000]) histograms(size);
+console.log(table.toString());
--- a/tests/promises/orders.test.ts
+++ b/tests/promises/orders.test.ts
@@ -72,6 +72,8 @@
       await fleet.orderFinished("twice");
       await fleet.command("role twice to decode");
       await expectOneOrder("twice", "decode");
+      const [row] = await fleet.rows("show engines where upstream = twice");
+      expect(row?.state).to.equal("open");
     });
   });
 
