Proofs that can fail: each was run against the code without its mechanism

Generated lists of events were about ten long, too short for a lease to be held twice; the fault proxy dropped the 100 Continue and never the answer behind it; an ejected upstream made the next fault harmless; two signals sent at once were one; two equal keys never met in one batch.

Also found: the estimates of plain services were all zero, so that the first upstream got every request; an upstream that was full at its last report and then got no work looked full for ever; a never-repeat request was given up with its caller, so that its answer was not kept.

Ruled out: the mechanisms themselves; with the longer lists and the later fault each proof passes with its mechanism.

--- a/src/entry/requestFlow.ts
+++ b/src/entry/requestFlow.ts
@@ -95,7 +95,11 @@
     const deadlineAt = request.arrivedAt + plan.budgetMs;
     const left = Math.max(0, deadlineAt - this.options.now());
     const timer = setTimeout(() => controller.abort(), left);
-    const onClose = () => controller.abort();
+    // A never-repeat request is not given up with its caller: its answer is
+    // kept for the repeat.
+    const onClose = () => {
+      if (claim === undefined) controller.abort();
+    };
     res.on("close", onClose);
     try {
       await this.attempts(request, deadlineAt, controller.signal, claim);
--- a/src/routing/policies.ts
+++ b/src/routing/policies.ts
@@ -17,6 +17,9 @@
 
 export type PolicyName = (typeof POLICY_NAMES)[number];
 
+/** Fixed cost of a request and of each one beside it, ms: without it the
+ * estimates of plain services would all be zero and the first would win. */
+const REQUEST_MS = 1;
 /** Spread put on equal estimates, so that entries do not herd. */
 const JITTER = 0.1;
 /** Least warmth that counts, so that a cold upstream still gets work. */
@@ -35,7 +38,8 @@
   const own = { prefillTokens, outputTokens: request.outputTokens };
   const wait = waitMs(candidate.work, capacity, candidate.role);
   const run = serviceMs(own, candidate.work, capacity, candidate.role);
-  return (wait + run) / Math.max(LEAST_WARMTH, candidate.warmth);
+  const fixed = REQUEST_MS * (1 + candidate.work.active);
+  return (fixed + wait + run) / Math.max(LEAST_WARMTH, candidate.warmth);
 };
 
 const chosen = (
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -50,6 +50,9 @@
 }
 
 const MS = 1000;
+/** Old news counts less and less, or an upstream that was full once and is
+ * asked no more would look full for ever; ms to a third. */
+const REPORT_FADES_MS = 2000;
 
 export class Router {
   private readonly known = new Map<string, Known>();
@@ -229,14 +232,16 @@
     const rate = prefillRate(service.capacity, role);
     const drained = ((now - known.reportAt) * rate) / MS;
     const reported = known.report?.prefillTokens ?? 0;
-    const active = (known.report?.active ?? 0) + known.sentCount;
+    const age = Math.max(0, now - known.reportAt);
+    const faded = Math.exp(-age / REPORT_FADES_MS);
+    const active = (known.report?.active ?? 0) * faded + known.sentCount;
     return {
       upstream,
       role,
       work: {
         prefillTokens: Math.max(0, reported + known.sentTokens - drained),
         active: Math.max(active, known.ownInFlight),
-        queued: known.report?.queued ?? 0,
+        queued: (known.report?.queued ?? 0) * faded,
       },
       ownInFlight: known.ownInFlight,
       cachedTokens: matches.get(upstream.id) ?? 0,
--- a/src/side/orderExecutor.ts
+++ b/src/side/orderExecutor.ts
@@ -22,7 +22,6 @@
 import type { EngineState, ModelEngine } from "./engineAdmin.js";
 import type { SideGate } from "./sideGate.js";
 
-const POLL_MS = 50;
 const ENGINE_TRIES = 100;
 
 export interface OrderExecutorOptions {
@@ -36,6 +35,8 @@
   log: Log;
   now: () => number;
   windowMs: number;
+  /** Pause between two questions to the engine, ms. */
+  pollMs: number;
 }
 
 const pause = (durationMs: number): Promise<void> =>
@@ -185,7 +186,7 @@
       if (outcome === "done") return this.finish(order, "done", "");
       if (outcome !== "running") tries += 1;
       if (outcome === "absent") await this.sendInWindow(order, engine);
-      await pause(POLL_MS);
+      await pause(this.options.pollMs);
     }
     await this.finish(order, "failed", "the engine did not carry it out");
   }
--- a/src/side/sideDaemon.ts
+++ b/src/side/sideDaemon.ts
@@ -23,6 +23,7 @@
 
 const MAX_QUEUED = 256;
 const PLAIN_SEQUENCES = 64;
+const ENGINE_POLL_MS = 50;
 
 const DEFAULT_LIMITS: AdmissionLimits = {
   capacity: {
@@ -65,6 +66,7 @@
     log,
     now,
     windowMs: settings.orderWindowMs,
+    pollMs: ENGINE_POLL_MS,
   });
 };
 
--- a/standins/faultProxy.ts
+++ b/standins/faultProxy.ts
@@ -18,11 +18,15 @@
   client: net.Socket;
   server: net.Socket;
   held: { to: net.Socket; data: Buffer }[];
+  /** Pieces of an answer that were let through in this mode. */
+  passed: number;
 }
 
 const options = readOptions({ target: "127.0.0.1:1" });
 let mode: Mode = "pass";
 let delayMs = 0;
+/** Pieces of an answer to let through before one is dropped. */
+let skip = 0;
 /** Back to `pass` after so many connections were hit; 0: never. */
 let hits = 0;
 const pairs = new Set<Pair>();
@@ -55,6 +59,8 @@
       return;
     case "drop-answer":
       if (!isAnswer) return void to.write(data);
+      pair.passed += 1;
+      if (pair.passed <= skip) return void to.write(data);
       destroy(pair);
       return hit();
   }
@@ -67,7 +73,7 @@
   }
   const { host, port } = splitAddress(options.target);
   const server = net.connect(port, host);
-  const pair: Pair = { client, server, held: [] };
+  const pair: Pair = { client, server, held: [], passed: 0 };
   pairs.add(pair);
   const end = () => {
     client.destroy();
@@ -80,10 +86,19 @@
   server.on("error", end).on("close", end);
 };
 
-const setMode = (next: { mode: Mode; delayMs?: number; hits?: number }) => {
+interface ModeChange {
+  mode: Mode;
+  delayMs?: number;
+  hits?: number;
+  skip?: number;
+}
+
+const setMode = (next: ModeChange) => {
   mode = next.mode;
   delayMs = next.delayMs ?? 0;
   hits = next.hits ?? 0;
+  skip = next.skip ?? 0;
+  for (const pair of pairs) pair.passed = 0;
   if (mode === "cut" && hits === 0) for (const pair of pairs) destroy(pair);
   if (mode !== "pass") return;
   for (const pair of pairs) {
--- a/tests/decisions.test.ts
+++ b/tests/decisions.test.ts
@@ -26,6 +26,8 @@
 import { VERDICTS } from "../src/shared/verdict.js";
 import { MODEL_SERVICE } from "./support/specs.js";
 
+/** Without a size, generated lists are about ten long: too short to fail. */
+const LONG = { minLength: 20, maxLength: 100, size: "max" } as const;
 const SEEDED = { seed: 11, numRuns: 300 };
 
 const service = (engines: number, more: object = {}): Service => {
@@ -55,7 +57,7 @@
       kind: fc.constantFrom("begin", "finish", "release"),
     });
     fc.assert(
-      fc.property(fc.array(event, { maxLength: 40 }), (events) => {
+      fc.property(fc.array(event, LONG), (events) => {
         let table = EMPTY_CLAIMS;
         const running = new Set<number>();
         let ran = 0;
@@ -94,15 +96,18 @@
       services: [{ ...MODEL_SERVICE, upstreams: [] }],
     });
     fc.assert(
-      fc.property(fc.array(fc.integer({ min: 1, max: 50 })), (numbers) => {
-        let state: ConfigState | undefined;
-        let highest = 0;
-        for (const number of numbers) {
-          state = adoptSnapshot(state, toSnapshot(config, number));
-          highest = Math.max(highest, number);
-          expect(state?.head.number).to.equal(highest);
-        }
-      }),
+      fc.property(
+        fc.array(fc.integer({ min: 1, max: 50 }), LONG),
+        (numbers) => {
+          let state: ConfigState | undefined;
+          let highest = 0;
+          for (const number of numbers) {
+            state = adoptSnapshot(state, toSnapshot(config, number));
+            highest = Math.max(highest, number);
+            expect(state?.head.number).to.equal(highest);
+          }
+        },
+      ),
       SEEDED,
     );
   });
@@ -178,7 +183,7 @@
 
   it("never hands over more than the engine's sequences", () => {
     fc.assert(
-      fc.property(fc.array(fc.nat({ max: 30 }), { maxLength: 80 }), (ids) => {
+      fc.property(fc.array(fc.nat({ max: 30 }), LONG), (ids) => {
         const admission = new Admission(limits);
         for (const id of ids) {
           if (id % 3 === 0) admission.leave(`r${id}`);
@@ -265,6 +270,40 @@
     expect(Math.max(...counts.values())).to.be.at.most(60);
   });
 
+  it("spreads a plain service's requests, which cost no tokens", () => {
+    const router = newRouter(6);
+    const plain = request({ promptTokens: 0, outputTokens: 0 });
+    const counts = new Map<string, number>();
+    for (let at = 0; at < 400; at += 1) {
+      const id = router.choose(plain, at)?.upstream.id ?? "";
+      router.onSent(id, plain, at);
+      router.onEnd(id);
+      counts.set(id, (counts.get(id) ?? 0) + 1);
+    }
+    expect(counts.size).to.equal(8);
+    expect(Math.max(...counts.values())).to.be.at.most(100);
+  });
+
+  it("comes back to an upstream that was full long ago", () => {
+    const router = newRouter(7);
+    const full = {
+      prefillTokens: 0,
+      active: 32,
+      queued: 50,
+      role: "mixed",
+      state: "open",
+      measuredPrefillRate: 0,
+    } as const;
+    router.onReport("e0", full, 0);
+    const chosen = (now: number) =>
+      Array.from(
+        { length: 200 },
+        () => router.choose(request(), now)?.upstream.id,
+      ).filter((id) => id === "e0").length;
+    expect(chosen(10)).to.equal(0);
+    expect(chosen(60_000)).to.be.greaterThan(5);
+  });
+
   it("ejects an upstream that fails, and comes back by one probe", () => {
     const router = newRouter(3);
     const others = Array.from({ length: 7 }, (_item, at) => `e${at + 1}`);
--- a/tests/promises/atMostOnce.test.ts
+++ b/tests/promises/atMostOnce.test.ts
@@ -62,7 +62,8 @@
   it("has one run when both entries get the key at once", async () => {
     const keys = Array.from({ length: 10 }, (_item, at) => `both-${at}`);
     for (const key of keys) {
-      await Promise.all([reserve(fleet.entryUrl(0), key), repeat(key)]);
+      const first = () => reserve(fleet.entryUrl(0), key);
+      await Promise.all([first(), first(), repeat(key), repeat(key)]);
       expect(await runsOf(key), key).to.equal(1);
     }
   });
--- a/tests/promises/authority.test.ts
+++ b/tests/promises/authority.test.ts
@@ -24,6 +24,9 @@
 import { engineSpec, MODEL_SERVICE } from "../support/specs.js";
 import { until } from "../support/until.js";
 
+/** Without a size, generated lists are about ten long: too short to fail. */
+const LONG = { minLength: 20, maxLength: 200, size: "max" } as const;
+
 const SILENT = {
   info: () => undefined,
   warn: () => undefined,
@@ -56,6 +59,34 @@
   }
 }
 
+/** Ends a process at its n-th call of the outside, before or after it. */
+interface Crash {
+  left: number;
+  isAfter: boolean;
+  isDead: boolean;
+}
+
+const NO_CRASH: Crash = { left: Infinity, isAfter: false, isDead: false };
+
+/** Calls of a dead process never come back; the process is abandoned. */
+const crashing = <T extends object>(inner: T, crash: Crash): T =>
+  new Proxy(inner, {
+    get: (target, name) => {
+      const value = Reflect.get(target, name) as unknown;
+      if (typeof value !== "function") return value;
+      return async (...args: unknown[]) => {
+        if (crash.isDead) throw new Error("dead");
+        crash.left -= 1;
+        const isNow = crash.left < 0;
+        if (isNow) crash.isDead = true;
+        if (isNow && !crash.isAfter) throw new Error("dead");
+        const result: unknown = await value.apply(target, args);
+        if (isNow) throw new Error("dead");
+        return result;
+      };
+    },
+  });
+
 describe("promise 3: orders without authority change nothing", () => {
   describe("lease, under pauses at any point", () => {
     const LEASE_MS = 100;
@@ -73,7 +104,7 @@
         passed: fc.integer({ min: 0, max: 70 }),
       });
       fc.assert(
-        fc.property(fc.array(event, { maxLength: 200 }), (events) => {
+        fc.property(fc.array(event, LONG), (events) => {
           let now = 0;
           let stored: { lease: Lease | null; version: number } = {
             lease: null,
@@ -138,6 +169,7 @@
           log: SILENT,
           now: () => clock.now,
           windowMs: 10,
+          pollMs: 1,
         });
       const order = (id: string, value: "decode" | "prefill") =>
         control.order("s", {
@@ -199,6 +231,46 @@
     });
   });
 
+  describe("a side that crashes between any two steps of an order", () => {
+    const STEPS = 14;
+    for (let crashAt = 0; crashAt < STEPS; crashAt += 1) {
+      for (const isAfter of [false, true]) {
+        const when = isAfter ? "after" : "before";
+        it(`${when} step ${crashAt}: the next side finishes it once`, async () => {
+          const store = new MemoryStore();
+          const control = new ControlStore(store);
+          const engine = new FakeEngine();
+          await control.order("s", {
+            id: "o1",
+            upstream: "e1",
+            action: { kind: "role", value: "decode" },
+            by: "test",
+          });
+          const newSide = (incarnation: string, crash: Crash) =>
+            new OrderExecutor({
+              upstream: "e1",
+              service: "s",
+              incarnation,
+              control: new ControlStore(crashing(store, crash)),
+              engine: crashing(engine, crash),
+              gate: new SideGate(() => 0),
+              log: SILENT,
+              now: () => 0,
+              windowMs: 1,
+              pollMs: 1,
+            });
+          const crash = { left: crashAt, isAfter, isDead: false };
+          await newSide("first", crash).reconcile();
+          await newSide("second", { ...NO_CRASH }).reconcile();
+          const status = await control.readStatus("e1");
+          expect(status?.value.phase).to.equal("done");
+          const ids = engine.orders.map((order) => order.orderId);
+          expect(ids).to.deep.equal(["o1"]);
+        });
+      }
+    }
+  });
+
   describe("real processes", () => {
     let fleet: Fleet;
     const link = new PeerLink(SECRET);
--- a/tests/promises/plannedChanges.test.ts
+++ b/tests/promises/plannedChanges.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 
+import { exchange } from "../../src/http/index.js";
 import { openStream, post, wholeWords } from "../support/callers.js";
 import type { OpenStream } from "../support/callers.js";
 import { Fleet } from "../support/fleet.js";
@@ -19,6 +20,13 @@
   { name: "oviedo", region: "norte", domain: "norte-b" },
 ];
 
+/** Whether an entry has begun to stop. */
+const isLeaving = async (fleet: Fleet, at: number): Promise<boolean> => {
+  const url = `${fleet.entryUrl(at)}/readyz`;
+  const answer = await exchange({ method: "GET", url, timeoutMs: 1000 });
+  return answer.status === 503;
+};
+
 /** Planned changes that happen while every stream is open. */
 const CHANGES: {
   name: string;
@@ -57,6 +65,7 @@
     perform: async (fleet) => {
       const [entry] = fleet.entries;
       entry?.signal("SIGTERM");
+      await until(() => isLeaving(fleet, 0));
       entry?.signal("SIGTERM");
       expect(await entry?.ended).to.equal(0);
     },
@@ -83,6 +92,7 @@
       before(async () => {
         fleet = await Fleet.start({
           entries: 2,
+          entry: { lameDuckMs: 500 },
           sites: SITES,
           services: [SERVICE],
           upstreams: [
