Engine stand-in: prefix cache asked when a prompt is due, kept as read

One reason was the stand-in: it asked its cache on arrival and kept a prompt only when it was read whole, so that ten requests for one manual each read it.

Ruled out: nothing else yet; three more causes are looked at next.

Change: as engines with block caches do, blocks are kept as they are read and looked up when the first chunk of a prompt is due.

--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -171,6 +171,7 @@
     promptTokens,
     blocks: EngineModel.blocksOf(body.model ?? "", prompt),
     unread: promptTokens,
+    hasLookedUp: false,
     next: Math.min(from, outputTokens - 1),
     outputTokens,
     onToken,
--- a/standins/engineModel.ts
+++ b/standins/engineModel.ts
@@ -33,8 +33,10 @@
   urgency: number;
   promptTokens: number;
   blocks: string[];
-  /** Prompt tokens still to read; set when it starts. */
+  /** Prompt tokens still to read. */
   unread: number;
+  /** Whether the cache was asked for its prompt. */
+  hasLookedUp: boolean;
   /** Next output token to produce. */
   next: number;
   outputTokens: number;
@@ -83,17 +85,25 @@
     this.cache.clear();
   }
 
-  private start(sequence: Sequence): void {
+  /** The cache is asked when the first chunk is due, not on arrival. */
+  private lookUp(sequence: Sequence): void {
     let cached = 0;
     for (const block of sequence.blocks) {
       if (!this.cache.has(block)) break;
       cached += BLOCK_TOKENS;
     }
-    const reused = Math.min(cached, sequence.promptTokens);
+    // The last token is always read: it gives the first output.
+    const reused = Math.min(cached, sequence.promptTokens - 1);
     this.reusedTokens += reused;
     this.readTokens += sequence.promptTokens - reused;
     sequence.unread = sequence.promptTokens - reused;
-    this.running.push(sequence);
+    sequence.hasLookedUp = true;
+  }
+
+  /** Blocks are kept as they are read, for those that come behind. */
+  private rememberRead(sequence: Sequence): void {
+    const read = sequence.promptTokens - sequence.unread;
+    this.remember(sequence.blocks.slice(0, Math.floor(read / BLOCK_TOKENS)));
   }
 
   private remember(blocks: string[]): void {
@@ -112,7 +122,7 @@
       this.waiting.length > 0 &&
       this.running.length < this.rates.maxSequences
     ) {
-      this.start(this.waiting.shift() as Sequence);
+      this.running.push(this.waiting.shift() as Sequence);
     }
     if (this.running.length === 0) {
       this.isStepping = false;
@@ -124,10 +134,12 @@
     let read = 0;
     for (const item of this.running) {
       if (item.unread <= 0 || chunk <= 0) continue;
+      if (!item.hasLookedUp) this.lookUp(item);
       const part = Math.min(chunk, item.unread);
       item.unread -= part;
       chunk -= part;
       read += part;
+      this.rememberRead(item);
     }
     const decoding = this.running.filter((item) => item.unread <= 0);
     const readMs =
@@ -146,12 +158,8 @@
       item.next += 1;
       if (item.next < item.outputTokens) continue;
       this.running = this.running.filter((other) => other !== item);
-      this.remember(item.blocks);
       item.onEnd();
     }
-    for (const item of this.running) {
-      if (item.unread <= 0) this.remember(item.blocks);
-    }
     this.step();
   }
 }
