Routing: entries agree on where an unseen prompt belongs

Cause: each entry knew only the prompts that it had sent itself, so three entries put one manual on up to three engines and each read it anew.

Ruled out: the index's size (50,000 prefixes) and the engines' caches (256 blocks hold ten manuals of 24 blocks, three are due to each engine).

Change: beside what an entry knows, the two upstreams that rank first for a prompt's first block count as holding half and a quarter of it. The ranking is by rendezvous hashing, equal at all entries without talking.

--- a/src/routing/prefixes.ts
+++ b/src/routing/prefixes.ts
@@ -9,6 +9,8 @@
 export const BLOCK_CHARS = 1024;
 /** Characters that make a token, on average. */
 export const CHARS_PER_TOKEN = 4;
+/** Tokens of a block. */
+export const BLOCK_TOKENS = BLOCK_CHARS / CHARS_PER_TOKEN;
 const MAX_BLOCKS = 64;
 const MAX_HOLDERS = 4;
 const MAX_PREFIXES = 50_000;
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -17,7 +17,7 @@
 } from "./health.js";
 import type { Health } from "./health.js";
 import { prefillRate } from "./loadModel.js";
-import { hashText, PrefixIndex } from "./prefixes.js";
+import { BLOCK_TOKENS, hashText, PrefixIndex } from "./prefixes.js";
 import type {
   Candidate,
   Choice,
@@ -27,6 +27,8 @@
 } from "./types.js";
 
 const AFFINE_CANDIDATES = 2;
+/** Part of a prompt that the first ranks are thought to hold unseen. */
+const RANK_PRIOR = [0.5, 0.25] as const;
 const RANDOM_CANDIDATES = 2;
 /** A small fleet is looked at whole; a large one by a few candidates. */
 const LOOK_AT_ALL = 8;
@@ -66,7 +68,7 @@
   /** The upstream to send to, or undefined where none may be used now. */
   choose(request: RouteRequest, now: number): Choice | undefined {
     const open = this.openUpstreams(request, now);
-    const matches = this.prefixIndex.match(request.prefixes);
+    const matches = this.expectedCache(request, open);
     const few = this.fewOf(open, request, matches);
     const candidates = few.map((upstream) =>
       this.candidate(upstream, request.service, matches, now),
@@ -173,6 +175,26 @@
     return fresh;
   }
 
+  /**
+   * Prompt tokens expected in each upstream's cache. What this entry sent is
+   * known; beside it the upstreams that rank first for the prompt may hold
+   * it from other entries, which all rank alike.
+   */
+  private expectedCache(
+    request: RouteRequest,
+    open: Upstream[],
+  ): Map<string, number> {
+    const matches = this.prefixIndex.match(request.prefixes);
+    const [first] = request.prefixes;
+    if (first === undefined) return matches;
+    const shared = request.prefixes.length * BLOCK_TOKENS;
+    rendezvous(open, first).forEach(({ id }, rank) => {
+      const guess = shared * (RANK_PRIOR[rank] ?? 0);
+      matches.set(id, Math.max(matches.get(id) ?? 0, guess));
+    });
+    return matches;
+  }
+
   private openUpstreams(request: RouteRequest, now: number): Upstream[] {
     const { upstreams } = request.service;
     const usable = upstreams.filter((upstream) => {
