Admission counts with the side's own record of the cache and measured pace

Cause: a side took an entry's guess of what is cached, and a declared time between tokens, and so let in what could not make its deadline.

Change: entries send the hashes of a prompt's prefixes; the side keeps a record of what it handed to its engine and works out the uncached tokens itself; the time between tokens is measured from streams and goes with each reply; what can't be done in time is refused at once, also while it waits.

--- a/bench/decisions.ts
+++ b/bench/decisions.ts
@@ -149,6 +149,31 @@
   return [reused / Math.max(1, reused + read), changes];
 };
 
+const WINDOW_MS = 1500;
+
+/** Failures by window and class, to find what a figure hides. */
+const printDetail = (
+  trace: TraceRequest[],
+  outcomes: Outcome[],
+  good: boolean[],
+): void => {
+  const cells = new Map<string, Map<string, number>>();
+  trace.forEach((request, at) => {
+    const window = Math.floor(request.at / WINDOW_MS) * WINDOW_MS;
+    const key = `${String(window).padStart(6)} ${request.className}`;
+    const outcome = outcomes[at]!;
+    const late = outcome.isWhole ? "late" : `cut ${outcome.code}`;
+    const what = good[at] ? "good" : late;
+    const counts = cells.get(key) ?? new Map<string, number>();
+    counts.set(what, (counts.get(what) ?? 0) + 1);
+    cells.set(key, counts);
+  });
+  for (const [key, counts] of [...cells].sort()) {
+    const text = [...counts].map(([what, count]) => `${what} ${count}`);
+    console.error(`${key}: ${text.join(", ")}`);
+  }
+};
+
 const measure = async (run: Run): Promise<Figures> => {
   const fleet = await startFleet(run);
   const trace = makeTrace(TRACES[run.trace]!, run.seed);
@@ -174,6 +199,7 @@
   const good = trace.map((request, at) => isGood(request, outcomes[at]!));
   const ofClass = (name: string) =>
     good.filter((_item, at) => trace[at]?.className === name);
+  if (process.env.BENCH_DETAIL) printDetail(trace, outcomes, good);
   const names = [...new Set(trace.map((request) => request.workspace))];
   const byWorkspace = names.map((name) =>
     share(good.filter((_item, at) => trace[at]?.workspace === name)),
--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -131,6 +131,7 @@
     prefillTokensPerSecond: 8000,
     decodeTokensPerSecond: 40,
     maxSequences: 32,
+    cacheTokens: 0,
   };
   const limits = { capacity, maxQueued: queued + 10, weightOf: () => 1 };
   const gate = new Admission(limits);
--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -50,6 +50,8 @@
 
 /** Prompt tokens handed over at once, as time at the engine's rate, ms. */
 const PREFILL_AHEAD_MS = 1000;
+/** Weight of the newest stream in the smoothed pace. */
+const PACE_WEIGHT = 0.2;
 const AGE_MS = 2000;
 const LEAST_RETRY_MS = 50;
 const MS = 1000;
@@ -61,6 +63,7 @@
   private virtualTime = 0;
   private readonly finishTags = new Map<string, number>();
   private role: Role = "mixed";
+  private pace = 0;
 
   constructor(private limits: AdmissionLimits) {}
 
@@ -75,6 +78,19 @@
     this.role = role;
   }
 
+  /** Time between two tokens lately, ms; 0 before the first stream. */
+  get paceMs(): number {
+    return this.pace;
+  }
+
+  /** A stream ended that gave a token each `paceMs`. */
+  observePace(paceMs: number): void {
+    const isFirst = this.pace === 0;
+    this.pace = isFirst
+      ? paceMs
+      : this.pace + PACE_WEIGHT * (paceMs - this.pace);
+  }
+
   /** Exact work of the upstream as handed over by this side. */
   get work(): UpstreamWork {
     let prefillTokens = 0;
@@ -97,9 +113,9 @@
     const ahead = this.workAhead(arrival);
     const { capacity } = this.limits;
     const wait = waitMs(ahead, capacity, this.role);
-    const run = serviceMs(arrival, ahead, capacity, this.role);
+    const run = this.runMs(arrival, ahead);
     const late = now + wait + run - arrival.deadlineAt;
-    if (now + wait >= arrival.deadlineAt || (late > 0 && wait > run)) {
+    if (late > 0) {
       const retryAfterMs = Math.max(LEAST_RETRY_MS, Math.ceil(late));
       return { kind: "refused", why: "deadline", retryAfterMs };
     }
@@ -132,8 +148,10 @@
   /** Lets waiting requests in where there is room. */
   release(now: number): Released {
     const released: Released = { admitted: [], expired: [] };
+    const { work } = this;
     this.waiting = this.waiting.filter((item) => {
-      if (item.deadlineAt > now) return true;
+      // Given up as soon as it can't be done in time, not when time is over.
+      if (now + this.runMs(item, work) <= item.deadlineAt) return true;
       released.expired.push(item.id);
       return false;
     });
@@ -176,6 +194,11 @@
     return reading <= ahead;
   }
 
+  private runMs(arrival: Arrival, work: UpstreamWork): number {
+    const { capacity } = this.limits;
+    return serviceMs(arrival, work, capacity, this.role, this.pace);
+  }
+
   /** Work that is served before the arrival. */
   private workAhead(arrival: Arrival): UpstreamWork {
     const rank = URGENCIES.indexOf(arrival.urgency);
--- a/src/config/types.ts
+++ b/src/config/types.ts
@@ -60,6 +60,8 @@
   decodeTokensPerSecond: positive.default(40),
   /** Sequences that an engine works on at once. */
   maxSequences: z.number().int().min(1).default(32),
+  /** Prompt tokens that an engine's prefix cache holds. */
+  cacheTokens: z.number().int().min(0).default(65_536),
 });
 
 const rolePolicy = z.strictObject({
--- a/src/entry/requestFlow.ts
+++ b/src/entry/requestFlow.ts
@@ -233,7 +233,6 @@
     relay: StreamRelay | undefined,
   ): http.OutgoingHttpHeaders {
     const { plan, id, req } = request;
-    const uncached = route.promptTokens - choice.cachedTokens;
     const resume: Record<string, string> = relay?.tokens
       ? { [HEADERS.resumeFrom]: String(relay.tokens) }
       : {};
@@ -247,7 +246,8 @@
       [HEADERS.deadline]: String(
         Math.max(1, Math.round(route.deadlineAt - this.options.now())),
       ),
-      [HEADERS.prefillTokens]: String(Math.max(0, uncached)),
+      [HEADERS.promptTokens]: String(route.promptTokens),
+      [HEADERS.prefixes]: route.prefixes.join(","),
       [HEADERS.outputTokens]: String(route.outputTokens),
       ...resume,
     };
--- a/src/routing/loadModel.ts
+++ b/src/routing/loadModel.ts
@@ -54,16 +54,28 @@
   return prefill + slot;
 };
 
-/** Time that the request itself needs once it starts, ms. */
+/** Time between two tokens, from the declared rate, ms. */
+const declaredPaceMs = (
+  work: UpstreamWork,
+  capacity: Capacity,
+  role: Role,
+): number => {
+  const share = Math.min(1, work.active / capacity.maxSequences);
+  return (MS / decodeRate(capacity, role)) * (1 + share);
+};
+
+/**
+ * Time that the request itself needs once it starts, ms. `paceMs` is the
+ * measured time between two tokens; 0 takes the declared one.
+ */
 export const serviceMs = (
   request: RequestWork,
   work: UpstreamWork,
   capacity: Capacity,
   role: Role,
+  paceMs: number,
 ): number => {
-  const prefill = request.prefillTokens / prefillRate(capacity, role);
-  const share = Math.min(1, work.active / capacity.maxSequences);
-  const slowdown = 1 + share;
-  const decode = (request.outputTokens / decodeRate(capacity, role)) * slowdown;
-  return (prefill + decode) * MS;
+  const prefill = (request.prefillTokens / prefillRate(capacity, role)) * MS;
+  const pace = paceMs > 0 ? paceMs : declaredPaceMs(work, capacity, role);
+  return prefill + request.outputTokens * pace;
 };
--- a/src/routing/policies.ts
+++ b/src/routing/policies.ts
@@ -36,8 +36,9 @@
     request.promptTokens - candidate.cachedTokens,
   );
   const own = { prefillTokens, outputTokens: request.outputTokens };
-  const wait = waitMs(candidate.work, capacity, candidate.role);
-  const run = serviceMs(own, candidate.work, capacity, candidate.role);
+  const { role, paceMs } = candidate;
+  const wait = waitMs(candidate.work, capacity, role);
+  const run = serviceMs(own, candidate.work, capacity, role, paceMs);
   const fixed = REQUEST_MS * (1 + candidate.work.active);
   return (fixed + wait + run) / Math.max(LEAST_WARMTH, candidate.warmth);
 };
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -260,6 +260,7 @@
     return {
       upstream,
       role,
+      paceMs: known.report?.paceMs ?? 0,
       work: {
         prefillTokens: Math.max(0, reported + known.sentTokens - drained),
         active: Math.max(active, known.ownInFlight),
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -11,8 +11,8 @@
 export interface LoadReport extends UpstreamWork {
   role: Role;
   state: SideState;
-  /** Prompt tokens that the engine read in a second lately; 0 unknown. */
-  measuredPrefillRate: number;
+  /** Time between two tokens of a stream lately, ms; 0 unknown. */
+  paceMs: number;
 }
 
 /** One request as routing sees it. */
@@ -34,6 +34,8 @@
   upstream: Upstream;
   work: UpstreamWork;
   role: Role;
+  /** Time between two tokens of a stream lately, ms; 0 unknown. */
+  paceMs: number;
   /** Requests of this entry that are in flight there. */
   ownInFlight: number;
   /** Prompt tokens expected in its cache. */
--- a/src/shared/constants.ts
+++ b/src/shared/constants.ts
@@ -17,8 +17,11 @@
   auth: "x-snowgate-auth",
   upstream: "x-snowgate-upstream",
   urgency: "x-snowgate-urgency",
-  prefillTokens: "x-snowgate-prefill-tokens",
+  /** Tokens of the whole prompt. */
+  promptTokens: "x-snowgate-prompt-tokens",
   outputTokens: "x-snowgate-output-tokens",
+  /** Hashes of the prompt's growing prefixes, comma between. */
+  prefixes: "x-snowgate-prefixes",
   load: "x-snowgate-load",
   configNumber: "x-snowgate-config",
   /** Tokens that the caller holds already, when a stream is resumed. */
--- a/src/side/dataServer.ts
+++ b/src/side/dataServer.ts
@@ -24,6 +24,7 @@
   unauthorized,
   wrongUpstream,
 } from "./failures.js";
+import type { CacheModel } from "./cacheModel.js";
 import type { SideGate } from "./sideGate.js";
 import type { SideReport } from "./sideReport.js";
 import type { SideRequest } from "./types.js";
@@ -40,10 +41,29 @@
 const urgencyOf = (value: string | string[] | undefined): Urgency =>
   URGENCIES.find((item) => item === value) ?? "normal";
 
+const EVENT_END = Buffer.from("\n\n");
+/** Shorter streams say little about the pace. */
+const LEAST_EVENTS = 4;
+
+/** Server-sent events that end in these bytes. */
+const countEvents = (bytes: Buffer): number => {
+  let count = 0;
+  let at = bytes.indexOf(EVENT_END);
+  while (at !== -1) {
+    count += 1;
+    at = bytes.indexOf(EVENT_END, at + EVENT_END.length);
+  }
+  return count;
+};
+
+const prefixesOf = (value: string | string[] | undefined): string[] =>
+  typeof value === "string" && value !== "" ? value.split(",") : [];
+
 export interface DataServerOptions {
   settings: SideSettings;
   admission: Admission;
   gate: SideGate;
+  cache: CacheModel;
   log: Log;
   now: () => number;
   configNumber: () => number;
@@ -101,15 +121,18 @@
     const id = `${String(req.headers[HEADERS.requestId])}/${this.sequence}`;
     const urgency = urgencyOf(req.headers[HEADERS.urgency]);
     const budget = numberOf(req.headers[HEADERS.deadline]);
+    const prefixes = prefixesOf(req.headers[HEADERS.prefixes]);
+    const promptTokens = numberOf(req.headers[HEADERS.promptTokens]);
+    const cached = this.options.cache.cachedTokens(prefixes);
     const arrival: Arrival = {
       id,
       workspace: String(req.headers[HEADERS.workspace] ?? ""),
       urgency,
-      prefillTokens: numberOf(req.headers[HEADERS.prefillTokens]),
+      prefillTokens: Math.max(0, promptTokens - cached),
       outputTokens: numberOf(req.headers[HEADERS.outputTokens]),
       deadlineAt: this.options.now() + budget,
     };
-    return { id, req, res, arrival, urgency, isSent: false };
+    return { id, req, res, arrival, prefixes };
   }
 
   private refusalOf({ req }: SideRequest): RequestFailure | undefined {
@@ -150,7 +173,7 @@
       ...admission.work,
       role: gate.role,
       state: gate.state,
-      measuredPrefillRate: 0,
+      paceMs: admission.paceMs,
     };
   }
 
@@ -204,9 +227,29 @@
     }
   }
 
+  /** Prefill ends with the first bytes; the events after it give the pace. */
+  private measure(upstream: http.IncomingMessage, id: string): void {
+    const { admission, now } = this.options;
+    let firstAt = 0;
+    let events = 0;
+    upstream.on("data", (bytes: Buffer) => {
+      if (firstAt === 0) {
+        firstAt = now();
+        admission.prefillDone(id);
+        return;
+      }
+      events += countEvents(bytes);
+    });
+    upstream.on("end", () => {
+      if (events < LEAST_EVENTS) return;
+      admission.observePace((now() - firstAt) / events);
+    });
+  }
+
   private async run(request: SideRequest): Promise<void> {
     const { req, res } = request;
     const { limits } = this.options.settings;
+    this.options.cache.learn(request.prefixes);
     res.writeContinue();
     let body: Buffer;
     try {
@@ -223,7 +266,6 @@
   private async forward(request: SideRequest, body: Buffer): Promise<void> {
     const { req, res } = request;
     const { upstream } = this.options.settings;
-    request.isSent = true;
     const result = await callUpstream({
       url: upstream.url,
       agent: this.agent,
@@ -241,7 +283,6 @@
 
   private relay(request: SideRequest, upstream: http.IncomingMessage): void {
     const { res, id } = request;
-    const { admission } = this.options;
     res.writeHead(upstream.statusCode ?? 0, {
       ...passedHeaders(upstream.headers, () => false),
       ...(upstream.headers["content-length"] === undefined
@@ -250,7 +291,7 @@
       ...this.replyHeaders(),
     });
     res.flushHeaders();
-    upstream.once("data", () => admission.prefillDone(id));
+    this.measure(upstream, id);
     upstream.on("error", () => res.destroy());
     upstream.on("close", () => {
       // Closing without a last chunk tells the entry that it was cut.
--- a/src/side/orderExecutor.ts
+++ b/src/side/orderExecutor.ts
@@ -105,7 +105,7 @@
     const { engine, gate } = this.options;
     if (engine === undefined) return;
     const { role } = await engine.state();
-    gate.role = ROLES.find((item) => item === role) ?? "mixed";
+    gate.setRole(ROLES.find((item) => item === role) ?? "mixed");
   }
 
   /** The upstream is claimed before the first order, after a wait. */
--- a/src/side/sideDaemon.ts
+++ b/src/side/sideDaemon.ts
@@ -16,6 +16,7 @@
 import { listen } from "../http/index.js";
 import { PeerServer } from "../peers/index.js";
 import type { SideSettings } from "../settings/index.js";
+import { CacheModel } from "./cacheModel.js";
 import { DataServer } from "./dataServer.js";
 import { HttpModelEngine } from "./engineAdmin.js";
 import { OrderExecutor } from "./orderExecutor.js";
@@ -30,6 +31,7 @@
     prefillTokensPerSecond: 8000,
     decodeTokensPerSecond: 40,
     maxSequences: PLAIN_SEQUENCES,
+    cacheTokens: 0,
   },
   maxQueued: MAX_QUEUED,
   weightOf: () => 1,
@@ -78,10 +80,16 @@
   const admission = new Admission(DEFAULT_LIMITS);
   const gate = new SideGate(() => admission.inFlight);
   const executor = createExecutor(runtime, settings, gate);
+  const cache = new CacheModel(DEFAULT_LIMITS.capacity.cacheTokens);
+  gate.onRole(() => {
+    cache.clear();
+    admission.setRole(gate.role);
+  });
   const data = new DataServer({
     settings,
     admission,
     gate,
+    cache,
     log,
     now,
     configNumber: () => keeper.number,
@@ -98,9 +106,11 @@
     },
     report: () => ({ json: JSON.stringify(data.report(runtime.store.calls)) }),
   });
-  keeper.onChange(({ config }) =>
-    admission.setLimits(limitsFrom(config, settings.upstream.service)),
-  );
+  keeper.onChange(({ config }) => {
+    const limits = limitsFrom(config, settings.upstream.service);
+    admission.setLimits(limits);
+    cache.resize(limits.capacity.cacheTokens);
+  });
   membership.onChange((member) => {
     if (member.id === id && member.state === "leaving") gate.shut("leaving");
   });
--- a/src/side/sideGate.ts
+++ b/src/side/sideGate.ts
@@ -16,7 +16,8 @@
   private readonly reasons = new Set<GateReason>();
   private readonly listeners: Listener[] = [];
   private idleWaiters: Listener[] = [];
-  role: Role = "mixed";
+  private currentRole: Role = "mixed";
+  private readonly roleListeners: Listener[] = [];
 
   constructor(private readonly inFlight: () => number) {}
 
@@ -28,6 +29,21 @@
     this.listeners.push(listener);
   }
 
+  get role(): Role {
+    return this.currentRole;
+  }
+
+  /** The engine's role as it says itself. */
+  setRole(role: Role): void {
+    if (role === this.currentRole) return;
+    this.currentRole = role;
+    for (const listener of this.roleListeners) listener();
+  }
+
+  onRole(listener: Listener): void {
+    this.roleListeners.push(listener);
+  }
+
   shut(reason: GateReason): void {
     if (this.reasons.has(reason)) return;
     this.reasons.add(reason);
--- a/src/side/types.ts
+++ b/src/side/types.ts
@@ -1,7 +1,6 @@
 /** Shapes of the side's request path. */
 import type http from "node:http";
 
-import type { Urgency } from "../config/index.js";
 import type { Arrival } from "../admission/index.js";
 
 /** One request at the side, between its head and its last byte. */
@@ -10,7 +9,6 @@
   req: http.IncomingMessage;
   res: http.ServerResponse;
   arrival: Arrival;
-  urgency: Urgency;
-  /** Set once bytes may have reached the upstream. */
-  isSent: boolean;
+  /** Hashes of the prompt's growing prefixes. */
+  prefixes: readonly string[];
 }
--- a/tests/decisions.test.ts
+++ b/tests/decisions.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import fc from "fast-check";
 
+import { StoredClaims } from "../src/claims/index.js";
 import { Admission } from "../src/admission/index.js";
 import type { Arrival } from "../src/admission/index.js";
 import {
@@ -24,6 +25,7 @@
 import { moveShare } from "../src/operator/shares.js";
 import { seededRng } from "../src/shared/rng.js";
 import { VERDICTS } from "../src/shared/verdict.js";
+import { MemoryStore } from "./support/memoryStore.js";
 import { MODEL_SERVICE } from "./support/specs.js";
 
 /** Without a size, generated lists are about ten long: too short to fail. */
@@ -86,6 +88,20 @@
   });
 });
 
+describe("stored claims", () => {
+  it("let one of two equal keys run, also when they share a write", async () => {
+    const claims = new StoredClaims(new MemoryStore(), () => 0);
+    const begin = (key: string, requestId: string) =>
+      claims.begin({ service: "s", key, print: "p", requestId });
+    const keys = Array.from({ length: 100 }, (_item, at) => `key-${at}`);
+    const answers = await Promise.all(
+      keys.flatMap((key) => [begin(key, `${key}/a`), begin(key, `${key}/b`)]),
+    );
+    const runs = answers.filter((answer) => answer.kind === "run");
+    expect(runs).to.have.length(keys.length);
+  });
+});
+
 describe("configuration", () => {
   it("never goes back, whatever order snapshots come in", () => {
     const config = configSchema.parse({
@@ -162,6 +178,7 @@
       prefillTokensPerSecond: 1000,
       decodeTokensPerSecond: 100,
       maxSequences: 4,
+      cacheTokens: 0,
     },
     maxQueued: 100,
     weightOf: () => 1,
@@ -273,11 +290,20 @@
   it("spreads a plain service's requests, which cost no tokens", () => {
     const router = newRouter(6);
     const plain = request({ promptTokens: 0, outputTokens: 0 });
+    const IDLE = {
+      prefillTokens: 0,
+      active: 0,
+      queued: 0,
+      role: "mixed",
+      state: "open",
+      paceMs: 0,
+    } as const;
     const counts = new Map<string, number>();
     for (let at = 0; at < 400; at += 1) {
       const id = router.choose(plain, at)?.upstream.id ?? "";
       router.onSent(id, plain, at);
       router.onEnd(id);
+      router.onReport(id, IDLE, at);
       counts.set(id, (counts.get(id) ?? 0) + 1);
     }
     expect(counts.size).to.equal(8);
@@ -292,7 +318,7 @@
       queued: 50,
       role: "mixed",
       state: "open",
-      measuredPrefillRate: 0,
+      paceMs: 0,
     } as const;
     router.onReport("e0", full, 0);
     const chosen = (now: number) =>
