Routing: a refusal for one deadline no longer closes the upstream to others

Cause: a side's refusal of one request that could not make its own deadline kept the whole upstream out at that entry for the named time, seconds for a long draft. Entries ran out of upstreams (130 of 780 requests were refused with no_upstream) and sent prompts where they were not cached. A prompt that was refused or never read also stayed in the index as cached.

Change: only draining, leaving and a full queue keep an upstream out; what a refused or cancelled request would have cached is taken back, at the entry and at the side.

--- a/src/entry/requestFlow.ts
+++ b/src/entry/requestFlow.ts
@@ -206,7 +206,7 @@
   ): Promise<AttemptEnd> {
     const { router, client, now } = this.options;
     const { id } = choice.upstream;
-    router.onSent(id, route, now());
+    const fresh = router.onSent(id, route, now());
     try {
       const result = await client.send({
         address: choice.upstream.dataAddress,
@@ -220,6 +220,7 @@
       });
       const end = await this.readAnswer(request, result, relay);
       this.learn(id, end);
+      if (end.kind === "failed") router.onNotRead(id, fresh);
       return end;
     } finally {
       router.onEnd(id);
@@ -345,6 +346,8 @@
       case "refused":
         if (failure.code === "leaving")
           return router.onLeaving(upstream, now());
+        // This request's deadline says nothing of the next one's.
+        if (failure.code === "deadline") return;
         return router.onRefusal(upstream, failure.retryAfterMs ?? 0, now());
       case "failing":
         return router.onFailure(upstream, now(), false);
--- a/src/routing/prefixes.ts
+++ b/src/routing/prefixes.ts
@@ -54,6 +54,25 @@
     }
   }
 
+  /** Takes back what was learnt of a prompt that was not read after all. */
+  unlearn(upstream: string, prefixes: readonly string[]): void {
+    for (const prefix of prefixes) {
+      const known = this.holders.get(prefix);
+      if (known === undefined) continue;
+      this.holders.set(
+        prefix,
+        known.filter((id) => id !== upstream),
+      );
+    }
+  }
+
+  /** The prefixes that an upstream is not known to hold. */
+  unknownTo(upstream: string, prefixes: readonly string[]): string[] {
+    return prefixes.filter(
+      (prefix) => !this.holders.get(prefix)?.includes(upstream),
+    );
+  }
+
   /** Forgets all of an upstream: it crashed or changed its role. */
   forget(upstream: string): void {
     for (const [prefix, ids] of this.holders.entries()) {
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -76,17 +76,27 @@
     return this.policy.pick(candidates, request);
   }
 
-  /** A request was sent. */
-  onSent(upstream: string, request: RouteRequest, now: number): void {
+  /**
+   * A request was sent. Returns the prefixes that are thought to be cached
+   * there because of it: `onNotRead` takes them back.
+   */
+  onSent(upstream: string, request: RouteRequest, now: number): string[] {
     const known = this.of(upstream);
     known.ownInFlight += 1;
     known.sentCount += 1;
     const cached = this.prefixIndex.match(request.prefixes).get(upstream) ?? 0;
     known.sentTokens += Math.max(0, request.promptTokens - cached);
+    const fresh = this.prefixIndex.unknownTo(upstream, request.prefixes);
     this.prefixIndex.learn(upstream, request.prefixes);
     if (needsProbe(known.health, now)) {
       known.health = afterProbeSent(known.health, now);
     }
+    return fresh;
+  }
+
+  /** The request was refused or lost: its prompt was not read there. */
+  onNotRead(upstream: string, prefixes: readonly string[]): void {
+    this.prefixIndex.unlearn(upstream, prefixes);
   }
 
   /** A request ended, well or not. */
--- a/src/side/cacheModel.ts
+++ b/src/side/cacheModel.ts
@@ -34,9 +34,16 @@
     return count * BLOCK_TOKENS;
   }
 
-  /** A prompt was handed to the engine. */
-  learn(prefixes: readonly string[]): void {
+  /** A prompt was handed to the engine; returns what is new by it. */
+  learn(prefixes: readonly string[]): string[] {
+    const fresh = prefixes.filter((prefix) => !this.blocks.has(prefix));
     for (const prefix of prefixes) this.blocks.set(prefix, true);
+    return fresh;
+  }
+
+  /** The prompt was not read after all: its caller went away before. */
+  unlearn(prefixes: readonly string[]): void {
+    for (const prefix of prefixes) this.blocks.delete(prefix);
   }
 
   private static sized(cacheTokens: number): LRUCache<string, true> {
--- a/src/side/dataServer.ts
+++ b/src/side/dataServer.ts
@@ -132,7 +132,7 @@
       outputTokens: numberOf(req.headers[HEADERS.outputTokens]),
       deadlineAt: this.options.now() + budget,
     };
-    return { id, req, res, arrival, prefixes };
+    return { id, req, res, arrival, prefixes, unread: [] };
   }
 
   private refusalOf({ req }: SideRequest): RequestFailure | undefined {
@@ -207,6 +207,7 @@
   private onClosed(request: SideRequest): void {
     this.waiting.delete(request.id);
     this.options.admission.leave(request.id);
+    this.options.cache.unlearn(request.unread);
     this.options.gate.onWorkEnded();
     this.letIn();
   }
@@ -228,14 +229,15 @@
   }
 
   /** Prefill ends with the first bytes; the events after it give the pace. */
-  private measure(upstream: http.IncomingMessage, id: string): void {
+  private measure(upstream: http.IncomingMessage, request: SideRequest): void {
     const { admission, now } = this.options;
     let firstAt = 0;
     let events = 0;
     upstream.on("data", (bytes: Buffer) => {
       if (firstAt === 0) {
         firstAt = now();
-        admission.prefillDone(id);
+        admission.prefillDone(request.id);
+        request.unread = [];
         return;
       }
       events += countEvents(bytes);
@@ -249,7 +251,7 @@
   private async run(request: SideRequest): Promise<void> {
     const { req, res } = request;
     const { limits } = this.options.settings;
-    this.options.cache.learn(request.prefixes);
+    request.unread = this.options.cache.learn(request.prefixes);
     res.writeContinue();
     let body: Buffer;
     try {
@@ -282,7 +284,7 @@
   }
 
   private relay(request: SideRequest, upstream: http.IncomingMessage): void {
-    const { res, id } = request;
+    const { res } = request;
     res.writeHead(upstream.statusCode ?? 0, {
       ...passedHeaders(upstream.headers, () => false),
       ...(upstream.headers["content-length"] === undefined
@@ -291,7 +293,7 @@
       ...this.replyHeaders(),
     });
     res.flushHeaders();
-    this.measure(upstream, id);
+    this.measure(upstream, request);
     upstream.on("error", () => res.destroy());
     upstream.on("close", () => {
       // Closing without a last chunk tells the entry that it was cut.
--- a/src/side/types.ts
+++ b/src/side/types.ts
@@ -11,4 +11,6 @@
   arrival: Arrival;
   /** Hashes of the prompt's growing prefixes. */
   prefixes: readonly string[];
+  /** Prefixes that count as cached by it, until its prompt is read. */
+  unread: readonly string[];
 }
