Routing: a prompt read anew counts as a cost to the fleet

Cause: by its own finish time alone a request left a busy engine that held its prompt for an idle one that had to read it, 0.75 s of work for others.

Change: the time of reading what is not cached counts once more in the choice.

--- a/src/routing/policies.ts
+++ b/src/routing/policies.ts
@@ -1,6 +1,6 @@
 /** The routing policy in use, and the baselines it is measured against. */
 import type { Rng } from "../shared/rng.js";
-import { serviceMs, waitMs } from "./loadModel.js";
+import { prefillRate, serviceMs, waitMs } from "./loadModel.js";
 import type {
   Candidate,
   Choice,
@@ -22,6 +22,9 @@
 const REQUEST_MS = 1;
 /** Spread put on equal estimates, so that entries do not herd. */
 const JITTER = 0.1;
+/** Weight of the fleet's cost against the request's own time. */
+const FLEET_WEIGHT = 1;
+const MS = 1000;
 /** Least warmth that counts, so that a cold upstream still gets work. */
 const LEAST_WARMTH = 0.2;
 
@@ -43,6 +46,13 @@
   return (fixed + wait + run) / Math.max(LEAST_WARMTH, candidate.warmth);
 };
 
+/** Time that reading what is not cached takes an engine, ms. */
+const readingMs = (candidate: Candidate, request: RouteRequest): number => {
+  const { capacity } = request.service;
+  const unread = Math.max(0, request.promptTokens - candidate.cachedTokens);
+  return (unread / prefillRate(capacity, candidate.role)) * MS;
+};
+
 const chosen = (
   candidate: Candidate | undefined,
   request: RouteRequest,
@@ -57,7 +67,11 @@
   };
 };
 
-/** Least expected finish time, with a small random spread. */
+/**
+ * Least expected finish time plus what the choice costs the fleet: a prompt
+ * that is read anew takes its engine away from others as well. With a small
+ * random spread.
+ */
 export class ExpectedFinishPolicy implements RoutingPolicy {
   readonly name = "expected-finish";
 
@@ -70,7 +84,8 @@
     for (const candidate of candidates) {
       const expected = expectedMs(candidate, request);
       considered.push({ id: candidate.upstream.id, expectedMs: expected });
-      const score = expected * (1 + JITTER * this.rng());
+      const cost = FLEET_WEIGHT * readingMs(candidate, request);
+      const score = (expected + cost) * (1 + JITTER * this.rng());
       if (score >= bestScore) continue;
       best = candidate;
       bestScore = score;
