--- a/src/routing/policies.ts
+++ b/src/routing/policies.ts
@@ -23,7 +23,7 @@
 /** Spread put on equal estimates, so that entries do not herd. */
 const JITTER = 0.1;
 /** Weight of the fleet's cost against the request's own time. */
-const FLEET_WEIGHT = 1;
+const FLEET_WEIGHT = 3;
 const MS = 1000;
 /** Least warmth that counts, so that a cold upstream still gets work. */
 const LEAST_WARMTH = 0.2;
