Routing and configuration cost no more with the number of replicas

Change: rankings are kept a prompt and service; only preferred and a few drawn upstreams are looked at, the whole list only where all of those are closed; parts that are held already are not parsed again.

--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -12,7 +12,7 @@
   configSchema,
   toSnapshot,
 } from "../src/config/index.js";
-import type { Config } from "../src/config/index.js";
+import type { Config, ConfigState } from "../src/config/index.js";
 import { giveOrder } from "../src/control/index.js";
 import type { ControlRecord } from "../src/control/index.js";
 import { Digest } from "../src/gen/snowgate.js";
@@ -210,6 +210,14 @@
   add("digest with 12 rumours", 12, undefined, full);
 };
 
+/** Only what a peer would send: the parts that are new. */
+const deltaOf = (config: Config, state: ConfigState, number: number) => {
+  const [service] = config.services;
+  const part = toSnapshot({ ...config, services: [service!] }, number);
+  const parts = { ...state.head.parts, ...part.head.parts };
+  return { head: { number, parts }, bodies: part.bodies };
+};
+
 const configuration = (services: number, replicas: number): void => {
   const config = configOf(services, replicas);
   const snapshot = toSnapshot(config, 1);
@@ -227,6 +235,16 @@
     total,
     heap,
   );
+  const changed = configOf(services, replicas);
+  let state = adoptSnapshot(undefined, snapshot);
+  add(
+    "take a change of one service, by replicas",
+    services * replicas,
+    timeOf((round) => {
+      changed.services[0]!.classes[0]!.deadlineMs = 1000 + (round % 1000);
+      state = adoptSnapshot(state, deltaOf(changed, state!, round + 2));
+    }),
+  );
   const part = snapshot.bodies[snapshot.head.parts["service/service-0"] ?? ""];
   add("one service's part, by replicas", replicas, undefined, part?.length);
   const head = JSON.stringify(snapshot.head).length;
--- a/src/config/configState.ts
+++ b/src/config/configState.ts
@@ -3,8 +3,8 @@
  * number only grows, whatever a store or a peer says.
  */
 import { fingerprint } from "../shared/utils.js";
-import { configSchema } from "./types.js";
-import type { Config } from "./types.js";
+import { fleetSchema, serviceSchema } from "./types.js";
+import type { Config, Fleet, Service } from "./types.js";
 
 /** Body of the part that holds sites and workspaces. */
 export const FLEET_PART = "fleet";
@@ -29,6 +29,8 @@
 export interface ConfigState {
   head: ConfigHead;
   bodies: Record<string, string>;
+  /** Checked parts by print, so that a change costs only what it changes. */
+  parsed: Map<string, Fleet | Service>;
   config: Config;
 }
 
@@ -49,13 +51,34 @@
   return { head: { number, parts }, bodies };
 };
 
-const assemble = (head: ConfigHead, bodies: Record<string, string>): Config => {
-  const parse = (print: string): unknown => JSON.parse(bodies[print] ?? "null");
+const parsePart = (name: string, body: string): Fleet | Service => {
+  const schema = name === FLEET_PART ? fleetSchema : serviceSchema;
+  return schema.parse(JSON.parse(body));
+};
+
+/** Parts that are held already are taken as they are. */
+const parseParts = (
+  state: ConfigState | undefined,
+  head: ConfigHead,
+  bodies: Record<string, string>,
+): Map<string, Fleet | Service> => {
+  const parsed = new Map<string, Fleet | Service>();
+  for (const [name, print] of Object.entries(head.parts)) {
+    const known = state?.parsed.get(print);
+    parsed.set(print, known ?? parsePart(name, bodies[print] ?? ""));
+  }
+  return parsed;
+};
+
+const assemble = (
+  head: ConfigHead,
+  parsed: Map<string, Fleet | Service>,
+): Config => {
   const services = Object.keys(head.parts)
     .filter((name) => name.startsWith(SERVICE_PREFIX))
-    .map((name) => parse(head.parts[name] ?? ""));
-  const fleet = parse(head.parts[FLEET_PART] ?? "");
-  return configSchema.parse({ fleet, services });
+    .map((name) => parsed.get(head.parts[name] ?? "") as Service);
+  const fleet = parsed.get(head.parts[FLEET_PART] ?? "") as Fleet;
+  return { fleet, services };
 };
 
 /** Prints of the parts that a head names and a state does not hold. */
@@ -83,6 +106,7 @@
     if (body === undefined) return state;
     bodies[print] = body;
   }
-  const config = assemble(snapshot.head, bodies);
-  return { head: snapshot.head, bodies, config };
+  const parsed = parseParts(state, snapshot.head, bodies);
+  const config = assemble(snapshot.head, parsed);
+  return { head: snapshot.head, bodies, parsed, config };
 };
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -17,7 +17,8 @@
 } from "./health.js";
 import type { Health } from "./health.js";
 import { prefillRate } from "./loadModel.js";
-import { BLOCK_TOKENS, hashText, PrefixIndex } from "./prefixes.js";
+import { BLOCK_TOKENS, PrefixIndex } from "./prefixes.js";
+import { rankedUpstreams, upstreamsById } from "./ranking.js";
 import type {
   Candidate,
   Choice,
@@ -26,10 +27,9 @@
   RoutingPolicy,
 } from "./types.js";
 
-const AFFINE_CANDIDATES = 2;
 /** Part of a prompt that the first ranks are thought to hold unseen. */
 const RANK_PRIOR = [0.5, 0.25] as const;
-const RANDOM_CANDIDATES = 2;
+const RANDOM_DRAWS = 3;
 /** A small fleet is looked at whole; a large one by a few candidates. */
 const LOOK_AT_ALL = 8;
 /** How long a refusal keeps an upstream out, where it names no time, ms. */
@@ -67,9 +67,9 @@
 
   /** The upstream to send to, or undefined where none may be used now. */
   choose(request: RouteRequest, now: number): Choice | undefined {
-    const open = this.openUpstreams(request, now);
-    const matches = this.expectedCache(request, open);
-    const few = this.fewOf(open, request, matches);
+    const site = this.drawSite(request, now);
+    const matches = this.expectedCache(request);
+    const few = this.fewOf(request, matches, site, now);
     const candidates = few.map((upstream) =>
       this.candidate(upstream, request.service, matches, now),
     );
@@ -190,67 +190,87 @@
    * known; beside it the upstreams that rank first for the prompt may hold
    * it from other entries, which all rank alike.
    */
-  private expectedCache(
-    request: RouteRequest,
-    open: Upstream[],
-  ): Map<string, number> {
+  private expectedCache(request: RouteRequest): Map<string, number> {
     const matches = this.prefixIndex.match(request.prefixes);
     const [first] = request.prefixes;
     if (first === undefined) return matches;
     const shared = request.prefixes.length * BLOCK_TOKENS;
-    rendezvous(open, first).forEach(({ id }, rank) => {
-      const guess = shared * (RANK_PRIOR[rank] ?? 0);
-      matches.set(id, Math.max(matches.get(id) ?? 0, guess));
+    const ranked = rankedUpstreams(request.service, first);
+    RANK_PRIOR.forEach((prior, rank) => {
+      const id = ranked[rank]?.id;
+      if (id === undefined) return;
+      const known = matches.get(id) ?? 0;
+      matches.set(id, Math.max(known, shared * prior));
     });
     return matches;
   }
 
-  private openUpstreams(request: RouteRequest, now: number): Upstream[] {
-    const { upstreams } = request.service;
-    const usable = upstreams.filter((upstream) => {
-      if (request.tried.has(upstream.id)) return false;
-      const known = this.of(upstream.id);
-      if (known.isLeaving) return false;
-      return known.refusedUntil <= now && !isEjected(known.health, now);
-    });
-    return this.inShare(usable, request.service);
+  private isUsable(
+    upstream: Upstream,
+    tried: ReadonlySet<string>,
+    now: number,
+  ): boolean {
+    if (tried.has(upstream.id)) return false;
+    const known = this.of(upstream.id);
+    if (known.isLeaving || known.refusedUntil > now) return false;
+    return !isEjected(known.health, now);
   }
 
-  /** Keeps the upstreams of one site, drawn by the cutover's shares. */
-  private inShare(upstreams: Upstream[], service: Service): Upstream[] {
-    const { shares } = service;
-    if (shares === undefined) return upstreams;
+  /** The site that a cutover's shares draw, or undefined for any. */
+  private drawSite(request: RouteRequest, now: number): string | undefined {
+    const { shares, upstreams } = request.service;
+    if (shares === undefined) return undefined;
     const sites = Object.entries(shares).filter(
       ([site, share]) =>
-        share > 0 && upstreams.some((upstream) => upstream.site === site),
+        share > 0 &&
+        upstreams.some(
+          (item) =>
+            item.site === site && this.isUsable(item, request.tried, now),
+        ),
     );
     const total = sites.reduce((sum, [, share]) => sum + share, 0);
     // Better the other site than nobody: a share is a wish, an answer a must.
-    if (total === 0) return upstreams;
+    if (total === 0) return undefined;
     let draw = this.rng() * total;
     const drawn = sites.find(([, share]) => (draw -= share) < 0) ?? sites[0];
-    return upstreams.filter((upstream) => upstream.site === drawn?.[0]);
+    return drawn?.[0];
   }
 
+  /** A small fleet is looked at whole, a large one by a few candidates. */
   private fewOf(
-    open: Upstream[],
     request: RouteRequest,
     matches: Map<string, number>,
+    site: string | undefined,
+    now: number,
   ): Upstream[] {
-    if (open.length <= LOOK_AT_ALL) return open;
+    const { upstreams } = request.service;
+    const canTake = (upstream: Upstream) =>
+      (site === undefined || upstream.site === site) &&
+      this.isUsable(upstream, request.tried, now);
+    if (upstreams.length <= LOOK_AT_ALL) return upstreams.filter(canTake);
     const few = new Set<Upstream>();
-    for (const upstream of open) {
-      if (matches.has(upstream.id)) few.add(upstream);
+    for (const upstream of this.preferred(request, matches)) {
+      if (canTake(upstream)) few.add(upstream);
     }
-    const [first] = request.prefixes;
-    if (first !== undefined) {
-      for (const upstream of rendezvous(open, first)) few.add(upstream);
+    for (let draw = 0; draw < RANDOM_DRAWS; draw += 1) {
+      const item = upstreams[Math.floor(this.rng() * upstreams.length)];
+      if (item !== undefined && canTake(item)) few.add(item);
     }
-    for (let draw = 0; draw < RANDOM_CANDIDATES; draw += 1) {
-      const item = open[Math.floor(this.rng() * open.length)];
-      if (item !== undefined) few.add(item);
-    }
-    return [...few];
+    // Rare: all of the few are closed, so the whole list is looked through.
+    return few.size > 0 ? [...few] : upstreams.filter(canTake);
+  }
+
+  /** Upstreams that may hold the prompt. */
+  private preferred(
+    request: RouteRequest,
+    matches: Map<string, number>,
+  ): Upstream[] {
+    const [first] = request.prefixes;
+    if (first === undefined) return [];
+    const ranked = rankedUpstreams(request.service, first);
+    const byId = upstreamsById(request.service);
+    const known = [...matches.keys()].map((id) => byId.get(id));
+    return [...known.filter((item) => item !== undefined), ...ranked];
   }
 
   private candidate(
@@ -282,11 +302,3 @@
     };
   }
 }
-
-/** The upstreams that every entry prefers for a prefix, without talking. */
-const rendezvous = (open: Upstream[], prefix: string): Upstream[] =>
-  open
-    .map((upstream) => ({ upstream, rank: hashText(prefix + upstream.id) }))
-    .sort((left, right) => (left.rank < right.rank ? 1 : -1))
-    .slice(0, AFFINE_CANDIDATES)
-    .map((item) => item.upstream);
