--- /dev/null
+++ b/bench/faults.ts
@@ -0,0 +1,268 @@
+/**
+ * Faults at random under load: what callers were told against what upstreams
+ * recorded, and the time from a fault to serving again.
+ *
+ * node dist/bench/faults.js [seconds] [seed]
+ */
+import Table from "cli-table3";
+
+import { seededRng } from "../src/shared/rng.js";
+import { openStream, reserve, wholeWords } from "../tests/support/callers.js";
+import { Fleet } from "../tests/support/fleet.js";
+import { stopAll } from "../tests/support/processes.js";
+import {
+  engineSpec,
+  MODEL_SERVICE,
+  PLAIN_SERVICE,
+  plainSpec,
+} from "../tests/support/specs.js";
+import { percentiles } from "./lib/figures.js";
+
+const SECONDS = Number(process.argv[2] ?? 30);
+const SEED = Number(process.argv[3] ?? 1);
+const SENDERS = 6;
+const STREAM_TOKENS = 40;
+const FAULT_PAUSE_MS = 120;
+const PLAIN = ["stock-1", "stock-2", "stock-3"];
+const ENGINES = ["parts-1", "parts-2", "parts-3"];
+const MODES = ["cut", "drop-answer", "refuse"];
+const TAKEOVERS = 8;
+const SIDE_KILLS = 8;
+
+const rng = seededRng(SEED);
+const draw = <T>(items: readonly T[]): T =>
+  items[Math.floor(rng() * items.length)] as T;
+const pause = (durationMs: number): Promise<void> =>
+  new Promise((resolve) => setTimeout(resolve, durationMs));
+
+interface Told {
+  key: string;
+  status: number;
+  verdict: string | undefined;
+}
+
+interface Counts {
+  faults: number;
+  told: Told[];
+  streams: number;
+  brokenSilently: number;
+  toldCut: number;
+}
+
+const startFleet = (): Promise<Fleet> => {
+  const both = { proxied: true, proxiedUpstream: true };
+  return Fleet.start({
+    entries: 2,
+    services: [MODEL_SERVICE, PLAIN_SERVICE],
+    upstreams: [
+      ...PLAIN.map((id) => plainSpec(id, both)),
+      ...ENGINES.map((id) => engineSpec(id, both)),
+    ],
+  });
+};
+
+/** Each key is sent once or more, by both entries. */
+const sendReservations = async (
+  fleet: Fleet,
+  sender: number,
+  counts: Counts,
+  isOver: () => boolean,
+): Promise<void> => {
+  for (let index = 0; !isOver(); index += 1) {
+    const key = `key-${sender}-${index}`;
+    const tries = rng() < 0.5 ? 2 : 1;
+    for (let at = 0; at < tries; at += 1) {
+      const told = await reserve(fleet.entryUrl(at), key);
+      counts.told.push({ key, status: told.status, verdict: told.verdict });
+    }
+    await pause(20);
+  }
+};
+
+const sendStreams = async (
+  fleet: Fleet,
+  counts: Counts,
+  isOver: () => boolean,
+): Promise<void> => {
+  for (let index = 0; !isOver(); index += 1) {
+    const url = fleet.entryUrl(index % 2);
+    const told = await openStream(url, `s ${index}`, STREAM_TOKENS).ended;
+    counts.streams += 1;
+    const words = wholeWords(told.words.length).join();
+    const isInOrder = told.words.join() === words;
+    if (!isInOrder) counts.brokenSilently += 1;
+    if (told.isWhole && told.words.length !== STREAM_TOKENS) {
+      counts.brokenSilently += 1;
+    }
+    if (!told.isWhole) counts.toldCut += 1;
+    if (!told.isWhole && told.status === 200 && told.error === undefined) {
+      counts.brokenSilently += 1;
+    }
+    await pause(20);
+  }
+};
+
+const injectFaults = async (
+  fleet: Fleet,
+  counts: Counts,
+  isOver: () => boolean,
+): Promise<void> => {
+  while (!isOver()) {
+    const part = fleet.part(draw([...PLAIN, ...ENGINES]));
+    const proxy = rng() < 0.5 ? part.proxy : part.upstreamProxy;
+    const skip = Math.floor(rng() * 3);
+    await fleet.proxyMode(proxy, { mode: draw(MODES), hits: 1, skip });
+    counts.faults += 1;
+    await pause(FAULT_PAUSE_MS);
+  }
+};
+
+const violations = async (fleet: Fleet, counts: Counts) => {
+  const runs = new Map<string, number>();
+  for (const id of PLAIN) {
+    const record = await fleet.record<{ runs: { key: string }[] }>(id);
+    for (const { key } of record.runs) {
+      runs.set(key, (runs.get(key) ?? 0) + 1);
+    }
+  }
+  const ran = (key: string) => runs.get(key) ?? 0;
+  const firsts = new Map<string, Told[]>();
+  for (const told of counts.told) {
+    firsts.set(told.key, [...(firsts.get(told.key) ?? []), told]);
+  }
+  // A key whose every try was told not-run must not have run at all.
+  const falseNotRun = [...firsts].filter(
+    ([key, all]) =>
+      all.every((told) => told.verdict === "not-run") && ran(key) > 0,
+  ).length;
+  return {
+    twice: [...runs.values()].filter((count) => count > 1).length,
+    falseNotRun,
+    lost: counts.told.filter((told) => told.status === 200 && ran(told.key) < 1)
+      .length,
+  };
+};
+
+const underFaults = async (table: Table.Table): Promise<void> => {
+  const fleet = await startFleet();
+  const counts: Counts = {
+    faults: 0,
+    told: [],
+    streams: 0,
+    brokenSilently: 0,
+    toldCut: 0,
+  };
+  const endAt = performance.now() + SECONDS * 1000;
+  const isOver = () => performance.now() > endAt;
+  const senders = Array.from({ length: SENDERS }, (_item, at) =>
+    sendReservations(fleet, at, counts, isOver),
+  );
+  const streams = Array.from({ length: SENDERS }, () =>
+    sendStreams(fleet, counts, isOver),
+  );
+  await Promise.all([
+    injectFaults(fleet, counts, isOver),
+    ...senders,
+    ...streams,
+  ]);
+  const found = await violations(fleet, counts);
+  const of = (verdict: string) =>
+    counts.told.filter((told) => told.verdict === verdict).length;
+  table.push(
+    ["faults injected", counts.faults],
+    ["reservations sent", counts.told.length],
+    ["told 200", counts.told.filter((told) => told.status === 200).length],
+    ["told not-run", of("not-run")],
+    ["told may-have-run", of("may-have-run")],
+    ["ran twice (violation)", found.twice],
+    ["told not-run and ran (violation)", found.falseNotRun],
+    ["told 200 and never ran (violation)", found.lost],
+    ["streams", counts.streams],
+    ["streams told that they are cut", counts.toldCut],
+    ["streams wrong or cut in silence (violation)", counts.brokenSilently],
+  );
+  await stopAll();
+};
+
+const show = (values: number[]): string => {
+  const [p50, p95] = percentiles(values);
+  const most = Math.max(...values);
+  return `${p50.toFixed(0)} / ${p95.toFixed(0)} / ${most.toFixed(0)} ms`;
+};
+
+/** Time until another entry holds the leases of a killed one. */
+const takeovers = async (): Promise<number[]> => {
+  const times: number[] = [];
+  const fleet = await Fleet.start({
+    entries: 2,
+    services: [MODEL_SERVICE],
+    upstreams: [engineSpec("parts-1")],
+    entry: { leaseMs: 6000 },
+  });
+  const lease = async (entry: number) => {
+    const [row] = await fleet.rows("show leases", entry);
+    return { holder: String(row?.holder), epoch: Number(row?.epoch) };
+  };
+  for (let round = 0; round < TAKEOVERS; round += 1) {
+    let held = await lease(0);
+    while (held.epoch === 0) held = await lease(0);
+    const holder = held.holder.split("/")[0];
+    const at = fleet.entries.findIndex((entry) => entry.name === holder);
+    const [dead] = fleet.entries.splice(at, 1);
+    const startedAt = performance.now();
+    dead?.signal("SIGKILL");
+    while ((await lease(0)).epoch === held.epoch) await pause(20);
+    times.push(performance.now() - startedAt);
+    await fleet.ready(await fleet.addEntry(`entry-again-${round}`));
+  }
+  await stopAll();
+  return times;
+};
+
+/** Longest time without an answer around the kill of one of two sides. */
+const sideKills = async (): Promise<number[]> => {
+  const times: number[] = [];
+  const fleet = await Fleet.start({
+    entries: 1,
+    services: [PLAIN_SERVICE],
+    upstreams: [plainSpec("stock-1"), plainSpec("stock-2")],
+  });
+  const get = async (): Promise<boolean> => {
+    const answer = await fetch(`${fleet.entryUrl()}/stock/1`);
+    await answer.text();
+    return answer.status === 200;
+  };
+  for (let round = 0; round < SIDE_KILLS; round += 1) {
+    const id = round % 2 === 0 ? "stock-1" : "stock-2";
+    const { side } = fleet.part(id);
+    const startedAt = performance.now();
+    side.signal("SIGKILL");
+    await side.ended;
+    while (!(await get())) await pause(5);
+    times.push(performance.now() - startedAt);
+    await fleet.restartSide(id);
+    await pause(1500);
+  }
+  await stopAll();
+  return times;
+};
+
+const main = async (): Promise<void> => {
+  const table = new Table({ head: ["figure", "value"], style: { head: [] } });
+  await underFaults(table);
+  table.push([
+    "side killed to next answer, p50/p95/most",
+    show(await sideKills()),
+  ]);
+  table.push([
+    "lease holder killed to next holder (lease 6 s)",
+    show(await takeovers()),
+  ]);
+  console.log(table.toString());
+};
+
+try {
+  await main();
+} finally {
+  await stopAll();
+}
