Prefill and decode engines: a long prompt's KV cache goes between them

Cause: roles were planned and ordered, but a request ran on one engine, so that engines for prefill and for decode could not share its work.

Ruled out: learning roles from replies alone; an engine that got no request was taken for mixed for ever, so that no prompt was sent to it.

Change: where a service has both kinds, a long prompt is read by one, and the other fetches the KV cache by its URL, engine to engine; any failure costs time only. Roles travel with the news of members.

--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -101,6 +101,7 @@
   );
   const request = (round: number) => ({
     service,
+    phase: "whole" as const,
     urgency: "normal" as const,
     promptTokens: 3500,
     outputTokens: 100,
@@ -162,6 +163,7 @@
   incarnation: 1_700_000_000_000 + at,
   peerAddress: `10.${at % 250}.12.13:8082`,
   domain: `domain-${at % 7}`,
+  role: "",
 });
 
 const membership = (size: number): void => {
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -68,6 +68,7 @@
     incarnation: Date.now(),
     peerAddress,
     domain: runtime.settings.domain,
+    role: "",
   });
 
 export const createGossip = (
--- a/src/entry/attemptRunner.ts
+++ b/src/entry/attemptRunner.ts
@@ -3,6 +3,7 @@
  * the answer, and tells routing what was learnt.
  */
 import type http from "node:http";
+import { z } from "zod/v4";
 
 import type { Choice, RouteRequest, Router } from "../routing/index.js";
 import { HEADERS } from "../shared/constants.js";
@@ -45,8 +46,13 @@
   signal: AbortSignal;
   /** Present for a streamed answer. */
   relay: StreamRelay | undefined;
+  /** Where the prompt's KV cache is, if another engine has read it. */
+  kvUrl: string | undefined;
 }
 
+/** What an engine answers when it has read a prompt for another. */
+const kvAnswerSchema = z.object({ kv: z.object({ url: z.string() }) });
+
 export class AttemptRunner {
   constructor(private readonly options: AttemptRunnerOptions) {}
 
@@ -75,6 +81,36 @@
     }
   }
 
+  /** Has a prompt read; gives the place of its KV cache, if that worked. */
+  async readPrompt(order: AttemptOrder): Promise<string | undefined> {
+    const { router, client, now, maxAnswerBytes } = this.options;
+    const { request, choice, route, signal } = order;
+    const { id } = choice.upstream;
+    router.onSent(id, route, now());
+    try {
+      const result = await client.send({
+        address: choice.upstream.dataAddress,
+        method: "POST",
+        path: request.req.url ?? "/",
+        headers: { ...this.headersFor(order), [HEADERS.kvExport]: "export" },
+        body: request.plan.body,
+        connectMs: CONNECT_MS,
+        timeoutMs: Math.max(1, route.deadlineAt - now()),
+        signal,
+      });
+      const end = await this.readAnswer(request, result, undefined);
+      this.learn(id, end);
+      if (end.kind !== "whole") return undefined;
+      const text = end.answer.body.toString("utf8").slice(0, maxAnswerBytes);
+      const parsed = kvAnswerSchema.safeParse(JSON.parse(text));
+      return parsed.success ? parsed.data.kv.url : undefined;
+    } catch {
+      return undefined;
+    } finally {
+      router.onEnd(id);
+    }
+  }
+
   private headersFor(order: AttemptOrder): http.OutgoingHttpHeaders {
     const { request, choice, route, relay } = order;
     const { plan, id, req } = request;
@@ -95,6 +131,7 @@
       [HEADERS.prefixes]: route.prefixes.join(","),
       [HEADERS.outputTokens]: String(route.outputTokens),
       ...resume,
+      ...(order.kvUrl === undefined ? {} : { [HEADERS.kvImport]: order.kvUrl }),
     };
   }
 
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -145,7 +145,7 @@
 ): void => {
   membership.onChange((member) => {
     if (member.kind !== "side") return;
-    router.onMember(member.id, member.state, now());
+    router.onMember(member, now());
   });
 };
 
--- a/src/entry/requestFlow.ts
+++ b/src/entry/requestFlow.ts
@@ -34,6 +34,19 @@
   now: () => number;
 }
 
+/** Shorter prompts are read where their output is produced. */
+const LEAST_KV_TOKENS = 1024;
+/** Shorter outputs are not worth a second engine. */
+const LEAST_KV_OUTPUT = 8;
+
+/** The route of a request whose prompt has been read by another engine. */
+const decodeOnly = (route: RouteRequest): RouteRequest => ({
+  ...route,
+  phase: "decode",
+  promptTokens: 0,
+  prefixes: [],
+});
+
 /** Runs requests of one entry. */
 export class RequestFlow {
   private readonly budgets = new Map<string, TokenBucket>();
@@ -108,9 +121,12 @@
     let verdict: Verdict = "not-run";
     let attempts = 0;
     this.earn(plan.service.name);
+    const kvUrl = await this.readElsewhere(request, deadlineAt, signal);
     for (;;) {
-      const route = this.routeOf(plan, deadlineAt, tried);
-      const choice = this.choose(route);
+      const whole = this.routeOf(plan, deadlineAt, tried);
+      const isFirst = attempts === 0 && kvUrl !== undefined;
+      const route = isFirst ? decodeOnly(whole) : whole;
+      const choice = this.choose(route) ?? this.choose(whole);
       if (choice === undefined) {
         return this.giveUp(request, noUpstream(verdict), relay, claim);
       }
@@ -122,6 +138,7 @@
         route,
         signal,
         relay,
+        kvUrl: isFirst ? kvUrl : undefined,
       });
       if (end.kind === "answered") return this.note(request, "answered");
       if (end.kind === "whole") {
@@ -151,6 +168,42 @@
     }
   }
 
+  /**
+   * Where a service has engines for prefill and for decode, a long prompt is
+   * read by one of the first; its KV cache goes from engine to engine. Any
+   * failure here costs time only: the request goes on as a whole.
+   */
+  private async readElsewhere(
+    request: CallerRequest,
+    deadlineAt: number,
+    signal: AbortSignal,
+  ): Promise<string | undefined> {
+    const { plan } = request;
+    const isWorth =
+      plan.promptTokens >= LEAST_KV_TOKENS &&
+      plan.outputTokens >= LEAST_KV_OUTPUT &&
+      plan.requestClass.repeat === "safe";
+    if (!isWorth) return undefined;
+    const { router, attempts, now, metrics } = this.options;
+    const whole = this.routeOf(plan, deadlineAt, new Set());
+    if (router.choose(decodeOnly(whole), now()) === undefined) return undefined;
+    const route: RouteRequest = { ...whole, phase: "prefill", outputTokens: 1 };
+    const choice = router.choose(route, now());
+    if (choice === undefined) return undefined;
+    const relay = undefined;
+    const kvUrl = await attempts.readPrompt({
+      request,
+      choice,
+      route,
+      signal,
+      relay,
+      kvUrl: undefined,
+    });
+    const outcome = kvUrl === undefined ? "failed" : "read";
+    metrics.count("kv_transfer", { service: plan.service.name, outcome });
+    return kvUrl;
+  }
+
   /** Where all have been tried, one that is still usable may go again. */
   private choose(route: RouteRequest): Choice | undefined {
     const { router, now } = this.options;
@@ -166,6 +219,7 @@
   ): RouteRequest {
     return {
       service: plan.service,
+      phase: "whole",
       urgency: plan.requestClass.urgency,
       promptTokens: plan.promptTokens,
       outputTokens: plan.outputTokens,
--- a/src/gen/snowgate.ts
+++ b/src/gen/snowgate.ts
@@ -32,6 +32,8 @@
   incarnation: number;
   peerAddress: string;
   domain: string;
+  /** Role of a side's engine; empty for entries and plain services. */
+  role: string;
 }
 
 export interface Digest {
@@ -93,7 +95,7 @@
 }
 
 function createBaseRumour(): Rumour {
-  return { id: "", kind: "", state: "", incarnation: 0, peerAddress: "", domain: "" };
+  return { id: "", kind: "", state: "", incarnation: 0, peerAddress: "", domain: "", role: "" };
 }
 
 export const Rumour: MessageFns<Rumour> = {
@@ -116,6 +118,9 @@
     if (message.domain !== "") {
       writer.uint32(50).string(message.domain);
     }
+    if (message.role !== "") {
+      writer.uint32(58).string(message.role);
+    }
     return writer;
   },
 
@@ -180,6 +185,14 @@
             message.domain = reader.string();
             continue;
           }
+          case 7: {
+            if (tag !== 58) {
+              break;
+            }
+
+            message.role = reader.string();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -204,6 +217,7 @@
         ? globalThis.String(object.peer_address)
         : "",
       domain: isSet(object.domain) ? globalThis.String(object.domain) : "",
+      role: isSet(object.role) ? globalThis.String(object.role) : "",
     };
   },
 
@@ -227,6 +241,9 @@
     if (message.domain !== "") {
       obj.domain = message.domain;
     }
+    if (message.role !== "") {
+      obj.role = message.role;
+    }
     return obj;
   },
 
@@ -241,6 +258,7 @@
     message.incarnation = object.incarnation ?? 0;
     message.peerAddress = object.peerAddress ?? "";
     message.domain = object.domain ?? "";
+    message.role = object.role ?? "";
     return message;
   },
 };
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -27,6 +27,8 @@
   /** "IP:port" of its peer server. */
   peerAddress: string;
   domain: string;
+  /** Role of a side's engine; empty for entries and plain services. */
+  role: string;
 }
 
 const isState = (value: string): value is MemberState =>
@@ -43,6 +45,7 @@
   incarnation: number;
   peerAddress: string;
   domain: string;
+  role: string;
 }
 
 /** Checks a rumour where it enters; undefined where it makes no sense. */
@@ -132,6 +135,14 @@
     this.notify(this.me);
   }
 
+  /** Its engine's role changed: news that must win over the older. */
+  announceRole(role: string): void {
+    if (role === this.me.role) return;
+    const incarnation = this.me.incarnation + 1;
+    this.me = { ...this.me, role, incarnation };
+    this.store(this.me);
+  }
+
   /** News of members, from a peer or from the VM list. */
   hear(members: Member[], now: number): void {
     for (const member of members) this.hearOne(member, now);
--- a/src/operator/actions/actionExplain.ts
+++ b/src/operator/actions/actionExplain.ts
@@ -15,6 +15,7 @@
   const choice = ctx.router.choose(
     {
       service,
+      phase: "whole",
       urgency,
       promptTokens: 0,
       outputTokens: 0,
--- a/src/operator/views/viewMembers.ts
+++ b/src/operator/views/viewMembers.ts
@@ -3,13 +3,14 @@
 /** The processes of the system, as this entry knows them. */
 export const viewMembers: View = {
   name: "members",
-  columns: ["id", "kind", "state", "domain", "address"],
+  columns: ["id", "kind", "state", "domain", "role", "address"],
   rows: async (ctx) =>
     ctx.membership.all().map((member) => ({
       id: member.id,
       kind: member.kind,
       state: member.state,
       domain: member.domain,
+      role: member.role,
       address: member.peerAddress,
     })),
 };
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -8,6 +8,7 @@
   Candidate,
   Choice,
   LoadReport,
+  RoutePhase,
   RouteRequest,
   RoutingPolicy,
   SideState,
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -3,8 +3,9 @@
  * known of each upstream and asks the policy to pick one of a few. No I/O;
  * the clock and the random source come in.
  */
-import type { Service, Upstream } from "../config/index.js";
-import type { MemberState } from "../membership/index.js";
+import { ROLES } from "../config/index.js";
+import type { Role, Service, Upstream } from "../config/index.js";
+import type { Member } from "../membership/index.js";
 import type { Rng } from "../shared/rng.js";
 import {
   afterFailure,
@@ -47,6 +48,8 @@
   health: Health;
   /** Instant until which it said to stay away, ms. */
   refusedUntil: number;
+  /** The role that its side told its peers. */
+  toldRole: Role | undefined;
   /** Its VM is leaving: no new work until it comes back as a new process. */
   isLeaving: boolean;
 }
@@ -56,6 +59,9 @@
  * asked no more would look full for ever; ms to a third. */
 const REPORT_FADES_MS = 2000;
 
+const roleOf = (known: Known): Role =>
+  known.report?.role ?? known.toldRole ?? "mixed";
+
 export class Router {
   private readonly known = new Map<string, Known>();
   private readonly prefixIndex = new PrefixIndex();
@@ -129,9 +135,13 @@
   }
 
   /** News of a side from peers or the VM list. */
-  onMember(upstream: string, state: MemberState, now: number): void {
-    const known = this.of(upstream);
+  onMember({ id, state, role }: Member, now: number): void {
+    const known = this.of(id);
     known.isLeaving = state === "leaving";
+    known.toldRole = ROLES.find((item) => item === role);
+    if (known.toldRole && known.report) {
+      known.report = { ...known.report, role: known.toldRole };
+    }
     if (state === "alive")
       known.refusedUntil = Math.min(now, known.refusedUntil);
   }
@@ -179,6 +189,7 @@
       ownInFlight: 0,
       health: HEALTHY,
       refusedUntil: 0,
+      toldRole: undefined,
       isLeaving: false,
     };
     this.known.set(id, fresh);
@@ -207,11 +218,13 @@
 
   private isUsable(
     upstream: Upstream,
-    tried: ReadonlySet<string>,
+    { tried, phase }: RouteRequest,
     now: number,
   ): boolean {
     if (tried.has(upstream.id)) return false;
     const known = this.of(upstream.id);
+    const role = roleOf(known);
+    if (phase !== "whole" && role !== phase) return false;
     if (known.isLeaving || known.refusedUntil > now) return false;
     return !isEjected(known.health, now);
   }
@@ -224,8 +237,7 @@
       ([site, share]) =>
         share > 0 &&
         upstreams.some(
-          (item) =>
-            item.site === site && this.isUsable(item, request.tried, now),
+          (item) => item.site === site && this.isUsable(item, request, now),
         ),
     );
     const total = sites.reduce((sum, [, share]) => sum + share, 0);
@@ -246,7 +258,7 @@
     const { upstreams } = request.service;
     const canTake = (upstream: Upstream) =>
       (site === undefined || upstream.site === site) &&
-      this.isUsable(upstream, request.tried, now);
+      this.isUsable(upstream, request, now);
     if (upstreams.length <= LOOK_AT_ALL) return upstreams.filter(canTake);
     const few = new Set<Upstream>();
     for (const upstream of this.preferred(request, matches)) {
@@ -280,7 +292,7 @@
     now: number,
   ): Candidate {
     const known = this.of(upstream.id);
-    const role = known.report?.role ?? "mixed";
+    const role = roleOf(known);
     const rate = prefillRate(service.capacity, role);
     const drained = ((now - known.reportAt) * rate) / MS;
     const reported = known.report?.prefillTokens ?? 0;
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -15,9 +15,16 @@
   paceMs: number;
 }
 
+/**
+ * What of a request is asked for: all of it, or with two kinds of engines
+ * its prompt read by one and its output produced by another.
+ */
+export type RoutePhase = "whole" | "prefill" | "decode";
+
 /** One request as routing sees it. */
 export interface RouteRequest {
   service: Service;
+  phase: RoutePhase;
   urgency: Urgency;
   promptTokens: number;
   outputTokens: number;
--- a/src/shared/constants.ts
+++ b/src/shared/constants.ts
@@ -22,6 +22,10 @@
   outputTokens: "x-snowgate-output-tokens",
   /** Hashes of the prompt's growing prefixes, comma between. */
   prefixes: "x-snowgate-prefixes",
+  /** "export": read the prompt and keep its KV cache for another engine. */
+  kvExport: "x-snowgate-kv-export",
+  /** Where the prompt's KV cache is to be had, as URL of its engine. */
+  kvImport: "x-snowgate-kv-import",
   load: "x-snowgate-load",
   configNumber: "x-snowgate-config",
   /** Tokens that the caller holds already, when a stream is resumed. */
--- a/src/side/sideDaemon.ts
+++ b/src/side/sideDaemon.ts
@@ -111,6 +111,10 @@
     admission.setLimits(limits);
     cache.resize(limits.capacity.cacheTokens);
   });
+  gate.onRole(() => {
+    membership.announceRole(gate.role);
+    void gossip.spread();
+  });
   membership.onChange((member) => {
     if (member.id === id && member.state === "leaving") gate.shut("leaving");
   });
--- a/src/side/upstreamCall.ts
+++ b/src/side/upstreamCall.ts
@@ -12,6 +12,8 @@
   HEADERS.urgency,
   HEADERS.resumeFrom,
   HEADERS.deadline,
+  HEADERS.kvExport,
+  HEADERS.kvImport,
 ];
 
 /** What the call came to once the upstream's head is here. */
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -46,6 +46,7 @@
   chunkTokens: 512,
   cacheBlocks: 512,
   orderMs: 300,
+  kvTokensPerSecond: 200_000,
   loadLagMs: 0,
   models: ["parts-8b@1"],
   checksFence: true,
@@ -100,10 +101,13 @@
     );
   }
   const prompt = promptOf(body);
+  const promptTokens = Math.ceil(prompt.length / 4);
   const isCrossed = faults.cross > 0;
   if (isCrossed) faults.cross -= 1;
   const mark = isCrossed ? "othersXX" : wordsOf(prompt);
-  const outputTokens = Math.max(1, body.max_tokens ?? 16);
+  const isExport = req.headers["x-snowgate-kv-export"] !== undefined;
+  const kvUrl = req.headers["x-snowgate-kv-import"];
+  const outputTokens = isExport ? 0 : Math.max(1, body.max_tokens ?? 16);
   const from = Number(req.headers["x-snowgate-resume-from"] ?? 0);
   const urgency = String(req.headers["x-snowgate-urgency"] ?? "normal");
   const run = { requestId, from, state: "running" };
@@ -145,6 +149,7 @@
   };
   const onEnd = () => {
     run.state = "done";
+    if (isExport) return answerExport(call, requestId, promptTokens);
     if (body.stream) return void res.end("data: [DONE]\n\n");
     const text = words.join("");
     const choice = isChat
@@ -164,7 +169,6 @@
       { "x-request-id": shownId },
     );
   };
-  const promptTokens = Math.ceil(prompt.length / 4);
   const sequence: Sequence = {
     id: `${requestId}/${runs.length}`,
     urgency: URGENCIES.indexOf(urgency),
@@ -187,14 +191,48 @@
     run.state = "cancelled";
     engine.cancel(sequence.id);
   });
-  if (body.stream) {
+  if (body.stream && !isExport) {
     res.writeHead(200, {
       "content-type": "text/event-stream",
       "x-request-id": shownId,
     });
     res.flushHeaders();
   }
-  engine.add(sequence);
+  if (kvUrl === undefined) return engine.add(sequence);
+  void importKv(String(kvUrl)).then((isHere) => {
+    if (isHere) engine.imported(sequence);
+    if (isHere) kvImports += 1;
+    if (run.state === "running") engine.add(sequence);
+  });
+};
+
+/** KV caches that were read for other engines: prompt tokens by id. */
+const exported = new Map<string, number>();
+let kvImports = 0;
+
+const answerExport = ({ req, res }: Call, id: string, tokens: number) => {
+  exported.set(id, tokens);
+  const url = `http://${req.headers.host}/admin/kv/${id}`;
+  reply(res, 200, { kv: { url, tokens } }, { "x-request-id": id });
+};
+
+/** From engine to engine; takes the time that so many tokens take. */
+const giveKv = ({ res }: Call, id: string): void => {
+  const tokens = exported.get(id);
+  if (tokens === undefined) return reply(res, 404, {});
+  exported.delete(id);
+  const durationMs = (tokens / options.kvTokensPerSecond) * 1000;
+  setTimeout(() => reply(res, 200, { tokens }), durationMs);
+};
+
+const importKv = async (url: string): Promise<boolean> => {
+  try {
+    const answer = await fetch(url);
+    await answer.text();
+    return answer.ok;
+  } catch {
+    return false;
+  }
 };
 
 const applyOrder = ({ action }: Order): void => {
@@ -253,6 +291,8 @@
 
 await serve((call) => {
   const { url, res, body } = call;
+  const [, , kind, kvId] = url.pathname.split("/");
+  if (kind === "kv" && kvId !== undefined) return giveKv(call, kvId);
   switch (url.pathname) {
     case "/v1/chat/completions":
       return generate(call, true);
@@ -266,6 +306,7 @@
       return reply(res, 200, {
         runs,
         orders,
+        kvImports,
         reusedTokens: engine.reusedTokens,
         readTokens: engine.readTokens,
       });
--- a/standins/engineModel.ts
+++ b/standins/engineModel.ts
@@ -39,6 +39,7 @@
   hasLookedUp: boolean;
   /** Next output token to produce. */
   next: number;
+  /** 0: only the prompt is read. */
   outputTokens: number;
   onToken: (index: number) => void;
   onEnd: () => void;
@@ -76,6 +77,13 @@
     if (!this.isStepping) this.step();
   }
 
+  /** A prompt's KV cache came from another engine. */
+  imported(sequence: Sequence): void {
+    sequence.unread = 0;
+    sequence.hasLookedUp = true;
+    this.remember(sequence.blocks);
+  }
+
   cancel(id: string): void {
     this.waiting = this.waiting.filter((item) => item.id !== id);
     this.running = this.running.filter((item) => item.id !== id);
@@ -141,14 +149,24 @@
       read += part;
       this.rememberRead(item);
     }
-    const decoding = this.running.filter((item) => item.unread <= 0);
+    const isRead = (item: Sequence) => item.unread <= 0;
+    const decoding = this.running.filter(
+      (item) => isRead(item) && item.outputTokens > 0,
+    );
+    const onlyRead = this.running.filter(
+      (item) => isRead(item) && item.outputTokens === 0,
+    );
     const readMs =
       (read / (this.rates.prefillTokensPerSecond * prefillSpeed)) * 1000;
     const decodeMs =
       (this.rates.stepMs + decoding.length * this.rates.sequenceMs) /
       decodeSpeed;
     const stepMs = readMs + (decoding.length > 0 ? decodeMs : 0);
-    setTimeout(() => this.finishStep(decoding), stepMs);
+    setTimeout(() => {
+      this.running = this.running.filter((item) => !onlyRead.includes(item));
+      for (const item of onlyRead) item.onEnd();
+      this.finishStep(decoding);
+    }, stepMs);
   }
 
   private finishStep(decoding: Sequence[]): void {
--- a/tests/decisions.test.ts
+++ b/tests/decisions.test.ts
@@ -251,6 +251,7 @@
 describe("routing", () => {
   const request = (more: Partial<RouteRequest> = {}): RouteRequest => ({
     service: service(8),
+    phase: "whole",
     urgency: "normal",
     promptTokens: 2000,
     outputTokens: 10,
@@ -425,6 +426,7 @@
     incarnation,
     peerAddress: "127.0.0.1:1",
     domain: "d",
+    role: "",
   });
 
   it("spreads news to all in a few rounds", () => {
--- a/tests/path.test.ts
+++ b/tests/path.test.ts
@@ -2,6 +2,7 @@
 import OpenAI from "openai";
 
 import { exchange } from "../src/http/index.js";
+import { markOf, openStream, wholeWords } from "./support/callers.js";
 import { Fleet } from "./support/fleet.js";
 import { stopAll } from "./support/processes.js";
 import {
@@ -10,6 +11,7 @@
   PLAIN_SERVICE,
   plainSpec,
 } from "./support/specs.js";
+import { until } from "./support/until.js";
 
 describe("the whole path", () => {
   let fleet: Fleet;
@@ -72,3 +74,53 @@
     expect(JSON.parse(answer.text)).to.include({ path: "/stock/4711" });
   });
 });
+
+describe("engines for prefill and for decode", () => {
+  let fleet: Fleet;
+  const PROMPT = "shared manual ".repeat(1000);
+  const TOKENS = 20;
+
+  before(async () => {
+    fleet = await Fleet.start({
+      entries: 1,
+      services: [{ ...MODEL_SERVICE, roles: { automatic: false } }],
+      upstreams: [engineSpec("reader"), engineSpec("writer")],
+    });
+    await fleet.command("role reader to prefill");
+    await fleet.command("role writer to decode");
+    await fleet.orderFinished("reader");
+    await fleet.orderFinished("writer");
+    // Roles travel with the news of members.
+    await until(async () => {
+      const rows = await fleet.rows("show members where kind = side");
+      const roles = rows.map((row) => row.role).sort();
+      return roles.join() === "decode,prefill";
+    });
+  });
+
+  after(stopAll);
+
+  const ask = (prompt: string) => openStream(fleet.entryUrl(), prompt, TOKENS);
+
+  const imports = async () =>
+    (await fleet.record<{ kvImports: number }>("writer")).kvImports;
+
+  it("pass a long prompt's KV cache from one to the other", async () => {
+    const told = await ask(PROMPT).ended;
+    expect(told.words).to.deep.equal(wholeWords(TOKENS));
+    expect([...told.marks]).to.deep.equal([markOf(PROMPT)]);
+    expect(await imports()).to.equal(1);
+  });
+
+  it("answer a short prompt without a transfer", async () => {
+    const before = await imports();
+    expect((await ask("short").ended).isWhole).to.equal(true);
+    expect(await imports()).to.equal(before);
+  });
+
+  it("answer whole when the engine for prefill is gone", async () => {
+    fleet.part("reader").standin.signal("SIGKILL");
+    const told = await ask(`${PROMPT} again`).ended;
+    expect(told.words).to.deep.equal(wholeWords(TOKENS));
+  });
+});
