A holder frozen while it plans roles orders nothing; smaller processes

Change: a decision test freezes the holder between its reading and its order; histograms are swapped for busier workspaces now and then; the daemon loads the code of its role only.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -2,14 +2,12 @@
 /** `snowgated`: the daemon, in the role that its settings name. */
 import { cac } from "cac";
 
-import { startEntry } from "../entry/entryDaemon.js";
-import type { Daemon } from "../entry/entryDaemon.js";
 import { loadSettings } from "../settings/index.js";
 import type { Settings } from "../settings/index.js";
 import { settingsReference } from "../settings/reference.js";
-import { startSide } from "../side/sideDaemon.js";
 import { errText } from "../shared/utils.js";
 import { createRuntime } from "./runtime.js";
+import type { Daemon } from "./types.js";
 
 const EXIT_BAD_SETTINGS = 2;
 const EXIT_START_FAILED = 1;
@@ -20,13 +18,18 @@
   reference?: boolean;
 }
 
-const start = (settings: Settings): Promise<Daemon> => {
+/** Only the code of the role is loaded: a side stays small. */
+const start = async (settings: Settings): Promise<Daemon> => {
   const runtime = createRuntime(settings);
   switch (settings.role) {
-    case "entry":
+    case "entry": {
+      const { startEntry } = await import("../entry/entryDaemon.js");
       return startEntry(runtime, settings);
-    case "side":
+    }
+    case "side": {
+      const { startSide } = await import("../side/sideDaemon.js");
       return startSide(runtime, settings);
+    }
   }
 };
 
--- a/src/entry/controlLoop.ts
+++ b/src/entry/controlLoop.ts
@@ -34,11 +34,14 @@
 const AWAY_MS = 5000;
 const REPORT_PERIOD_MS = 2000;
 
+/** What the loop asks of sides. */
+export type SideCalls = Pick<PeerLink, "nudge" | "report">;
+
 export interface ControlLoopOptions {
   self: string;
   leaseMs: number;
   control: ControlStore;
-  link: PeerLink;
+  link: SideCalls;
   log: Log;
   now: () => number;
   wallClock: () => number;
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -7,6 +7,7 @@
   startCommonTasks,
 } from "../daemon/runtime.js";
 import type { Runtime } from "../daemon/runtime.js";
+import type { Daemon } from "../daemon/types.js";
 import { HttpVmList, noteLeavingVms } from "../daemon/vmListWatch.js";
 import { listen } from "../http/index.js";
 import type { Membership } from "../membership/index.js";
@@ -21,13 +22,6 @@
 import { RequestFlow } from "./requestFlow.js";
 import { SideClient } from "./sideClient.js";
 
-/** A running process: its addresses, and how to stop it. */
-export interface Daemon {
-  addresses: Record<string, string>;
-  /** Planned stop: resolves when nothing is in flight. */
-  stop(): Promise<void>;
-}
-
 const STEPS_PER_LEASE = 6;
 
 const pauseFor = (durationMs: number): Promise<void> =>
--- a/src/side/sideDaemon.ts
+++ b/src/side/sideDaemon.ts
@@ -11,8 +11,8 @@
   startCommonTasks,
 } from "../daemon/runtime.js";
 import type { Runtime } from "../daemon/runtime.js";
+import type { Daemon } from "../daemon/types.js";
 import { ControlStore } from "../control/index.js";
-import type { Daemon } from "../entry/entryDaemon.js";
 import { listen } from "../http/index.js";
 import { PeerServer } from "../peers/index.js";
 import type { SideSettings } from "../settings/index.js";
--- a/src/telemetry/metrics.ts
+++ b/src/telemetry/metrics.ts
@@ -1,8 +1,8 @@
 /**
  * Counters and latency histograms. Each goes to StatsD by hot-shots where an
  * address is set, and is kept here so that an operator can read it without a
- * StatsD server. Histograms by workspace are bounded in number: the least
- * recently used one makes room, and what it held goes to `other`.
+ * StatsD server. Histograms by workspace are bounded in number: the busiest
+ * have one by name, all the rest share one.
  */
 import { StatsD } from "hot-shots";
 import { build } from "hdr-histogram-js";
@@ -10,6 +10,9 @@
 import { LRUCache } from "lru-cache";
 
 const MAX_WORKSPACES = 64;
+/** Further workspaces that are counted, to find the busiest. */
+const MAX_WAITING = 1024;
+const ROOM_EVERY = 16;
 const OTHER_WORKSPACE = "other";
 const HIGHEST_MS = 600_000;
 const PERCENTILES = [50, 95, 99] as const;
@@ -54,9 +57,10 @@
   private readonly counts = new Map<string, number>();
   private readonly byClass = new Map<string, Histogram>();
   private readonly other = newHistogram();
-  private readonly byWorkspace = new LRUCache<string, Histogram>({
-    max: MAX_WORKSPACES,
-    dispose: (histogram) => this.other.add(histogram),
+  private readonly byWorkspace = new Map<string, Histogram>();
+  /** Requests of workspaces without a histogram of their own. */
+  private readonly waiting = new LRUCache<string, number>({
+    max: MAX_WAITING,
   });
 
   constructor(address: { host: string; port: number } | undefined) {
@@ -110,8 +114,29 @@
   private workspaceHistogram(name: string): Histogram {
     const known = this.byWorkspace.get(name);
     if (known !== undefined) return known;
+    if (this.byWorkspace.size >= MAX_WORKSPACES && !this.makeRoom(name)) {
+      return this.other;
+    }
     const fresh = newHistogram();
     this.byWorkspace.set(name, fresh);
     return fresh;
   }
+
+  /** A workspace that is busier than the least busy one takes its place. */
+  private makeRoom(name: string): boolean {
+    const count = (this.waiting.get(name) ?? 0) + 1;
+    this.waiting.set(name, count);
+    // Looking for the least busy one costs: only now and then.
+    if (count % ROOM_EVERY !== 0) return false;
+    const named = [...this.byWorkspace];
+    const least = named.reduce((a, b) =>
+      b[1].totalCount < a[1].totalCount ? b : a,
+    );
+    if (least[1].totalCount >= count) return false;
+    this.other.add(least[1]);
+    this.byWorkspace.delete(least[0]);
+    this.waiting.set(least[0], least[1].totalCount);
+    this.waiting.delete(name);
+    return true;
+  }
 }
--- a/tests/decisions.test.ts
+++ b/tests/decisions.test.ts
@@ -24,6 +24,7 @@
 import type { RouteRequest } from "../src/routing/index.js";
 import { moveShare } from "../src/operator/shares.js";
 import { seededRng } from "../src/shared/rng.js";
+import { StatsdMetrics } from "../src/telemetry/index.js";
 import { VERDICTS } from "../src/shared/verdict.js";
 import { MemoryStore } from "./support/memoryStore.js";
 import { MODEL_SERVICE } from "./support/specs.js";
@@ -474,3 +475,20 @@
     expect(one.self.incarnation).to.equal(2);
   });
 });
+
+describe("metrics", () => {
+  it("name the busiest workspaces, bounded, and lose no request", () => {
+    const metrics = new StatsdMetrics(undefined);
+    for (let at = 0; at < 2000; at += 1) {
+      metrics.latency("c", `quiet-${at % 500}`, 5);
+    }
+    for (let at = 0; at < 1000; at += 1) metrics.latency("c", "busy", 5);
+    const rows = metrics.latencyRows();
+    const workspaces = rows.filter((row) => row.name.startsWith("workspace"));
+    const names = workspaces.map((row) => row.name);
+    expect(names).to.include("workspace busy");
+    expect(workspaces.length).to.be.at.most(65);
+    const sum = workspaces.reduce((total, row) => total + row.count, 0);
+    expect(sum).to.equal(3000);
+  });
+});
--- a/tests/promises/authority.test.ts
+++ b/tests/promises/authority.test.ts
@@ -10,6 +10,9 @@
   seeLease,
 } from "../../src/control/index.js";
 import type { Lease, LeaseState } from "../../src/control/index.js";
+import { configSchema } from "../../src/config/index.js";
+import type { Service } from "../../src/config/index.js";
+import { ControlLoop } from "../../src/entry/controlLoop.js";
 import { PeerLink } from "../../src/peers/index.js";
 import { OrderExecutor } from "../../src/side/orderExecutor.js";
 import { SideGate } from "../../src/side/sideGate.js";
@@ -152,6 +155,121 @@
     });
   });
 
+  describe("a holder that was paused while it planned roles", () => {
+    const config = configSchema.parse({
+      fleet: {
+        name: "f",
+        sites: [{ name: "bilbao", region: "r", domain: "d" }],
+      },
+      services: [
+        {
+          ...MODEL_SERVICE,
+          roles: { changeCost: 0, dwellMs: 0, mixedFloor: 0 },
+          upstreams: ["e1", "e2"].map((id) => ({
+            id,
+            vm: id,
+            site: "bilbao",
+            dataAddress: "127.0.0.1:1",
+            peerAddress: `127.0.0.1:${id.slice(1)}`,
+          })),
+        },
+      ],
+    });
+    const service = config.services[0] as Service;
+
+    const newLoop = (
+      self: string,
+      store: MemoryStore,
+      clock: { now: number },
+      onReport: () => Promise<void>,
+    ) => {
+      let tokens = 0;
+      const report = async () => {
+        await onReport();
+        tokens += 20_000;
+        const json = JSON.stringify({
+          upstream: "e1",
+          role: "mixed",
+          state: "open",
+          inFlight: 0,
+          queued: 0,
+          prefillTokens: tokens,
+          outputTokens: 1000,
+          configNumber: 1,
+          storeCalls: 0,
+        });
+        return { json };
+      };
+      return new ControlLoop({
+        self,
+        leaseMs: 1000,
+        control: new ControlStore(store),
+        link: {
+          report,
+          nudge: async () => ({ accepted: true, reason: "" }),
+        },
+        log: SILENT,
+        now: () => clock.now,
+        wallClock: () => clock.now,
+      });
+    };
+
+    /** Steps until the loop has planned a change, or gives up. */
+    const stepUntilPlanned = async (
+      loop: ControlLoop,
+      clock: { now: number },
+    ) => {
+      for (let step = 0; step < 30; step += 1) {
+        clock.now += 500;
+        await loop.step(service);
+        if (loop.lastPlan.kind === "change") return;
+      }
+    };
+
+    const ordersIn = async (store: MemoryStore) => {
+      const { value } = await new ControlStore(store).readControl(service.name);
+      return Object.keys(value.desired);
+    };
+
+    it("orders a change while it holds the lease", async () => {
+      const store = new MemoryStore();
+      const clock = { now: 0 };
+      const loop = newLoop("a", store, clock, async () => undefined);
+      await stepUntilPlanned(loop, clock);
+      expect(await ordersIn(store)).to.have.length(1);
+    });
+
+    it("orders nothing when another took the lease meanwhile", async () => {
+      const store = new MemoryStore();
+      const clock = { now: 0 };
+      const other = newLoop("b", store, clock, async () => undefined);
+      const byHand = { ...service.roles, automatic: false };
+      const watched: Service = { ...service, roles: byHand };
+      let isFrozen = false;
+      const loop = newLoop("a", store, clock, async () => {
+        if (!isFrozen) return;
+        isFrozen = false;
+        // "a" is frozen here, between its reading and its order.
+        await other.step(watched);
+        clock.now += 2000;
+        await other.step(watched);
+      });
+      for (let step = 0; step < 40; step += 1) {
+        clock.now += 500;
+        await loop.step(watched);
+      }
+      clock.now += 500;
+      isFrozen = true;
+      await loop.step(service);
+      while (isFrozen) {
+        clock.now += 500;
+        await loop.step(service);
+      }
+      expect(loop.lastPlan.kind, "it wanted a change").to.equal("change");
+      expect(await ordersIn(store)).to.deep.equal([]);
+    });
+  });
+
   describe("a side that was paused", () => {
     const setUp = async () => {
       const store = new MemoryStore();
