--- a/src/admission/admission.ts
+++ b/src/admission/admission.ts
@@ -49,7 +49,7 @@
 }
 
 /** Prompt tokens handed over at once, as time at the engine's rate, ms. */
-const PREFILL_AHEAD_MS = 300;
+const PREFILL_AHEAD_MS = 1000;
 /** Weight of the newest stream in the smoothed pace. */
 const PACE_WEIGHT = 0.2;
 const AGE_MS = 2000;
