Control within a node's share: rankings kept, configuration packed

Change: rankings are worked out again only when the members change; bodies of parts travel under gzip.

--- a/bench/lib/figures.ts
+++ b/bench/lib/figures.ts
@@ -24,11 +24,12 @@
   return squares === 0 ? 1 : (sum * sum) / (shares.length * squares);
 };
 
-/** Middle, least and largest of several seeds. */
+/** Mean of several seeds, with the least and the largest. */
 export const spread = (values: number[]): string => {
-  const sorted = [...values].sort((left, right) => left - right);
-  const middle = sorted[Math.floor(sorted.length / 2)] ?? 0;
-  const show = (value: number | undefined) => (value ?? 0).toFixed(3);
-  if (sorted.length === 1) return show(middle);
-  return `${show(middle)} (${show(sorted[0])}-${show(sorted.at(-1))})`;
+  const sum = values.reduce((total, value) => total + value, 0);
+  const mean = (sum / values.length).toFixed(3);
+  if (values.length === 1) return mean;
+  const least = Math.min(...values).toFixed(3);
+  const most = Math.max(...values).toFixed(3);
+  return `${mean} (${least}-${most})`;
 };
--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -16,8 +16,9 @@
 import { giveOrder } from "../src/control/index.js";
 import type { ControlRecord } from "../src/control/index.js";
 import { Digest } from "../src/gen/snowgate.js";
-import { isRankedFor, Membership } from "../src/membership/index.js";
+import { Membership, RankedView } from "../src/membership/index.js";
 import type { Member } from "../src/membership/index.js";
+import { packBodies } from "../src/peers/packedBodies.js";
 import { planRole } from "../src/roles/index.js";
 import { createPolicy, prefixChain, Router } from "../src/routing/index.js";
 import { seededRng } from "../src/shared/rng.js";
@@ -194,12 +195,20 @@
     quiet,
     heap,
   );
+  const domain = new RankedView(one, (item) => item.domain === "domain-0");
   add(
     "am I a watcher, by members",
     size,
+    timeOf(() => void domain.isSelfRanked("watch", 2)),
+  );
+  let incarnation = 2e12;
+  add(
+    "the same after news of a member, by members",
+    size,
     timeOf(() => {
-      const mine = one.all().filter((item) => item.domain === "domain-0");
-      isRankedFor("watch", mine, 2, "member-0");
+      incarnation += 1;
+      one.hear([{ ...memberOf(7), incarnation }], 0);
+      domain.isSelfRanked("watch", 2);
     }),
   );
   const full = Digest.encode({
@@ -249,6 +258,13 @@
   );
   const part = snapshot.bodies[snapshot.head.parts["service/service-0"] ?? ""];
   add("one service's part, by replicas", replicas, undefined, part?.length);
+  const packed = packBodies({ print: part ?? "" });
+  add(
+    "the same as it travels, by replicas",
+    replicas,
+    timeOf(() => void packBodies({ print: part ?? "" })),
+    packed.length,
+  );
   const head = JSON.stringify(snapshot.head).length;
   add("head, by services", services, undefined, head);
 };
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -5,7 +5,7 @@
 import csp from "js-csp";
 
 import { ConfigKeeper, ConfigWatch } from "../config/index.js";
-import { isRankedFor, Membership } from "../membership/index.js";
+import { Membership, RankedView } from "../membership/index.js";
 import type { MemberKind } from "../membership/index.js";
 import { Gossip, PeerLink } from "../peers/index.js";
 import { seededRng } from "../shared/rng.js";
@@ -89,13 +89,13 @@
   });
 };
 
-/** Whether this process watches the store for its failure domain. */
-const isWatcher = (membership: Membership): boolean => {
-  const { self } = membership;
-  const domain = membership
-    .all()
-    .filter((item) => item.domain === self.domain && item.state === "alive");
-  return isRankedFor("watch", domain, WATCHERS_PER_DOMAIN, self.id);
+/** The members that may watch the store for this failure domain. */
+const domainView = (membership: Membership): RankedView => {
+  const { domain } = membership.self;
+  return new RankedView(
+    membership,
+    (item) => item.domain === domain && item.state === "alive",
+  );
 };
 
 /** Starts the tasks that keep members and configuration up to date. */
@@ -106,10 +106,11 @@
 ): void => {
   const { supervisor, settings, store, keeper, log, rng } = runtime;
   supervisor.every("gossip", settings.peers.periodMs, () => gossip.round());
+  const domain = domainView(membership);
   const watch = new ConfigWatch({
     store,
     keeper,
-    isWatcher: () => isWatcher(membership),
+    isWatcher: () => domain.isSelfRanked("watch", WATCHERS_PER_DOMAIN),
     log,
     rng,
   });
--- a/src/entry/controlLoops.ts
+++ b/src/entry/controlLoops.ts
@@ -1,6 +1,6 @@
 /** Runs the control loops of the services that this entry may hold. */
 import type { ConfigKeeper } from "../config/index.js";
-import { isRankedFor } from "../membership/index.js";
+import { RankedView } from "../membership/index.js";
 import type { Membership } from "../membership/index.js";
 import type { RolePlan } from "../roles/index.js";
 import { errText } from "../shared/utils.js";
@@ -12,12 +12,18 @@
 
 export class ControlLoops {
   private readonly loops = new Map<string, ControlLoop>();
+  private readonly entries: RankedView;
 
   constructor(
     private readonly options: ControlLoopOptions,
     private readonly keeper: ConfigKeeper,
     private readonly membership: Membership,
-  ) {}
+  ) {
+    this.entries = new RankedView(
+      membership,
+      (item) => item.kind === "entry" && item.state === "alive",
+    );
+  }
 
   /** One step of each loop; a failing one does not hold the others up. */
   async step(): Promise<void> {
@@ -47,10 +53,7 @@
   private isCandidate(service: string): boolean {
     const { self } = this.membership;
     if (self.state !== "alive") return false;
-    const entries = this.membership
-      .all()
-      .filter((item) => item.kind === "entry" && item.state === "alive");
-    return isRankedFor(`lease/${service}`, entries, CANDIDATES, self.id);
+    return this.entries.isSelfRanked(`lease/${service}`, CANDIDATES);
   }
 
   private loopOf(service: string): ControlLoop {
--- a/src/gen/snowgate.ts
+++ b/src/gen/snowgate.ts
@@ -57,7 +57,8 @@
 export interface FetchConfigReply {
   number: number;
   parts: { [key: string]: string };
-  bodies: { [key: string]: string };
+  /** Bodies by print, as JSON under gzip: lists of upstreams are alike. */
+  bodiesGzip: Uint8Array;
 }
 
 export interface FetchConfigReply_PartsEntry {
@@ -65,11 +66,6 @@
   value: string;
 }
 
-export interface FetchConfigReply_BodiesEntry {
-  key: string;
-  value: string;
-}
-
 export interface FetchMembersRequest {
 }
 
@@ -632,7 +628,7 @@
 };
 
 function createBaseFetchConfigReply(): FetchConfigReply {
-  return { number: 0, parts: {}, bodies: {} };
+  return { number: 0, parts: {}, bodiesGzip: new Uint8Array(0) };
 }
 
 export const FetchConfigReply: MessageFns<FetchConfigReply> = {
@@ -643,9 +639,9 @@
     globalThis.Object.entries(message.parts).forEach(([key, value]: [string, string]) => {
       FetchConfigReply_PartsEntry.encode({ key: key as any, value }, writer.uint32(18).fork()).join();
     });
-    globalThis.Object.entries(message.bodies).forEach(([key, value]: [string, string]) => {
-      FetchConfigReply_BodiesEntry.encode({ key: key as any, value }, writer.uint32(26).fork()).join();
-    });
+    if (message.bodiesGzip.length !== 0) {
+      writer.uint32(26).bytes(message.bodiesGzip);
+    }
     return writer;
   },
 
@@ -686,10 +682,7 @@
               break;
             }
 
-            const entry3 = FetchConfigReply_BodiesEntry.decode(reader, reader.uint32());
-            if (entry3.value !== undefined) {
-              message.bodies[entry3.key] = entry3.value;
-            }
+            message.bodiesGzip = reader.bytes();
             continue;
           }
         }
@@ -721,20 +714,11 @@
           {},
         )
         : {},
-      bodies: isObject(object.bodies)
-        ? (globalThis.Object.entries(object.bodies) as [string, any][]).reduce(
-          (acc: { [key: string]: string }, [key, value]: [string, any]) => {
-            globalThis.Object.defineProperty(acc, key, {
-              value: globalThis.String(value),
-              enumerable: true,
-              configurable: true,
-              writable: true,
-            });
-            return acc;
-          },
-          {},
-        )
-        : {},
+      bodiesGzip: isSet(object.bodiesGzip)
+        ? bytesFromBase64(object.bodiesGzip)
+        : isSet(object.bodies_gzip)
+        ? bytesFromBase64(object.bodies_gzip)
+        : new Uint8Array(0),
     };
   },
 
@@ -752,14 +736,8 @@
         });
       }
     }
-    if (message.bodies) {
-      const entries = globalThis.Object.entries(message.bodies) as [string, string][];
-      if (entries.length > 0) {
-        obj.bodies = {};
-        entries.forEach(([k, v]) => {
-          obj.bodies[k] = v;
-        });
-      }
+    if (message.bodiesGzip.length !== 0) {
+      obj.bodiesGzip = base64FromBytes(message.bodiesGzip);
     }
     return obj;
   },
@@ -779,15 +757,7 @@
       },
       {},
     );
-    message.bodies = (globalThis.Object.entries(object.bodies ?? {}) as [string, string][]).reduce(
-      (acc: { [key: string]: string }, [key, value]: [string, string]) => {
-        if (value !== undefined) {
-          acc[key] = globalThis.String(value);
-        }
-        return acc;
-      },
-      {},
-    );
+    message.bodiesGzip = object.bodiesGzip ?? new Uint8Array(0);
     return message;
   },
 };
@@ -877,91 +847,6 @@
   },
 };
 
-function createBaseFetchConfigReply_BodiesEntry(): FetchConfigReply_BodiesEntry {
-  return { key: "", value: "" };
-}
-
-export const FetchConfigReply_BodiesEntry: MessageFns<FetchConfigReply_BodiesEntry> = {
-  encode(message: FetchConfigReply_BodiesEntry, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
-    if (message.key !== "") {
-      writer.uint32(10).string(message.key);
-    }
-    if (message.value !== "") {
-      writer.uint32(18).string(message.value);
-    }
-    return writer;
-  },
-
-  decode(input: BinaryReader | Uint8Array, length?: number): FetchConfigReply_BodiesEntry {
-    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
-    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
-    if (previousRecursionDepth >= 100) {
-      throw new globalThis.Error("protobuf decode recursion limit exceeded");
-    }
-    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
-    try {
-      const end = length === undefined ? reader.len : reader.pos + length;
-      const message = createBaseFetchConfigReply_BodiesEntry();
-      while (reader.pos < end) {
-        const tag = reader.uint32();
-        switch (tag >>> 3) {
-          case 1: {
-            if (tag !== 10) {
-              break;
-            }
-
-            message.key = reader.string();
-            continue;
-          }
-          case 2: {
-            if (tag !== 18) {
-              break;
-            }
-
-            message.value = reader.string();
-            continue;
-          }
-        }
-        if ((tag & 7) === 4 || tag === 0) {
-          break;
-        }
-        reader.skip(tag & 7);
-      }
-      return message;
-    } finally {
-      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
-    }
-  },
-
-  fromJSON(object: any): FetchConfigReply_BodiesEntry {
-    return {
-      key: isSet(object.key) ? globalThis.String(object.key) : "",
-      value: isSet(object.value) ? globalThis.String(object.value) : "",
-    };
-  },
-
-  toJSON(message: FetchConfigReply_BodiesEntry): unknown {
-    const obj: any = {};
-    if (message.key !== "") {
-      obj.key = message.key;
-    }
-    if (message.value !== "") {
-      obj.value = message.value;
-    }
-    return obj;
-  },
-
-  create<I extends Exact<DeepPartial<FetchConfigReply_BodiesEntry>, I>>(base?: I): FetchConfigReply_BodiesEntry {
-    return FetchConfigReply_BodiesEntry.fromPartial(base ?? ({} as any));
-  },
-  fromPartial<I extends Exact<DeepPartial<FetchConfigReply_BodiesEntry>, I>>(object: I): FetchConfigReply_BodiesEntry {
-    const message = createBaseFetchConfigReply_BodiesEntry();
-    message.key = object.key ?? "";
-    message.value = object.value ?? "";
-    return message;
-  },
-};
-
 function createBaseFetchMembersRequest(): FetchMembersRequest {
   return {};
 }
@@ -1546,6 +1431,31 @@
   serviceName: string;
 };
 
+function bytesFromBase64(b64: string): Uint8Array {
+  if ((globalThis as any).Buffer) {
+    return Uint8Array.from((globalThis as any).Buffer.from(b64, "base64"));
+  } else {
+    const bin = globalThis.atob(b64);
+    const arr = new Uint8Array(bin.length);
+    for (let i = 0; i < bin.length; ++i) {
+      arr[i] = bin.charCodeAt(i);
+    }
+    return arr;
+  }
+}
+
+function base64FromBytes(arr: Uint8Array): string {
+  if ((globalThis as any).Buffer) {
+    return (globalThis as any).Buffer.from(arr).toString("base64");
+  } else {
+    const bin: string[] = [];
+    arr.forEach((byte) => {
+      bin.push(globalThis.String.fromCharCode(byte));
+    });
+    return globalThis.btoa(bin.join(""));
+  }
+}
+
 type Builtin = Date | Function | Uint8Array | string | number | boolean | undefined;
 
 export type DeepPartial<T> = T extends Builtin ? T
--- a/src/membership/index.ts
+++ b/src/membership/index.ts
@@ -1,3 +1,4 @@
 export { Membership, restoreMember } from "./membership.js";
 export type { Member, MemberKind, MemberState } from "./membership.js";
-export { isRankedFor, rankedFor } from "./ranking.js";
+export { RankedView } from "./rankedView.js";
+export { rankedFor } from "./ranking.js";
--- a/src/membership/ranking.ts
+++ b/src/membership/ranking.ts
@@ -16,12 +16,3 @@
     .sort((left, right) => (left.rank < right.rank ? -1 : 1))
     .slice(0, count)
     .map((item) => item.member);
-
-/** Whether `self` is among the first `count` for a topic. */
-export const isRankedFor = (
-  topic: string,
-  members: readonly Member[],
-  count: number,
-  self: string,
-): boolean =>
-  rankedFor(topic, members, count).some((member) => member.id === self);
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -14,6 +14,7 @@
 import type { Rng } from "../shared/rng.js";
 import { errText } from "../shared/utils.js";
 import type { Log } from "../telemetry/index.js";
+import { packBodies, unpackBodies } from "./packedBodies.js";
 import type { PeerHandlers, PeerLink } from "./peerLink.js";
 
 /** Exchanges in a row with a differing hash before all members are asked. */
@@ -84,13 +85,14 @@
   fetchConfig({ haveNumber, haveParts }: FetchConfigRequest): FetchConfigReply {
     const state = this.options.keeper.current;
     if (state === undefined || state.head.number <= haveNumber) {
-      return { number: 0, parts: {}, bodies: {} };
+      return { number: 0, parts: {}, bodiesGzip: Buffer.alloc(0) };
     }
     const held = new Set(Object.values(haveParts));
     const bodies = Object.fromEntries(
       Object.entries(state.bodies).filter(([print]) => !held.has(print)),
     );
-    return { number: state.head.number, parts: state.head.parts, bodies };
+    const { number, parts } = state.head;
+    return { number, parts, bodiesGzip: packBodies(bodies) };
   }
 
   /** Fetches what a peer has newer. */
@@ -102,7 +104,8 @@
         haveParts: keeper.current?.head.parts ?? {},
       });
       if (reply.number === 0) return;
-      const { number, parts, bodies } = reply;
+      const { number, parts, bodiesGzip } = reply;
+      const bodies = unpackBodies(bodiesGzip);
       keeper.adopt({ head: { number, parts }, bodies });
     } catch (err) {
       this.note("configuration not fetched", err);
