Side and routing in smaller files; workspaces' names are bounded

Change: reading of a request's head, the pace of a stream and what is known of an upstream stand in files of their own; a name of over 64 characters is refused with 400, not run.

--- a/src/entry/requestPlan.ts
+++ b/src/entry/requestPlan.ts
@@ -14,6 +14,7 @@
 const COMPLETION_PATH = "/v1/completions";
 const DEFAULT_OUTPUT_TOKENS = 16;
 const MAX_KEY_CHARS = 255;
+const MAX_WORKSPACE_CHARS = 64;
 const DEFAULT_WORKSPACE = "default";
 
 /** Everything that the later steps need to know of a request. */
@@ -196,11 +197,15 @@
   if (key !== undefined && key.length > MAX_KEY_CHARS) {
     return failed(400, "bad_request", "the Idempotency-Key is too long");
   }
+  const workspace = headerOf(headers, HEADERS.workspace) ?? DEFAULT_WORKSPACE;
+  if (workspace.length > MAX_WORKSPACE_CHARS) {
+    return failed(400, "bad_request", "the workspace's name is too long");
+  }
   const { method, path, body } = request;
   const plan: RequestPlan = {
     service,
     requestClass,
-    workspace: headerOf(headers, HEADERS.workspace) ?? DEFAULT_WORKSPACE,
+    workspace,
     budgetMs,
     idempotencyKey: key,
     print: fingerprint(`${method} ${path}\n${body.toString("utf8")}`),
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -4,20 +4,19 @@
  * the clock and the random source come in.
  */
 import { ROLES } from "../config/index.js";
-import type { Role, Service, Upstream } from "../config/index.js";
+import type { Service, Upstream } from "../config/index.js";
 import type { Member } from "../membership/index.js";
 import type { Rng } from "../shared/rng.js";
 import {
   afterFailure,
   afterProbeSent,
   afterSuccess,
-  HEALTHY,
   isEjected,
   needsProbe,
   warmth,
 } from "./health.js";
-import type { Health } from "./health.js";
-import { prefillRate } from "./loadModel.js";
+import { expectedWork, newKnown, roleOf } from "./known.js";
+import type { Known } from "./known.js";
 import { BLOCK_TOKENS, PrefixIndex } from "./prefixes.js";
 import { rankedUpstreams, upstreamsById } from "./ranking.js";
 import type {
@@ -38,30 +37,6 @@
 /** How long news that an upstream leaves is believed without more, ms. */
 const LEAVING_MS = 10_000;
 
-interface Known {
-  report: LoadReport | undefined;
-  reportAt: number;
-  /** This entry's sends since the last report: prompt tokens. */
-  sentTokens: number;
-  sentCount: number;
-  ownInFlight: number;
-  health: Health;
-  /** Instant until which it said to stay away, ms. */
-  refusedUntil: number;
-  /** The role that its side told its peers. */
-  toldRole: Role | undefined;
-  /** Its VM is leaving: no new work until it comes back as a new process. */
-  isLeaving: boolean;
-}
-
-const MS = 1000;
-/** Old news counts less and less, or an upstream that was full once and is
- * asked no more would look full for ever; ms to a third. */
-const REPORT_FADES_MS = 2000;
-
-const roleOf = (known: Known): Role =>
-  known.report?.role ?? known.toldRole ?? "mixed";
-
 export class Router {
   private readonly known = new Map<string, Known>();
   private readonly prefixIndex = new PrefixIndex();
@@ -181,17 +156,7 @@
   private of(id: string): Known {
     const known = this.known.get(id);
     if (known !== undefined) return known;
-    const fresh: Known = {
-      report: undefined,
-      reportAt: 0,
-      sentTokens: 0,
-      sentCount: 0,
-      ownInFlight: 0,
-      health: HEALTHY,
-      refusedUntil: 0,
-      toldRole: undefined,
-      isLeaving: false,
-    };
+    const fresh = newKnown();
     this.known.set(id, fresh);
     return fresh;
   }
@@ -293,21 +258,11 @@
   ): Candidate {
     const known = this.of(upstream.id);
     const role = roleOf(known);
-    const rate = prefillRate(service.capacity, role);
-    const drained = ((now - known.reportAt) * rate) / MS;
-    const reported = known.report?.prefillTokens ?? 0;
-    const age = Math.max(0, now - known.reportAt);
-    const faded = Math.exp(-age / REPORT_FADES_MS);
-    const active = (known.report?.active ?? 0) * faded + known.sentCount;
     return {
       upstream,
       role,
       paceMs: known.report?.paceMs ?? 0,
-      work: {
-        prefillTokens: Math.max(0, reported + known.sentTokens - drained),
-        active: Math.max(active, known.ownInFlight),
-        queued: (known.report?.queued ?? 0) * faded,
-      },
+      work: expectedWork(known, service.capacity, role, now),
       ownInFlight: known.ownInFlight,
       cachedTokens: matches.get(upstream.id) ?? 0,
       warmth: warmth(known.health, now),
--- a/src/side/dataServer.ts
+++ b/src/side/dataServer.ts
@@ -7,9 +7,7 @@
  */
 import http from "node:http";
 
-import type { Admission, Arrival } from "../admission/index.js";
-import { URGENCIES } from "../config/index.js";
-import type { Urgency } from "../config/index.js";
+import type { Admission } from "../admission/index.js";
 import { passedHeaders, readBody } from "../http/index.js";
 import type { LoadReport } from "../routing/index.js";
 import { HEADERS } from "../shared/constants.js";
@@ -28,37 +26,13 @@
 import type { SideGate } from "./sideGate.js";
 import type { SideReport } from "./sideReport.js";
 import type { SideRequest } from "./types.js";
+import { arrivalOf, prefixesOf } from "./requestHead.js";
+import { StreamPace } from "./streamPace.js";
 import { callUpstream } from "./upstreamCall.js";
 
 const EXPIRE_PERIOD_MS = 50;
 const DRAINING_RETRY_MS = 1000;
 
-const numberOf = (value: string | string[] | undefined): number => {
-  const number = Number(value ?? 0);
-  return Number.isFinite(number) && number >= 0 ? number : 0;
-};
-
-const urgencyOf = (value: string | string[] | undefined): Urgency =>
-  URGENCIES.find((item) => item === value) ?? "normal";
-
-const EVENT_END = Buffer.from("\n\n");
-/** Shorter streams say little about the pace. */
-const LEAST_EVENTS = 4;
-
-/** Server-sent events that end in these bytes. */
-const countEvents = (bytes: Buffer): number => {
-  let count = 0;
-  let at = bytes.indexOf(EVENT_END);
-  while (at !== -1) {
-    count += 1;
-    at = bytes.indexOf(EVENT_END, at + EVENT_END.length);
-  }
-  return count;
-};
-
-const prefixesOf = (value: string | string[] | undefined): string[] =>
-  typeof value === "string" && value !== "" ? value.split(",") : [];
-
 export interface DataServerOptions {
   settings: SideSettings;
   admission: Admission;
@@ -118,21 +92,11 @@
     res: http.ServerResponse,
   ): SideRequest {
     this.sequence += 1;
-    const id = `${String(req.headers[HEADERS.requestId])}/${this.sequence}`;
-    const urgency = urgencyOf(req.headers[HEADERS.urgency]);
-    const budget = numberOf(req.headers[HEADERS.deadline]);
-    const prefixes = prefixesOf(req.headers[HEADERS.prefixes]);
-    const promptTokens = numberOf(req.headers[HEADERS.promptTokens]);
-    const cached = this.options.cache.cachedTokens(prefixes);
-    const arrival: Arrival = {
-      id,
-      workspace: String(req.headers[HEADERS.workspace] ?? ""),
-      urgency,
-      prefillTokens: Math.max(0, promptTokens - cached),
-      outputTokens: numberOf(req.headers[HEADERS.outputTokens]),
-      deadlineAt: this.options.now() + budget,
-    };
-    return { id, req, res, arrival, prefixes, unread: [] };
+    const { cache, now } = this.options;
+    const prefixes = prefixesOf(req.headers);
+    const cached = cache.cachedTokens(prefixes);
+    const arrival = arrivalOf(req.headers, this.sequence, cached, now());
+    return { id: arrival.id, req, res, arrival, prefixes, unread: [] };
   }
 
   private refusalOf({ req }: SideRequest): RequestFailure | undefined {
@@ -231,20 +195,15 @@
   /** Prefill ends with the first bytes; the events after it give the pace. */
   private measure(upstream: http.IncomingMessage, request: SideRequest): void {
     const { admission, now } = this.options;
-    let firstAt = 0;
-    let events = 0;
-    upstream.on("data", (bytes: Buffer) => {
-      if (firstAt === 0) {
-        firstAt = now();
-        admission.prefillDone(request.id);
-        request.unread = [];
-        return;
-      }
-      events += countEvents(bytes);
+    const pace = new StreamPace();
+    upstream.once("data", () => {
+      admission.prefillDone(request.id);
+      request.unread = [];
     });
+    upstream.on("data", (bytes: Buffer) => pace.onBytes(bytes, now()));
     upstream.on("end", () => {
-      if (events < LEAST_EVENTS) return;
-      admission.observePace((now() - firstAt) / events);
+      const paceMs = pace.paceMs(now());
+      if (paceMs !== undefined) admission.observePace(paceMs);
     });
   }
 
--- /dev/null
+++ b/src/side/requestHead.ts
@@ -0,0 +1,44 @@
+/** Reads what an entry says of a request in its head. */
+import type http from "node:http";
+
+import type { Arrival } from "../admission/index.js";
+import { URGENCIES } from "../config/index.js";
+import type { Urgency } from "../config/index.js";
+import { HEADERS } from "../shared/constants.js";
+
+type Value = string | string[] | undefined;
+
+const numberOf = (value: Value): number => {
+  const number = Number(value ?? 0);
+  return Number.isFinite(number) && number >= 0 ? number : 0;
+};
+
+const urgencyOf = (value: Value): Urgency =>
+  URGENCIES.find((item) => item === value) ?? "normal";
+
+/** Hashes of the prompt's growing prefixes, shortest first. */
+export const prefixesOf = (headers: http.IncomingHttpHeaders): string[] => {
+  const value = headers[HEADERS.prefixes];
+  return typeof value === "string" && value !== "" ? value.split(",") : [];
+};
+
+/**
+ * The request as admission sees it. `sequence` keeps two attempts of one
+ * request apart; `cachedTokens` of its prompt need no reading.
+ */
+export const arrivalOf = (
+  headers: http.IncomingHttpHeaders,
+  sequence: number,
+  cachedTokens: number,
+  now: number,
+): Arrival => {
+  const promptTokens = numberOf(headers[HEADERS.promptTokens]);
+  return {
+    id: `${String(headers[HEADERS.requestId])}/${sequence}`,
+    workspace: String(headers[HEADERS.workspace] ?? ""),
+    urgency: urgencyOf(headers[HEADERS.urgency]),
+    prefillTokens: Math.max(0, promptTokens - cachedTokens),
+    outputTokens: numberOf(headers[HEADERS.outputTokens]),
+    deadlineAt: now + numberOf(headers[HEADERS.deadline]),
+  };
+};
--- a/tests/inputs.test.ts
+++ b/tests/inputs.test.ts
@@ -159,6 +159,7 @@
   const BAD: [string, object, object, number][] = [
     ["an unknown model", {}, { model: "none" }, 404],
     ["an unknown class", { "x-snowgate-class": "none" }, {}, 400],
+    ["a long workspace", { "x-snowgate-workspace": "w".repeat(99) }, {}, 400],
     ["a count that is none", {}, { max_tokens: -1 }, 400],
   ];
   for (const [name, headers, body, status] of BAD) {
