--- a/bench/hops.ts
+++ b/bench/hops.ts
@@ -74,12 +74,19 @@
     await timed(direct);
     await timed(through);
   }
-  const before = { entry: cpuMs(entry), side: cpuMs(stockSide) };
+  const stock = fleet.part("stock-1").standin.child.pid!;
+  const before = {
+    entry: cpuMs(entry),
+    side: cpuMs(stockSide),
+    stock: cpuMs(stock),
+  };
   const times = await paired(direct, through);
   const sent = times.through.length;
   const perRequest = {
     entry: ((cpuMs(entry) - before.entry) / sent) * MS,
     side: ((cpuMs(stockSide) - before.side) / sent) * MS,
+    // It answers the direct ones as well: one hop of Node http, no work.
+    stock: ((cpuMs(stock) - before.stock) / (2 * sent)) * MS,
   };
   const beforeStreams = { entry: cpuMs(entry), side: cpuMs(side) };
   const outcomes = await Promise.all(
@@ -110,6 +117,7 @@
     ["added p99 (aim 3 ms)", ms(t99 - d99)],
     ["entry processor time a request", us(perRequest.entry)],
     ["side processor time a request", us(perRequest.side)],
+    ["upstream's own, for comparison", us(perRequest.stock)],
     ["whole streams", `${whole} of ${STREAMS}`],
     ["entry processor time a token", us(perToken.entry)],
     ["side processor time a token", us(perToken.side)],
