Parted halves of the fleet find back

Cause: found while reading: a member held for gone was never asked again, so that two regions that lost each other for over five seconds would have stayed apart for good, each with half of the configuration's spread.

Ruled out: the comparison of hashes; it fetches members after five differing exchanges in a row, and within one half there are none.

Change: one round in ten also asks a declared address, known or not; a peer that answers although it is held for gone is told so and refutes it by a higher incarnation.

--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -20,10 +20,19 @@
 /** Exchanges in a row with a differing hash before all members are asked. */
 const DIFFERENCES_TO_FETCH = 5;
 
+/** Part of the rounds that also ask a declared address, known or not. */
+const SEED_PART = 0.1;
+
+/** What gossip needs of the link between processes. */
+export type GossipLink = Pick<
+  PeerLink,
+  "exchange" | "fetchConfig" | "fetchMembers"
+>;
+
 export interface GossipOptions {
   membership: Membership;
   keeper: ConfigKeeper;
-  link: PeerLink;
+  link: GossipLink;
   log: Log;
   rng: Rng;
   now: () => number;
@@ -75,7 +84,7 @@
     if (digest.configNumber > this.options.keeper.number) {
       void this.pullConfig(digest.peerAddress);
     }
-    return this.digest();
+    return this.digestFor(digest.from);
   }
 
   fetchMembers(): { members: Member[] } {
@@ -135,7 +144,10 @@
   private targets(): { id?: string; peerAddress: string }[] {
     const { membership, fanout, rng } = this.options;
     const members = membership.pickPeers(fanout, rng);
-    if (members.length >= fanout) return members;
+    // Parted halves of a fleet hold each other for gone and would never talk
+    // again: a declared address is asked now and then all the same.
+    const isEnough = members.length >= fanout && rng() >= SEED_PART;
+    if (isEnough) return members;
     const seeds = this.seedAddresses();
     const seed = seeds[Math.floor(rng() * seeds.length)];
     return seed === undefined ? members : [...members, { peerAddress: seed }];
@@ -149,6 +161,7 @@
     try {
       const reply = await link.exchange(target.peerAddress, this.digest());
       this.absorb(reply);
+      await this.tellDoubt(reply.from, target.peerAddress);
       if (reply.configNumber > keeper.number) {
         await this.pullConfig(target.peerAddress);
       }
@@ -159,6 +172,18 @@
     }
   }
 
+  /** A peer that is held for gone but answers is told so, and refutes it. */
+  private async tellDoubt(id: string, address: string): Promise<void> {
+    if (!this.isDoubted(id)) return;
+    const { link } = this.options;
+    this.absorb(await link.exchange(address, this.digestFor(id)));
+  }
+
+  private isDoubted(id: string): boolean {
+    const state = this.options.membership.get(id)?.state;
+    return state === "suspect" || state === "gone";
+  }
+
   /** Rumours can be missed; a hash that keeps differing fetches all. */
   private async compare(reply: Digest, address: string): Promise<void> {
     if (reply.membersHash === this.options.membership.hash) {
@@ -188,6 +213,14 @@
     };
   }
 
+  /** A digest that also tells a peer that it is held for gone. */
+  private digestFor(id: string): Digest {
+    const digest = this.digest();
+    const known = this.options.membership.get(id);
+    if (known === undefined || !this.isDoubted(id)) return digest;
+    return { ...digest, rumours: [...digest.rumours, known] };
+  }
+
   private note(message: string, err: unknown): void {
     this.options.log.debug(message, { cause: errText(err) });
   }
