Entry's start in short functions; few readers of the VM list

Change: two entries of a failure domain read it, the rest hear from peers; calls, callers and operators are each set up by a function; one function opens channels to peers and sides.

--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -10,8 +10,10 @@
 import type { Daemon } from "../daemon/types.js";
 import { HttpVmList, noteLeavingVms } from "../daemon/vmListWatch.js";
 import { listen } from "../http/index.js";
+import { RankedView } from "../membership/index.js";
 import type { Membership } from "../membership/index.js";
 import { PeerServer } from "../peers/index.js";
+import type { Gossip } from "../peers/index.js";
 import { createPolicy, Router } from "../routing/index.js";
 import type { EntrySettings } from "../settings/index.js";
 import { ControlStore } from "../control/index.js";
@@ -23,6 +25,8 @@
 import { SideClient } from "./sideClient.js";
 
 const STEPS_PER_LEASE = 6;
+/** Entries of a failure domain that read the VM list. */
+const VM_LIST_READERS = 2;
 
 const pauseFor = (durationMs: number): Promise<void> =>
   new Promise((resolve) => setTimeout(resolve, durationMs));
@@ -31,14 +35,54 @@
   runtime: Runtime,
   settings: EntrySettings,
 ): Promise<Daemon> => {
-  const { keeper, log, metrics, now, rng, supervisor, link } = runtime;
+  const { keeper, now, rng, supervisor, link } = runtime;
   const router = new Router(createPolicy(settings.routingPolicy, rng), rng);
   const peerServer = new PeerServer(settings.peers.secret);
   const peers = await peerServer.listen(settings.listen.peers);
   const membership = createMembership(runtime, settings.id, "entry", peers);
   const gossip = createGossip(runtime, membership);
   peerServer.answer(gossip);
-  const client = new SideClient(
+  const client = createSideClient(runtime, router, membership, gossip);
+  const callers = createCallerServer(runtime, settings, router, client);
+  const operators = createOperators(runtime, settings, router, membership);
+  followMembers(membership, router, now);
+  keeper.onChange(({ config }) => {
+    const ids = config.services.flatMap((item) =>
+      item.upstreams.map((upstream) => upstream.id),
+    );
+    router.retain(new Set(ids));
+  });
+  await learnConfiguration(runtime, gossip);
+  startCommonTasks(runtime, membership, gossip);
+  startVmList(runtime, settings, membership);
+  const operatorsAt = await listen(operators.server, settings.listen.operators);
+  const callersAt = await listen(callers.server, settings.listen.callers);
+  return {
+    addresses: { callers: callersAt, operators: operatorsAt, peers },
+    stop: async () => {
+      callers.startLeaving();
+      membership.announce("leaving");
+      void gossip.spread();
+      await pauseFor(settings.lameDuckMs);
+      await callers.finish();
+      operators.server.close();
+      operators.server.closeAllConnections();
+      supervisor.stop();
+      client.close();
+      link.close();
+      peerServer.close();
+    },
+  };
+};
+
+/** Calls to sides; what their replies carry goes to routing and gossip. */
+const createSideClient = (
+  { keeper, now }: Runtime,
+  router: Router,
+  membership: Membership,
+  gossip: Gossip,
+): SideClient =>
+  new SideClient(
     (upstream, load) => router.onReport(upstream, load, now()),
     (number, upstream) => {
       const address = membership.get(upstream)?.peerAddress;
@@ -46,6 +90,14 @@
       void gossip.pullConfig(address);
     },
   );
+
+/** The path of callers' requests. */
+const createCallerServer = (
+  { keeper, log, metrics, now, store }: Runtime,
+  settings: EntrySettings,
+  router: Router,
+  client: SideClient,
+): CallerServer => {
   const attempts = new AttemptRunner({
     router,
     client,
@@ -54,22 +106,28 @@
     maxAnswerBytes: settings.limits.maxAnswerBytes,
     now,
   });
+  const claims = new StoredClaims(store, () => Date.now());
   const flow = new RequestFlow({
     router,
     attempts,
-    claims: new StoredClaims(runtime.store, () => Date.now()),
+    claims,
     log,
     metrics,
     now,
   });
-  const callers = new CallerServer({
-    settings,
-    flow,
-    config: () => keeper.current,
-    log,
-    now,
-  });
-  const control = new ControlStore(runtime.store);
+  const config = () => keeper.current;
+  return new CallerServer({ settings, flow, config, log, now });
+};
+
+/** Control loops, and the server that operators' commands come to. */
+const createOperators = (
+  runtime: Runtime,
+  settings: EntrySettings,
+  router: Router,
+  membership: Membership,
+): OperatorServer => {
+  const { keeper, log, metrics, now, store, link, supervisor } = runtime;
+  const control = new ControlStore(store);
   const loops = new ControlLoops(
     {
       self: `${settings.id}/${membership.self.incarnation}`,
@@ -83,13 +141,16 @@
     keeper,
     membership,
   );
-  const operators = new OperatorServer({
+  supervisor.every("control", settings.leaseMs / STEPS_PER_LEASE, () =>
+    loops.step(),
+  );
+  return new OperatorServer({
     token: settings.operatorToken,
     log,
     context: {
       keeper,
       control,
-      store: runtime.store,
+      store,
       router,
       membership,
       metrics,
@@ -98,37 +159,6 @@
       now,
     },
   });
-  followMembers(membership, router, now);
-  keeper.onChange(({ config }) => {
-    const ids = config.services.flatMap((item) =>
-      item.upstreams.map((upstream) => upstream.id),
-    );
-    router.retain(new Set(ids));
-  });
-  await learnConfiguration(runtime, gossip);
-  startCommonTasks(runtime, membership, gossip);
-  startVmList(runtime, settings, membership);
-  supervisor.every("control", settings.leaseMs / STEPS_PER_LEASE, () =>
-    loops.step(),
-  );
-  const operatorsAt = await listen(operators.server, settings.listen.operators);
-  const callersAt = await listen(callers.server, settings.listen.callers);
-  return {
-    addresses: { callers: callersAt, operators: operatorsAt, peers },
-    stop: async () => {
-      callers.startLeaving();
-      membership.announce("leaving");
-      void gossip.spread();
-      await pauseFor(settings.lameDuckMs);
-      await callers.finish();
-      operators.server.close();
-      operators.server.closeAllConnections();
-      supervisor.stop();
-      client.close();
-      link.close();
-      peerServer.close();
-    },
-  };
 };
 
 /** Routing heeds what the members say of themselves. */
@@ -151,7 +181,14 @@
   if (settings.vmList === undefined) return;
   const list = new HttpVmList(settings.vmList.url);
   const { supervisor, keeper, now } = runtime;
+  const readers = new RankedView(
+    membership,
+    ({ kind, domain, state }) =>
+      kind === "entry" && domain === settings.domain && state === "alive",
+  );
   supervisor.every("vm-list", settings.vmList.pollMs, async () => {
+    // A few of a failure domain read the list; the rest hear from peers.
+    if (!readers.isSelfRanked("vm-list", VM_LIST_READERS)) return;
     noteLeavingVms(await list.read(), keeper, membership, now());
   });
 };
--- a/src/peers/peerLink.ts
+++ b/src/peers/peerLink.ts
@@ -7,6 +7,7 @@
   status,
 } from "@grpc/grpc-js";
 import type {
+  ChannelCredentials,
   sendUnaryData,
   ServerUnaryCall,
   ServiceError,
@@ -133,6 +134,23 @@
   "grpc.max_reconnect_backoff_ms": 2000,
 } as const;
 
+/** The open channel to an address, or a new one. */
+const clientFor = <T extends object>(
+  open: LRUCache<string, T>,
+  address: string,
+  Client: new (
+    address: string,
+    credentials: ChannelCredentials,
+    options: typeof OPTIONS,
+  ) => T,
+): T => {
+  const known = open.get(address);
+  if (known !== undefined) return known;
+  const fresh = new Client(address, credentials.createInsecure(), OPTIONS);
+  open.set(address, fresh);
+  return fresh;
+};
+
 /** Calls to peers; channels are opened on use and bounded in number. */
 export class PeerLink {
   private readonly metadata = new Metadata();
@@ -201,27 +219,11 @@
   }
 
   private peer(address: string): PeerClient {
-    const known = this.peers.get(address);
-    if (known !== undefined) return known;
-    const fresh = new PeerClient(
-      address,
-      credentials.createInsecure(),
-      OPTIONS,
-    );
-    this.peers.set(address, fresh);
-    return fresh;
+    return clientFor(this.peers, address, PeerClient);
   }
 
   private side(address: string): SideClient {
-    const known = this.sides.get(address);
-    if (known !== undefined) return known;
-    const fresh = new SideClient(
-      address,
-      credentials.createInsecure(),
-      OPTIONS,
-    );
-    this.sides.set(address, fresh);
-    return fresh;
+    return clientFor(this.sides, address, SideClient);
   }
 
   private call<Req, Res>(unary: Unary<Req, Res>, request: Req): Promise<Res> {
