Routing: lost requests no longer count for ever; one ejection a crash

A request that is lost brings no report, and each one stayed in the count of what was sent since the last report, so that its upstream looked busier than an idle one and got no work again. Besides, each of many failures of one crash doubled the ejection, up to 30 s at once.

Change: the count goes down when an attempt ends; a failure of an upstream that is ejected already does not prolong it, but for its probe.

--- a/src/routing/health.ts
+++ b/src/routing/health.ts
@@ -36,6 +36,9 @@
   isUnreachable: boolean,
 ): Health => {
   const failures = health.failures + 1;
+  // Requests that were out when it was ejected fail too, and so may one that
+  // found no other: they are no reason to keep it away for longer.
+  if (isEjected(health, now) && !health.probing) return health;
   const isOver =
     isUnreachable || health.probing || failures >= FAILURES_TO_EJECT;
   if (!isOver) return { ...health, failures };
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -86,6 +86,8 @@
   onEnd(upstream: string): void {
     const known = this.of(upstream);
     known.ownInFlight = Math.max(0, known.ownInFlight - 1);
+    // A lost request brings no report that would take it out of the count.
+    known.sentCount = Math.max(0, known.sentCount - 1);
   }
 
   onSuccess(upstream: string, now: number): void {
--- a/tests/decisions.test.ts
+++ b/tests/decisions.test.ts
@@ -351,6 +351,28 @@
     expect(chosen(60_000).has("e0")).to.equal(true);
   });
 
+  it("forgets requests that were lost without an answer", () => {
+    const router = newRouter(10);
+    const plain = request({ promptTokens: 0, outputTokens: 0 });
+    for (let at = 0; at < 5; at += 1) {
+      router.onSent("e0", plain, at);
+      router.onEnd("e0");
+    }
+    const draws = Array.from({ length: 200 }, () => router.choose(plain, 10));
+    const ids = draws.map((choice) => choice?.upstream.id);
+    expect(ids).to.include("e0");
+  });
+
+  it("ejects once for many failures of one crash", () => {
+    const router = newRouter(9);
+    for (let at = 0; at < 20; at += 1) router.onFailure("e0", at, true);
+    const others = [2, 3, 4, 5, 6, 7].map((at) => `e${at}`);
+    const pair = request({ tried: new Set(others) });
+    const draws = Array.from({ length: 40 }, () => router.choose(pair, 1100));
+    const ids = draws.map((choice) => choice?.upstream.id);
+    expect(ids).to.include("e0");
+  });
+
   it("asks an ejected upstream where there is no other", () => {
     const router = newRouter(8);
     for (const { id } of request().service.upstreams) {
