Remove code that nothing calls

Cause: read through once more.

Ruled out: use by tests or benches; the type check covers them all.

Change: removed; behaviour is as it was.

--- a/src/operator/types.ts
+++ b/src/operator/types.ts
@@ -1,10 +1,5 @@
 /** Shapes of the operators' commands. */
-import type {
-  ConfigKeeper,
-  ConfigState,
-  Service,
-  Upstream,
-} from "../config/index.js";
+import type { ConfigKeeper, Service, Upstream } from "../config/index.js";
 import type { ControlStore } from "../control/index.js";
 import type { Membership } from "../membership/index.js";
 import type { PeerLink } from "../peers/index.js";
@@ -61,5 +56,3 @@
   service: Service;
   upstream: Upstream;
 }
-
-export type { ConfigState };
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -43,17 +43,11 @@
 export class Gossip implements PeerHandlers {
   private differences = 0;
   private isSpreading = false;
-  private hasHeardPeer = false;
 
   constructor(private readonly options: GossipOptions) {
     options.keeper.onChange(() => void this.spread());
   }
 
-  /** Whether any peer has answered since the start. */
-  get isConnected(): boolean {
-    return this.hasHeardPeer;
-  }
-
   /** One round: exchange with a few members, or with seeds while alone. */
   async round(): Promise<void> {
     const { membership, now } = this.options;
@@ -197,7 +191,6 @@
   }
 
   private absorb(digest: Digest): void {
-    this.hasHeardPeer = true;
     const { membership, now } = this.options;
     membership.hear(restoreAll(digest.rumours), now());
   }
--- a/src/routing/router.ts
+++ b/src/routing/router.ts
@@ -136,18 +136,6 @@
     known.sentCount = 0;
   }
 
-  /** What is known of one upstream, for operators. */
-  view(upstream: string, now: number) {
-    const known = this.of(upstream);
-    return {
-      inFlight: known.ownInFlight,
-      report: known.report,
-      reportAgeMs: known.report ? now - known.reportAt : undefined,
-      ejected: isEjected(known.health, now),
-      refused: known.refusedUntil > now,
-    };
-  }
-
   /** Drops what is known of upstreams that are not declared any more. */
   retain(ids: ReadonlySet<string>): void {
     for (const id of this.known.keys()) {
--- a/src/shared/constants.ts
+++ b/src/shared/constants.ts
@@ -35,12 +35,3 @@
 
 /** Prefix of headers that belong to the system. */
 export const INTERNAL_HEADER_PREFIX = "x-snowgate-";
-
-/** Headers that a caller may set although they carry the prefix. */
-export const CALLER_HEADERS: readonly string[] = [
-  HEADERS.className,
-  HEADERS.deadline,
-  HEADERS.workspace,
-];
-
-export const MS_PER_SECOND = 1000;
--- a/src/shared/errors.ts
+++ b/src/shared/errors.ts
@@ -50,9 +50,3 @@
   /** When a later try makes sense, in ms; absent if it never does. */
   retryAfterMs?: number;
 }
-
-export const isRequestFailure = (value: unknown): value is RequestFailure =>
-  typeof value === "object" &&
-  value !== null &&
-  "verdict" in value &&
-  "code" in value;
--- a/src/shared/utils.ts
+++ b/src/shared/utils.ts
@@ -1,14 +1,6 @@
 /** Small pure helpers without a home of their own. */
 import { timingSafeEqual, createHash } from "node:crypto";
 
-/** Closes an exhaustive `switch`: reaching it is a programming error. */
-export const assertNever = (value: never): never => {
-  throw new TypeError(`unexpected value: ${JSON.stringify(value)}`);
-};
-
-export const clamp = (value: number, low: number, high: number): number =>
-  Math.min(high, Math.max(low, value));
-
 const digest = (text: string): Buffer =>
   createHash("sha256").update(text).digest();
 
