--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-  { ignores: ["dist/", "node_modules/", "src/gen/", "eslint.config.js"] },
+  { ignores: ["dist/", "target/", "journal/", "node_modules/", "src/gen/", "eslint.config.js"] },
   ...tseslint.configs.recommended,
   {
     rules: {
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -7,6 +7,7 @@
 import { settingsReference } from "../settings/reference.js";
 import { errText } from "../shared/utils.js";
 import { createRuntime } from "./runtime.js";
+import { runUntilStopped } from "./stopSignals.js";
 import type { Daemon } from "./types.js";
 
 const EXIT_BAD_SETTINGS = 2;
@@ -38,21 +39,6 @@
   process.exit(code);
 };
 
-/** A second signal while stopping changes nothing: the stop goes on. */
-const stopOnSignals = (daemon: Daemon): void => {
-  let isStopping = false;
-  const stop = () => {
-    if (isStopping) return;
-    isStopping = true;
-    daemon.stop().then(
-      () => process.exit(0),
-      (err) => fail(EXIT_START_FAILED, err),
-    );
-  };
-  process.on("SIGTERM", stop);
-  process.on("SIGINT", stop);
-};
-
 const run = async (flags: Flags): Promise<void> => {
   if (flags.reference) {
     process.stdout.write(settingsReference());
@@ -73,7 +59,7 @@
   }
   try {
     const daemon = await start(settings);
-    stopOnSignals(daemon);
+    runUntilStopped(daemon);
     process.stdout.write(`${JSON.stringify(daemon.addresses)}\n`);
   } catch (err) {
     fail(EXIT_START_FAILED, err);
--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -16,6 +16,7 @@
 import { createLog, StatsdMetrics } from "../telemetry/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
 import { splitAddress } from "../http/index.js";
+import { monotonicNow } from "./clock.js";
 
 const WATCHERS_PER_DOMAIN = 2;
 
@@ -32,9 +33,6 @@
   supervisor: Supervisor;
 }
 
-/** Milliseconds of a clock that only goes forward. */
-export const monotonicNow = (): number => performance.now();
-
 export const createRuntime = (settings: Settings): Runtime => {
   const log = createLog(settings.logLevel, settings.id);
   const statsd =
--- /dev/null
+++ b/src/gateway/callerRequest.ts
@@ -0,0 +1,200 @@
+/** One caller's request while it is served, and how it is answered. */
+import type { ServerResponse } from "node:http";
+
+import type { RequestFailure } from "../shared/errors.js";
+import type { Log, Metrics } from "../telemetry/index.js";
+import type { RequestForm } from "./requestForm.js";
+import type { InboundHead, Route } from "./types.js";
+
+/**
+ * How long past its limit a request is held for an answer that is on its
+ * way, ms. A replica ends by itself at the limit.
+ */
+const LAST_ANSWER_MS = 80;
+
+export interface CallerRequestOptions {
+  res: ServerResponse;
+  head: InboundHead;
+  route: Route;
+  service: string;
+  body: Buffer;
+  arrivedAt: number;
+  form: RequestForm;
+  log: Log;
+  metrics: Metrics;
+  now: () => number;
+  /** The longest time that callers of this route were seen to give, ms. */
+  fullDeadlineMs: number;
+}
+
+export class CallerRequest {
+  readonly head: InboundHead;
+  readonly route: Route;
+  readonly service: string;
+  readonly body: Buffer;
+  readonly arrivedAt: number;
+  /** Instant at which the caller or the route gives up, ms. */
+  readonly deadlineAt: number;
+  private readonly controller = new AbortController();
+  private readonly timer: NodeJS.Timeout;
+  private readonly fullDeadlineMs: number;
+  private isAnswered = false;
+  /** Whether the caller went before its answer was whole. */
+  isCallerGone = false;
+  isOverdue = false;
+
+  constructor(private readonly options: CallerRequestOptions) {
+    const { head, route, service, body, arrivedAt, res, now } = options;
+    this.head = head;
+    this.route = route;
+    this.service = service;
+    this.body = body;
+    this.arrivedAt = arrivedAt;
+    this.fullDeadlineMs = options.fullDeadlineMs;
+    const budgetMs = Math.min(
+      head.deadlineMs ?? route.timeoutMs,
+      route.timeoutMs,
+    );
+    this.deadlineAt = arrivedAt + budgetMs;
+    const left = Math.max(0, this.deadlineAt + LAST_ANSWER_MS - now());
+    this.timer = setTimeout(() => this.onOverdue(), left);
+    res.on("close", () => this.onClose());
+  }
+
+  /** Aborts when the caller is gone or the time is over. */
+  get signal(): AbortSignal {
+    return this.controller.signal;
+  }
+
+  get res(): ServerResponse {
+    return this.options.res;
+  }
+
+  /** Whether it came back after a refusal: part of its time is gone. */
+  get isReturn(): boolean {
+    const { deadlineMs } = this.head;
+    return deadlineMs !== undefined && deadlineMs < this.fullDeadlineMs;
+  }
+
+  /** Time left, ms; never negative. */
+  leftMs(): number {
+    return Math.max(0, this.deadlineAt - this.options.now());
+  }
+
+  elapsedMs(): number {
+    return this.options.now() - this.arrivedAt;
+  }
+
+  /** Answers with a whole reply of a replica. */
+  answerWhole(status: number, headers: string[], body: Buffer): void {
+    if (!this.begin("answered")) return;
+    headers.push("Content-Length", String(body.length));
+    this.writeHead(status, headers);
+    this.res.end(body);
+  }
+
+  /** Sends the head of a streamed reply. */
+  beginStream(status: number, headers: string[]): void {
+    if (!this.begin("streamed")) return;
+    this.writeHead(status, headers);
+    this.res.flushHeaders();
+  }
+
+  get hasBegun(): boolean {
+    return this.isAnswered;
+  }
+
+  /** Ends without an answer that could be taken for a whole one. */
+  cut(why: string): void {
+    this.note("cut", { why });
+    this.res.destroy();
+  }
+
+  fail(failure: RequestFailure): void {
+    if (this.isAnswered) return this.cut(failure.message);
+    const fields = {
+      verdict: failure.verdict,
+      status: failure.status,
+      why: failure.message,
+      retryAfterMs: failure.retryAfterMs,
+    };
+    if (!this.begin(failure.code, fields)) return;
+    sendFailure(this.res, this.options.form, failure, this.head.id);
+  }
+
+  /** Counts and logs the outcome. */
+  private note(
+    outcome: string,
+    fields: Record<string, string | number | undefined> = {},
+  ): void {
+    const { log, metrics } = this.options;
+    const className = this.route.name;
+    metrics.count("request", { class: className, outcome });
+    metrics.latency(className, this.service, this.elapsedMs());
+    log.info("request", {
+      requestId: this.head.id,
+      route: className,
+      service: this.service,
+      outcome,
+      elapsedMs: Math.round(this.elapsedMs()),
+      deadlineLeftMs: Math.round(this.leftMs()),
+      ...fields,
+    });
+  }
+
+  private begin(
+    outcome: string,
+    fields: Record<string, string | number | undefined> = {},
+  ): boolean {
+    if (this.isAnswered) return false;
+    this.isAnswered = true;
+    if (this.res.destroyed) {
+      this.note("caller_gone");
+      return false;
+    }
+    this.note(outcome, fields);
+    return true;
+  }
+
+  private writeHead(status: number, headers: string[]): void {
+    this.res.sendDate = false;
+    this.res.writeHead(status, headers);
+  }
+
+  private onOverdue(): void {
+    this.isOverdue = true;
+    this.controller.abort();
+  }
+
+  private onClose(): void {
+    clearTimeout(this.timer);
+    if (this.res.writableFinished) return;
+    this.isCallerGone = true;
+    this.controller.abort();
+  }
+}
+
+/** Answers with a failure in the form that callers understand. */
+export const sendFailure = (
+  res: ServerResponse,
+  form: RequestForm,
+  failure: RequestFailure,
+  requestId: string,
+): void => {
+  if (res.headersSent || res.destroyed) return;
+  const answer = form.failureAnswer(failure, requestId);
+  const length = String(Buffer.byteLength(answer.body));
+  res.writeHead(answer.status, [...answer.headers, "Content-Length", length]);
+  res.end(answer.body);
+};
+
+/** The failure of a request whose time is over. */
+export const overdueFailure = (
+  verdict: RequestFailure["verdict"],
+): RequestFailure => ({
+  status: verdict === "not-run" ? 503 : 504,
+  code: "deadline",
+  message: "its time is over",
+  verdict,
+  retryAfterMs: verdict === "not-run" ? 1000 : undefined,
+});
--- /dev/null
+++ b/src/gateway/gatewayServer.ts
@@ -0,0 +1,185 @@
+/** Takes callers' requests: head, route, body, and the flow that serves it. */
+import http from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+
+import { BodyTooLargeError, readBody } from "../http/index.js";
+import type { RequestFailure } from "../shared/errors.js";
+import type { Rng } from "../shared/rng.js";
+import { errText } from "../shared/utils.js";
+import type { Log, Metrics } from "../telemetry/index.js";
+import { CallerRequest, sendFailure } from "./callerRequest.js";
+import type { GatewayState } from "./gatewayState.js";
+import { isFailure } from "./requestForm.js";
+import type { RequestForm } from "./requestForm.js";
+import type { RetryBudgets } from "./retryBudgets.js";
+import { drawService } from "./routeTable.js";
+import type { CallerLimits, InboundHead, Route } from "./types.js";
+
+/** Room for headers beyond what the configuration allows callers, bytes. */
+const MAX_HEADER_BYTES = 64 * 1024;
+/** Callers reuse connections until close to their idle time, ms. */
+const IDLE_MARGIN_MS = 2000;
+/** When to come back while no configuration is known, ms. */
+const NO_CONFIG_RETRY_MS = 500;
+
+/** Serves one request whose service has been drawn. */
+export interface RequestRunner {
+  run(caller: CallerRequest): Promise<void>;
+}
+
+export interface GatewayServerOptions {
+  state: GatewayState;
+  form: RequestForm;
+  budgets: RetryBudgets;
+  plain: RequestRunner;
+  stream: RequestRunner;
+  log: Log;
+  metrics: Metrics;
+  rng: Rng;
+  now: () => number;
+}
+
+const failure = (
+  status: number,
+  code: RequestFailure["code"],
+  message: string,
+): RequestFailure => ({ status, code, message, verdict: "not-run" });
+
+const NO_CONFIG: RequestFailure = {
+  ...failure(503, "no_configuration", "no configuration is known yet"),
+  retryAfterMs: NO_CONFIG_RETRY_MS,
+};
+
+export class GatewayServer {
+  readonly http: Server;
+  /** Requests that are not answered yet. */
+  inFlight = 0;
+  private isClosing = false;
+  /** Longest time that callers gave, ms, by route. */
+  private readonly fullDeadlines = new Map<string, number>();
+
+  constructor(private readonly options: GatewayServerOptions) {
+    this.http = http.createServer(
+      { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 },
+      (req, res) => this.onRequest(req, res),
+    );
+  }
+
+  setLimits(limits: CallerLimits): void {
+    this.http.headersTimeout = limits.headerTimeoutMs + IDLE_MARGIN_MS;
+    this.http.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
+  }
+
+  /** From now on each answer closes its connection. */
+  closeWithAnswers(): void {
+    this.isClosing = true;
+  }
+
+  private onRequest(req: IncomingMessage, res: ServerResponse): void {
+    this.inFlight += 1;
+    let isOver = false;
+    res.once("close", () => {
+      if (!isOver) this.inFlight -= 1;
+      isOver = true;
+    });
+    if (this.isClosing) res.setHeader("Connection", "close");
+    this.serve(req, res).catch((err) => {
+      this.options.log.error("request threw", { why: errText(err) });
+      res.destroy();
+    });
+  }
+
+  private async serve(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const { form, state, now, rng } = this.options;
+    const arrivedAt = now();
+    const head = form.decode(req);
+    if (isFailure(head)) return this.refuse(req, res, "", head);
+    const table = state.routes;
+    if (table === undefined) return this.refuse(req, res, head.id, NO_CONFIG);
+    const route = table.match(head.host, head.target);
+    const service = route && drawService(route, rng);
+    if (route === undefined || service === undefined) {
+      const unknown = failure(404, "unknown_route", "no route fits");
+      return this.refuse(req, res, head.id, unknown);
+    }
+    const limit = table.config.limits.maxBodyBytes;
+    const body = await this.readBody(req, res, head, limit);
+    if (body === undefined) return;
+    const caller = this.admit(res, head, route, service, body, arrivedAt);
+    const isEngine = table.service(service)?.engine !== undefined;
+    const flow = isEngine ? this.options.stream : this.options.plain;
+    await flow.run(caller);
+  }
+
+  private admit(
+    res: ServerResponse,
+    head: InboundHead,
+    route: Route,
+    service: string,
+    body: Buffer,
+    arrivedAt: number,
+  ): CallerRequest {
+    const { form, log, metrics, now, budgets } = this.options;
+    budgets.earn(service);
+    return new CallerRequest({
+      res,
+      head,
+      route,
+      service,
+      body,
+      arrivedAt,
+      form,
+      log,
+      metrics,
+      now,
+      fullDeadlineMs: this.fullDeadline(route, head),
+    });
+  }
+
+  private fullDeadline(route: Route, head: InboundHead): number {
+    const known = this.fullDeadlines.get(route.name) ?? 0;
+    const longest = Math.max(known, head.deadlineMs ?? 0);
+    if (longest > known) this.fullDeadlines.set(route.name, longest);
+    return longest;
+  }
+
+  private async readBody(
+    req: IncomingMessage,
+    res: ServerResponse,
+    head: InboundHead,
+    limit: number,
+  ): Promise<Buffer | undefined> {
+    try {
+      return await readBody(req, limit);
+    } catch (err) {
+      if (!(err instanceof BodyTooLargeError)) {
+        res.destroy();
+        return undefined;
+      }
+      const tooLarge = failure(413, "body_too_large", err.message);
+      this.refuse(req, res, head.id, tooLarge);
+      return undefined;
+    }
+  }
+
+  private refuse(
+    req: IncomingMessage,
+    res: ServerResponse,
+    id: string,
+    why: RequestFailure,
+  ): void {
+    const { form, log, metrics } = this.options;
+    metrics.count("request", { class: "none", outcome: why.code });
+    log.info("request", {
+      requestId: id,
+      outcome: why.code,
+      host: req.headers.host,
+      configuration: this.options.state.routes?.version,
+    });
+    req.resume();
+    sendFailure(res, form, why, id);
+  }
+}
--- /dev/null
+++ b/src/gateway/gatewayState.ts
@@ -0,0 +1,135 @@
+/**
+ * What a gateway knows: the configuration in force and the replicas. Both
+ * come from the store; a configuration never goes back to an older one.
+ */
+import type { EngineView } from "../scheduling/index.js";
+import type { FeedChange, FeedItem } from "../store/index.js";
+import type { Log } from "../telemetry/index.js";
+import { ReplicaSet } from "./replicaSet.js";
+import type { ReplicaChange } from "./replicaSet.js";
+import { RouteTable } from "./routeTable.js";
+import type { GatewayConfig, Replica } from "./types.js";
+
+/** How stored objects become configurations and replicas. */
+export interface GatewaySource {
+  /** Kind and name of the configuration. */
+  configKind: string;
+  configName: string;
+  replicaKind: string;
+  /** Throws `InvalidInputError` where the value can't be used. */
+  decodeConfig(value: unknown): GatewayConfig;
+  decodeReplica(id: string, value: unknown): Replica;
+}
+
+export class GatewayState {
+  readonly replicas = new ReplicaSet();
+  private table: RouteTable | undefined;
+  private hasReplicas = false;
+
+  constructor(
+    private readonly source: GatewaySource,
+    private readonly log: Log,
+    private readonly now: () => number,
+    private readonly onConfig: (config: GatewayConfig) => void,
+  ) {}
+
+  get routes(): RouteTable | undefined {
+    return this.table;
+  }
+
+  /** Knows a configuration and has seen the list of replicas. */
+  get isReady(): boolean {
+    return this.table !== undefined && this.hasReplicas;
+  }
+
+  onConfigItem(item: FeedItem): void {
+    if (item.name !== this.source.configName) return;
+    const config = this.decode("configuration", item, () =>
+      this.source.decodeConfig(item.value),
+    );
+    if (config === undefined) return;
+    const known = this.table?.version;
+    if (known !== undefined && config.version <= known) {
+      if (config.version === known) return;
+      const fields = { known, offered: config.version };
+      this.log.warn("older configuration ignored", fields);
+      return;
+    }
+    this.table = new RouteTable(config);
+    const { version, routes } = config;
+    this.log.info("configuration in force", { version, routes: routes.length });
+    this.onConfig(config);
+  }
+
+  onReplicaList(items: readonly FeedItem[], inTrouble: boolean): void {
+    const replicas = items.flatMap((item) => this.decodeReplica(item) ?? []);
+    const changes = this.replicas.replace(replicas, this.now(), inTrouble);
+    this.logChanges(changes);
+    this.hasReplicas = true;
+  }
+
+  onReplicaChange(change: FeedChange, inTrouble: boolean): void {
+    const { item, isRemoved } = change;
+    if (isRemoved) {
+      const gone = this.replicas.remove(item.name, this.now(), inTrouble);
+      if (gone !== undefined) this.logChanges([gone]);
+      return;
+    }
+    const replica = this.decodeReplica(item);
+    if (replica !== undefined) this.logChanges([this.replicas.put(replica)]);
+  }
+
+  /** Gives up replicas that vanished and did not come back. */
+  expire(): void {
+    this.logChanges(this.replicas.expire(this.now()));
+  }
+
+  /** The engines of a service that may get new work. */
+  engines(service: string): EngineView[] {
+    const sizes = this.table?.service(service)?.engine;
+    if (sizes === undefined) return [];
+    return this.replicas.usable(service, this.now()).map((replica) => ({
+      id: replica.id,
+      zone: replica.zone,
+      stage: replica.stage ?? "decode",
+      slots: sizes.slots,
+      kvCapacityTokens: sizes.kvCapacityTokens,
+    }));
+  }
+
+  private decodeReplica(item: FeedItem): Replica | undefined {
+    return this.decode("replica", item, () =>
+      this.source.decodeReplica(item.name, item.value),
+    );
+  }
+
+  /** What can't be decoded is logged, and the last good state kept. */
+  private decode<T>(
+    what: string,
+    item: FeedItem,
+    read: () => T,
+  ): T | undefined {
+    try {
+      return read();
+    } catch (err) {
+      this.log.error(`${what} can't be read`, {
+        name: item.name,
+        revision: item.revision,
+        why: err instanceof Error ? err.message : String(err),
+      });
+      return undefined;
+    }
+  }
+
+  private logChanges(changes: readonly ReplicaChange[]): void {
+    for (const { kind, replica } of changes) {
+      this.log.info(`replica ${kind}`, {
+        replica: replica.id,
+        service: replica.service,
+        address: replica.address,
+        state: replica.state,
+        stage: replica.stage,
+      });
+    }
+  }
+}
--- /dev/null
+++ b/src/gateway/index.ts
@@ -0,0 +1,15 @@
+export { startGateway } from "./gatewayDaemon.js";
+export type { GatewayParts, GatewaySettings } from "./gatewayDaemon.js";
+export type { GatewaySource } from "./gatewayState.js";
+export type { FailureAnswer, RequestForm } from "./requestForm.js";
+export type {
+  GatewayConfig,
+  GatewayService,
+  InboundHead,
+  PromptShape,
+  ReadHandle,
+  Replica,
+  ReplyHead,
+  Route,
+  UpstreamSend,
+} from "./types.js";
--- /dev/null
+++ b/src/gateway/plainFlow.ts
@@ -0,0 +1,228 @@
+/** Requests to plain services: one replica, and another where that is safe. */
+import { afterFailure, afterSuccess, HEALTHY } from "../routing/health.js";
+import { isEjected } from "../routing/health.js";
+import type { Health } from "../routing/health.js";
+import type { RequestFailure } from "../shared/errors.js";
+import type { Verdict } from "../shared/verdict.js";
+import { worseVerdict } from "../shared/verdict.js";
+import type { CallerRequest } from "./callerRequest.js";
+import { overdueFailure } from "./callerRequest.js";
+import type { ReplicaSet } from "./replicaSet.js";
+import type { RequestForm } from "./requestForm.js";
+import type { RetryBudgets } from "./retryBudgets.js";
+import type { Replica, ReplyHead } from "./types.js";
+import type { UpstreamClient } from "./upstreamClient.js";
+import { readWholeBody } from "./upstreamClient.js";
+
+/** Largest answer that is held whole, bytes. */
+const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+/** A replica in another zone counts as this many requests busier. */
+const OTHER_ZONE_COST = 1;
+/** Sends of one request at the most, refusals included. */
+const MAX_SENDS = 4;
+/** When a caller may come back where no replica took the request, ms. */
+const BUSY_RETRY_MS = 400;
+const HTTP_SERVER_ERROR = 500;
+
+export interface PlainFlowOptions {
+  replicas: ReplicaSet;
+  client: UpstreamClient;
+  form: RequestForm;
+  budgets: RetryBudgets;
+  zone: string;
+  now: () => number;
+}
+
+type Attempt =
+  | { kind: "answer"; head: ReplyHead; headers: string[]; body: Buffer }
+  | { kind: "failed"; verdict: Verdict; why: string };
+
+export class PlainFlow {
+  private readonly inFlight = new Map<string, number>();
+  private readonly health = new Map<string, Health>();
+
+  constructor(private readonly options: PlainFlowOptions) {}
+
+  async run(caller: CallerRequest): Promise<void> {
+    const { budgets } = this.options;
+    const tried = new Set<string>();
+    let verdict: Verdict = "not-run";
+    let why = "no replica is known";
+    let runs = 0;
+    let answer: Attempt | undefined;
+    for (let sends = 0; sends < MAX_SENDS; sends += 1) {
+      const replica = this.choose(caller, tried);
+      if (replica === undefined) break;
+      if (sends > 0 && !budgets.spend(caller.service)) break;
+      tried.add(replica.id);
+      const attempt = await this.attempt(caller, replica);
+      if (attempt.kind === "answer") {
+        answer = attempt;
+        runs += 1;
+        if (!this.isWorthAnother(caller, attempt, runs)) break;
+        continue;
+      }
+      verdict = worseVerdict(verdict, attempt.verdict);
+      why = attempt.why;
+      if (attempt.verdict !== "not-run") runs += 1;
+      if (caller.signal.aborted) break;
+      const isSafe = verdict === "not-run" || caller.route.kind === "safe";
+      if (!isSafe || runs >= caller.route.maxAttempts) break;
+    }
+    if (answer?.kind === "answer") {
+      const { head, headers, body } = answer;
+      return caller.answerWhole(head.status, headers, body);
+    }
+    if (caller.isOverdue) return caller.fail(overdueFailure(verdict));
+    caller.fail(failureOf(verdict, why));
+  }
+
+  /** A safe request that a replica failed may do better elsewhere. */
+  private isWorthAnother(
+    caller: CallerRequest,
+    attempt: Attempt & { kind: "answer" },
+    runs: number,
+  ): boolean {
+    const { route } = caller;
+    if (attempt.head.status < HTTP_SERVER_ERROR) return false;
+    if (route.kind !== "safe" || runs >= route.maxAttempts) return false;
+    return caller.elapsedMs() < route.objectiveMs;
+  }
+
+  private choose(
+    caller: CallerRequest,
+    tried: ReadonlySet<string>,
+  ): Replica | undefined {
+    const { replicas, zone, now } = this.options;
+    const usable = replicas
+      .usable(caller.service, now())
+      .filter((item) => !tried.has(item.id));
+    const healthy = usable.filter(
+      (item) => !isEjected(this.healthOf(item.id), now()),
+    );
+    const candidates = healthy.length > 0 ? healthy : usable;
+    let best: { replica: Replica; cost: number } | undefined;
+    for (const replica of candidates) {
+      const busy = this.inFlight.get(replica.id) ?? 0;
+      const cost = busy + (replica.zone === zone ? 0 : OTHER_ZONE_COST);
+      if (best === undefined || cost < best.cost) best = { replica, cost };
+    }
+    return best?.replica;
+  }
+
+  private async attempt(
+    caller: CallerRequest,
+    replica: Replica,
+  ): Promise<Attempt> {
+    const { id } = replica;
+    this.inFlight.set(id, (this.inFlight.get(id) ?? 0) + 1);
+    try {
+      const attempt = await this.exchange(caller, replica);
+      this.learn(id, attempt, caller);
+      return attempt;
+    } finally {
+      const left = (this.inFlight.get(id) ?? 1) - 1;
+      if (left > 0) this.inFlight.set(id, left);
+      else this.inFlight.delete(id);
+    }
+  }
+
+  private async exchange(
+    caller: CallerRequest,
+    replica: Replica,
+  ): Promise<Attempt> {
+    const { client, form } = this.options;
+    const { head, body, route } = caller;
+    const stop = new AbortController();
+    const onAbort = () => stop.abort();
+    caller.signal.addEventListener("abort", onAbort, { once: true });
+    // A safe request that has missed its objective here tries elsewhere.
+    const mayLeave = route.kind === "safe" && route.maxAttempts > 1;
+    const timer = mayLeave ? setTimeout(onAbort, route.objectiveMs) : undefined;
+    const send = {
+      replicaId: replica.id,
+      deadlineMs: Math.round(caller.leftMs()),
+      phase: "run" as const,
+    };
+    try {
+      const outcome = await client.send({
+        address: replica.address,
+        method: head.method,
+        target: head.target,
+        headers: form.upstreamHeaders(head, send, body.length),
+        body,
+        signal: stop.signal,
+      });
+      if (outcome.kind === "failed") return outcome;
+      const { res } = outcome;
+      const reply = form.readReply(res.statusCode ?? 0, res.headers);
+      const fault = replyFault(reply, head.id);
+      if (fault !== undefined) {
+        res.destroy();
+        return { kind: "failed", verdict: "may-have-run", why: fault };
+      }
+      if (reply.isNotRun) {
+        res.resume();
+        const why = `replica refused with ${reply.status}`;
+        return { kind: "failed", verdict: "not-run", why };
+      }
+      const whole = await readWholeBody(res, MAX_ANSWER_BYTES);
+      if (whole.kind === "cut") {
+        return { kind: "failed", verdict: "may-have-run", why: whole.why };
+      }
+      const headers = form.answerHeaders(res.rawHeaders);
+      return { kind: "answer", head: reply, headers, body: whole.body };
+    } finally {
+      clearTimeout(timer);
+      caller.signal.removeEventListener("abort", onAbort);
+    }
+  }
+
+  private learn(id: string, attempt: Attempt, caller: CallerRequest): void {
+    if (caller.isCallerGone) return;
+    const now = this.options.now();
+    const health = this.healthOf(id);
+    const isFailure = attempt.kind === "failed";
+    const isUnreachable = isFailure && attempt.verdict === "not-run";
+    const isRefusal = isFailure && attempt.why.startsWith("replica refused");
+    const next = !isFailure
+      ? afterSuccess(health, now)
+      : afterFailure(health, now, isUnreachable && !isRefusal);
+    this.health.set(id, next);
+  }
+
+  private healthOf(id: string): Health {
+    return this.health.get(id) ?? HEALTHY;
+  }
+}
+
+/** What is wrong with the head of a reply; undefined if nothing is. */
+export const replyFault = (
+  reply: ReplyHead,
+  requestId: string,
+): string | undefined => {
+  if (reply.requestId !== undefined && reply.requestId !== requestId) {
+    return "the answer belongs to another request";
+  }
+  const isSuccess = reply.status >= 200 && reply.status < 300;
+  if (isSuccess && !reply.isSigned) return "the answer is not signed";
+  if (reply.isEncoded) return "the body is encoded";
+  if (!reply.isNotRun && reply.isPromise) {
+    return `status ${reply.status} without proof that nothing ran`;
+  }
+  return undefined;
+};
+
+/** The failure of a request that no replica answered. */
+export const failureOf = (verdict: Verdict, why: string): RequestFailure => {
+  if (verdict === "not-run") {
+    return {
+      status: 503,
+      code: "overloaded",
+      message: why,
+      verdict,
+      retryAfterMs: BUSY_RETRY_MS,
+    };
+  }
+  return { status: 502, code: "cut", message: why, verdict };
+};
--- /dev/null
+++ b/src/gateway/requestForm.ts
@@ -0,0 +1,42 @@
+/** The outer form of requests and answers, as a port: names and codes only. */
+import type { IncomingHttpHeaders, IncomingMessage } from "node:http";
+
+import type { RequestFailure } from "../shared/errors.js";
+import type {
+  InboundHead,
+  ReadHandle,
+  ReplyHead,
+  UpstreamSend,
+} from "./types.js";
+
+/** A failure in the form that callers understand. */
+export interface FailureAnswer {
+  status: number;
+  /** Names and values in turn. */
+  headers: string[];
+  body: string;
+}
+
+export interface RequestForm {
+  /** Decodes a caller's head; a failure if it can't be served. */
+  decode(req: IncomingMessage): InboundHead | RequestFailure;
+  /** Headers of a send to a replica, names and values in turn. */
+  upstreamHeaders(
+    head: InboundHead,
+    send: UpstreamSend,
+    bodyBytes: number,
+  ): string[];
+  readReply(status: number, headers: IncomingHttpHeaders): ReplyHead;
+  /** Headers of a replica's answer that callers get. */
+  answerHeaders(rawHeaders: readonly string[]): string[];
+  failureAnswer(failure: RequestFailure, requestId: string): FailureAnswer;
+  /** The handle in the answer to a `read`; undefined if it holds none. */
+  readHandle(address: string, body: string): ReadHandle | undefined;
+  /** Path of the call that frees a handle at the replica that holds it. */
+  freeHandlePath(handle: ReadHandle): string;
+}
+
+/** Whether decoding gave a failure. */
+export const isFailure = (
+  value: InboundHead | RequestFailure,
+): value is RequestFailure => "verdict" in value;
--- /dev/null
+++ b/src/gateway/routeTable.ts
@@ -0,0 +1,50 @@
+/** Which route and service a request goes to. Pure. */
+import type { Rng } from "../shared/rng.js";
+import type { GatewayConfig, GatewayService, Route } from "./types.js";
+
+/** The routes of one configuration, by host, longest prefix first. */
+export class RouteTable {
+  readonly version: number;
+  private readonly byHost = new Map<string, Route[]>();
+  private readonly services: Map<string, GatewayService>;
+
+  constructor(readonly config: GatewayConfig) {
+    this.version = config.version;
+    this.services = new Map(config.services.map((item) => [item.name, item]));
+    for (const route of config.routes) {
+      const known = this.byHost.get(route.host) ?? [];
+      known.push(route);
+      this.byHost.set(route.host, known);
+    }
+    for (const routes of this.byHost.values()) {
+      routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+    }
+  }
+
+  /** The route whose prefix is the longest that begins the path. */
+  match(host: string, target: string): Route | undefined {
+    const query = target.indexOf("?");
+    const path = query < 0 ? target : target.slice(0, query);
+    const routes = this.byHost.get(host);
+    return routes?.find((route) => path.startsWith(route.pathPrefix));
+  }
+
+  service(name: string): GatewayService | undefined {
+    return this.services.get(name);
+  }
+
+  serviceNames(): string[] {
+    return [...this.services.keys()];
+  }
+}
+
+/** Draws one of the route's services by weight; undefined if it has none. */
+export const drawService = (route: Route, rng: Rng): string | undefined => {
+  const total = route.targets.reduce((sum, item) => sum + item.weight, 0);
+  let left = rng() * total;
+  for (const target of route.targets) {
+    left -= target.weight;
+    if (left < 0) return target.service;
+  }
+  return route.targets.at(-1)?.service;
+};
--- /dev/null
+++ b/src/gateway/streamFlow.ts
@@ -0,0 +1,403 @@
+/**
+ * Requests to model engines: placed by the scheduler, the prompt read by one
+ * engine where that pays, the answer streamed from another, and a cut stream
+ * resumed where its route allows it.
+ */
+import type { Grant, PlacementAsk } from "../scheduling/index.js";
+import type { Placement } from "../placement/index.js";
+import type { RequestFailure } from "../shared/errors.js";
+import { errText } from "../shared/utils.js";
+import type { Verdict } from "../shared/verdict.js";
+import { worseVerdict } from "../shared/verdict.js";
+import type { Log } from "../telemetry/index.js";
+import type { CallerRequest } from "./callerRequest.js";
+import { overdueFailure } from "./callerRequest.js";
+import { failureOf, replyFault } from "./plainFlow.js";
+import type { ReplicaSet } from "./replicaSet.js";
+import type { RequestForm } from "./requestForm.js";
+import type { RetryBudgets } from "./retryBudgets.js";
+import { StreamRelay } from "./streamRelay.js";
+import type { ReadHandle, UpstreamSend } from "./types.js";
+import type { UpstreamClient } from "./upstreamClient.js";
+import { readWholeBody } from "./upstreamClient.js";
+
+/** A handle's answer is a few hundred bytes. */
+const MAX_HANDLE_BYTES = 16 * 1024;
+/** Rounds of placement of one request at the most. */
+const MAX_ROUNDS = 4;
+/** A read is given up after this many times its expected time, … */
+const READ_PATIENCE = 3;
+/** … and this many ms on top, for the hops and the estimate's error. */
+const READ_SLACK_MS = 250;
+/** Less time than this is not worth another round, ms. */
+const LEAST_LEFT_MS = 30;
+
+export interface StreamFlowOptions {
+  replicas: ReplicaSet;
+  client: UpstreamClient;
+  form: RequestForm;
+  budgets: RetryBudgets;
+  placement: Placement;
+  zone: string;
+  log: Log;
+  now: () => number;
+}
+
+/** What one round of placement, read and run came to. */
+type Round =
+  | { kind: "done" }
+  | { kind: "refused"; failure: RequestFailure }
+  | {
+      kind: "failed";
+      verdict: Verdict;
+      why: string;
+      /** Engine to leave out in the next round. */
+      avoid: string;
+    };
+
+/** What a request carries from round to round. */
+interface Journey {
+  caller: CallerRequest;
+  relay: StreamRelay;
+  avoid: string[];
+  verdict: Verdict;
+  rounds: number;
+  /** Replicas that ran it, or may have. */
+  runs: number;
+  grantId: string;
+  runSentAt: number;
+}
+
+export class StreamFlow {
+  private sequence = 0;
+
+  constructor(
+    private readonly options: StreamFlowOptions,
+    /** Makes grant ids unique among the entries. */
+    private readonly entryId: string,
+  ) {}
+
+  async run(caller: CallerRequest): Promise<void> {
+    const { budgets } = this.options;
+    const journey = this.begin(caller);
+    for (;;) {
+      const round = await this.round(journey);
+      if (round.kind === "done") return;
+      if (round.kind === "refused") return this.giveUp(journey, round.failure);
+      journey.verdict = worseVerdict(journey.verdict, round.verdict);
+      journey.avoid.push(round.avoid);
+      if (caller.isCallerGone) return;
+      const failure = failureOf(journey.verdict, round.why);
+      if (!this.mayGoOn(journey)) return this.giveUp(journey, failure);
+      if (!budgets.spend(caller.service)) return this.giveUp(journey, failure);
+    }
+  }
+
+  private begin(caller: CallerRequest): Journey {
+    const journey: Journey = {
+      caller,
+      relay: new StreamRelay(caller, () => this.noteBegun(journey)),
+      avoid: [],
+      verdict: "not-run",
+      rounds: 0,
+      runs: 0,
+      grantId: "",
+      runSentAt: 0,
+    };
+    return journey;
+  }
+
+  private mayGoOn(journey: Journey): boolean {
+    const { caller, verdict, rounds, runs } = journey;
+    if (caller.signal.aborted || rounds >= MAX_ROUNDS) return false;
+    if (caller.leftMs() < LEAST_LEFT_MS) return false;
+    if (verdict === "not-run") return true;
+    return caller.route.isResumable && runs < caller.route.maxAttempts;
+  }
+
+  private async round(journey: Journey): Promise<Round> {
+    const { placement } = this.options;
+    const { caller } = journey;
+    journey.rounds += 1;
+    this.sequence += 1;
+    journey.grantId = `${this.entryId}/${this.sequence}`;
+    const answer = await placement.place(this.ask(journey));
+    if (answer.kind === "refused") {
+      const failure = failureOf(journey.verdict, `no engine: ${answer.why}`);
+      const retryAfterMs = answer.retryAfterMs;
+      const isNotRun = failure.verdict === "not-run";
+      return {
+        kind: "refused",
+        failure: isNotRun ? { ...failure, retryAfterMs } : failure,
+      };
+    }
+    let isGood = false;
+    try {
+      const round = await this.carryOut(journey, answer);
+      isGood = round.kind === "done" || round.kind === "refused";
+      return round;
+    } finally {
+      const id = journey.grantId;
+      const ok = isGood || caller.isCallerGone;
+      placement.note(caller.service, { kind: "ended", id, ok });
+    }
+  }
+
+  private async carryOut(journey: Journey, grant: Grant): Promise<Round> {
+    const { caller } = journey;
+    if (caller.signal.aborted) return this.overdue(journey);
+    let handle: ReadHandle | undefined;
+    if (grant.reader !== undefined) {
+      const read = await this.readPrompt(journey, grant, grant.reader);
+      if (read.kind !== "read") return read;
+      handle = read.handle;
+    }
+    const round = await this.runAt(journey, grant.runner, handle);
+    if (round.kind !== "done" && handle !== undefined) this.free(handle);
+    return round;
+  }
+
+  private ask(journey: Journey): PlacementAsk {
+    const { caller, avoid, grantId } = journey;
+    const { prompt } = caller.head;
+    const objectiveMs = caller.hasBegun
+      ? caller.leftMs()
+      : caller.route.objectiveMs - caller.elapsedMs();
+    return {
+      id: grantId,
+      service: caller.service,
+      zone: this.options.zone,
+      model: prompt?.model ?? "",
+      promptTokens: prompt?.promptTokens ?? 0,
+      outputTokens: prompt?.outputTokens ?? 0,
+      parts: prompt?.parts ?? [],
+      objectiveLeftMs: Math.min(objectiveMs, caller.leftMs()),
+      deadlineLeftMs: caller.leftMs(),
+      priority: caller.route.priority,
+      isReturn: caller.isReturn,
+      avoid,
+    };
+  }
+
+  private async readPrompt(
+    journey: Journey,
+    grant: Grant,
+    reader: string,
+  ): Promise<Round | { kind: "read"; handle: ReadHandle }> {
+    const { placement } = this.options;
+    const { caller, grantId } = journey;
+    const limitMs = grant.readMs * READ_PATIENCE + READ_SLACK_MS;
+    const read = await this.exchangeRead(caller, reader, limitMs);
+    const ok = read.kind === "read";
+    placement.note(caller.service, { kind: "read", id: grantId, ok });
+    if (read.kind === "read") {
+      if (!caller.signal.aborted) return read;
+      this.free(read.handle);
+      return this.overdue(journey);
+    }
+    if (caller.isOverdue) return this.overdue(journey);
+    this.logFault(caller, reader, "read", read.why);
+    return { kind: "failed", verdict: "not-run", why: read.why, avoid: reader };
+  }
+
+  private async exchangeRead(
+    caller: CallerRequest,
+    reader: string,
+    limitMs: number,
+  ): Promise<
+    { kind: "read"; handle: ReadHandle } | { kind: "failed"; why: string }
+  > {
+    const { form } = this.options;
+    const stop = new AbortController();
+    const onAbort = () => stop.abort();
+    caller.signal.addEventListener("abort", onAbort, { once: true });
+    const timer = setTimeout(onAbort, limitMs);
+    try {
+      const sent = await this.send(caller, reader, stop.signal, {
+        replicaId: reader,
+        deadlineMs: Math.round(caller.leftMs()),
+        phase: "read",
+      });
+      if (sent.kind === "failed") return { kind: "failed", why: sent.why };
+      const { res, address } = sent;
+      const reply = form.readReply(res.statusCode ?? 0, res.headers);
+      const whole = await readWholeBody(res, MAX_HANDLE_BYTES);
+      if (reply.isNotRun || reply.status !== 200) {
+        return { kind: "failed", why: `read refused with ${reply.status}` };
+      }
+      if (reply.requestId !== undefined && reply.requestId !== caller.head.id) {
+        return { kind: "failed", why: "the answer belongs to another request" };
+      }
+      if (whole.kind === "cut") return { kind: "failed", why: whole.why };
+      const handle = form.readHandle(address, whole.body.toString("utf8"));
+      if (handle !== undefined) return { kind: "read", handle };
+      return { kind: "failed", why: "the answer names no handle" };
+    } finally {
+      clearTimeout(timer);
+      caller.signal.removeEventListener("abort", onAbort);
+    }
+  }
+
+  private async runAt(
+    journey: Journey,
+    runner: string,
+    handle: ReadHandle | undefined,
+  ): Promise<Round> {
+    const { form, now } = this.options;
+    const { caller, relay } = journey;
+    journey.runSentAt = now();
+    const sent = await this.send(caller, runner, caller.signal, {
+      replicaId: runner,
+      deadlineMs: Math.round(caller.leftMs()),
+      phase: "run",
+      handle,
+      afterEventId: relay.lastEventId,
+    });
+    if (sent.kind === "failed") {
+      if (sent.verdict !== "not-run") journey.runs += 1;
+      if (caller.signal.aborted) return this.overdue(journey, sent.verdict);
+      this.logFault(caller, runner, "run", sent.why);
+      return { ...sent, avoid: runner };
+    }
+    const { res } = sent;
+    const reply = form.readReply(res.statusCode ?? 0, res.headers);
+    if (reply.isNotRun) {
+      res.resume();
+      const why = `engine refused with ${reply.status}`;
+      this.logFault(caller, runner, "run", why);
+      return { kind: "failed", verdict: "not-run", why, avoid: runner };
+    }
+    journey.runs += 1;
+    const fault = replyFault(reply, caller.head.id);
+    if (fault !== undefined) {
+      res.destroy();
+      this.logFault(caller, runner, "run", fault);
+      const verdict = "may-have-run";
+      return { kind: "failed", verdict, why: fault, avoid: runner };
+    }
+    const isGood = reply.status >= 200 && reply.status < 300;
+    if (!isGood) return this.answerFailure(journey, res, runner);
+    const headers = form.answerHeaders(res.rawHeaders);
+    caller.beginStream(reply.status, headers);
+    const end = await relay.run(res);
+    switch (end.kind) {
+      case "complete":
+        caller.res.end();
+        return { kind: "done" };
+      case "caller-gone":
+        return { kind: "done" };
+      case "cut":
+        if (caller.signal.aborted) return this.overdue(journey, "may-have-run");
+        this.logFault(caller, runner, "run", end.why);
+        return {
+          kind: "failed",
+          verdict: "may-have-run",
+          why: end.why,
+          avoid: runner,
+        };
+    }
+  }
+
+  /** A replica's own failure is passed on, unless a stream has begun. */
+  private async answerFailure(
+    journey: Journey,
+    res: Parameters<StreamRelay["run"]>[0],
+    runner: string,
+  ): Promise<Round> {
+    const { caller } = journey;
+    const whole = await readWholeBody(res, MAX_HANDLE_BYTES);
+    const status = res.statusCode ?? 0;
+    const why = `engine failed with ${status}`;
+    const isFinal = whole.kind === "whole" && !caller.hasBegun;
+    if (isFinal && !this.mayGoOn({ ...journey, verdict: "may-have-run" })) {
+      const headers = this.options.form.answerHeaders(res.rawHeaders);
+      caller.answerWhole(status, headers, whole.body);
+      return { kind: "done" };
+    }
+    return { kind: "failed", verdict: "may-have-run", why, avoid: runner };
+  }
+
+  private async send(
+    caller: CallerRequest,
+    id: string,
+    signal: AbortSignal,
+    send: UpstreamSend,
+  ) {
+    const { replicas, client, form } = this.options;
+    const replica = replicas.get(id);
+    if (replica === undefined || replica.state !== "ready") {
+      const why = "the replica is leaving or gone";
+      return { kind: "failed" as const, verdict: "not-run" as const, why };
+    }
+    const { head, body } = caller;
+    const { address } = replica;
+    const outcome = await client.send({
+      address,
+      method: head.method,
+      target: head.target,
+      headers: form.upstreamHeaders(head, send, body.length),
+      body,
+      signal,
+    });
+    return outcome.kind === "failed" ? outcome : { ...outcome, address };
+  }
+
+  /** Tells the replica that nobody will take the handle. */
+  private free(handle: ReadHandle): void {
+    const { client, form, log, now } = this.options;
+    const begun = now();
+    void client
+      .send({
+        address: handle.address,
+        method: "DELETE",
+        target: form.freeHandlePath(handle),
+        headers: ["Host", handle.address, "Content-Length", "0"],
+        body: Buffer.alloc(0),
+        signal: AbortSignal.timeout(FREE_MS),
+      })
+      .then((outcome) => {
+        if (outcome.kind === "reply") outcome.res.resume();
+        else {
+          const tookMs = Math.round(now() - begun);
+          log.debug("handle not freed", { why: outcome.why, tookMs });
+        }
+      })
+      .catch((err) => log.debug("handle not freed", { why: errText(err) }));
+  }
+
+  private noteBegun(journey: Journey): void {
+    const tookMs = this.options.now() - journey.runSentAt;
+    const { caller, grantId } = journey;
+    const event = { kind: "begun" as const, id: grantId, tookMs };
+    this.options.placement.note(caller.service, event);
+  }
+
+  private overdue(journey: Journey, verdict: Verdict = "not-run"): Round {
+    const worse = worseVerdict(journey.verdict, verdict);
+    return { kind: "refused", failure: overdueFailure(worse) };
+  }
+
+  private giveUp(journey: Journey, failure: RequestFailure): void {
+    if (journey.caller.isCallerGone) return;
+    journey.caller.fail(failure);
+  }
+
+  private logFault(
+    caller: CallerRequest,
+    replica: string,
+    phase: string,
+    why: string,
+  ): void {
+    if (caller.isCallerGone) return;
+    this.options.log.info("send failed", {
+      requestId: caller.head.id,
+      replica,
+      phase,
+      why,
+      elapsedMs: Math.round(caller.elapsedMs()),
+    });
+  }
+}
+
+/** The call that frees a handle is given up after this, ms. */
+const FREE_MS = 1000;
--- /dev/null
+++ b/src/gateway/types.ts
@@ -0,0 +1,154 @@
+/**
+ * What the gateway knows of routes, replicas and requests. A gateway is an
+ * entry that reaches replicas without a side: see docs/PLATFORM.md.
+ */
+import type { Stage } from "../scheduling/index.js";
+
+export const ROUTE_KINDS = ["safe", "unsafe", "stream"] as const;
+
+/** `safe` may run again; `unsafe` at most once; `stream` answers in events. */
+export type RouteKind = (typeof ROUTE_KINDS)[number];
+
+/** One service that a route leads to, and its share. */
+export interface RouteTarget {
+  service: string;
+  weight: number;
+}
+
+/** One route of the configuration. */
+export interface Route {
+  name: string;
+  /** Lower case, without a port. */
+  host: string;
+  /** Begins and ends with a slash. */
+  pathPrefix: string;
+  kind: RouteKind;
+  /** Longest time that a request may be held, ms. */
+  timeoutMs: number;
+  /** Time in which an answer, or its first event, is in time, ms. */
+  objectiveMs: number;
+  /** 0 is the most urgent. */
+  priority: number;
+  /** Replicas that may run one request at the most. */
+  maxAttempts: number;
+  /** Whether a cut stream may go on at another replica. */
+  isResumable: boolean;
+  targets: RouteTarget[];
+}
+
+/** Sizes of a service's engines; absent for plain services. */
+export interface EngineSizes {
+  slots: number;
+  /** Tokens of KV cache that an engine holds. */
+  kvCapacityTokens: number;
+  /** How long a read prompt is kept for another engine, ms. */
+  handleTtlMs: number;
+  /** Time an engine is away while its stage changes, ms. */
+  stageChangeMs: number;
+}
+
+/** One service of the configuration. */
+export interface GatewayService {
+  name: string;
+  /** Connections that one replica takes from all callers together. */
+  maxConnections: number;
+  engine: EngineSizes | undefined;
+}
+
+/** Limits on what callers send. */
+export interface CallerLimits {
+  maxBodyBytes: number;
+  headerTimeoutMs: number;
+  idleTimeoutMs: number;
+}
+
+/** A whole configuration, decoded. */
+export interface GatewayConfig {
+  version: number;
+  routes: Route[];
+  services: GatewayService[];
+  limits: CallerLimits;
+}
+
+export const REPLICA_STATES = ["ready", "draining"] as const;
+
+export type ReplicaState = (typeof REPLICA_STATES)[number];
+
+/** One running replica of a service. */
+export interface Replica {
+  /** New at each start of the replica. */
+  id: string;
+  service: string;
+  /** IP and port. */
+  address: string;
+  zone: string;
+  slots: number;
+  state: ReplicaState;
+  /** Absent for plain services. */
+  stage: Stage | undefined;
+  /** Orders that it has taken since its start. */
+  orders: number;
+}
+
+/** One part of a prompt, shared between requests by its id. */
+export interface PromptPart {
+  id: string;
+  tokens: number;
+}
+
+/** What a request says of its prompt. */
+export interface PromptShape {
+  model: string;
+  promptTokens: number;
+  /** Most tokens of output, or the caller's better guess. */
+  outputTokens: number;
+  parts: PromptPart[];
+}
+
+/** The decoded head of a caller's request. */
+export interface InboundHead {
+  id: string;
+  method: string;
+  /** Lower case, without a port. */
+  host: string;
+  /** Path and query, as sent. */
+  target: string;
+  /** Time that the caller waits, ms; undefined if it did not say. */
+  deadlineMs: number | undefined;
+  prompt: PromptShape | undefined;
+  /** Names and values in turn, as sent. */
+  rawHeaders: readonly string[];
+}
+
+/** A prompt that another replica has read. */
+export interface ReadHandle {
+  /** Address of the replica that holds it. */
+  address: string;
+  id: string;
+}
+
+/** What one send to a replica asks for. */
+export interface UpstreamSend {
+  replicaId: string;
+  deadlineMs: number;
+  /** `read`: the prompt alone; `run`: the answer. */
+  phase: "read" | "run";
+  /** The run goes on from this read prompt. */
+  handle?: ReadHandle;
+  /** The run goes on after this event. */
+  afterEventId?: string;
+}
+
+/** What the head of a replica's answer says. */
+export interface ReplyHead {
+  status: number;
+  /** The replica states that the request did not run. */
+  isNotRun: boolean;
+  /** The request that the answer belongs to. */
+  requestId: string | undefined;
+  isSigned: boolean;
+  isEventStream: boolean;
+  isEncoded: boolean;
+  /** Its status tells a caller that nothing ran. */
+  isPromise: boolean;
+}
--- /dev/null
+++ b/src/gateway/upstreamClient.ts
@@ -0,0 +1,129 @@
+/**
+ * Sends to replicas over kept connections by Node's `http`, and says what is
+ * proved when a send fails.
+ */
+import http from "node:http";
+import type { Socket } from "node:net";
+
+import { splitAddress } from "../http/index.js";
+import type { Verdict } from "../shared/verdict.js";
+
+/** A connection that is not up by then counts as failed, ms. */
+const CONNECT_MS = 400;
+/** Idle connections are closed after this, ms; replicas keep them longer. */
+const IDLE_MS = 5000;
+/** Part of a replica's own idle time for which a connection is reused. */
+const IDLE_PART = 0.6;
+const KEEP_ALIVE_HINT = /timeout=(\d+)/;
+const MAX_IDLE_SOCKETS = 128;
+
+/** One request to a replica. */
+export interface UpstreamRequest {
+  address: string;
+  method: string;
+  target: string;
+  /** Names and values in turn. */
+  headers: readonly string[];
+  body: Buffer;
+  signal: AbortSignal;
+}
+
+export type SendOutcome =
+  | { kind: "reply"; res: http.IncomingMessage }
+  | { kind: "failed"; verdict: Verdict; why: string };
+
+/** Reuses a connection only well within the time its replica keeps it. */
+class CautiousAgent extends http.Agent {
+  override keepSocketAlive(socket: Socket): boolean {
+    const { _httpMessage: message } = socket as Socket & {
+      _httpMessage?: { res?: http.IncomingMessage };
+    };
+    const hint = message?.res?.headers["keep-alive"] ?? "";
+    const seconds = Number(KEEP_ALIVE_HINT.exec(String(hint))?.[1] ?? Infinity);
+    const idleMs = Math.min(IDLE_MS, seconds * 1000 * IDLE_PART);
+    if (idleMs <= 0) return false;
+    socket.setKeepAlive(true, IDLE_MS);
+    socket.unref();
+    socket.setTimeout(idleMs);
+    return true;
+  }
+}
+
+export class UpstreamClient {
+  private readonly agent = new CautiousAgent({
+    keepAlive: true,
+    maxFreeSockets: MAX_IDLE_SOCKETS,
+    scheduling: "lifo",
+  });
+
+  /** Resolves with the head of the answer, or with what is known instead. */
+  send(order: UpstreamRequest): Promise<SendOutcome> {
+    return new Promise((resolve) => {
+      const { host, port } = splitAddress(order.address);
+      let isConnected = false;
+      let timer: NodeJS.Timeout | undefined;
+      const req = http.request({
+        host,
+        port,
+        method: order.method,
+        path: order.target,
+        headers: order.headers as unknown as http.OutgoingHttpHeaders,
+        setHost: false,
+        agent: this.agent,
+        signal: order.signal,
+      });
+      const onConnected = () => {
+        isConnected = true;
+        clearTimeout(timer);
+      };
+      req.once("socket", (socket) => {
+        socket.setNoDelay(true);
+        if (!socket.connecting) return onConnected();
+        socket.once("connect", onConnected);
+        const giveUp = () => req.destroy(new Error("no connection in time"));
+        timer = setTimeout(giveUp, CONNECT_MS);
+      });
+      req.once("response", (res) => resolve({ kind: "reply", res }));
+      req.on("error", (err) => {
+        clearTimeout(timer);
+        const verdict = isConnected ? "may-have-run" : "not-run";
+        resolve({ kind: "failed", verdict, why: err.message });
+      });
+      req.end(order.body);
+    });
+  }
+
+  /** Bounds the connections to one replica. */
+  limitConnections(most: number): void {
+    this.agent.maxSockets = most;
+  }
+
+  close(): void {
+    this.agent.destroy();
+  }
+}
+
+export type WholeBody =
+  { kind: "whole"; body: Buffer } | { kind: "cut"; why: string };
+
+/** Reads an answer to its end; a cut or oversized one is told as such. */
+export const readWholeBody = (
+  res: http.IncomingMessage,
+  maxBytes: number,
+): Promise<WholeBody> =>
+  new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    res.on("data", (chunk: Buffer) => {
+      size += chunk.length;
+      chunks.push(chunk);
+      if (size <= maxBytes) return;
+      resolve({ kind: "cut", why: `answer is over ${maxBytes} bytes` });
+      res.destroy();
+    });
+    res.on("error", (err) => resolve({ kind: "cut", why: err.message }));
+    res.on("close", () => {
+      if (!res.complete) return resolve({ kind: "cut", why: "answer was cut" });
+      resolve({ kind: "whole", body: Buffer.concat(chunks) });
+    });
+  });
--- /dev/null
+++ b/src/placement/index.ts
@@ -0,0 +1,2 @@
+export { LocalPlacement } from "./localPlacement.js";
+export type { Placement } from "./types.js";
--- /dev/null
+++ b/src/placement/types.ts
@@ -0,0 +1,12 @@
+/** Port to whoever places model requests: this process or another. */
+import type {
+  PlacementAnswer,
+  PlacementAsk,
+  PlacementEvent,
+} from "../scheduling/index.js";
+
+export interface Placement {
+  place(ask: PlacementAsk): Promise<PlacementAnswer>;
+  /** Tells what became of a request; `service` is that of its ask. */
+  note(service: string, event: PlacementEvent): void;
+}
--- /dev/null
+++ b/src/scheduling/scheduler.ts
@@ -0,0 +1,290 @@
+/**
+ * Where a model request is read and run, and whether it is served at all.
+ * Pure: asks and events with a clock in, answers out. One scheduler serves
+ * all entries of a service while it can be reached; each entry has one of
+ * its own for the time when it can't.
+ */
+import { EngineState } from "./engineState.js";
+import type {
+  EngineView,
+  PlacementAnswer,
+  PlacementAsk,
+  PlacementEvent,
+  Refusal,
+} from "./types.js";
+
+/** Shorter unread prompts are read where they run. */
+const LEAST_SPLIT_TOKENS = 1024;
+/** Weight of an engine's reading time as a cost to everybody else. */
+const READ_WEIGHT = 1;
+/** Prompt tokens that a decode engine may have ahead at once. */
+const DECODE_READ_TOKENS = 8000;
+/** Time of the hops between the end of a read and the caller, ms. */
+const HOPS_MS = 16;
+/** Start of the estimate of a run's first event, ms after its send. */
+const FIRST_EVENT_MS = 50;
+const FIRST_EVENT_GAIN = 0.05;
+/** Longest wait for a prompt that is late by its own length alone, ms. */
+const LONG_PROMPT_WAIT_MS = 30;
+/** Bounds of the time told to refused callers, ms. */
+const LEAST_RETRY_MS = 200;
+const LONGEST_RETRY_MS = 900;
+const NO_ENGINE_RETRY_MS = 500;
+/** Engines in another zone count as this much busier, share of slots. */
+const OTHER_ZONE_COST = 0.02;
+/** An engine that failed gets no work for this long at first, ms. */
+const FIRST_CLOSE_MS = 700;
+const LONGEST_CLOSE_MS = 6000;
+const FAILURES_TO_CLOSE = 2;
+/** Share of the KV memory that running requests may take. */
+const RUN_MEMORY_SHARE = 0.92;
+
+interface Placed {
+  reader: EngineState | undefined;
+  runner: EngineState;
+  ask: PlacementAsk;
+  at: number;
+}
+
+interface ReadPlan {
+  engine: EngineState;
+  costMs: number;
+  endMs: number;
+}
+
+/** Work of a service over time, for the planner of stages. */
+export interface SchedulerLoad {
+  /** Reading time asked for since start, ms of one prefill engine. */
+  readMs: number;
+  /** Output asked for since start, runs times their tokens. */
+  outputTokens: number;
+}
+
+export class EngineScheduler {
+  private readonly engines = new Map<string, EngineState>();
+  private readonly placed = new Map<string, Placed>();
+  private firstEventMs = FIRST_EVENT_MS;
+  readonly asked: SchedulerLoad = { readMs: 0, outputTokens: 0 };
+
+  /** `share`: how many schedulers place on these engines without talking. */
+  constructor(private share: () => number) {}
+
+  /** The engines that may get work; others keep what they run. */
+  setEngines(views: readonly EngineView[]): void {
+    const listed = new Set(views.map((view) => view.id));
+    for (const id of this.engines.keys()) {
+      if (!listed.has(id)) this.engines.delete(id);
+    }
+    for (const view of views) {
+      const known = this.engines.get(view.id);
+      if (known === undefined) this.engines.set(view.id, new EngineState(view));
+      else known.view = view;
+    }
+  }
+
+  engineStates(): EngineState[] {
+    return [...this.engines.values()];
+  }
+
+  /** Closes an engine to new work until an instant. */
+  close(id: string, until: number): void {
+    const engine = this.engines.get(id);
+    if (engine !== undefined) engine.closedUntil = until;
+  }
+
+  place(ask: PlacementAsk, now: number): PlacementAnswer {
+    const open = this.openEngines(ask, now);
+    const runner = this.chooseRunner(ask, open, now);
+    if (runner === undefined) {
+      const hasDecode = open.some((item) => item.view.stage === "decode");
+      return this.refuse(hasDecode ? "slots" : "no-engine", 0);
+    }
+    const cachedAtRunner = runner.cachedTokens(ask.model, ask.parts);
+    const isLong = ask.promptTokens - cachedAtRunner >= LEAST_SPLIT_TOKENS;
+    if (!isLong) return this.grant(ask, undefined, runner, now);
+    const plan = this.planRead(ask, open, now);
+    const endMs = (plan?.endMs ?? Infinity) + this.firstEventMs + HOPS_MS;
+    if (plan !== undefined && endMs <= ask.objectiveLeftMs) {
+      return this.grant(ask, plan, runner, now);
+    }
+    const own = this.planOwnRead(ask, open, now);
+    if (own !== undefined) return this.grant(ask, undefined, own, now);
+    if (plan === undefined) return this.refuse("no-engine", 0);
+    const waitMs = plan.endMs - plan.costMs;
+    const isLateAnyway =
+      plan.costMs + this.firstEventMs + HOPS_MS > ask.objectiveLeftMs;
+    if (isLateAnyway && waitMs <= LONG_PROMPT_WAIT_MS) {
+      return this.grant(ask, plan, runner, now);
+    }
+    return this.refuse("too-late", endMs - ask.objectiveLeftMs);
+  }
+
+  onEvent(event: PlacementEvent, now: number): void {
+    const placed = this.placed.get(event.id);
+    if (placed === undefined) return;
+    const { reader, runner, ask } = placed;
+    switch (event.kind) {
+      case "read":
+        reader?.endRead(event.id, event.ok, now);
+        if (reader !== undefined) this.judge(reader, event.ok, now);
+        return;
+      case "begun":
+        if (reader === undefined) runner.endRead(event.id, false, now);
+        else {
+          const gain = (event.tookMs - this.firstEventMs) * FIRST_EVENT_GAIN;
+          this.firstEventMs += gain;
+        }
+        runner.remember(ask.model, ask.parts);
+        this.judge(runner, true, now);
+        return;
+      case "ended":
+        reader?.endRead(event.id, false, now);
+        runner.endRead(event.id, false, now);
+        runner.endRun(event.id);
+        this.placed.delete(event.id);
+        if (!event.ok) this.judge(runner, false, now);
+        return;
+    }
+  }
+
+  /** Drops what was never reported on. */
+  expire(now: number): void {
+    for (const engine of this.engines.values()) engine.expire(now);
+    for (const [id, { ask, at }] of this.placed) {
+      if (now - at > ask.deadlineLeftMs + LONGEST_CLOSE_MS) {
+        this.placed.delete(id);
+      }
+    }
+  }
+
+  private openEngines(ask: PlacementAsk, now: number): EngineState[] {
+    return [...this.engines.values()].filter(
+      (item) => item.closedUntil <= now && !ask.avoid.includes(item.view.id),
+    );
+  }
+
+  private chooseRunner(
+    ask: PlacementAsk,
+    open: readonly EngineState[],
+    now: number,
+  ): EngineState | undefined {
+    let best: { engine: EngineState; cost: number } | undefined;
+    for (const engine of open) {
+      if (engine.view.stage !== "decode") continue;
+      const cost = this.runCost(ask, engine, now);
+      if (cost === undefined) continue;
+      if (best === undefined || cost < best.cost) best = { engine, cost };
+    }
+    return best?.engine;
+  }
+
+  /** Share of its slots or memory in use; undefined if it is full. */
+  private runCost(
+    ask: PlacementAsk,
+    engine: EngineState,
+    now: number,
+  ): number | undefined {
+    const { slots, kvCapacityTokens, zone } = engine.view;
+    const runs = engine.runCount * this.share();
+    if (runs + 1 > slots) return undefined;
+    const needed = ask.promptTokens + ask.outputTokens;
+    const tokens = engine.runTokens * this.share() + needed;
+    const memory = tokens / (kvCapacityTokens * RUN_MEMORY_SHARE);
+    if (memory > 1 && engine.runCount > 0) return undefined;
+    const away = zone === ask.zone ? 0 : OTHER_ZONE_COST;
+    const reading = engine.backlogMs(now) / 1000;
+    return Math.max(runs / slots, memory) + away + reading;
+  }
+
+  /** The prefill engine that has read the prompt first and at least cost. */
+  private planRead(
+    ask: PlacementAsk,
+    open: readonly EngineState[],
+    now: number,
+  ): ReadPlan | undefined {
+    let best: (ReadPlan & { score: number }) | undefined;
+    for (const engine of open) {
+      if (engine.view.stage !== "prefill") continue;
+      const cached = engine.cachedTokens(ask.model, ask.parts);
+      const costMs = engine.readCostMs(ask.promptTokens, cached);
+      const endMs = engine.backlogMs(now) + costMs;
+      const score = endMs + costMs * READ_WEIGHT;
+      if (best === undefined || score < best.score) {
+        best = { engine, costMs, endMs, score };
+      }
+    }
+    return best;
+  }
+
+  /** A decode engine that can read the prompt itself in time. */
+  private planOwnRead(
+    ask: PlacementAsk,
+    open: readonly EngineState[],
+    now: number,
+  ): EngineState | undefined {
+    let best: { engine: EngineState; endMs: number } | undefined;
+    for (const engine of open) {
+      if (engine.view.stage !== "decode" || engine.readCount > 0) continue;
+      if (this.runCost(ask, engine, now) === undefined) continue;
+      const cached = engine.cachedTokens(ask.model, ask.parts);
+      if (ask.promptTokens - cached > DECODE_READ_TOKENS) continue;
+      const costMs = engine.readCostMs(ask.promptTokens, cached);
+      const endMs = costMs + this.firstEventMs + HOPS_MS;
+      if (endMs > ask.objectiveLeftMs) continue;
+      if (best === undefined || endMs < best.endMs) best = { engine, endMs };
+    }
+    return best?.engine;
+  }
+
+  private grant(
+    ask: PlacementAsk,
+    plan: ReadPlan | undefined,
+    runner: EngineState,
+    now: number,
+  ): PlacementAnswer {
+    const reader = plan?.engine;
+    const deadlineAt = now + ask.deadlineLeftMs;
+    if (plan !== undefined) {
+      plan.engine.addRead(ask.id, plan.costMs * this.share(), now);
+      plan.engine.remember(ask.model, ask.parts);
+    } else {
+      const cached = runner.cachedTokens(ask.model, ask.parts);
+      const costMs = runner.readCostMs(ask.promptTokens, cached);
+      runner.addRead(ask.id, costMs * this.share(), now);
+    }
+    const needed = ask.promptTokens + ask.outputTokens;
+    runner.addRun(ask.id, needed, deadlineAt, now);
+    this.placed.set(ask.id, { reader, runner, ask, at: now });
+    this.asked.readMs += plan?.costMs ?? 0;
+    this.asked.outputTokens += ask.outputTokens;
+    return {
+      kind: "granted",
+      reader: reader?.view.id,
+      runner: runner.view.id,
+      readMs: plan?.endMs ?? 0,
+    };
+  }
+
+  private refuse(why: Refusal["why"], lateMs: number): Refusal {
+    if (why === "no-engine") {
+      return { kind: "refused", why, retryAfterMs: NO_ENGINE_RETRY_MS };
+    }
+    const retryAfterMs = Math.min(
+      LONGEST_RETRY_MS,
+      Math.max(LEAST_RETRY_MS, lateMs),
+    );
+    return { kind: "refused", why, retryAfterMs };
+  }
+
+  private judge(engine: EngineState, ok: boolean, now: number): void {
+    if (ok) {
+      engine.failures = 0;
+      return;
+    }
+    engine.failures += 1;
+    if (engine.failures < FAILURES_TO_CLOSE || engine.closedUntil > now) return;
+    const times = engine.failures - FAILURES_TO_CLOSE;
+    const pause = Math.min(LONGEST_CLOSE_MS, FIRST_CLOSE_MS * 2 ** times);
+    engine.closedUntil = now + pause;
+  }
+}
--- /dev/null
+++ b/src/scheduling/types.ts
@@ -0,0 +1,71 @@
+/** Events and answers of the scheduler of model engines. */
+
+export const STAGES = ["prefill", "decode"] as const;
+
+/** What an engine does: reads prompts, or makes tokens. */
+export type Stage = (typeof STAGES)[number];
+
+/** One engine that may get work. */
+export interface EngineView {
+  id: string;
+  zone: string;
+  stage: Stage;
+  slots: number;
+  kvCapacityTokens: number;
+}
+
+/** A part of a prompt that the cache of an engine may hold. */
+export interface CachePart {
+  id: string;
+  tokens: number;
+}
+
+/** One request that wants engines. Times are in ms. */
+export interface PlacementAsk {
+  /** Unique among the requests of all entries. */
+  id: string;
+  service: string;
+  zone: string;
+  model: string;
+  promptTokens: number;
+  outputTokens: number;
+  parts: CachePart[];
+  /** Left until the first event is too late to be in time. */
+  objectiveLeftMs: number;
+  /** Left until the answer is worthless. */
+  deadlineLeftMs: number;
+  /** 0 is the most urgent. */
+  priority: number;
+  /** Came back after a refusal. */
+  isReturn: boolean;
+  /** Engines that refused or failed this request. */
+  avoid: string[];
+}
+
+/** Where a request goes. */
+export interface Grant {
+  kind: "granted";
+  /** Engine that reads the prompt for the runner; absent: the runner. */
+  reader: string | undefined;
+  runner: string;
+  /** Expected time from now to the end of the read, ms. */
+  readMs: number;
+}
+
+export interface Refusal {
+  kind: "refused";
+  why: "no-engine" | "slots" | "too-late";
+  /** When there may be room, ms from now. */
+  retryAfterMs: number;
+}
+
+export type PlacementAnswer = Grant | Refusal;
+
+/** What became of a granted request. */
+export type PlacementEvent =
+  /** The reader has read the prompt, or failed to. */
+  | { kind: "read"; id: string; ok: boolean }
+  /** The first event came, `tookMs` after the send to the runner. */
+  | { kind: "begun"; id: string; tookMs: number }
+  /** Nothing of it is at any engine any more. */
+  | { kind: "ended"; id: string; ok: boolean };
--- /dev/null
+++ b/src/store/feed.ts
@@ -0,0 +1,159 @@
+/**
+ * Objects of one kind as a list with changes, and the loop that follows
+ * them. The port is `ObjectFeed`; the loop owns retries and says how steady
+ * the store has been.
+ */
+import csp from "js-csp";
+
+import { errText } from "../shared/utils.js";
+import type { Rng } from "../shared/rng.js";
+import type { Outcome, Supervisor } from "../tasks/index.js";
+import { settle } from "../tasks/index.js";
+import type { Log } from "../telemetry/index.js";
+
+/** One stored object. */
+export interface FeedItem {
+  name: string;
+  /** Revision of its last change. */
+  revision: number;
+  value: unknown;
+}
+
+export interface FeedChange {
+  item: FeedItem;
+  isRemoved: boolean;
+}
+
+/** A whole list, as of one revision of the store. */
+export interface FeedList {
+  items: FeedItem[];
+  revision: number;
+}
+
+/** What came after a revision. */
+export type FeedChanges =
+  | { kind: "changes"; changes: FeedChange[]; revision: number }
+  /** The store has forgotten what came after that revision. */
+  | { kind: "history-gone" };
+
+/** What a conditional write of an object came to. */
+export type ConditionalWrite =
+  | { kind: "written"; item: FeedItem }
+  | { kind: "conflict"; current: FeedItem | undefined }
+  /** Refused before any effect. */
+  | { kind: "refused"; why: string }
+  /** The answer was lost: it may have taken effect, or may do so later. */
+  | { kind: "unknown"; why: string };
+
+/** Errors are `StoreError`. */
+export interface ObjectFeed {
+  list(kind: string): Promise<FeedList>;
+  /** Waits up to `waitMs` for a change. */
+  changes(kind: string, revision: number, waitMs: number): Promise<FeedChanges>;
+  /** Writes if the object is still at `expected` (`ABSENT`: not there). */
+  write(
+    kind: string,
+    name: string,
+    value: unknown,
+    expected: number,
+  ): Promise<ConditionalWrite>;
+}
+
+/**
+ * How long one call waits for a change, ms. Short, so that a process whose
+ * connection was cut without a word hears again soon after the cut heals.
+ */
+const WAIT_MS = 1500;
+const FIRST_BACKOFF_MS = 80;
+const LONGEST_BACKOFF_MS = 700;
+/** The store counts as in trouble for this long after a failed call, ms. */
+const TROUBLE_MS = 3000;
+
+export interface FeedHandlers {
+  /** The whole list; also after a gap in the history. */
+  onList(items: FeedItem[], inTrouble: boolean): void;
+  onChange(change: FeedChange, inTrouble: boolean): void;
+}
+
+export interface FeedWatchOptions {
+  feed: ObjectFeed;
+  kind: string;
+  handlers: FeedHandlers;
+  log: Log;
+  rng: Rng;
+  now: () => number;
+}
+
+export class FeedWatch {
+  private revision: number | undefined;
+  private failures = 0;
+  private lastTroubleAt = -Infinity;
+  /** When the store last answered, ms. */
+  lastAnswerAt = -Infinity;
+
+  constructor(private readonly options: FeedWatchOptions) {}
+
+  start(supervisor: Supervisor): void {
+    const step = () => this.step();
+    const pauseMs = () => this.pauseMs();
+    supervisor.start(`watch ${this.options.kind}`, function* () {
+      while (!supervisor.isStopped) {
+        (yield csp.take(settle(step()))) as Outcome<void>;
+        if (pauseMs() > 0) yield supervisor.pause(pauseMs());
+      }
+    });
+  }
+
+  /** One call: the list if there is none yet, else what has changed. */
+  async step(): Promise<void> {
+    const { kind, log, now } = this.options;
+    try {
+      if (this.revision === undefined) await this.readList();
+      else await this.readChanges(this.revision);
+      if (this.failures > 0) log.info("store regained", { kind });
+      this.failures = 0;
+      this.lastAnswerAt = now();
+    } catch (err) {
+      this.failures += 1;
+      this.lastTroubleAt = now();
+      if (this.failures === 1) {
+        log.warn("store lost", { kind, why: errText(err) });
+      }
+    }
+  }
+
+  private get inTrouble(): boolean {
+    const { now } = this.options;
+    return now() - this.lastTroubleAt < TROUBLE_MS;
+  }
+
+  private async readList(): Promise<void> {
+    const { feed, kind, handlers } = this.options;
+    const list = await feed.list(kind);
+    handlers.onList(list.items, this.inTrouble);
+    this.revision = list.revision;
+  }
+
+  private async readChanges(revision: number): Promise<void> {
+    const { feed, kind, handlers, log } = this.options;
+    const reply = await feed.changes(kind, revision, WAIT_MS);
+    if (reply.kind === "history-gone") {
+      log.warn("history gone: the list is read again", { kind, revision });
+      this.revision = undefined;
+      return;
+    }
+    for (const change of reply.changes) {
+      handlers.onChange(change, this.inTrouble);
+    }
+    this.revision = reply.revision;
+  }
+
+  private pauseMs(): number {
+    if (this.failures === 0) return 0;
+    const longest = Math.min(
+      LONGEST_BACKOFF_MS,
+      FIRST_BACKOFF_MS * 2 ** (this.failures - 1),
+    );
+    return longest * (0.5 + this.options.rng() / 2);
+  }
+}
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -9,3 +9,12 @@
   WatchReply,
   WriteResult,
 } from "./types.js";
+export { FeedWatch } from "./feed.js";
+export type {
+  ConditionalWrite,
+  FeedChange,
+  FeedChanges,
+  FeedItem,
+  FeedList,
+  ObjectFeed,
+} from "./feed.js";
