--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,16 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-  { ignores: ["dist/", "target/", "journal/", "node_modules/", "src/gen/", "eslint.config.js"] },
+  {
+    ignores: [
+      "dist/",
+      "target/",
+      "journal/",
+      "node_modules/",
+      "src/gen/",
+      "eslint.config.js",
+    ],
+  },
   ...tseslint.configs.recommended,
   {
     rules: {
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -3,7 +3,11 @@
 
 import { listen } from "../http/index.js";
 import type { Daemon } from "../daemon/types.js";
-import { LocalPlacement } from "../placement/index.js";
+import {
+  LocalPlacement,
+  PlacementServer,
+  SharedPlacement,
+} from "../placement/index.js";
 import type { Rng } from "../shared/rng.js";
 import { FeedWatch } from "../store/index.js";
 import type { ObjectFeed } from "../store/index.js";
@@ -16,9 +20,14 @@
 import type { RequestForm } from "./requestForm.js";
 import { RetryBudgets } from "./retryBudgets.js";
 import type { RetryLimits } from "./retryBudgets.js";
+import { StageKeeper } from "./stageKeeper.js";
 import { StreamFlow } from "./streamFlow.js";
 import { UpstreamClient } from "./upstreamClient.js";
 
+/** Period of keeping or seeking leases, ms. */
+const LEASE_STEP_MS = 300;
+/** Period of planning stages, ms. */
+const STAGE_STEP_MS = 250;
 /** Period of dropping what was never reported on, ms. */
 const HOUSEKEEPING_MS = 250;
 /**
@@ -66,14 +75,30 @@
   const state = new GatewayState(source, log, now, (config) => {
     server.setLimits(config.limits);
   });
-  const placement = new LocalPlacement({
+  const { zone, id } = settings;
+  const local: LocalPlacement = new LocalPlacement({
     engines: (service) => state.engines(service),
-    share: () => 5,
+    share: (service) => placement.share(service),
+    now,
+  });
+  const placement: SharedPlacement = new SharedPlacement({
+    local,
+    feed: parts.feed,
+    self: id,
+    address: settings.peerAddress,
+    leaseMs: settings.leaseMs,
+    entriesHere: (service) => peers.entries(service),
+    log,
     now,
   });
+  const peers: PlacementServer = new PlacementServer({
+    placement: local,
+    isHolder: (service) => placement.isHolder(service),
+    isFresh: (service) => placement.isFresh(service),
+    log,
+  });
   const budgets = new RetryBudgets(settings.retry, now);
   const { replicas } = state;
-  const { zone, id } = settings;
   const shared = { replicas, client, form, budgets, zone, now };
   const server = new GatewayServer({
     state,
@@ -86,10 +111,34 @@
     rng,
     now,
   });
+  const newStageKeeper = (service: string): StageKeeper =>
+    new StageKeeper({
+      service,
+      self: id,
+      leaseMs: settings.leaseMs,
+      scheduler: local.scheduler(service),
+      replicas,
+      authority: placement,
+      client,
+      form,
+      log,
+      now,
+    });
   watchStore(supervisor, parts, state);
   supervisor.every("housekeeping", HOUSEKEEPING_MS, async () => {
     state.expire();
-    placement.expire();
+    local.expire();
+  });
+  supervisor.every("leases", LEASE_STEP_MS, () =>
+    placement.step(state.engineServices()),
+  );
+  const stages = new Map<string, StageKeeper>();
+  supervisor.every("stages", STAGE_STEP_MS, async () => {
+    for (const service of state.engineServices()) {
+      const keeper = stages.get(service) ?? newStageKeeper(service);
+      stages.set(service, keeper);
+      await keeper.step();
+    }
   });
   let isStopping = false;
   const ready = http.createServer((_req, res) => {
@@ -100,6 +149,7 @@
   const addresses = {
     callers: await listen(server.http, settings.callerAddress),
     ready: await listen(ready, settings.readyAddress),
+    peers: String(await peers.listen(settings.peerAddress)),
   };
   log.info("started", { zone, ...addresses });
   const stop = async () => {
@@ -107,6 +157,8 @@
     log.info("stopping", { inFlight: server.inFlight });
     await drain(server, settings.graceMs, now);
     supervisor.stop();
+    placement.close();
+    peers.close();
     client.close();
     ready.close();
     ready.closeAllConnections();
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -84,6 +84,12 @@
     this.logChanges(this.replicas.expire(this.now()));
   }
 
+  /** Services that have engines. */
+  engineServices(): string[] {
+    const services = this.table?.config.services ?? [];
+    return services.flatMap(({ name, engine }) => (engine ? [name] : []));
+  }
+
   /** The engines of a service that may get new work. */
   engines(service: string): EngineView[] {
     const sizes = this.table?.service(service)?.engine;
--- a/src/gateway/requestForm.ts
+++ b/src/gateway/requestForm.ts
@@ -2,9 +2,11 @@
 import type { IncomingHttpHeaders, IncomingMessage } from "node:http";
 
 import type { RequestFailure } from "../shared/errors.js";
+import type { Stage } from "../scheduling/index.js";
 import type {
   InboundHead,
   ReadHandle,
+  Replica,
   ReplyHead,
   UpstreamSend,
 } from "./types.js";
@@ -17,6 +19,15 @@
   body: string;
 }
 
+/** A call to a replica outside of requests. */
+export interface ReplicaCall {
+  method: string;
+  target: string;
+  /** Names and values in turn. */
+  headers: string[];
+  body: Buffer;
+}
+
 export interface RequestForm {
   /** Decodes a caller's head; a failure if it can't be served. */
   decode(req: IncomingMessage): InboundHead | RequestFailure;
@@ -34,6 +45,13 @@
   readHandle(address: string, body: string): ReadHandle | undefined;
   /** Path of the call that frees a handle at the replica that holds it. */
   freeHandlePath(handle: ReadHandle): string;
+  /** The order to change a replica's stage; `fence` grows with holders. */
+  stageOrder(
+    replica: Replica,
+    stage: Stage,
+    holder: string,
+    fence: number,
+  ): ReplicaCall;
 }
 
 /** Whether decoding gave a failure. */
--- /dev/null
+++ b/src/gateway/stageKeeper.ts
@@ -0,0 +1,182 @@
+/**
+ * Orders changes of stage while this process holds a service's lease: takes
+ * the demand from its scheduler, asks the planner, and sends one order at a
+ * time with the lease's epoch as fencing number.
+ */
+import type { EngineScheduler, Stage } from "../scheduling/index.js";
+import { planStages } from "../scheduling/index.js";
+import type { StageChange } from "../scheduling/index.js";
+import type { Log } from "../telemetry/index.js";
+import type { ReplicaSet } from "./replicaSet.js";
+import type { RequestForm } from "./requestForm.js";
+import type { Replica } from "./types.js";
+import type { UpstreamClient } from "./upstreamClient.js";
+
+/** Time constant of the smoothed demand, ms. */
+const SMOOTHING_MS = 1200;
+/** How long the peak of runs is remembered: halves in this time, ms. */
+const PEAK_HALF_MS = 1500;
+/** An order without an answer by then may or may not be carried out, ms. */
+const ORDER_MS = 1500;
+/** A change that has not shown by then is given up, ms. */
+const CHANGE_LOST_MS = 15_000;
+/** Beyond the lease time, before a new holder's first order, ms. */
+const TAKEOVER_MARGIN_MS = 500;
+
+/** The lease, as far as orders need it. */
+export interface OrderAuthority {
+  isFresh(service: string): boolean;
+  epoch(service: string): number;
+}
+
+export interface StageKeeperOptions {
+  service: string;
+  self: string;
+  leaseMs: number;
+  scheduler: EngineScheduler;
+  replicas: ReplicaSet;
+  authority: OrderAuthority;
+  client: UpstreamClient;
+  form: RequestForm;
+  log: Log;
+  now: () => number;
+}
+
+interface Changing {
+  to: Stage;
+  since: number;
+}
+
+export class StageKeeper {
+  private readonly changing = new Map<string, Changing>();
+  private readonly lastChange = { prefill: -Infinity, decode: -Infinity };
+  private freshSince: number | undefined;
+  private lastEpoch = 0;
+  private lastStepAt: number | undefined;
+  private lastReadMs = 0;
+  private readDemand = 0;
+  private peakRuns = 0;
+  private peakRunTokens = 0;
+
+  constructor(private readonly options: StageKeeperOptions) {}
+
+  async step(): Promise<void> {
+    const { now } = this.options;
+    this.measure(now());
+    this.settleChanges(now());
+    if (!this.mayOrder(now())) return;
+    const change = this.plan(now());
+    if (change !== undefined) await this.order(change);
+  }
+
+  /** The holder before may have ordered until its lease ran out. */
+  private mayOrder(now: number): boolean {
+    const { service, authority, leaseMs } = this.options;
+    const epoch = authority.epoch(service);
+    if (!authority.isFresh(service) || epoch !== this.lastEpoch) {
+      this.freshSince = undefined;
+      this.lastEpoch = epoch;
+    }
+    if (!authority.isFresh(service)) return false;
+    this.freshSince ??= now;
+    return now - this.freshSince >= leaseMs + TAKEOVER_MARGIN_MS;
+  }
+
+  private measure(now: number): void {
+    const { scheduler } = this.options;
+    const { readMs } = scheduler.asked;
+    const spanMs = now - (this.lastStepAt ?? now);
+    if (spanMs > 0) {
+      const rate = (readMs - this.lastReadMs) / spanMs;
+      const gain = 1 - Math.exp(-spanMs / SMOOTHING_MS);
+      this.readDemand += (rate - this.readDemand) * gain;
+    }
+    this.lastReadMs = readMs;
+    this.lastStepAt = now;
+    const engines = scheduler.engineStates();
+    const runs = engines.reduce((sum, item) => sum + item.runCount, 0);
+    const tokens = engines.reduce((sum, item) => sum + item.runTokens, 0);
+    const fade = 0.5 ** (spanMs / PEAK_HALF_MS);
+    this.peakRuns = Math.max(runs, this.peakRuns * fade);
+    this.peakRunTokens = Math.max(tokens, this.peakRunTokens * fade);
+  }
+
+  /** Forgets changes that have shown in the list, or never will. */
+  private settleChanges(now: number): void {
+    const { scheduler, replicas, log } = this.options;
+    for (const [id, { to, since }] of this.changing) {
+      const replica = replicas.get(id);
+      const isDone = replica?.stage === to;
+      const isLost = now - since > CHANGE_LOST_MS;
+      if (replica !== undefined && !isDone && !isLost) continue;
+      this.changing.delete(id);
+      scheduler.close(id, 0);
+      log.info("change of stage ended", {
+        replica: id,
+        to,
+        isDone,
+        tookMs: Math.round(now - since),
+      });
+    }
+  }
+
+  private plan(now: number): StageChange | undefined {
+    const { scheduler } = this.options;
+    return planStages({
+      engines: scheduler.engineStates().map((engine) => ({
+        ...engine.view,
+        runs: engine.runCount,
+        runTokens: engine.runTokens,
+        changingTo: this.changing.get(engine.view.id)?.to,
+      })),
+      readDemand: this.readDemand,
+      peakRuns: this.peakRuns,
+      peakRunTokens: this.peakRunTokens,
+      sinceToPrefillMs: now - this.lastChange.prefill,
+      sinceToDecodeMs: now - this.lastChange.decode,
+    });
+  }
+
+  private async order({ id, to, why }: StageChange): Promise<void> {
+    const { service, authority, replicas, scheduler, log, now } = this.options;
+    const replica = replicas.get(id);
+    if (replica === undefined) return;
+    const since = now();
+    this.changing.set(id, { to, since });
+    this.lastChange[to] = since;
+    scheduler.close(id, since + CHANGE_LOST_MS);
+    const fence = authority.epoch(service);
+    const outcome = await this.send(replica, to, fence);
+    log.info("change of stage ordered", {
+      service,
+      replica: id,
+      to,
+      fence,
+      why,
+      outcome,
+    });
+    if (outcome !== "refused") return;
+    this.changing.delete(id);
+    scheduler.close(id, 0);
+  }
+
+  private async send(
+    replica: Replica,
+    stage: Stage,
+    fence: number,
+  ): Promise<"accepted" | "refused" | "unknown"> {
+    const { client, form, self } = this.options;
+    const order = form.stageOrder(replica, stage, self, fence);
+    const sent = await client.send({
+      ...order,
+      address: replica.address,
+      signal: AbortSignal.timeout(ORDER_MS),
+    });
+    if (sent.kind === "failed") {
+      return sent.verdict === "not-run" ? "refused" : "unknown";
+    }
+    sent.res.resume();
+    const status = sent.res.statusCode ?? 0;
+    return status >= 200 && status < 300 ? "accepted" : "refused";
+  }
+}
--- a/src/gen/snowgate.ts
+++ b/src/gen/snowgate.ts
@@ -10,8 +10,10 @@
   type CallOptions,
   type ChannelCredentials,
   Client,
+  type ClientDuplexStream,
   type ClientOptions,
   type ClientUnaryCall,
+  type handleBidiStreamingCall,
   type handleUnaryCall,
   makeGenericClientConstructor,
   type Metadata,
@@ -90,6 +92,64 @@
   json: string;
 }
 
+export interface PromptPart {
+  id: string;
+  tokens: number;
+}
+
+/** One request that wants engines; times in ms. */
+export interface PlaceAsk {
+  id: string;
+  zone: string;
+  model: string;
+  promptTokens: number;
+  outputTokens: number;
+  parts: PromptPart[];
+  objectiveLeftMs: number;
+  deadlineLeftMs: number;
+  priority: number;
+  isReturn: boolean;
+  avoid: string[];
+}
+
+/** A grant that is in use already: told to a new holder. */
+export interface PlaceHeld {
+  ask: PlaceAsk | undefined;
+  reader: string;
+  runner: string;
+}
+
+export interface PlaceEvent {
+  id: string;
+  /** "read", "begun" or "ended". */
+  kind: string;
+  ok: boolean;
+  tookMs: number;
+}
+
+export interface PlaceCall {
+  service: string;
+  ask: PlaceAsk | undefined;
+  event: PlaceEvent | undefined;
+  held: PlaceHeld | undefined;
+}
+
+export interface PlaceReply {
+  /** Id of the ask; empty: only the state of the holder. */
+  id: string;
+  /** Empty where the request is refused. */
+  runner: string;
+  reader: string;
+  readMs: number;
+  /** Why it is refused: "no-engine", "slots", "too-late". */
+  refusal: string;
+  retryAfterMs: number;
+  /** Entries that place through this holder. */
+  entries: number;
+  /** Whether the holder's lease is fresh; if not, look for another. */
+  isFresh: boolean;
+}
+
 function createBaseRumour(): Rumour {
   return { id: "", kind: "", state: "", incarnation: 0, peerAddress: "", domain: "", role: "" };
 }
@@ -1257,177 +1317,1095 @@
   },
 };
 
-/** What every process tells a few peers each second, and hears in return. */
-export type PeerService = typeof PeerService;
-export const PeerService = {
-  exchange: {
-    path: "/snowgate.v1.Peer/Exchange" as const,
-    requestStream: false as const,
-    responseStream: false as const,
-    requestSerialize: (value: Digest): Buffer => Buffer.from(Digest.encode(value).finish()),
-    requestDeserialize: (value: Buffer): Digest => Digest.decode(value),
-    responseSerialize: (value: Digest): Buffer => Buffer.from(Digest.encode(value).finish()),
-    responseDeserialize: (value: Buffer): Digest => Digest.decode(value),
-  },
-  /** The parts of the configuration that the caller does not hold yet. */
-  fetchConfig: {
-    path: "/snowgate.v1.Peer/FetchConfig" as const,
-    requestStream: false as const,
-    responseStream: false as const,
-    requestSerialize: (value: FetchConfigRequest): Buffer => Buffer.from(FetchConfigRequest.encode(value).finish()),
-    requestDeserialize: (value: Buffer): FetchConfigRequest => FetchConfigRequest.decode(value),
-    responseSerialize: (value: FetchConfigReply): Buffer => Buffer.from(FetchConfigReply.encode(value).finish()),
-    responseDeserialize: (value: Buffer): FetchConfigReply => FetchConfigReply.decode(value),
-  },
-  /** All members that this process knows; asked for once, at start. */
-  fetchMembers: {
-    path: "/snowgate.v1.Peer/FetchMembers" as const,
-    requestStream: false as const,
-    responseStream: false as const,
-    requestSerialize: (value: FetchMembersRequest): Buffer => Buffer.from(FetchMembersRequest.encode(value).finish()),
-    requestDeserialize: (value: Buffer): FetchMembersRequest => FetchMembersRequest.decode(value),
-    responseSerialize: (value: FetchMembersReply): Buffer => Buffer.from(FetchMembersReply.encode(value).finish()),
-    responseDeserialize: (value: Buffer): FetchMembersReply => FetchMembersReply.decode(value),
+function createBasePromptPart(): PromptPart {
+  return { id: "", tokens: 0 };
+}
+
+export const PromptPart: MessageFns<PromptPart> = {
+  encode(message: PromptPart, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.id !== "") {
+      writer.uint32(10).string(message.id);
+    }
+    if (message.tokens !== 0) {
+      writer.uint32(16).uint32(message.tokens);
+    }
+    return writer;
   },
-} as const;
 
-export interface PeerServer extends UntypedServiceImplementation {
-  exchange: handleUnaryCall<Digest, Digest>;
-  /** The parts of the configuration that the caller does not hold yet. */
-  fetchConfig: handleUnaryCall<FetchConfigRequest, FetchConfigReply>;
-  /** All members that this process knows; asked for once, at start. */
-  fetchMembers: handleUnaryCall<FetchMembersRequest, FetchMembersReply>;
-}
+  decode(input: BinaryReader | Uint8Array, length?: number): PromptPart {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBasePromptPart();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
 
-export interface PeerClient extends Client {
-  exchange(request: Digest, callback: (error: ServiceError | null, response: Digest) => void): ClientUnaryCall;
-  exchange(
-    request: Digest,
-    metadata: Metadata,
-    callback: (error: ServiceError | null, response: Digest) => void,
-  ): ClientUnaryCall;
-  exchange(
-    request: Digest,
-    metadata: Metadata,
-    options: Partial<CallOptions>,
-    callback: (error: ServiceError | null, response: Digest) => void,
-  ): ClientUnaryCall;
-  /** The parts of the configuration that the caller does not hold yet. */
-  fetchConfig(
-    request: FetchConfigRequest,
-    callback: (error: ServiceError | null, response: FetchConfigReply) => void,
-  ): ClientUnaryCall;
-  fetchConfig(
-    request: FetchConfigRequest,
-    metadata: Metadata,
-    callback: (error: ServiceError | null, response: FetchConfigReply) => void,
-  ): ClientUnaryCall;
-  fetchConfig(
-    request: FetchConfigRequest,
-    metadata: Metadata,
-    options: Partial<CallOptions>,
-    callback: (error: ServiceError | null, response: FetchConfigReply) => void,
-  ): ClientUnaryCall;
-  /** All members that this process knows; asked for once, at start. */
-  fetchMembers(
-    request: FetchMembersRequest,
-    callback: (error: ServiceError | null, response: FetchMembersReply) => void,
-  ): ClientUnaryCall;
-  fetchMembers(
-    request: FetchMembersRequest,
-    metadata: Metadata,
-    callback: (error: ServiceError | null, response: FetchMembersReply) => void,
-  ): ClientUnaryCall;
-  fetchMembers(
-    request: FetchMembersRequest,
-    metadata: Metadata,
-    options: Partial<CallOptions>,
-    callback: (error: ServiceError | null, response: FetchMembersReply) => void,
-  ): ClientUnaryCall;
-}
+            message.id = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
 
-export const PeerClient = makeGenericClientConstructor(PeerService, "snowgate.v1.Peer") as unknown as {
-  new (address: string, credentials: ChannelCredentials, options?: Partial<ClientOptions>): PeerClient;
-  service: typeof PeerService;
-  serviceName: string;
-};
+            message.tokens = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
 
-/** Served by each side, called by entries. */
-export type SideService = typeof SideService;
-export const SideService = {
-  /**
-   * A hint that the control record holds an order for this upstream. It
-   * carries no authority: the side acts on the record alone.
-   */
-  nudge: {
-    path: "/snowgate.v1.Side/Nudge" as const,
-    requestStream: false as const,
-    responseStream: false as const,
-    requestSerialize: (value: NudgeRequest): Buffer => Buffer.from(NudgeRequest.encode(value).finish()),
-    requestDeserialize: (value: Buffer): NudgeRequest => NudgeRequest.decode(value),
-    responseSerialize: (value: NudgeReply): Buffer => Buffer.from(NudgeReply.encode(value).finish()),
-    responseDeserialize: (value: Buffer): NudgeReply => NudgeReply.decode(value),
+  fromJSON(object: any): PromptPart {
+    return {
+      id: isSet(object.id) ? globalThis.String(object.id) : "",
+      tokens: isSet(object.tokens) ? globalThis.Number(object.tokens) : 0,
+    };
   },
-  /** Exact state of the upstream as its side sees it. */
-  report: {
-    path: "/snowgate.v1.Side/Report" as const,
-    requestStream: false as const,
-    responseStream: false as const,
-    requestSerialize: (value: ReportRequest): Buffer => Buffer.from(ReportRequest.encode(value).finish()),
-    requestDeserialize: (value: Buffer): ReportRequest => ReportRequest.decode(value),
-    responseSerialize: (value: ReportReply): Buffer => Buffer.from(ReportReply.encode(value).finish()),
-    responseDeserialize: (value: Buffer): ReportReply => ReportReply.decode(value),
+
+  toJSON(message: PromptPart): unknown {
+    const obj: any = {};
+    if (message.id !== "") {
+      obj.id = message.id;
+    }
+    if (message.tokens !== 0) {
+      obj.tokens = Math.round(message.tokens);
+    }
+    return obj;
   },
-} as const;
 
-export interface SideServer extends UntypedServiceImplementation {
-  /**
-   * A hint that the control record holds an order for this upstream. It
-   * carries no authority: the side acts on the record alone.
-   */
-  nudge: handleUnaryCall<NudgeRequest, NudgeReply>;
-  /** Exact state of the upstream as its side sees it. */
-  report: handleUnaryCall<ReportRequest, ReportReply>;
-}
+  create<I extends Exact<DeepPartial<PromptPart>, I>>(base?: I): PromptPart {
+    return PromptPart.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<PromptPart>, I>>(object: I): PromptPart {
+    const message = createBasePromptPart();
+    message.id = object.id ?? "";
+    message.tokens = object.tokens ?? 0;
+    return message;
+  },
+};
 
-export interface SideClient extends Client {
-  /**
-   * A hint that the control record holds an order for this upstream. It
-   * carries no authority: the side acts on the record alone.
-   */
-  nudge(request: NudgeRequest, callback: (error: ServiceError | null, response: NudgeReply) => void): ClientUnaryCall;
-  nudge(
-    request: NudgeRequest,
-    metadata: Metadata,
-    callback: (error: ServiceError | null, response: NudgeReply) => void,
-  ): ClientUnaryCall;
-  nudge(
-    request: NudgeRequest,
-    metadata: Metadata,
-    options: Partial<CallOptions>,
-    callback: (error: ServiceError | null, response: NudgeReply) => void,
-  ): ClientUnaryCall;
-  /** Exact state of the upstream as its side sees it. */
-  report(
-    request: ReportRequest,
-    callback: (error: ServiceError | null, response: ReportReply) => void,
-  ): ClientUnaryCall;
-  report(
-    request: ReportRequest,
-    metadata: Metadata,
-    callback: (error: ServiceError | null, response: ReportReply) => void,
-  ): ClientUnaryCall;
-  report(
-    request: ReportRequest,
-    metadata: Metadata,
-    options: Partial<CallOptions>,
-    callback: (error: ServiceError | null, response: ReportReply) => void,
-  ): ClientUnaryCall;
+function createBasePlaceAsk(): PlaceAsk {
+  return {
+    id: "",
+    zone: "",
+    model: "",
+    promptTokens: 0,
+    outputTokens: 0,
+    parts: [],
+    objectiveLeftMs: 0,
+    deadlineLeftMs: 0,
+    priority: 0,
+    isReturn: false,
+    avoid: [],
+  };
 }
 
-export const SideClient = makeGenericClientConstructor(SideService, "snowgate.v1.Side") as unknown as {
-  new (address: string, credentials: ChannelCredentials, options?: Partial<ClientOptions>): SideClient;
-  service: typeof SideService;
+export const PlaceAsk: MessageFns<PlaceAsk> = {
+  encode(message: PlaceAsk, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.id !== "") {
+      writer.uint32(10).string(message.id);
+    }
+    if (message.zone !== "") {
+      writer.uint32(18).string(message.zone);
+    }
+    if (message.model !== "") {
+      writer.uint32(26).string(message.model);
+    }
+    if (message.promptTokens !== 0) {
+      writer.uint32(32).uint32(message.promptTokens);
+    }
+    if (message.outputTokens !== 0) {
+      writer.uint32(40).uint32(message.outputTokens);
+    }
+    for (const v of message.parts) {
+      PromptPart.encode(v!, writer.uint32(50).fork()).join();
+    }
+    if (message.objectiveLeftMs !== 0) {
+      writer.uint32(56).int32(message.objectiveLeftMs);
+    }
+    if (message.deadlineLeftMs !== 0) {
+      writer.uint32(64).int32(message.deadlineLeftMs);
+    }
+    if (message.priority !== 0) {
+      writer.uint32(72).uint32(message.priority);
+    }
+    if (message.isReturn !== false) {
+      writer.uint32(80).bool(message.isReturn);
+    }
+    for (const v of message.avoid) {
+      writer.uint32(90).string(v!);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): PlaceAsk {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBasePlaceAsk();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.id = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.zone = reader.string();
+            continue;
+          }
+          case 3: {
+            if (tag !== 26) {
+              break;
+            }
+
+            message.model = reader.string();
+            continue;
+          }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.promptTokens = reader.uint32();
+            continue;
+          }
+          case 5: {
+            if (tag !== 40) {
+              break;
+            }
+
+            message.outputTokens = reader.uint32();
+            continue;
+          }
+          case 6: {
+            if (tag !== 50) {
+              break;
+            }
+
+            message.parts.push(PromptPart.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 7: {
+            if (tag !== 56) {
+              break;
+            }
+
+            message.objectiveLeftMs = reader.int32();
+            continue;
+          }
+          case 8: {
+            if (tag !== 64) {
+              break;
+            }
+
+            message.deadlineLeftMs = reader.int32();
+            continue;
+          }
+          case 9: {
+            if (tag !== 72) {
+              break;
+            }
+
+            message.priority = reader.uint32();
+            continue;
+          }
+          case 10: {
+            if (tag !== 80) {
+              break;
+            }
+
+            message.isReturn = reader.bool();
+            continue;
+          }
+          case 11: {
+            if (tag !== 90) {
+              break;
+            }
+
+            message.avoid.push(reader.string());
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): PlaceAsk {
+    return {
+      id: isSet(object.id) ? globalThis.String(object.id) : "",
+      zone: isSet(object.zone) ? globalThis.String(object.zone) : "",
+      model: isSet(object.model) ? globalThis.String(object.model) : "",
+      promptTokens: isSet(object.promptTokens)
+        ? globalThis.Number(object.promptTokens)
+        : isSet(object.prompt_tokens)
+        ? globalThis.Number(object.prompt_tokens)
+        : 0,
+      outputTokens: isSet(object.outputTokens)
+        ? globalThis.Number(object.outputTokens)
+        : isSet(object.output_tokens)
+        ? globalThis.Number(object.output_tokens)
+        : 0,
+      parts: globalThis.Array.isArray(object?.parts) ? object.parts.map((e: any) => PromptPart.fromJSON(e)) : [],
+      objectiveLeftMs: isSet(object.objectiveLeftMs)
+        ? globalThis.Number(object.objectiveLeftMs)
+        : isSet(object.objective_left_ms)
+        ? globalThis.Number(object.objective_left_ms)
+        : 0,
+      deadlineLeftMs: isSet(object.deadlineLeftMs)
+        ? globalThis.Number(object.deadlineLeftMs)
+        : isSet(object.deadline_left_ms)
+        ? globalThis.Number(object.deadline_left_ms)
+        : 0,
+      priority: isSet(object.priority) ? globalThis.Number(object.priority) : 0,
+      isReturn: isSet(object.isReturn)
+        ? globalThis.Boolean(object.isReturn)
+        : isSet(object.is_return)
+        ? globalThis.Boolean(object.is_return)
+        : false,
+      avoid: globalThis.Array.isArray(object?.avoid)
+        ? object.avoid.map((e: any) => globalThis.String(e))
+        : [],
+    };
+  },
+
+  toJSON(message: PlaceAsk): unknown {
+    const obj: any = {};
+    if (message.id !== "") {
+      obj.id = message.id;
+    }
+    if (message.zone !== "") {
+      obj.zone = message.zone;
+    }
+    if (message.model !== "") {
+      obj.model = message.model;
+    }
+    if (message.promptTokens !== 0) {
+      obj.promptTokens = Math.round(message.promptTokens);
+    }
+    if (message.outputTokens !== 0) {
+      obj.outputTokens = Math.round(message.outputTokens);
+    }
+    if (message.parts?.length) {
+      obj.parts = message.parts.map((e) => PromptPart.toJSON(e));
+    }
+    if (message.objectiveLeftMs !== 0) {
+      obj.objectiveLeftMs = Math.round(message.objectiveLeftMs);
+    }
+    if (message.deadlineLeftMs !== 0) {
+      obj.deadlineLeftMs = Math.round(message.deadlineLeftMs);
+    }
+    if (message.priority !== 0) {
+      obj.priority = Math.round(message.priority);
+    }
+    if (message.isReturn !== false) {
+      obj.isReturn = message.isReturn;
+    }
+    if (message.avoid?.length) {
+      obj.avoid = message.avoid;
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<PlaceAsk>, I>>(base?: I): PlaceAsk {
+    return PlaceAsk.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<PlaceAsk>, I>>(object: I): PlaceAsk {
+    const message = createBasePlaceAsk();
+    message.id = object.id ?? "";
+    message.zone = object.zone ?? "";
+    message.model = object.model ?? "";
+    message.promptTokens = object.promptTokens ?? 0;
+    message.outputTokens = object.outputTokens ?? 0;
+    message.parts = object.parts?.map((e) => PromptPart.fromPartial(e)) || [];
+    message.objectiveLeftMs = object.objectiveLeftMs ?? 0;
+    message.deadlineLeftMs = object.deadlineLeftMs ?? 0;
+    message.priority = object.priority ?? 0;
+    message.isReturn = object.isReturn ?? false;
+    message.avoid = object.avoid?.map((e) => e) || [];
+    return message;
+  },
+};
+
+function createBasePlaceHeld(): PlaceHeld {
+  return { ask: undefined, reader: "", runner: "" };
+}
+
+export const PlaceHeld: MessageFns<PlaceHeld> = {
+  encode(message: PlaceHeld, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.ask !== undefined) {
+      PlaceAsk.encode(message.ask, writer.uint32(10).fork()).join();
+    }
+    if (message.reader !== "") {
+      writer.uint32(18).string(message.reader);
+    }
+    if (message.runner !== "") {
+      writer.uint32(26).string(message.runner);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): PlaceHeld {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBasePlaceHeld();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.ask = PlaceAsk.decode(reader, reader.uint32());
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.reader = reader.string();
+            continue;
+          }
+          case 3: {
+            if (tag !== 26) {
+              break;
+            }
+
+            message.runner = reader.string();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): PlaceHeld {
+    return {
+      ask: isSet(object.ask) ? PlaceAsk.fromJSON(object.ask) : undefined,
+      reader: isSet(object.reader) ? globalThis.String(object.reader) : "",
+      runner: isSet(object.runner) ? globalThis.String(object.runner) : "",
+    };
+  },
+
+  toJSON(message: PlaceHeld): unknown {
+    const obj: any = {};
+    if (message.ask !== undefined) {
+      obj.ask = PlaceAsk.toJSON(message.ask);
+    }
+    if (message.reader !== "") {
+      obj.reader = message.reader;
+    }
+    if (message.runner !== "") {
+      obj.runner = message.runner;
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<PlaceHeld>, I>>(base?: I): PlaceHeld {
+    return PlaceHeld.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<PlaceHeld>, I>>(object: I): PlaceHeld {
+    const message = createBasePlaceHeld();
+    message.ask = (object.ask !== undefined && object.ask !== null) ? PlaceAsk.fromPartial(object.ask) : undefined;
+    message.reader = object.reader ?? "";
+    message.runner = object.runner ?? "";
+    return message;
+  },
+};
+
+function createBasePlaceEvent(): PlaceEvent {
+  return { id: "", kind: "", ok: false, tookMs: 0 };
+}
+
+export const PlaceEvent: MessageFns<PlaceEvent> = {
+  encode(message: PlaceEvent, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.id !== "") {
+      writer.uint32(10).string(message.id);
+    }
+    if (message.kind !== "") {
+      writer.uint32(18).string(message.kind);
+    }
+    if (message.ok !== false) {
+      writer.uint32(24).bool(message.ok);
+    }
+    if (message.tookMs !== 0) {
+      writer.uint32(32).uint32(message.tookMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): PlaceEvent {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBasePlaceEvent();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.id = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.kind = reader.string();
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.ok = reader.bool();
+            continue;
+          }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.tookMs = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): PlaceEvent {
+    return {
+      id: isSet(object.id) ? globalThis.String(object.id) : "",
+      kind: isSet(object.kind) ? globalThis.String(object.kind) : "",
+      ok: isSet(object.ok) ? globalThis.Boolean(object.ok) : false,
+      tookMs: isSet(object.tookMs)
+        ? globalThis.Number(object.tookMs)
+        : isSet(object.took_ms)
+        ? globalThis.Number(object.took_ms)
+        : 0,
+    };
+  },
+
+  toJSON(message: PlaceEvent): unknown {
+    const obj: any = {};
+    if (message.id !== "") {
+      obj.id = message.id;
+    }
+    if (message.kind !== "") {
+      obj.kind = message.kind;
+    }
+    if (message.ok !== false) {
+      obj.ok = message.ok;
+    }
+    if (message.tookMs !== 0) {
+      obj.tookMs = Math.round(message.tookMs);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<PlaceEvent>, I>>(base?: I): PlaceEvent {
+    return PlaceEvent.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<PlaceEvent>, I>>(object: I): PlaceEvent {
+    const message = createBasePlaceEvent();
+    message.id = object.id ?? "";
+    message.kind = object.kind ?? "";
+    message.ok = object.ok ?? false;
+    message.tookMs = object.tookMs ?? 0;
+    return message;
+  },
+};
+
+function createBasePlaceCall(): PlaceCall {
+  return { service: "", ask: undefined, event: undefined, held: undefined };
+}
+
+export const PlaceCall: MessageFns<PlaceCall> = {
+  encode(message: PlaceCall, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.service !== "") {
+      writer.uint32(10).string(message.service);
+    }
+    if (message.ask !== undefined) {
+      PlaceAsk.encode(message.ask, writer.uint32(18).fork()).join();
+    }
+    if (message.event !== undefined) {
+      PlaceEvent.encode(message.event, writer.uint32(26).fork()).join();
+    }
+    if (message.held !== undefined) {
+      PlaceHeld.encode(message.held, writer.uint32(34).fork()).join();
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): PlaceCall {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBasePlaceCall();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.service = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.ask = PlaceAsk.decode(reader, reader.uint32());
+            continue;
+          }
+          case 3: {
+            if (tag !== 26) {
+              break;
+            }
+
+            message.event = PlaceEvent.decode(reader, reader.uint32());
+            continue;
+          }
+          case 4: {
+            if (tag !== 34) {
+              break;
+            }
+
+            message.held = PlaceHeld.decode(reader, reader.uint32());
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): PlaceCall {
+    return {
+      service: isSet(object.service) ? globalThis.String(object.service) : "",
+      ask: isSet(object.ask) ? PlaceAsk.fromJSON(object.ask) : undefined,
+      event: isSet(object.event) ? PlaceEvent.fromJSON(object.event) : undefined,
+      held: isSet(object.held) ? PlaceHeld.fromJSON(object.held) : undefined,
+    };
+  },
+
+  toJSON(message: PlaceCall): unknown {
+    const obj: any = {};
+    if (message.service !== "") {
+      obj.service = message.service;
+    }
+    if (message.ask !== undefined) {
+      obj.ask = PlaceAsk.toJSON(message.ask);
+    }
+    if (message.event !== undefined) {
+      obj.event = PlaceEvent.toJSON(message.event);
+    }
+    if (message.held !== undefined) {
+      obj.held = PlaceHeld.toJSON(message.held);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<PlaceCall>, I>>(base?: I): PlaceCall {
+    return PlaceCall.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<PlaceCall>, I>>(object: I): PlaceCall {
+    const message = createBasePlaceCall();
+    message.service = object.service ?? "";
+    message.ask = (object.ask !== undefined && object.ask !== null) ? PlaceAsk.fromPartial(object.ask) : undefined;
+    message.event = (object.event !== undefined && object.event !== null)
+      ? PlaceEvent.fromPartial(object.event)
+      : undefined;
+    message.held = (object.held !== undefined && object.held !== null) ? PlaceHeld.fromPartial(object.held) : undefined;
+    return message;
+  },
+};
+
+function createBasePlaceReply(): PlaceReply {
+  return { id: "", runner: "", reader: "", readMs: 0, refusal: "", retryAfterMs: 0, entries: 0, isFresh: false };
+}
+
+export const PlaceReply: MessageFns<PlaceReply> = {
+  encode(message: PlaceReply, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.id !== "") {
+      writer.uint32(10).string(message.id);
+    }
+    if (message.runner !== "") {
+      writer.uint32(18).string(message.runner);
+    }
+    if (message.reader !== "") {
+      writer.uint32(26).string(message.reader);
+    }
+    if (message.readMs !== 0) {
+      writer.uint32(32).uint32(message.readMs);
+    }
+    if (message.refusal !== "") {
+      writer.uint32(42).string(message.refusal);
+    }
+    if (message.retryAfterMs !== 0) {
+      writer.uint32(48).uint32(message.retryAfterMs);
+    }
+    if (message.entries !== 0) {
+      writer.uint32(56).uint32(message.entries);
+    }
+    if (message.isFresh !== false) {
+      writer.uint32(64).bool(message.isFresh);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): PlaceReply {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBasePlaceReply();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.id = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.runner = reader.string();
+            continue;
+          }
+          case 3: {
+            if (tag !== 26) {
+              break;
+            }
+
+            message.reader = reader.string();
+            continue;
+          }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.readMs = reader.uint32();
+            continue;
+          }
+          case 5: {
+            if (tag !== 42) {
+              break;
+            }
+
+            message.refusal = reader.string();
+            continue;
+          }
+          case 6: {
+            if (tag !== 48) {
+              break;
+            }
+
+            message.retryAfterMs = reader.uint32();
+            continue;
+          }
+          case 7: {
+            if (tag !== 56) {
+              break;
+            }
+
+            message.entries = reader.uint32();
+            continue;
+          }
+          case 8: {
+            if (tag !== 64) {
+              break;
+            }
+
+            message.isFresh = reader.bool();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): PlaceReply {
+    return {
+      id: isSet(object.id) ? globalThis.String(object.id) : "",
+      runner: isSet(object.runner) ? globalThis.String(object.runner) : "",
+      reader: isSet(object.reader) ? globalThis.String(object.reader) : "",
+      readMs: isSet(object.readMs)
+        ? globalThis.Number(object.readMs)
+        : isSet(object.read_ms)
+        ? globalThis.Number(object.read_ms)
+        : 0,
+      refusal: isSet(object.refusal) ? globalThis.String(object.refusal) : "",
+      retryAfterMs: isSet(object.retryAfterMs)
+        ? globalThis.Number(object.retryAfterMs)
+        : isSet(object.retry_after_ms)
+        ? globalThis.Number(object.retry_after_ms)
+        : 0,
+      entries: isSet(object.entries) ? globalThis.Number(object.entries) : 0,
+      isFresh: isSet(object.isFresh)
+        ? globalThis.Boolean(object.isFresh)
+        : isSet(object.is_fresh)
+        ? globalThis.Boolean(object.is_fresh)
+        : false,
+    };
+  },
+
+  toJSON(message: PlaceReply): unknown {
+    const obj: any = {};
+    if (message.id !== "") {
+      obj.id = message.id;
+    }
+    if (message.runner !== "") {
+      obj.runner = message.runner;
+    }
+    if (message.reader !== "") {
+      obj.reader = message.reader;
+    }
+    if (message.readMs !== 0) {
+      obj.readMs = Math.round(message.readMs);
+    }
+    if (message.refusal !== "") {
+      obj.refusal = message.refusal;
+    }
+    if (message.retryAfterMs !== 0) {
+      obj.retryAfterMs = Math.round(message.retryAfterMs);
+    }
+    if (message.entries !== 0) {
+      obj.entries = Math.round(message.entries);
+    }
+    if (message.isFresh !== false) {
+      obj.isFresh = message.isFresh;
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<PlaceReply>, I>>(base?: I): PlaceReply {
+    return PlaceReply.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<PlaceReply>, I>>(object: I): PlaceReply {
+    const message = createBasePlaceReply();
+    message.id = object.id ?? "";
+    message.runner = object.runner ?? "";
+    message.reader = object.reader ?? "";
+    message.readMs = object.readMs ?? 0;
+    message.refusal = object.refusal ?? "";
+    message.retryAfterMs = object.retryAfterMs ?? 0;
+    message.entries = object.entries ?? 0;
+    message.isFresh = object.isFresh ?? false;
+    return message;
+  },
+};
+
+/** What every process tells a few peers each second, and hears in return. */
+export type PeerService = typeof PeerService;
+export const PeerService = {
+  exchange: {
+    path: "/snowgate.v1.Peer/Exchange" as const,
+    requestStream: false as const,
+    responseStream: false as const,
+    requestSerialize: (value: Digest): Buffer => Buffer.from(Digest.encode(value).finish()),
+    requestDeserialize: (value: Buffer): Digest => Digest.decode(value),
+    responseSerialize: (value: Digest): Buffer => Buffer.from(Digest.encode(value).finish()),
+    responseDeserialize: (value: Buffer): Digest => Digest.decode(value),
+  },
+  /** The parts of the configuration that the caller does not hold yet. */
+  fetchConfig: {
+    path: "/snowgate.v1.Peer/FetchConfig" as const,
+    requestStream: false as const,
+    responseStream: false as const,
+    requestSerialize: (value: FetchConfigRequest): Buffer => Buffer.from(FetchConfigRequest.encode(value).finish()),
+    requestDeserialize: (value: Buffer): FetchConfigRequest => FetchConfigRequest.decode(value),
+    responseSerialize: (value: FetchConfigReply): Buffer => Buffer.from(FetchConfigReply.encode(value).finish()),
+    responseDeserialize: (value: Buffer): FetchConfigReply => FetchConfigReply.decode(value),
+  },
+  /** All members that this process knows; asked for once, at start. */
+  fetchMembers: {
+    path: "/snowgate.v1.Peer/FetchMembers" as const,
+    requestStream: false as const,
+    responseStream: false as const,
+    requestSerialize: (value: FetchMembersRequest): Buffer => Buffer.from(FetchMembersRequest.encode(value).finish()),
+    requestDeserialize: (value: Buffer): FetchMembersRequest => FetchMembersRequest.decode(value),
+    responseSerialize: (value: FetchMembersReply): Buffer => Buffer.from(FetchMembersReply.encode(value).finish()),
+    responseDeserialize: (value: Buffer): FetchMembersReply => FetchMembersReply.decode(value),
+  },
+} as const;
+
+export interface PeerServer extends UntypedServiceImplementation {
+  exchange: handleUnaryCall<Digest, Digest>;
+  /** The parts of the configuration that the caller does not hold yet. */
+  fetchConfig: handleUnaryCall<FetchConfigRequest, FetchConfigReply>;
+  /** All members that this process knows; asked for once, at start. */
+  fetchMembers: handleUnaryCall<FetchMembersRequest, FetchMembersReply>;
+}
+
+export interface PeerClient extends Client {
+  exchange(request: Digest, callback: (error: ServiceError | null, response: Digest) => void): ClientUnaryCall;
+  exchange(
+    request: Digest,
+    metadata: Metadata,
+    callback: (error: ServiceError | null, response: Digest) => void,
+  ): ClientUnaryCall;
+  exchange(
+    request: Digest,
+    metadata: Metadata,
+    options: Partial<CallOptions>,
+    callback: (error: ServiceError | null, response: Digest) => void,
+  ): ClientUnaryCall;
+  /** The parts of the configuration that the caller does not hold yet. */
+  fetchConfig(
+    request: FetchConfigRequest,
+    callback: (error: ServiceError | null, response: FetchConfigReply) => void,
+  ): ClientUnaryCall;
+  fetchConfig(
+    request: FetchConfigRequest,
+    metadata: Metadata,
+    callback: (error: ServiceError | null, response: FetchConfigReply) => void,
+  ): ClientUnaryCall;
+  fetchConfig(
+    request: FetchConfigRequest,
+    metadata: Metadata,
+    options: Partial<CallOptions>,
+    callback: (error: ServiceError | null, response: FetchConfigReply) => void,
+  ): ClientUnaryCall;
+  /** All members that this process knows; asked for once, at start. */
+  fetchMembers(
+    request: FetchMembersRequest,
+    callback: (error: ServiceError | null, response: FetchMembersReply) => void,
+  ): ClientUnaryCall;
+  fetchMembers(
+    request: FetchMembersRequest,
+    metadata: Metadata,
+    callback: (error: ServiceError | null, response: FetchMembersReply) => void,
+  ): ClientUnaryCall;
+  fetchMembers(
+    request: FetchMembersRequest,
+    metadata: Metadata,
+    options: Partial<CallOptions>,
+    callback: (error: ServiceError | null, response: FetchMembersReply) => void,
+  ): ClientUnaryCall;
+}
+
+export const PeerClient = makeGenericClientConstructor(PeerService, "snowgate.v1.Peer") as unknown as {
+  new (address: string, credentials: ChannelCredentials, options?: Partial<ClientOptions>): PeerClient;
+  service: typeof PeerService;
+  serviceName: string;
+};
+
+/** Served by each side, called by entries. */
+export type SideService = typeof SideService;
+export const SideService = {
+  /**
+   * A hint that the control record holds an order for this upstream. It
+   * carries no authority: the side acts on the record alone.
+   */
+  nudge: {
+    path: "/snowgate.v1.Side/Nudge" as const,
+    requestStream: false as const,
+    responseStream: false as const,
+    requestSerialize: (value: NudgeRequest): Buffer => Buffer.from(NudgeRequest.encode(value).finish()),
+    requestDeserialize: (value: Buffer): NudgeRequest => NudgeRequest.decode(value),
+    responseSerialize: (value: NudgeReply): Buffer => Buffer.from(NudgeReply.encode(value).finish()),
+    responseDeserialize: (value: Buffer): NudgeReply => NudgeReply.decode(value),
+  },
+  /** Exact state of the upstream as its side sees it. */
+  report: {
+    path: "/snowgate.v1.Side/Report" as const,
+    requestStream: false as const,
+    responseStream: false as const,
+    requestSerialize: (value: ReportRequest): Buffer => Buffer.from(ReportRequest.encode(value).finish()),
+    requestDeserialize: (value: Buffer): ReportRequest => ReportRequest.decode(value),
+    responseSerialize: (value: ReportReply): Buffer => Buffer.from(ReportReply.encode(value).finish()),
+    responseDeserialize: (value: Buffer): ReportReply => ReportReply.decode(value),
+  },
+} as const;
+
+export interface SideServer extends UntypedServiceImplementation {
+  /**
+   * A hint that the control record holds an order for this upstream. It
+   * carries no authority: the side acts on the record alone.
+   */
+  nudge: handleUnaryCall<NudgeRequest, NudgeReply>;
+  /** Exact state of the upstream as its side sees it. */
+  report: handleUnaryCall<ReportRequest, ReportReply>;
+}
+
+export interface SideClient extends Client {
+  /**
+   * A hint that the control record holds an order for this upstream. It
+   * carries no authority: the side acts on the record alone.
+   */
+  nudge(request: NudgeRequest, callback: (error: ServiceError | null, response: NudgeReply) => void): ClientUnaryCall;
+  nudge(
+    request: NudgeRequest,
+    metadata: Metadata,
+    callback: (error: ServiceError | null, response: NudgeReply) => void,
+  ): ClientUnaryCall;
+  nudge(
+    request: NudgeRequest,
+    metadata: Metadata,
+    options: Partial<CallOptions>,
+    callback: (error: ServiceError | null, response: NudgeReply) => void,
+  ): ClientUnaryCall;
+  /** Exact state of the upstream as its side sees it. */
+  report(
+    request: ReportRequest,
+    callback: (error: ServiceError | null, response: ReportReply) => void,
+  ): ClientUnaryCall;
+  report(
+    request: ReportRequest,
+    metadata: Metadata,
+    callback: (error: ServiceError | null, response: ReportReply) => void,
+  ): ClientUnaryCall;
+  report(
+    request: ReportRequest,
+    metadata: Metadata,
+    options: Partial<CallOptions>,
+    callback: (error: ServiceError | null, response: ReportReply) => void,
+  ): ClientUnaryCall;
+}
+
+export const SideClient = makeGenericClientConstructor(SideService, "snowgate.v1.Side") as unknown as {
+  new (address: string, credentials: ChannelCredentials, options?: Partial<ClientOptions>): SideClient;
+  service: typeof SideService;
+  serviceName: string;
+};
+
+/**
+ * Served by the gateway that holds a service's lease, called by all others:
+ * one stream an entry, asks and events in, answers out.
+ */
+export type SchedulingService = typeof SchedulingService;
+export const SchedulingService = {
+  place: {
+    path: "/snowgate.v1.Scheduling/Place" as const,
+    requestStream: true as const,
+    responseStream: true as const,
+    requestSerialize: (value: PlaceCall): Buffer => Buffer.from(PlaceCall.encode(value).finish()),
+    requestDeserialize: (value: Buffer): PlaceCall => PlaceCall.decode(value),
+    responseSerialize: (value: PlaceReply): Buffer => Buffer.from(PlaceReply.encode(value).finish()),
+    responseDeserialize: (value: Buffer): PlaceReply => PlaceReply.decode(value),
+  },
+} as const;
+
+export interface SchedulingServer extends UntypedServiceImplementation {
+  place: handleBidiStreamingCall<PlaceCall, PlaceReply>;
+}
+
+export interface SchedulingClient extends Client {
+  place(): ClientDuplexStream<PlaceCall, PlaceReply>;
+  place(options: Partial<CallOptions>): ClientDuplexStream<PlaceCall, PlaceReply>;
+  place(metadata: Metadata, options?: Partial<CallOptions>): ClientDuplexStream<PlaceCall, PlaceReply>;
+}
+
+export const SchedulingClient = makeGenericClientConstructor(
+  SchedulingService,
+  "snowgate.v1.Scheduling",
+) as unknown as {
+  new (address: string, credentials: ChannelCredentials, options?: Partial<ClientOptions>): SchedulingClient;
+  service: typeof SchedulingService;
   serviceName: string;
 };
 
--- a/src/placement/index.ts
+++ b/src/placement/index.ts
@@ -1,2 +1,4 @@
 export { LocalPlacement } from "./localPlacement.js";
+export { PlacementServer } from "./placementServer.js";
+export { SharedPlacement } from "./sharedPlacement.js";
 export type { Placement } from "./types.js";
--- a/src/placement/localPlacement.ts
+++ b/src/placement/localPlacement.ts
@@ -2,6 +2,7 @@
 import { EngineScheduler } from "../scheduling/index.js";
 import type {
   EngineView,
+  Grant,
   PlacementAnswer,
   PlacementAsk,
   PlacementEvent,
@@ -12,7 +13,7 @@
   /** The engines of a service that may get new work. */
   engines(service: string): EngineView[];
   /** How many processes place on the same engines without talking. */
-  share(): number;
+  share(service: string): number;
   now: () => number;
 }
 
@@ -32,6 +33,13 @@
     return scheduler.place(ask, this.options.now());
   }
 
+  /** Takes over a grant that another scheduler has given. */
+  adopt(ask: PlacementAsk, grant: Grant): void {
+    const scheduler = this.scheduler(ask.service);
+    scheduler.setEngines(this.options.engines(ask.service));
+    scheduler.adopt(ask, grant, this.options.now());
+  }
+
   note(service: string, event: PlacementEvent): void {
     this.scheduler(service).onEvent(event, this.options.now());
   }
@@ -39,7 +47,7 @@
   scheduler(service: string): EngineScheduler {
     const known = this.schedulers.get(service);
     if (known !== undefined) return known;
-    const fresh = new EngineScheduler(this.options.share);
+    const fresh = new EngineScheduler(() => this.options.share(service));
     this.schedulers.set(service, fresh);
     return fresh;
   }
--- /dev/null
+++ b/src/placement/messages.ts
@@ -0,0 +1,83 @@
+/** Placement asks and answers as messages between gateways, both ways. */
+import type { PlaceAsk, PlaceEvent, PlaceReply } from "../gen/snowgate.js";
+import type {
+  Grant,
+  PlacementAnswer,
+  PlacementAsk,
+  PlacementEvent,
+  Refusal,
+} from "../scheduling/index.js";
+
+const whole = (value: number): number => Math.max(0, Math.round(value));
+
+export const toPlaceAsk = (ask: PlacementAsk): PlaceAsk => ({
+  id: ask.id,
+  zone: ask.zone,
+  model: ask.model,
+  promptTokens: whole(ask.promptTokens),
+  outputTokens: whole(ask.outputTokens),
+  parts: ask.parts.map(({ id, tokens }) => ({ id, tokens: whole(tokens) })),
+  objectiveLeftMs: Math.round(ask.objectiveLeftMs),
+  deadlineLeftMs: Math.round(ask.deadlineLeftMs),
+  priority: whole(ask.priority),
+  isReturn: ask.isReturn,
+  avoid: ask.avoid,
+});
+
+export const fromPlaceAsk = (service: string, ask: PlaceAsk): PlacementAsk => ({
+  ...ask,
+  service,
+});
+
+export const toPlaceEvent = (event: PlacementEvent): PlaceEvent => ({
+  id: event.id,
+  kind: event.kind,
+  ok: event.kind === "begun" || event.ok,
+  tookMs: event.kind === "begun" ? whole(event.tookMs) : 0,
+});
+
+/** Undefined for a kind that this version does not know. */
+export const fromPlaceEvent = (
+  event: PlaceEvent,
+): PlacementEvent | undefined => {
+  const { id, kind, ok, tookMs } = event;
+  if (kind === "begun") return { kind, id, tookMs };
+  if (kind === "read" || kind === "ended") return { kind, id, ok };
+  return undefined;
+};
+
+/** What a holder says of itself with each reply. */
+export interface HolderState {
+  entries: number;
+  isFresh: boolean;
+}
+
+export const toPlaceReply = (
+  id: string,
+  answer: PlacementAnswer | undefined,
+  state: HolderState,
+): PlaceReply => {
+  const isGrant = answer?.kind === "granted";
+  const isRefusal = answer?.kind === "refused";
+  return {
+    id,
+    runner: isGrant ? answer.runner : "",
+    reader: isGrant ? (answer.reader ?? "") : "",
+    readMs: isGrant ? whole(answer.readMs) : 0,
+    refusal: isRefusal ? answer.why : "",
+    retryAfterMs: isRefusal ? whole(answer.retryAfterMs) : 0,
+    ...state,
+  };
+};
+
+const REFUSALS: readonly Refusal["why"][] = ["no-engine", "slots", "too-late"];
+
+export const fromPlaceReply = (reply: PlaceReply): PlacementAnswer => {
+  if (reply.runner !== "") {
+    const reader = reply.reader === "" ? undefined : reply.reader;
+    const { runner, readMs } = reply;
+    return { kind: "granted", reader, runner, readMs } satisfies Grant;
+  }
+  const why = REFUSALS.find((item) => item === reply.refusal) ?? "too-late";
+  return { kind: "refused", why, retryAfterMs: reply.retryAfterMs };
+};
--- /dev/null
+++ b/src/placement/placementClient.ts
@@ -0,0 +1,150 @@
+/** One service's stream to the gateway that holds its lease. */
+import { credentials } from "@grpc/grpc-js";
+import type { ClientDuplexStream } from "@grpc/grpc-js";
+
+import { SchedulingClient } from "../gen/snowgate.js";
+import type { PlaceCall, PlaceReply } from "../gen/snowgate.js";
+import type {
+  Grant,
+  PlacementAnswer,
+  PlacementAsk,
+  PlacementEvent,
+} from "../scheduling/index.js";
+import type { Log } from "../telemetry/index.js";
+import { fromPlaceReply, toPlaceAsk, toPlaceEvent } from "./messages.js";
+import type { HolderState } from "./messages.js";
+import { KEEPALIVE_OPTIONS } from "./placementServer.js";
+
+/**
+ * An ask without an answer by then is placed here, ms: several round trips
+ * between zones, and little beside an objective of some hundred ms.
+ */
+const ANSWER_MS = 40;
+/** A holder that has not accepted the stream by then is given up, ms. */
+const CONNECT_MS = 1000;
+/** Unanswered asks in a row after which the holder counts as lost. */
+const LOST_AFTER = 3;
+
+interface Waiting {
+  resolve(answer: PlacementAnswer | undefined): void;
+  timer: NodeJS.Timeout;
+}
+
+export interface PlacementClientOptions {
+  service: string;
+  address: string;
+  /** The stream ended; the client is of no further use. */
+  onLost(why: string): void;
+  onState(state: HolderState): void;
+  log: Log;
+}
+
+export class PlacementClient {
+  private readonly client: SchedulingClient;
+  private readonly stream: ClientDuplexStream<PlaceCall, PlaceReply>;
+  private readonly waiting = new Map<string, Waiting>();
+  private unanswered = 0;
+  private isLost = false;
+  /** The holder has accepted the stream. */
+  private isReady = false;
+  private readonly connectTimer: NodeJS.Timeout;
+
+  constructor(private readonly options: PlacementClientOptions) {
+    const insecure = credentials.createInsecure();
+    this.client = new SchedulingClient(
+      options.address,
+      insecure,
+      KEEPALIVE_OPTIONS,
+    );
+    this.stream = this.client.place();
+    this.stream.on("metadata", () => {
+      this.isReady = true;
+      clearTimeout(this.connectTimer);
+    });
+    this.stream.on("data", (reply: PlaceReply) => this.onReply(reply));
+    this.stream.on("end", () => this.lose("the holder ended the stream"));
+    this.stream.on("error", (err) => this.lose(err.message));
+    const giveUp = () => this.lose("the holder can't be reached");
+    this.connectTimer = setTimeout(giveUp, CONNECT_MS);
+    // Makes this entry known before its first ask.
+    this.send({});
+  }
+
+  get address(): string {
+    return this.options.address;
+  }
+
+  /** The holder's answer; undefined if it can't be had. */
+  ask(ask: PlacementAsk): Promise<PlacementAnswer | undefined> {
+    if (this.isLost || !this.isReady) return Promise.resolve(undefined);
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => this.onUnanswered(ask.id), ANSWER_MS);
+      this.waiting.set(ask.id, { resolve, timer });
+      this.send({ ask: toPlaceAsk(ask) });
+    });
+  }
+
+  note(event: PlacementEvent): void {
+    this.send({ event: toPlaceEvent(event) });
+  }
+
+  /** Tells the holder of a grant that is in use already. */
+  tellHeld(ask: PlacementAsk, grant: Grant): void {
+    const { reader = "", runner } = grant;
+    this.send({ held: { ask: toPlaceAsk(ask), reader, runner } });
+  }
+
+  close(): void {
+    this.lose("closed");
+  }
+
+  private send(call: Partial<PlaceCall>): void {
+    if (this.isLost) return;
+    const { service } = this.options;
+    this.stream.write({
+      service,
+      ask: undefined,
+      event: undefined,
+      held: undefined,
+      ...call,
+    });
+  }
+
+  private onReply(reply: PlaceReply): void {
+    const { entries, isFresh } = reply;
+    this.unanswered = 0;
+    this.options.onState({ entries, isFresh });
+    const waiting = this.waiting.get(reply.id);
+    if (waiting !== undefined) {
+      this.waiting.delete(reply.id);
+      clearTimeout(waiting.timer);
+      return waiting.resolve(fromPlaceReply(reply));
+    }
+    // Too late: the request was placed here, so the grant is given back.
+    if (reply.runner === "") return;
+    this.note({ kind: "ended", id: reply.id, ok: true });
+  }
+
+  private onUnanswered(id: string): void {
+    const waiting = this.waiting.get(id);
+    if (waiting === undefined) return;
+    this.waiting.delete(id);
+    waiting.resolve(undefined);
+    this.unanswered += 1;
+    if (this.unanswered >= LOST_AFTER) this.lose("asks are not answered");
+  }
+
+  private lose(why: string): void {
+    if (this.isLost) return;
+    this.isLost = true;
+    clearTimeout(this.connectTimer);
+    for (const { resolve, timer } of this.waiting.values()) {
+      clearTimeout(timer);
+      resolve(undefined);
+    }
+    this.waiting.clear();
+    this.stream.cancel();
+    this.client.close();
+    this.options.onLost(why);
+  }
+}
--- /dev/null
+++ b/src/placement/placementServer.ts
@@ -0,0 +1,120 @@
+/** Places requests of other gateways while this process holds the lease. */
+import { Metadata, Server, ServerCredentials } from "@grpc/grpc-js";
+import type { ServerDuplexStream } from "@grpc/grpc-js";
+
+import { SchedulingService } from "../gen/snowgate.js";
+import type { PlaceCall, PlaceReply } from "../gen/snowgate.js";
+import type { Log } from "../telemetry/index.js";
+import type { LocalPlacement } from "./localPlacement.js";
+import { fromPlaceAsk, fromPlaceEvent, toPlaceReply } from "./messages.js";
+import type { HolderState } from "./messages.js";
+
+/** Pings that find dead peers, ms; see `placementClient.ts`. */
+export const KEEPALIVE_OPTIONS = {
+  "grpc.keepalive_time_ms": 1000,
+  "grpc.keepalive_timeout_ms": 800,
+  "grpc.keepalive_permit_without_calls": 1,
+  "grpc.http2.min_ping_interval_without_data_ms": 500,
+} as const;
+
+type PlaceStream = ServerDuplexStream<PlaceCall, PlaceReply>;
+
+export interface PlacementServerOptions {
+  placement: LocalPlacement;
+  /** Whether this process holds the lease of a service. */
+  isHolder(service: string): boolean;
+  /** Whether that lease was renewed lately. */
+  isFresh(service: string): boolean;
+  log: Log;
+}
+
+export class PlacementServer {
+  private readonly server = new Server(KEEPALIVE_OPTIONS);
+  /** Open streams, by service. */
+  private readonly streams = new Map<string, Set<PlaceStream>>();
+
+  constructor(private readonly options: PlacementServerOptions) {
+    this.server.addService(SchedulingService, {
+      place: (stream: PlaceStream) => this.serve(stream),
+    });
+  }
+
+  listen(address: string): Promise<number> {
+    return new Promise((resolve, reject) => {
+      const insecure = ServerCredentials.createInsecure();
+      this.server.bindAsync(address, insecure, (err, port) => {
+        if (err !== null) reject(err);
+        else resolve(port);
+      });
+    });
+  }
+
+  /** Entries that place through this process, itself included. */
+  entries(service: string): number {
+    return (this.streams.get(service)?.size ?? 0) + 1;
+  }
+
+  close(): void {
+    this.server.forceShutdown();
+  }
+
+  private serve(stream: PlaceStream): void {
+    let service: string | undefined;
+    // Tells the entry that its asks will be read.
+    stream.sendMetadata(new Metadata());
+    stream.on("data", (call: PlaceCall) => {
+      if (!this.options.isHolder(call.service)) return void stream.end();
+      if (service === undefined) {
+        service = call.service;
+        this.register(service, stream);
+      }
+      this.onCall(stream, call);
+    });
+    const leave = () => {
+      if (service !== undefined) this.streams.get(service)?.delete(stream);
+    };
+    stream.on("end", () => {
+      leave();
+      stream.end();
+    });
+    stream.on("close", leave);
+    stream.on("cancelled", leave);
+    stream.on("error", (err) => {
+      leave();
+      this.options.log.info("placement stream lost", { why: err.message });
+    });
+  }
+
+  private register(service: string, stream: PlaceStream): void {
+    const known = this.streams.get(service) ?? new Set();
+    known.add(stream);
+    this.streams.set(service, known);
+  }
+
+  private onCall(stream: PlaceStream, call: PlaceCall): void {
+    const { placement } = this.options;
+    const { service, ask, held } = call;
+    const event = call.event && fromPlaceEvent(call.event);
+    if (event !== undefined) placement.note(service, event);
+    if (held?.ask !== undefined) {
+      const { reader, runner } = held;
+      placement.adopt(fromPlaceAsk(service, held.ask), {
+        kind: "granted",
+        reader: reader === "" ? undefined : reader,
+        runner,
+        readMs: 0,
+      });
+    }
+    if (ask !== undefined) {
+      const answer = placement.placeNow(fromPlaceAsk(service, ask));
+      stream.write(toPlaceReply(ask.id, answer, this.state(service)));
+    }
+  }
+
+  private state(service: string): HolderState {
+    return {
+      entries: this.entries(service),
+      isFresh: this.options.isFresh(service),
+    };
+  }
+}
--- /dev/null
+++ b/src/placement/sharedPlacement.ts
@@ -0,0 +1,171 @@
+/**
+ * Placement by the gateway that holds a service's lease, and by this process
+ * while that one can't be reached. The own scheduler hears of every grant,
+ * so that it knows at least what this process has at the engines.
+ */
+import type {
+  Grant,
+  PlacementAnswer,
+  PlacementAsk,
+  PlacementEvent,
+} from "../scheduling/index.js";
+import type { ObjectFeed } from "../store/index.js";
+import type { Log } from "../telemetry/index.js";
+import { LeaseKeeper } from "./leaseKeeper.js";
+import type { LocalPlacement } from "./localPlacement.js";
+import { PlacementClient } from "./placementClient.js";
+import type { Placement } from "./types.js";
+
+/** Entries assumed to share the engines while none was counted. */
+const UNKNOWN_ENTRIES = 4;
+
+export interface SharedPlacementOptions {
+  local: LocalPlacement;
+  feed: ObjectFeed;
+  /** Name and address of this process. */
+  self: string;
+  address: string;
+  leaseMs: number;
+  /** Entries that place through this process, itself included. */
+  entriesHere(service: string): number;
+  log: Log;
+  now: () => number;
+}
+
+/** What is known of the holder of one service. */
+interface HolderLink {
+  keeper: LeaseKeeper;
+  client: PlacementClient | undefined;
+  entries: number;
+  /** Whether the holder says that its lease is fresh. */
+  isFresh: boolean;
+}
+
+interface InUse {
+  ask: PlacementAsk;
+  grant: Grant;
+}
+
+export class SharedPlacement implements Placement {
+  private readonly links = new Map<string, HolderLink>();
+  private readonly inUse = new Map<string, InUse>();
+
+  constructor(private readonly options: SharedPlacementOptions) {}
+
+  async place(ask: PlacementAsk): Promise<PlacementAnswer> {
+    const { local } = this.options;
+    const client = this.links.get(ask.service)?.client;
+    const answer = await client?.ask(ask);
+    if (answer !== undefined) {
+      if (answer.kind === "granted") local.adopt(ask, answer);
+      return this.used(ask, answer);
+    }
+    const own = local.placeNow(ask);
+    if (own.kind === "granted") client?.tellHeld(ask, own);
+    return this.used(ask, own);
+  }
+
+  note(service: string, event: PlacementEvent): void {
+    if (event.kind === "ended") this.inUse.delete(event.id);
+    this.options.local.note(service, event);
+    this.links.get(service)?.client?.note(event);
+  }
+
+  /** How many processes place on a service's engines without talking. */
+  share(service: string): number {
+    const link = this.links.get(service);
+    if (link === undefined) return UNKNOWN_ENTRIES;
+    if (!link.keeper.isHolder) return link.entries;
+    // Cut off from the store, others may have found another holder.
+    const isAlone = this.options.entriesHere(service) === 1;
+    return isAlone && !link.keeper.isFresh ? link.entries : 1;
+  }
+
+  isHolder(service: string): boolean {
+    return this.links.get(service)?.keeper.isHolder ?? false;
+  }
+
+  isFresh(service: string): boolean {
+    return this.links.get(service)?.keeper.isFresh ?? false;
+  }
+
+  /** Epoch of the lease, as a fencing number of orders. */
+  epoch(service: string): number {
+    return this.links.get(service)?.keeper.epoch ?? 0;
+  }
+
+  /** Entries that place on a service's engines, as last heard. */
+  entries(service: string): number {
+    return this.links.get(service)?.entries ?? UNKNOWN_ENTRIES;
+  }
+
+  /** Keeps or seeks the lease of each service that has engines. */
+  async step(services: readonly string[]): Promise<void> {
+    await Promise.all(services.map((service) => this.stepOne(service)));
+  }
+
+  close(): void {
+    for (const { client } of this.links.values()) client?.close();
+  }
+
+  private async stepOne(service: string): Promise<void> {
+    const link = this.links.get(service) ?? this.addLink(service);
+    const isLinked = link.client !== undefined && link.isFresh;
+    await link.keeper.step(!isLinked);
+    const { otherHolder } = link.keeper;
+    if (link.client?.address === otherHolder) return;
+    link.client?.close();
+    if (otherHolder !== undefined) this.connect(service, link, otherHolder);
+  }
+
+  private addLink(service: string): HolderLink {
+    const { feed, self, address, leaseMs, log, now } = this.options;
+    const keeper = new LeaseKeeper({
+      feed,
+      service,
+      self,
+      address,
+      leaseMs,
+      log,
+      now,
+    });
+    const link: HolderLink = {
+      keeper,
+      client: undefined,
+      entries: UNKNOWN_ENTRIES,
+      isFresh: true,
+    };
+    this.links.set(service, link);
+    return link;
+  }
+
+  private connect(service: string, link: HolderLink, address: string): void {
+    const { log } = this.options;
+    const client = new PlacementClient({
+      service,
+      address,
+      log,
+      onState: ({ entries, isFresh }) => {
+        link.entries = entries;
+        link.isFresh = isFresh;
+      },
+      onLost: (why) => {
+        log.warn("holder lost", { service, address, why });
+        if (link.client === client) link.client = undefined;
+      },
+    });
+    link.client = client;
+    link.isFresh = true;
+    log.info("placing through the holder", { service, address });
+    for (const { ask, grant } of this.inUse.values()) {
+      if (ask.service === service) client.tellHeld(ask, grant);
+    }
+  }
+
+  private used(ask: PlacementAsk, answer: PlacementAnswer): PlacementAnswer {
+    if (answer.kind === "granted") {
+      this.inUse.set(ask.id, { ask, grant: answer });
+    }
+    return answer;
+  }
+}
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -7,6 +7,7 @@
 import { EngineState } from "./engineState.js";
 import type {
   EngineView,
+  Grant,
   PlacementAnswer,
   PlacementAsk,
   PlacementEvent,
@@ -52,19 +53,17 @@
   endMs: number;
 }
 
-/** Work of a service over time, for the planner of stages. */
+/** Work asked for since start, for the planner of stages. */
 export interface SchedulerLoad {
-  /** Reading time asked for since start, ms of one prefill engine. */
+  /** Reading time of one prefill engine, refused requests included, ms. */
   readMs: number;
-  /** Output asked for since start, runs times their tokens. */
-  outputTokens: number;
 }
 
 export class EngineScheduler {
   private readonly engines = new Map<string, EngineState>();
   private readonly placed = new Map<string, Placed>();
   private firstEventMs = FIRST_EVENT_MS;
-  readonly asked: SchedulerLoad = { readMs: 0, outputTokens: 0 };
+  readonly asked: SchedulerLoad = { readMs: 0 };
 
   /** `share`: how many schedulers place on these engines without talking. */
   constructor(private share: () => number) {}
@@ -103,6 +102,7 @@
     const isLong = ask.promptTokens - cachedAtRunner >= LEAST_SPLIT_TOKENS;
     if (!isLong) return this.grant(ask, undefined, runner, now);
     const plan = this.planRead(ask, open, now);
+    if (!ask.isReturn) this.asked.readMs += plan?.costMs ?? 0;
     const endMs = (plan?.endMs ?? Infinity) + this.firstEventMs + HOPS_MS;
     if (plan !== undefined && endMs <= ask.objectiveLeftMs) {
       return this.grant(ask, plan, runner, now);
@@ -119,6 +119,19 @@
     return this.refuse("too-late", endMs - ask.objectiveLeftMs);
   }
 
+  /** Takes over a grant that another scheduler has given. */
+  adopt(ask: PlacementAsk, grant: Grant, now: number): void {
+    const runner = this.engines.get(grant.runner);
+    if (runner === undefined || this.placed.has(ask.id)) return;
+    const engine = grant.reader ? this.engines.get(grant.reader) : undefined;
+    if (engine === undefined)
+      return void this.grant(ask, undefined, runner, now);
+    const cached = engine.cachedTokens(ask.model, ask.parts);
+    const costMs = engine.readCostMs(ask.promptTokens, cached);
+    const endMs = engine.backlogMs(now) + costMs;
+    this.grant(ask, { engine, costMs, endMs }, runner, now);
+  }
+
   onEvent(event: PlacementEvent, now: number): void {
     const placed = this.placed.get(event.id);
     if (placed === undefined) return;
@@ -255,8 +268,6 @@
     const needed = ask.promptTokens + ask.outputTokens;
     runner.addRun(ask.id, needed, deadlineAt, now);
     this.placed.set(ask.id, { reader, runner, ask, at: now });
-    this.asked.readMs += plan?.costMs ?? 0;
-    this.asked.outputTokens += ask.outputTokens;
     return {
       kind: "granted",
       reader: reader?.view.id,
