A reset close behind a body without length is not its end

Libuv reports a reset that arrives together with data as a regular end, and Node counts such a body as complete.

Change: at the end of a body without length the peer's address is asked; it is gone after a reset. Orders of stage take their sequence from the engine's report: in the list of replicas the same field counts heartbeats (66 of 66 orders were refused).

--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -3,6 +3,7 @@
 export type { GatewaySource } from "./gatewayState.js";
 export type { FailureAnswer, ReplicaCall, RequestForm } from "./requestForm.js";
 export type {
+  EngineReport,
   GatewayConfig,
   GatewayService,
   InboundHead,
--- a/src/gateway/plainFlow.ts
+++ b/src/gateway/plainFlow.ts
@@ -166,7 +166,7 @@
         const why = `replica refused with ${reply.status}`;
         return { kind: "failed", verdict: "not-run", why };
       }
-      const whole = await readWholeBody(res, MAX_ANSWER_BYTES);
+      const whole = await readWholeBody(outcome, MAX_ANSWER_BYTES);
       if (whole.kind === "cut") {
         return { kind: "failed", verdict: "may-have-run", why: whole.why };
       }
--- a/src/gateway/requestForm.ts
+++ b/src/gateway/requestForm.ts
@@ -4,6 +4,7 @@
 import type { RequestFailure } from "../shared/errors.js";
 import type { Stage } from "../scheduling/index.js";
 import type {
+  EngineReport,
   InboundHead,
   ReadHandle,
   Replica,
@@ -45,12 +46,20 @@
   readHandle(address: string, body: string): ReadHandle | undefined;
   /** Path of the call that frees a handle at the replica that holds it. */
   freeHandlePath(handle: ReadHandle): string;
-  /** The order to change a replica's stage; `fence` grows with holders. */
+  /** Asks an engine what it does. */
+  reportCall(replica: Replica): ReplicaCall;
+  /** Throws where the body is no report. */
+  readReport(body: string): EngineReport;
+  /**
+   * The order to change a replica's stage; `fence` grows with holders, and
+   * the replica refuses if it has not taken just `expectedOrders` before.
+   */
   stageOrder(
     replica: Replica,
     stage: Stage,
     holder: string,
     fence: number,
+    expectedOrders: number,
   ): ReplicaCall;
 }
 
--- a/src/gateway/stageKeeper.ts
+++ b/src/gateway/stageKeeper.ts
@@ -8,9 +8,10 @@
 import type { StageChange } from "../scheduling/index.js";
 import type { Log } from "../telemetry/index.js";
 import type { ReplicaSet } from "./replicaSet.js";
-import type { RequestForm } from "./requestForm.js";
+import type { ReplicaCall, RequestForm } from "./requestForm.js";
 import type { Replica } from "./types.js";
 import type { UpstreamClient } from "./upstreamClient.js";
+import { readWholeBody } from "./upstreamClient.js";
 
 /** Time constant of the smoothed demand, ms. */
 const SMOOTHING_MS = 1200;
@@ -23,6 +24,17 @@
 /** Beyond the lease time, before a new holder's first order, ms. */
 const TAKEOVER_MARGIN_MS = 500;
 
+/** No order for this long after one was refused, ms. */
+const REFUSED_PAUSE_MS = 1000;
+/** Answers to orders are short. */
+const MAX_ANSWER_BYTES = 16 * 1024;
+
+/** What became of an order; `unknown`: it may be carried out later. */
+interface OrderOutcome {
+  kind: "accepted" | "refused" | "unknown";
+  why: string;
+}
+
 /** The lease, as far as orders need it. */
 export interface OrderAuthority {
   isFresh(service: string): boolean;
@@ -50,6 +62,7 @@
 export class StageKeeper {
   private readonly changing = new Map<string, Changing>();
   private readonly lastChange = { prefill: -Infinity, decode: -Infinity };
+  private refusedUntil = 0;
   private freshSince: number | undefined;
   private lastEpoch = 0;
   private lastStepAt: number | undefined;
@@ -77,7 +90,7 @@
       this.freshSince = undefined;
       this.lastEpoch = epoch;
     }
-    if (!authority.isFresh(service)) return false;
+    if (!authority.isFresh(service) || now < this.refusedUntil) return false;
     this.freshSince ??= now;
     return now - this.freshSince >= leaseMs + TAKEOVER_MARGIN_MS;
   }
@@ -153,30 +166,50 @@
       to,
       fence,
       why,
-      outcome,
+      outcome: outcome.kind,
+      answer: outcome.why,
     });
-    if (outcome !== "refused") return;
+    if (outcome.kind !== "refused") return;
     this.changing.delete(id);
     scheduler.close(id, 0);
+    this.refusedUntil = now() + REFUSED_PAUSE_MS;
   }
 
   private async send(
     replica: Replica,
     stage: Stage,
     fence: number,
-  ): Promise<"accepted" | "refused" | "unknown"> {
-    const { client, form, self } = this.options;
-    const order = form.stageOrder(replica, stage, self, fence);
-    const sent = await client.send({
-      ...order,
-      address: replica.address,
-      signal: AbortSignal.timeout(ORDER_MS),
-    });
+  ): Promise<OrderOutcome> {
+    const { form, self, service, authority } = this.options;
+    const asked = await this.call(replica, form.reportCall(replica));
+    if (asked.kind !== "accepted") return { ...asked, kind: "refused" };
+    const report = form.readReport(asked.why);
+    if (report.isBusy) return { kind: "refused", why: "it is busy" };
+    const { orders } = report;
+    const order = form.stageOrder(replica, stage, self, fence, orders);
+    if (!authority.isFresh(service) || authority.epoch(service) !== fence) {
+      return { kind: "refused", why: "the lease is not fresh" };
+    }
+    return this.call(replica, order);
+  }
+
+  /** `why` is the answer's text where it was accepted. */
+  private async call(
+    replica: Replica,
+    call: ReplicaCall,
+  ): Promise<OrderOutcome> {
+    const { address } = replica;
+    const signal = AbortSignal.timeout(ORDER_MS);
+    const sent = await this.options.client.send({ ...call, address, signal });
     if (sent.kind === "failed") {
-      return sent.verdict === "not-run" ? "refused" : "unknown";
+      const kind = sent.verdict === "not-run" ? "refused" : "unknown";
+      return { kind, why: sent.why };
     }
-    sent.res.resume();
     const status = sent.res.statusCode ?? 0;
-    return status >= 200 && status < 300 ? "accepted" : "refused";
+    const whole = await readWholeBody(sent, MAX_ANSWER_BYTES);
+    const text = whole.kind === "whole" ? whole.body.toString("utf8") : "";
+    const isGood = status >= 200 && status < 300;
+    if (isGood) return { kind: "accepted", why: text };
+    return { kind: "refused", why: `status ${status} ${text}`.trim() };
   }
 }
--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -18,7 +18,7 @@
 import type { RetryBudgets } from "./retryBudgets.js";
 import { StreamRelay } from "./streamRelay.js";
 import type { ReadHandle, UpstreamSend } from "./types.js";
-import type { UpstreamClient } from "./upstreamClient.js";
+import type { UpstreamClient, UpstreamReply } from "./upstreamClient.js";
 import { readWholeBody } from "./upstreamClient.js";
 
 /** A handle's answer is a few hundred bytes. */
@@ -221,7 +221,7 @@
       if (sent.kind === "failed") return { kind: "failed", why: sent.why };
       const { res, address } = sent;
       const reply = form.readReply(res.statusCode ?? 0, res.headers);
-      const whole = await readWholeBody(res, MAX_HANDLE_BYTES);
+      const whole = await readWholeBody(sent, MAX_HANDLE_BYTES);
       if (reply.isNotRun || reply.status !== 200) {
         return { kind: "failed", why: `read refused with ${reply.status}` };
       }
@@ -276,10 +276,10 @@
       return { kind: "failed", verdict, why: fault, avoid: runner };
     }
     const isGood = reply.status >= 200 && reply.status < 300;
-    if (!isGood) return this.answerFailure(journey, res, runner);
+    if (!isGood) return this.answerFailure(journey, sent, runner);
     const headers = form.answerHeaders(res.rawHeaders);
     caller.beginStream(reply.status, headers);
-    const end = await relay.run(res);
+    const end = await relay.run(sent);
     switch (end.kind) {
       case "complete":
         caller.res.end();
@@ -301,11 +301,12 @@
   /** A replica's own failure is passed on, unless a stream has begun. */
   private async answerFailure(
     journey: Journey,
-    res: Parameters<StreamRelay["run"]>[0],
+    sent: UpstreamReply,
     runner: string,
   ): Promise<Round> {
     const { caller } = journey;
-    const whole = await readWholeBody(res, MAX_HANDLE_BYTES);
+    const { res } = sent;
+    const whole = await readWholeBody(sent, MAX_HANDLE_BYTES);
     const status = res.statusCode ?? 0;
     const why = `engine failed with ${status}`;
     const isFinal = whole.kind === "whole" && !caller.hasBegun;
--- a/src/gateway/streamRelay.ts
+++ b/src/gateway/streamRelay.ts
@@ -7,6 +7,7 @@
 
 import type { CallerRequest } from "./callerRequest.js";
 import { EventSplitter } from "./eventSplitter.js";
+import type { UpstreamReply } from "./upstreamClient.js";
 
 /** How one run of a stream ended. */
 export type RunEnd =
@@ -23,7 +24,7 @@
   ) {}
 
   /** Passes one run on; resolves when it has ended in any way. */
-  run(reply: IncomingMessage): Promise<RunEnd> {
+  run({ res: reply, isWhole }: UpstreamReply): Promise<RunEnd> {
     return new Promise((resolve) => {
       const splitter = new EventSplitter();
       let end: RunEnd = { kind: "cut", why: "the answer was cut" };
@@ -36,7 +37,7 @@
       });
       reply.on("close", () => {
         if (this.caller.isCallerGone) return resolve({ kind: "caller-gone" });
-        if (!reply.complete) return resolve(end);
+        if (!isWhole()) return resolve(end);
         const rest = splitter.rest();
         if (rest.length > 0) this.caller.res.write(rest);
         resolve({ kind: "complete" });
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -86,6 +86,13 @@
   state: ReplicaState;
   /** Absent for plain services. */
   stage: Stage | undefined;
+}
+
+/** What an engine says of itself, some hundred ms late. */
+export interface EngineReport {
+  stage: Stage;
+  /** An order is being carried out. */
+  isBusy: boolean;
   /** Orders that it has taken since its start. */
   orders: number;
 }
--- a/src/gateway/upstreamClient.ts
+++ b/src/gateway/upstreamClient.ts
@@ -28,9 +28,19 @@
   signal: AbortSignal;
 }
 
+/** The head of an answer, and its body as it comes. */
+export interface UpstreamReply {
+  kind: "reply";
+  res: http.IncomingMessage;
+  /**
+   * Whether all of the body came. Node counts a body without a length as
+   * complete also where its connection was reset, so this is asked instead.
+   */
+  isWhole(): boolean;
+}
+
 export type SendOutcome =
-  | { kind: "reply"; res: http.IncomingMessage }
-  | { kind: "failed"; verdict: Verdict; why: string };
+  UpstreamReply | { kind: "failed"; verdict: Verdict; why: string };
 
 /** Reuses a connection only well within the time its replica keeps it. */
 class CautiousAgent extends http.Agent {
@@ -83,8 +93,14 @@
         const giveUp = () => req.destroy(new Error("no connection in time"));
         timer = setTimeout(giveUp, CONNECT_MS);
       });
-      req.once("response", (res) => resolve({ kind: "reply", res }));
+      let hasFailed = false;
+      req.once("response", (res) => {
+        onResetAtEnd(res, () => (hasFailed = true));
+        const isWhole = () => res.complete && !hasFailed;
+        resolve({ kind: "reply", res, isWhole });
+      });
       req.on("error", (err) => {
+        hasFailed = true;
         clearTimeout(timer);
         const verdict = isConnected ? "may-have-run" : "not-run";
         resolve({ kind: "failed", verdict, why: err.message });
@@ -103,12 +119,26 @@
   }
 }
 
+/**
+ * Libuv reports a reset that follows close behind data as a regular end. For
+ * a body that ends with its connection this matters: the peer's address is
+ * gone after a reset, and still there after a regular end.
+ */
+const onResetAtEnd = (res: http.IncomingMessage, onReset: () => void): void => {
+  const { headers, socket } = res;
+  const hasLength = headers["content-length"] !== undefined;
+  if (hasLength || headers["transfer-encoding"] !== undefined) return;
+  socket.prependOnceListener("end", () => {
+    if (socket.remoteAddress === undefined) onReset();
+  });
+};
+
 export type WholeBody =
   { kind: "whole"; body: Buffer } | { kind: "cut"; why: string };
 
 /** Reads an answer to its end; a cut or oversized one is told as such. */
 export const readWholeBody = (
-  res: http.IncomingMessage,
+  { res, isWhole }: UpstreamReply,
   maxBytes: number,
 ): Promise<WholeBody> =>
   new Promise((resolve) => {
@@ -123,7 +153,7 @@
     });
     res.on("error", (err) => resolve({ kind: "cut", why: err.message }));
     res.on("close", () => {
-      if (!res.complete) return resolve({ kind: "cut", why: "answer was cut" });
+      if (!isWhole()) return resolve({ kind: "cut", why: "answer was cut" });
       resolve({ kind: "whole", body: Buffer.concat(chunks) });
     });
   });
