Logs never make a process wait; lighter cancellation; events of placement go together

Change: log lines are written together, from a thread of the pool, bounded by kind and held bytes, to standard output; events ride with the next ask; a cancellation of our own in place of an AbortSignal on each send; an answer that is there, unread, after a stall counts.

--- a/src/daemon/runtime.ts
+++ b/src/daemon/runtime.ts
@@ -13,12 +13,13 @@
 import type { Settings } from "../settings/index.js";
 import { BudgetedStore, HttpObjectStore } from "../store/index.js";
 import { settle, Supervisor } from "../tasks/index.js";
-import { createLog, StatsdMetrics } from "../telemetry/index.js";
+import { createLog, LineWriter, StatsdMetrics } from "../telemetry/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
 import { splitAddress } from "../http/index.js";
 import { monotonicNow } from "./clock.js";
 
 const WATCHERS_PER_DOMAIN = 2;
+const STDOUT = 1;
 
 /** The shared parts of one process. */
 export interface Runtime {
@@ -34,7 +35,12 @@
 }
 
 export const createRuntime = (settings: Settings): Runtime => {
-  const log = createLog(settings.logLevel, settings.id);
+  const log = createLog({
+    level: settings.logLevel,
+    process: settings.id,
+    writer: new LineWriter(STDOUT),
+    now: monotonicNow,
+  });
   const statsd =
     settings.statsd === undefined ? undefined : splitAddress(settings.statsd);
   const { url, timeoutMs, callsPerSecond } = settings.objectApi;
--- a/src/daemon/stopSignals.ts
+++ b/src/daemon/stopSignals.ts
@@ -3,6 +3,8 @@
 import type { Daemon } from "./types.js";
 
 const EXIT_STOP_FAILED = 1;
+/** Time for the last log lines to be written, ms. */
+const LAST_LINES_MS = 100;
 
 /** A second signal while stopping changes nothing: the stop goes on. */
 export const runUntilStopped = (daemon: Daemon): void => {
@@ -11,7 +13,7 @@
     if (isStopping) return;
     isStopping = true;
     daemon.stop().then(
-      () => process.exit(0),
+      () => setTimeout(() => process.exit(0), LAST_LINES_MS),
       (err) => {
         process.stderr.write(`snowgated: ${errText(err)}\n`);
         process.exit(EXIT_STOP_FAILED);
--- a/src/gateway/callerRequest.ts
+++ b/src/gateway/callerRequest.ts
@@ -1,6 +1,7 @@
 /** One caller's request while it is served, and how it is answered. */
 import type { ServerResponse } from "node:http";
 
+import { Cancellation } from "../shared/cancellation.js";
 import type { RequestFailure } from "../shared/errors.js";
 import type { Log, Metrics } from "../telemetry/index.js";
 import type { RequestForm } from "./requestForm.js";
@@ -35,7 +36,8 @@
   readonly arrivedAt: number;
   /** Instant at which the caller or the route gives up, ms. */
   readonly deadlineAt: number;
-  private readonly controller = new AbortController();
+  /** Comes when the caller is gone or the time is over. */
+  readonly cancellation = new Cancellation();
   private readonly timer: NodeJS.Timeout;
   private readonly fullDeadlineMs: number;
   private isAnswered = false;
@@ -61,11 +63,6 @@
     res.on("close", () => this.onClose());
   }
 
-  /** Aborts when the caller is gone or the time is over. */
-  get signal(): AbortSignal {
-    return this.controller.signal;
-  }
-
   get res(): ServerResponse {
     return this.options.res;
   }
@@ -163,14 +160,14 @@
 
   private onOverdue(): void {
     this.isOverdue = true;
-    this.controller.abort();
+    this.cancellation.cancel();
   }
 
   private onClose(): void {
     clearTimeout(this.timer);
     if (this.res.writableFinished) return;
     this.isCallerGone = true;
-    this.controller.abort();
+    this.cancellation.cancel();
   }
 }
 
--- a/src/gateway/plainFlow.ts
+++ b/src/gateway/plainFlow.ts
@@ -2,6 +2,7 @@
 import { afterFailure, afterSuccess, HEALTHY } from "../routing/health.js";
 import { isEjected } from "../routing/health.js";
 import type { Health } from "../routing/health.js";
+import { BoundedCancellation } from "../shared/cancellation.js";
 import type { RequestFailure } from "../shared/errors.js";
 import type { Verdict } from "../shared/verdict.js";
 import { worseVerdict } from "../shared/verdict.js";
@@ -65,7 +66,7 @@
       verdict = worseVerdict(verdict, attempt.verdict);
       why = attempt.why;
       if (attempt.verdict !== "not-run") runs += 1;
-      if (caller.signal.aborted) break;
+      if (caller.cancellation.isCancelled) break;
       const isSafe = verdict === "not-run" || caller.route.kind === "safe";
       if (!isSafe || runs >= caller.route.maxAttempts) break;
     }
@@ -133,12 +134,12 @@
   ): Promise<Attempt> {
     const { client, form } = this.options;
     const { head, body, route } = caller;
-    const stop = new AbortController();
-    const onAbort = () => stop.abort();
-    caller.signal.addEventListener("abort", onAbort, { once: true });
     // A safe request that has missed its objective here tries elsewhere.
     const mayLeave = route.kind === "safe" && route.maxAttempts > 1;
-    const timer = mayLeave ? setTimeout(onAbort, route.objectiveMs) : undefined;
+    const cancellation = new BoundedCancellation(
+      caller.cancellation,
+      mayLeave ? route.objectiveMs : undefined,
+    );
     const send = {
       replicaId: replica.id,
       deadlineMs: Math.round(caller.leftMs()),
@@ -151,7 +152,7 @@
         target: head.target,
         headers: form.upstreamHeaders(head, send, body.length),
         body,
-        signal: stop.signal,
+        cancellation,
       });
       if (outcome.kind === "failed") return outcome;
       const { res } = outcome;
@@ -173,8 +174,7 @@
       const headers = form.answerHeaders(res.rawHeaders);
       return { kind: "answer", head: reply, headers, body: whole.body };
     } finally {
-      clearTimeout(timer);
-      caller.signal.removeEventListener("abort", onAbort);
+      cancellation.dispose();
     }
   }
 
--- a/src/gateway/stageKeeper.ts
+++ b/src/gateway/stageKeeper.ts
@@ -6,6 +6,7 @@
 import type { EngineScheduler, Stage } from "../scheduling/index.js";
 import { planStages } from "../scheduling/index.js";
 import type { StageChange } from "../scheduling/index.js";
+import { BoundedCancellation } from "../shared/cancellation.js";
 import type { Log } from "../telemetry/index.js";
 import type { ReplicaSet } from "./replicaSet.js";
 import type { ReplicaCall, RequestForm } from "./requestForm.js";
@@ -199,14 +200,16 @@
     call: ReplicaCall,
   ): Promise<OrderOutcome> {
     const { address } = replica;
-    const signal = AbortSignal.timeout(ORDER_MS);
-    const sent = await this.options.client.send({ ...call, address, signal });
+    const cancellation = new BoundedCancellation(undefined, ORDER_MS);
+    const { client } = this.options;
+    const sent = await client.send({ ...call, address, cancellation });
     if (sent.kind === "failed") {
       const kind = sent.verdict === "not-run" ? "refused" : "unknown";
       return { kind, why: sent.why };
     }
     const status = sent.res.statusCode ?? 0;
     const whole = await readWholeBody(sent, MAX_ANSWER_BYTES);
+    cancellation.dispose();
     const text = whole.kind === "whole" ? whole.body.toString("utf8") : "";
     const isGood = status >= 200 && status < 300;
     if (isGood) return { kind: "accepted", why: text };
--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -5,6 +5,8 @@
  */
 import type { Grant, PlacementAsk } from "../scheduling/index.js";
 import type { Placement } from "../placement/index.js";
+import { BoundedCancellation } from "../shared/cancellation.js";
+import type { Cancellation } from "../shared/cancellation.js";
 import type { RequestFailure } from "../shared/errors.js";
 import { errText } from "../shared/utils.js";
 import type { Verdict } from "../shared/verdict.js";
@@ -109,7 +111,7 @@
 
   private mayGoOn(journey: Journey): boolean {
     const { caller, verdict, rounds, runs } = journey;
-    if (caller.signal.aborted || rounds >= MAX_ROUNDS) return false;
+    if (caller.cancellation.isCancelled || rounds >= MAX_ROUNDS) return false;
     if (caller.leftMs() < LEAST_LEFT_MS) return false;
     if (verdict === "not-run") return true;
     return caller.route.isResumable && runs < caller.route.maxAttempts;
@@ -145,7 +147,7 @@
 
   private async carryOut(journey: Journey, grant: Grant): Promise<Round> {
     const { caller } = journey;
-    if (caller.signal.aborted) return this.overdue(journey);
+    if (caller.cancellation.isCancelled) return this.overdue(journey);
     let handle: ReadHandle | undefined;
     if (grant.reader !== undefined) {
       const read = await this.readPrompt(journey, grant, grant.reader);
@@ -191,7 +193,7 @@
     const ok = read.kind === "read";
     placement.note(caller.service, { kind: "read", id: grantId, ok });
     if (read.kind === "read") {
-      if (!caller.signal.aborted) return read;
+      if (!caller.cancellation.isCancelled) return read;
       this.free(read.handle);
       return this.overdue(journey);
     }
@@ -208,12 +210,9 @@
     { kind: "read"; handle: ReadHandle } | { kind: "failed"; why: string }
   > {
     const { form } = this.options;
-    const stop = new AbortController();
-    const onAbort = () => stop.abort();
-    caller.signal.addEventListener("abort", onAbort, { once: true });
-    const timer = setTimeout(onAbort, limitMs);
+    const stop = new BoundedCancellation(caller.cancellation, limitMs);
     try {
-      const sent = await this.send(caller, reader, stop.signal, {
+      const sent = await this.send(caller, reader, stop, {
         replicaId: reader,
         deadlineMs: Math.round(caller.leftMs()),
         phase: "read",
@@ -233,8 +232,7 @@
       if (handle !== undefined) return { kind: "read", handle };
       return { kind: "failed", why: "the answer names no handle" };
     } finally {
-      clearTimeout(timer);
-      caller.signal.removeEventListener("abort", onAbort);
+      stop.dispose();
     }
   }
 
@@ -246,7 +244,7 @@
     const { form, now } = this.options;
     const { caller, relay } = journey;
     journey.runSentAt = now();
-    const sent = await this.send(caller, runner, caller.signal, {
+    const sent = await this.send(caller, runner, caller.cancellation, {
       replicaId: runner,
       deadlineMs: Math.round(caller.leftMs()),
       phase: "run",
@@ -255,7 +253,8 @@
     });
     if (sent.kind === "failed") {
       if (sent.verdict !== "not-run") journey.runs += 1;
-      if (caller.signal.aborted) return this.overdue(journey, sent.verdict);
+      if (caller.cancellation.isCancelled)
+        return this.overdue(journey, sent.verdict);
       this.logFault(caller, runner, "run", sent.why);
       return { ...sent, avoid: runner };
     }
@@ -287,7 +286,8 @@
       case "caller-gone":
         return { kind: "done" };
       case "cut":
-        if (caller.signal.aborted) return this.overdue(journey, "may-have-run");
+        if (caller.cancellation.isCancelled)
+          return this.overdue(journey, "may-have-run");
         this.logFault(caller, runner, "run", end.why);
         return {
           kind: "failed",
@@ -321,7 +321,7 @@
   private async send(
     caller: CallerRequest,
     id: string,
-    signal: AbortSignal,
+    cancellation: Cancellation,
     send: UpstreamSend,
   ) {
     const { replicas, client, form } = this.options;
@@ -338,7 +338,7 @@
       target: head.target,
       headers: form.upstreamHeaders(head, send, body.length),
       body,
-      signal,
+      cancellation,
     });
     return outcome.kind === "failed" ? outcome : { ...outcome, address };
   }
@@ -347,6 +347,7 @@
   private free(handle: ReadHandle): void {
     const { client, form, log, now } = this.options;
     const begun = now();
+    const cancellation = new BoundedCancellation(undefined, FREE_MS);
     void client
       .send({
         address: handle.address,
@@ -354,9 +355,10 @@
         target: form.freeHandlePath(handle),
         headers: ["Host", handle.address, "Content-Length", "0"],
         body: Buffer.alloc(0),
-        signal: AbortSignal.timeout(FREE_MS),
+        cancellation,
       })
       .then((outcome) => {
+        cancellation.dispose();
         if (outcome.kind === "reply") outcome.res.resume();
         else {
           const tookMs = Math.round(now() - begun);
--- a/src/gateway/upstreamClient.ts
+++ b/src/gateway/upstreamClient.ts
@@ -6,6 +6,7 @@
 import type { Socket } from "node:net";
 
 import { splitAddress } from "../http/index.js";
+import type { Cancellation } from "../shared/cancellation.js";
 import type { Verdict } from "../shared/verdict.js";
 
 /** A connection that is not up by then counts as failed, ms. */
@@ -25,7 +26,7 @@
   /** Names and values in turn. */
   headers: readonly string[];
   body: Buffer;
-  signal: AbortSignal;
+  cancellation: Cancellation;
 }
 
 /** The head of an answer, and its body as it comes. */
@@ -80,8 +81,11 @@
         headers: order.headers as unknown as http.OutgoingHttpHeaders,
         setHost: false,
         agent: this.agent,
-        signal: order.signal,
       });
+      const off = order.cancellation.onCancel(() => {
+        req.destroy(new Error("cancelled"));
+      });
+      req.once("close", off);
       const onConnected = () => {
         isConnected = true;
         clearTimeout(timer);
--- a/src/gen/snowgate.ts
+++ b/src/gen/snowgate.ts
@@ -130,7 +130,7 @@
 export interface PlaceCall {
   service: string;
   ask: PlaceAsk | undefined;
-  event: PlaceEvent | undefined;
+  events: PlaceEvent[];
   held: PlaceHeld | undefined;
 }
 
@@ -1888,7 +1888,7 @@
 };
 
 function createBasePlaceCall(): PlaceCall {
-  return { service: "", ask: undefined, event: undefined, held: undefined };
+  return { service: "", ask: undefined, events: [], held: undefined };
 }
 
 export const PlaceCall: MessageFns<PlaceCall> = {
@@ -1899,8 +1899,8 @@
     if (message.ask !== undefined) {
       PlaceAsk.encode(message.ask, writer.uint32(18).fork()).join();
     }
-    if (message.event !== undefined) {
-      PlaceEvent.encode(message.event, writer.uint32(26).fork()).join();
+    for (const v of message.events) {
+      PlaceEvent.encode(v!, writer.uint32(26).fork()).join();
     }
     if (message.held !== undefined) {
       PlaceHeld.encode(message.held, writer.uint32(34).fork()).join();
@@ -1942,7 +1942,7 @@
               break;
             }
 
-            message.event = PlaceEvent.decode(reader, reader.uint32());
+            message.events.push(PlaceEvent.decode(reader, reader.uint32()));
             continue;
           }
           case 4: {
@@ -1969,7 +1969,7 @@
     return {
       service: isSet(object.service) ? globalThis.String(object.service) : "",
       ask: isSet(object.ask) ? PlaceAsk.fromJSON(object.ask) : undefined,
-      event: isSet(object.event) ? PlaceEvent.fromJSON(object.event) : undefined,
+      events: globalThis.Array.isArray(object?.events) ? object.events.map((e: any) => PlaceEvent.fromJSON(e)) : [],
       held: isSet(object.held) ? PlaceHeld.fromJSON(object.held) : undefined,
     };
   },
@@ -1982,8 +1982,8 @@
     if (message.ask !== undefined) {
       obj.ask = PlaceAsk.toJSON(message.ask);
     }
-    if (message.event !== undefined) {
-      obj.event = PlaceEvent.toJSON(message.event);
+    if (message.events?.length) {
+      obj.events = message.events.map((e) => PlaceEvent.toJSON(e));
     }
     if (message.held !== undefined) {
       obj.held = PlaceHeld.toJSON(message.held);
@@ -1998,9 +1998,7 @@
     const message = createBasePlaceCall();
     message.service = object.service ?? "";
     message.ask = (object.ask !== undefined && object.ask !== null) ? PlaceAsk.fromPartial(object.ask) : undefined;
-    message.event = (object.event !== undefined && object.event !== null)
-      ? PlaceEvent.fromPartial(object.event)
-      : undefined;
+    message.events = object.events?.map((e) => PlaceEvent.fromPartial(e)) || [];
     message.held = (object.held !== undefined && object.held !== null) ? PlaceHeld.fromPartial(object.held) : undefined;
     return message;
   },
--- a/src/placement/placementClient.ts
+++ b/src/placement/placementClient.ts
@@ -3,7 +3,7 @@
 import type { ClientDuplexStream } from "@grpc/grpc-js";
 
 import { SchedulingClient } from "../gen/snowgate.js";
-import type { PlaceCall, PlaceReply } from "../gen/snowgate.js";
+import type { PlaceCall, PlaceEvent, PlaceReply } from "../gen/snowgate.js";
 import type {
   Grant,
   PlacementAnswer,
@@ -20,6 +20,8 @@
  * between zones, and little beside an objective of some hundred ms.
  */
 const ANSWER_MS = 40;
+/** Events wait this long for an ask to go with, ms. */
+const EVENTS_MS = 4;
 /** A holder that has not accepted the stream by then is given up, ms. */
 const CONNECT_MS = 1000;
 /** Unanswered asks in a row after which the holder counts as lost. */
@@ -43,6 +45,8 @@
   private readonly client: SchedulingClient;
   private readonly stream: ClientDuplexStream<PlaceCall, PlaceReply>;
   private readonly waiting = new Map<string, Waiting>();
+  private events: PlaceEvent[] = [];
+  private eventTimer: NodeJS.Timeout | undefined;
   private unanswered = 0;
   private isLost = false;
   /** The holder has accepted the stream. */
@@ -78,14 +82,20 @@
   ask(ask: PlacementAsk): Promise<PlacementAnswer | undefined> {
     if (this.isLost || !this.isReady) return Promise.resolve(undefined);
     return new Promise((resolve) => {
-      const timer = setTimeout(() => this.onUnanswered(ask.id), ANSWER_MS);
+      // After a stall of this process the answer may be there, unread: the
+      // timer comes before it, what it sets off comes after.
+      const giveUp = () => setImmediate(() => this.onUnanswered(ask.id));
+      const timer = setTimeout(giveUp, ANSWER_MS);
       this.waiting.set(ask.id, { resolve, timer });
       this.send({ ask: toPlaceAsk(ask) });
     });
   }
 
+  /** Told with the next ask, or soon. */
   note(event: PlacementEvent): void {
-    this.send({ event: toPlaceEvent(event) });
+    if (this.isLost) return;
+    this.events.push(toPlaceEvent(event));
+    this.eventTimer ??= setTimeout(() => this.send({}), EVENTS_MS);
   }
 
   /** Tells the holder of a grant that is in use already. */
@@ -101,10 +111,14 @@
   private send(call: Partial<PlaceCall>): void {
     if (this.isLost) return;
     const { service } = this.options;
+    const { events } = this;
+    this.events = [];
+    clearTimeout(this.eventTimer);
+    this.eventTimer = undefined;
     this.stream.write({
       service,
       ask: undefined,
-      event: undefined,
+      events,
       held: undefined,
       ...call,
     });
@@ -138,6 +152,7 @@
     if (this.isLost) return;
     this.isLost = true;
     clearTimeout(this.connectTimer);
+    clearTimeout(this.eventTimer);
     for (const { resolve, timer } of this.waiting.values()) {
       clearTimeout(timer);
       resolve(undefined);
--- a/src/placement/placementServer.ts
+++ b/src/placement/placementServer.ts
@@ -13,6 +13,8 @@
 export const KEEPALIVE_OPTIONS = {
   "grpc.keepalive_time_ms": 1000,
   "grpc.keepalive_timeout_ms": 800,
+  // A stream is never retried: it would hold copies of all its messages.
+  "grpc.enable_retries": 0,
   "grpc.keepalive_permit_without_calls": 1,
   "grpc.http2.min_ping_interval_without_data_ms": 500,
 } as const;
@@ -94,8 +96,10 @@
   private onCall(stream: PlaceStream, call: PlaceCall): void {
     const { placement } = this.options;
     const { service, ask, held } = call;
-    const event = call.event && fromPlaceEvent(call.event);
-    if (event !== undefined) placement.note(service, event);
+    for (const told of call.events) {
+      const event = fromPlaceEvent(told);
+      if (event !== undefined) placement.note(service, event);
+    }
     if (held?.ask !== undefined) {
       const { reader, runner } = held;
       placement.adopt(fromPlaceAsk(service, held.ask), {
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -27,10 +27,17 @@
 const FIRST_EVENT_GAIN = 0.05;
 /** Longest wait for a prompt that is late by its own length alone, ms. */
 const LONG_PROMPT_WAIT_MS = 30;
-/** Bounds of the time told to refused callers, ms. */
+/**
+ * Part of its time after which a refused caller is told to come back. A rush
+ * outlasts shorter pauses, and a caller that is refused twice is worse off;
+ * callers don't wait for longer than a third of their time.
+ */
+const RETRY_PART = 0.33;
 const LEAST_RETRY_MS = 200;
-const LONGEST_RETRY_MS = 900;
-const NO_ENGINE_RETRY_MS = 500;
+/** Runs of at least this many tokens are packed. */
+const LONG_OUTPUT_TOKENS = 512;
+/** Packed engines are filled up to this share of slots or memory. */
+const PACK_LOAD = 0.8;
 /** Engines in another zone count as this much busier, share of slots. */
 const OTHER_ZONE_COST = 0.02;
 /** An engine that failed gets no work for this long at first, ms. */
@@ -96,7 +103,7 @@
     const runner = this.chooseRunner(ask, open, now);
     if (runner === undefined) {
       const hasDecode = open.some((item) => item.view.stage === "decode");
-      return this.refuse(hasDecode ? "slots" : "no-engine", 0);
+      return this.refuse(ask, hasDecode ? "slots" : "no-engine");
     }
     const cachedAtRunner = runner.cachedTokens(ask.model, ask.parts);
     const isLong = ask.promptTokens - cachedAtRunner >= LEAST_SPLIT_TOKENS;
@@ -109,14 +116,14 @@
     }
     const own = this.planOwnRead(ask, open, now);
     if (own !== undefined) return this.grant(ask, undefined, own, now);
-    if (plan === undefined) return this.refuse("no-engine", 0);
+    if (plan === undefined) return this.refuse(ask, "no-engine");
     const waitMs = plan.endMs - plan.costMs;
     const isLateAnyway =
       plan.costMs + this.firstEventMs + HOPS_MS > ask.objectiveLeftMs;
     if (isLateAnyway && waitMs <= LONG_PROMPT_WAIT_MS) {
       return this.grant(ask, plan, runner, now);
     }
-    return this.refuse("too-late", endMs - ask.objectiveLeftMs);
+    return this.refuse(ask, "too-late");
   }
 
   /** Takes over a grant that another scheduler has given. */
@@ -206,7 +213,12 @@
     if (memory > 1 && engine.runCount > 0) return undefined;
     const away = zone === ask.zone ? 0 : OTHER_ZONE_COST;
     const reading = engine.backlogMs(now) / 1000;
-    return Math.max(runs / slots, memory) + away + reading;
+    const load = Math.max(runs / slots, memory);
+    if (ask.outputTokens < LONG_OUTPUT_TOKENS) return load + away + reading;
+    // Long runs fill one engine after the other, so that the rest can change
+    // their stage without a wait, and read without slowing streams.
+    const isPacked = load <= PACK_LOAD;
+    return (isPacked ? 1 - load : 1 + load) + away + reading;
   }
 
   /** The prefill engine that has read the prompt first and at least cost. */
@@ -276,15 +288,13 @@
     };
   }
 
-  private refuse(why: Refusal["why"], lateMs: number): Refusal {
-    if (why === "no-engine") {
-      return { kind: "refused", why, retryAfterMs: NO_ENGINE_RETRY_MS };
-    }
-    const retryAfterMs = Math.min(
-      LONGEST_RETRY_MS,
-      Math.max(LEAST_RETRY_MS, lateMs),
-    );
-    return { kind: "refused", why, retryAfterMs };
+  private refuse(ask: PlacementAsk, why: Refusal["why"]): Refusal {
+    const pauseMs = ask.deadlineLeftMs * RETRY_PART;
+    return {
+      kind: "refused",
+      why,
+      retryAfterMs: Math.max(LEAST_RETRY_MS, pauseMs),
+    };
   }
 
   private judge(engine: EngineState, ok: boolean, now: number): void {
--- /dev/null
+++ b/src/telemetry/lineWriter.ts
@@ -0,0 +1,65 @@
+/**
+ * Writes lines to a file descriptor without ever making the process wait: a
+ * pipe whose reader has stopped blocks a thread of the pool, not the event
+ * loop, and lines beyond what is held are dropped and counted.
+ */
+import { write } from "node:fs";
+
+/** Lines are written together at the latest after this, ms. */
+const FLUSH_MS = 50;
+/** Most bytes held for a slow reader. */
+const MAX_HELD_BYTES = 512 * 1024;
+
+export class LineWriter {
+  private held: string[] = [];
+  private heldBytes = 0;
+  private isWriting = false;
+  private timer: NodeJS.Timeout | undefined;
+  /** Lines dropped since the reader last kept up. */
+  private dropped = 0;
+
+  constructor(
+    private readonly fd: number,
+    private readonly flushMs = FLUSH_MS,
+  ) {}
+
+  line(text: string): void {
+    if (this.heldBytes + text.length > MAX_HELD_BYTES) {
+      this.dropped += 1;
+      return;
+    }
+    this.held.push(text);
+    this.heldBytes += text.length;
+    this.timer ??= setTimeout(() => this.flush(), this.flushMs).unref();
+  }
+
+  /** Starts to write what is held. */
+  flush(): void {
+    clearTimeout(this.timer);
+    this.timer = undefined;
+    if (this.isWriting || this.held.length === 0) return;
+    if (this.dropped > 0) {
+      const count = this.dropped;
+      this.held.push(JSON.stringify({ message: "log lines dropped", count }));
+      this.dropped = 0;
+    }
+    const bytes = Buffer.from(`${this.held.join("\n")}\n`);
+    this.held = [];
+    this.heldBytes = 0;
+    this.isWriting = true;
+    this.writeAll(bytes, () => {
+      this.isWriting = false;
+      this.flush();
+    });
+  }
+
+  private writeAll(bytes: Buffer, done: () => void): void {
+    write(this.fd, bytes, (err, written) => {
+      // EAGAIN: the pipe is full; anything else: nobody reads any more.
+      if (err !== null && err.code !== "EAGAIN") return done();
+      const rest = bytes.subarray(err === null ? written : 0);
+      if (rest.length === 0) return done();
+      setTimeout(() => this.writeAll(rest, done), this.flushMs).unref();
+    });
+  }
+}
--- a/src/telemetry/log.ts
+++ b/src/telemetry/log.ts
@@ -1,6 +1,9 @@
 /** JSON-line logs through consola. */
 import { createConsola } from "consola";
 
+import { LineBudget } from "./lineBudget.js";
+import type { LineWriter } from "./lineWriter.js";
+
 /** Fields of a log line besides its message. */
 export type LogFields = Record<string, string | number | boolean | undefined>;
 
@@ -23,8 +26,22 @@
   debug: 4,
 };
 
-/** A logger that writes one JSON object a line to standard error. */
-export const createLog = (level: LogLevel, process_: string): Log => {
+export interface LogOptions {
+  level: LogLevel;
+  /** Name of the process on each line. */
+  process: string;
+  writer: LineWriter;
+  now: () => number;
+}
+
+/** Kind of a line for the budget: what happened, and how it ended. */
+const kindOf = (message: string, fields: LogFields | undefined): string =>
+  `${message} ${fields?.outcome ?? fields?.phase ?? ""}`.trim();
+
+/** A logger that writes one JSON object a line, bounded by kind. */
+export const createLog = (options: LogOptions): Log => {
+  const { level, process, writer, now } = options;
+  const budget = new LineBudget();
   const consola = createConsola({
     level: CONSOLA_LEVEL[level],
     throttle: 0,
@@ -32,22 +49,27 @@
       {
         log: (entry) => {
           const [message, fields] = entry.args as [string, LogFields?];
-          const line = {
-            time: entry.date.toISOString(),
-            level: entry.type,
-            process: process_,
-            message,
-            ...fields,
-          };
-          process.stderr.write(`${JSON.stringify(line)}\n`);
+          const time = entry.date.toISOString();
+          const head = { time, level: entry.type, process };
+          writer.line(JSON.stringify({ ...head, message, ...fields }));
+          for (const { kind, count } of budget.report(now())) {
+            const note = { ...head, message: "lines omitted", kind, count };
+            writer.line(JSON.stringify(note));
+          }
         },
       },
     ],
   });
+  const bounded =
+    (write: typeof consola.info, rank: number) =>
+    (message: string, fields?: LogFields): void => {
+      if (rank > CONSOLA_LEVEL[level]) return;
+      if (budget.take(kindOf(message, fields), now())) write(message, fields);
+    };
   return {
-    info: (message, fields) => consola.info(message, fields),
-    warn: (message, fields) => consola.warn(message, fields),
-    error: (message, fields) => consola.error(message, fields),
-    debug: (message, fields) => consola.debug(message, fields),
+    info: bounded(consola.info, CONSOLA_LEVEL.info),
+    warn: bounded(consola.warn, CONSOLA_LEVEL.warn),
+    error: bounded(consola.error, CONSOLA_LEVEL.error),
+    debug: bounded(consola.debug, CONSOLA_LEVEL.debug),
   };
 };
--- a/tests/promises/orders.test.ts
+++ b/tests/promises/orders.test.ts
@@ -120,7 +120,7 @@
         await fleet.startSide(part.spec, target);
         await fleet.command(`role ${id} to decode`);
         await fleet.orderFinished(id);
-        await until(() => first.stderr().includes("another side has claimed"));
+        await until(() => first.output().includes("another side has claimed"));
         await expectOneOrder(id, "decode");
       });
     });
--- a/tests/support/processes.ts
+++ b/tests/support/processes.ts
@@ -17,14 +17,19 @@
   child: ChildProcess;
   /** Addresses from its first line(s). */
   at: Record<string, string>;
-  stderr: () => string;
+  /** What it wrote to standard output and error. */
+  output: () => string;
   /** Resolves with the exit code when it has ended. */
   ended: Promise<number | null>;
   signal: (name: NodeJS.Signals) => void;
 }
 
 const running = new Set<Program>();
-const MAX_STDERR = 200_000;
+const MAX_OUTPUT = 200_000;
+
+/** Log lines have a message; lines of addresses have none. */
+const isLogLine = (line: string): boolean =>
+  (JSON.parse(line) as { message?: string }).message !== undefined;
 
 /** Starts a compiled script and waits for `lines` lines of addresses. */
 export const startProgram = (
@@ -37,9 +42,9 @@
     const child = spawn(process.execPath, [path.join(DIST, script), ...args], {
       stdio: ["ignore", "pipe", "pipe"],
     });
-    let stderr = "";
+    let output = "";
     child.stderr?.on("data", (text: Buffer) => {
-      stderr = (stderr + text.toString()).slice(-MAX_STDERR);
+      output = (output + text.toString()).slice(-MAX_OUTPUT);
     });
     const at: Record<string, string> = {};
     const ended = new Promise<number | null>((done) =>
@@ -49,18 +54,19 @@
       name,
       child,
       at,
-      stderr: () => stderr,
+      output: () => output,
       ended,
       signal: (signal) => void child.kill(signal),
     };
     running.add(program);
     void ended.then((code) => {
       running.delete(program);
-      reject(new Error(`${name} ended with ${code}: ${stderr}`));
+      reject(new Error(`${name} ended with ${code}: ${output}`));
     });
     let left = lines;
     createInterface({ input: child.stdout! }).on("line", (line) => {
-      if (left === 0) return;
+      output = (output + line + "\n").slice(-MAX_OUTPUT);
+      if (left === 0 || isLogLine(line)) return;
       Object.assign(at, JSON.parse(line));
       left -= 1;
       if (left === 0) resolve(program);
