--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -85,7 +85,7 @@
     local,
     feed: parts.feed,
     self: id,
-    address: settings.peerAddress,
+    address: () => peerAddress,
     leaseMs: settings.leaseMs,
     entriesHere: (service) => peers.entries(service),
     log,
@@ -98,6 +98,7 @@
     log,
   });
   const budgets = new RetryBudgets(settings.retry, now);
+  const peerAddress = await peers.listen(settings.peerAddress);
   const { replicas } = state;
   const shared = { replicas, client, form, budgets, zone, now };
   const server = new GatewayServer({
@@ -149,7 +150,7 @@
   const addresses = {
     callers: await listen(server.http, settings.callerAddress),
     ready: await listen(ready, settings.readyAddress),
-    peers: String(await peers.listen(settings.peerAddress)),
+    peers: peerAddress,
   };
   log.info("started", { zone, ...addresses });
   const stop = async () => {
--- a/src/gateway/plainFlow.ts
+++ b/src/gateway/plainFlow.ts
@@ -36,7 +36,10 @@
 
 type Attempt =
   | { kind: "answer"; head: ReplyHead; headers: string[]; body: Buffer }
-  | { kind: "failed"; verdict: Verdict; why: string };
+  | { kind: "failed"; verdict: Verdict; why: string; fault: Fault };
+
+/** What a failed send says of the replica. */
+type Fault = "unreachable" | "gone" | "refused" | "broken";
 
 export class PlainFlow {
   private readonly inFlight = new Map<string, number>();
@@ -154,22 +157,36 @@
         body,
         cancellation,
       });
-      if (outcome.kind === "failed") return outcome;
+      if (outcome.kind === "failed") {
+        const isSent = outcome.verdict !== "not-run";
+        return { ...outcome, fault: isSent ? "broken" : "unreachable" };
+      }
       const { res } = outcome;
       const reply = form.readReply(res.statusCode ?? 0, res.headers);
-      const fault = replyFault(reply, head.id);
-      if (fault !== undefined) {
+      const wrong = replyFault(reply, head.id);
+      if (wrong !== undefined) {
         res.destroy();
-        return { kind: "failed", verdict: "may-have-run", why: fault };
+        return {
+          kind: "failed",
+          verdict: "may-have-run",
+          why: wrong,
+          fault: "broken",
+        };
       }
       if (reply.isNotRun) {
         res.resume();
         const why = `replica refused with ${reply.status}`;
-        return { kind: "failed", verdict: "not-run", why };
+        const fault = reply.isMisdirected ? "gone" : "refused";
+        return { kind: "failed", verdict: "not-run", why, fault };
       }
       const whole = await readWholeBody(outcome, MAX_ANSWER_BYTES);
       if (whole.kind === "cut") {
-        return { kind: "failed", verdict: "may-have-run", why: whole.why };
+        return {
+          kind: "failed",
+          verdict: "may-have-run",
+          why: whole.why,
+          fault: "broken",
+        };
       }
       const headers = form.answerHeaders(res.rawHeaders);
       return { kind: "answer", head: reply, headers, body: whole.body };
@@ -182,12 +199,12 @@
     if (caller.isCallerGone) return;
     const now = this.options.now();
     const health = this.healthOf(id);
-    const isFailure = attempt.kind === "failed";
-    const isUnreachable = isFailure && attempt.verdict === "not-run";
-    const isRefusal = isFailure && attempt.why.startsWith("replica refused");
-    const next = !isFailure
-      ? afterSuccess(health, now)
-      : afterFailure(health, now, isUnreachable && !isRefusal);
+    if (attempt.kind === "answer") {
+      this.health.set(id, afterSuccess(health, now));
+      return;
+    }
+    const isAway = attempt.fault === "unreachable" || attempt.fault === "gone";
+    const next = afterFailure(health, now, isAway);
     this.health.set(id, next);
   }
 
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -151,6 +151,8 @@
   status: number;
   /** The replica states that the request did not run. */
   isNotRun: boolean;
+  /** Another replica has this address now. */
+  isMisdirected: boolean;
   /** The request that the answer belongs to. */
   requestId: string | undefined;
   isSigned: boolean;
--- a/src/placement/placementServer.ts
+++ b/src/placement/placementServer.ts
@@ -4,6 +4,7 @@
 
 import { SchedulingService } from "../gen/snowgate.js";
 import type { PlaceCall, PlaceReply } from "../gen/snowgate.js";
+import { splitAddress } from "../http/index.js";
 import type { Log } from "../telemetry/index.js";
 import type { LocalPlacement } from "./localPlacement.js";
 import { fromPlaceAsk, fromPlaceEvent, toPlaceReply } from "./messages.js";
@@ -41,12 +42,14 @@
     });
   }
 
-  listen(address: string): Promise<number> {
+  /** Resolves with the address in use. */
+  listen(address: string): Promise<string> {
+    const { host } = splitAddress(address);
     return new Promise((resolve, reject) => {
       const insecure = ServerCredentials.createInsecure();
       this.server.bindAsync(address, insecure, (err, port) => {
         if (err !== null) reject(err);
-        else resolve(port);
+        else resolve(`${host}:${port}`);
       });
     });
   }
--- a/src/placement/sharedPlacement.ts
+++ b/src/placement/sharedPlacement.ts
@@ -22,9 +22,10 @@
 export interface SharedPlacementOptions {
   local: LocalPlacement;
   feed: ObjectFeed;
-  /** Name and address of this process. */
+  /** Name of this process. */
   self: string;
-  address: string;
+  /** Where it places for others; known once it listens. */
+  address(): string;
   leaseMs: number;
   /** Entries that place through this process, itself included. */
   entriesHere(service: string): number;
@@ -124,7 +125,7 @@
       feed,
       service,
       self,
-      address,
+      address: address(),
       leaseMs,
       log,
       now,
--- a/tests/support/runTests.ts
+++ b/tests/support/runTests.ts
@@ -32,7 +32,9 @@
 const run = async (): Promise<number> => {
   const mocha = new Mocha({ timeout: TIMEOUT_MS, slow: SLOW_MS });
   const only = process.argv[2];
-  for (const file of testFiles(path.join(DIST, "tests"))) {
+  const folders = ["tests", "platform/tests"];
+  const files = folders.flatMap((name) => testFiles(path.join(DIST, name)));
+  for (const file of files) {
     if (only === undefined || file.includes(only)) mocha.addFile(file);
   }
   if (process.argv[3] !== undefined) mocha.fgrep(process.argv[3]);
