--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -168,6 +168,7 @@
     return {
       id: grantId,
       service: caller.service,
+      route: caller.route.name,
       zone: this.options.zone,
       model: prompt?.model ?? "",
       promptTokens: prompt?.promptTokens ?? 0,
--- a/src/gen/snowgate.ts
+++ b/src/gen/snowgate.ts
@@ -110,6 +110,7 @@
   priority: number;
   isReturn: boolean;
   avoid: string[];
+  route: string;
 }
 
 /** A grant that is in use already: told to a new holder. */
@@ -1415,6 +1416,7 @@
     priority: 0,
     isReturn: false,
     avoid: [],
+    route: "",
   };
 }
 
@@ -1453,6 +1455,9 @@
     for (const v of message.avoid) {
       writer.uint32(90).string(v!);
     }
+    if (message.route !== "") {
+      writer.uint32(98).string(message.route);
+    }
     return writer;
   },
 
@@ -1557,6 +1562,14 @@
             message.avoid.push(reader.string());
             continue;
           }
+          case 12: {
+            if (tag !== 98) {
+              break;
+            }
+
+            message.route = reader.string();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1604,6 +1617,7 @@
       avoid: globalThis.Array.isArray(object?.avoid)
         ? object.avoid.map((e: any) => globalThis.String(e))
         : [],
+      route: isSet(object.route) ? globalThis.String(object.route) : "",
     };
   },
 
@@ -1642,6 +1656,9 @@
     if (message.avoid?.length) {
       obj.avoid = message.avoid;
     }
+    if (message.route !== "") {
+      obj.route = message.route;
+    }
     return obj;
   },
 
@@ -1661,6 +1678,7 @@
     message.priority = object.priority ?? 0;
     message.isReturn = object.isReturn ?? false;
     message.avoid = object.avoid?.map((e) => e) || [];
+    message.route = object.route ?? "";
     return message;
   },
 };
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -5,6 +5,7 @@
  * its own for the time when it can't.
  */
 import { EngineState } from "./engineState.js";
+import { SizeFairness } from "./sizeFairness.js";
 import type {
   EngineView,
   Grant,
@@ -25,6 +26,11 @@
 /** Start of the estimate of a run's first event, ms after its send. */
 const FIRST_EVENT_MS = 50;
 const FIRST_EVENT_GAIN = 0.05;
+/** Start of the mean time to read a prompt, ms. */
+const MEAN_READ_MS = 20;
+const MEAN_READ_GAIN = 0.02;
+/** One token of output counts as this many of the prompt in a size. */
+const OUTPUT_WEIGHT = 10;
 /** Longest wait for a prompt that is late by its own length alone, ms. */
 const LONG_PROMPT_WAIT_MS = 30;
 /**
@@ -69,7 +75,10 @@
 export class EngineScheduler {
   private readonly engines = new Map<string, EngineState>();
   private readonly placed = new Map<string, Placed>();
+  private readonly fairness = new SizeFairness();
   private firstEventMs = FIRST_EVENT_MS;
+  /** Mean time to read the prompts that were asked for, ms. */
+  private meanReadMs = MEAN_READ_MS;
   readonly asked: SchedulerLoad = { readMs: 0 };
 
   /** `share`: how many schedulers place on these engines without talking. */
@@ -99,6 +108,15 @@
   }
 
   place(ask: PlacementAsk, now: number): PlacementAnswer {
+    const answer = this.decide(ask, now);
+    if (ask.avoid.length === 0) {
+      const size = ask.promptTokens + OUTPUT_WEIGHT * ask.outputTokens;
+      this.fairness.count(ask.route, size, answer.kind === "granted");
+    }
+    return answer;
+  }
+
+  private decide(ask: PlacementAsk, now: number): PlacementAnswer {
     const open = this.openEngines(ask, now);
     const runner = this.chooseRunner(ask, open, now);
     if (runner === undefined) {
@@ -110,22 +128,44 @@
     if (!isLong) return this.grant(ask, undefined, runner, now);
     const plan = this.planRead(ask, open, now);
     if (!ask.isReturn) this.asked.readMs += plan?.costMs ?? 0;
-    const endMs = (plan?.endMs ?? Infinity) + this.firstEventMs + HOPS_MS;
-    if (plan !== undefined && endMs <= ask.objectiveLeftMs) {
+    if (plan !== undefined && this.isInTime(ask, plan)) {
       return this.grant(ask, plan, runner, now);
     }
     const own = this.planOwnRead(ask, open, now);
     if (own !== undefined) return this.grant(ask, undefined, own, now);
     if (plan === undefined) return this.refuse(ask, "no-engine");
-    const waitMs = plan.endMs - plan.costMs;
-    const isLateAnyway =
-      plan.costMs + this.firstEventMs + HOPS_MS > ask.objectiveLeftMs;
-    if (isLateAnyway && waitMs <= LONG_PROMPT_WAIT_MS) {
-      return this.grant(ask, plan, runner, now);
-    }
+    if (this.mayBeLate(ask, plan)) return this.grant(ask, plan, runner, now);
     return this.refuse(ask, "too-late");
   }
 
+  private isInTime(ask: PlacementAsk, plan: ReadPlan): boolean {
+    this.meanReadMs += (plan.costMs - this.meanReadMs) * MEAN_READ_GAIN;
+    return plan.endMs + this.afterReadMs <= ask.objectiveLeftMs;
+  }
+
+  /**
+   * A prompt that is late by its own length alone is served late, after a
+   * short wait; where prompts of its size fall behind, after as long a wait
+   * as others have.
+   */
+  private mayBeLate(ask: PlacementAsk, plan: ReadPlan): boolean {
+    const isLateAnyway = plan.costMs + this.afterReadMs > ask.objectiveLeftMs;
+    const isLarge = plan.costMs > this.meanReadMs;
+    if (!isLateAnyway && !isLarge) return false;
+    if (plan.endMs + this.afterReadMs > ask.deadlineLeftMs) return false;
+    const waitMs = plan.endMs - plan.costMs;
+    if (isLateAnyway && waitMs <= LONG_PROMPT_WAIT_MS) return true;
+    const size = ask.promptTokens + OUTPUT_WEIGHT * ask.outputTokens;
+    const usualWaitMs =
+      ask.objectiveLeftMs - this.meanReadMs - this.afterReadMs;
+    return waitMs <= usualWaitMs && this.fairness.lags(ask.route, size);
+  }
+
+  /** From the end of a read to the first event at the caller, ms. */
+  private get afterReadMs(): number {
+    return this.firstEventMs + HOPS_MS;
+  }
+
   /** Takes over a grant that another scheduler has given. */
   adopt(ask: PlacementAsk, grant: Grant, now: number): void {
     const runner = this.engines.get(grant.runner);
@@ -254,7 +294,7 @@
       const cached = engine.cachedTokens(ask.model, ask.parts);
       if (ask.promptTokens - cached > DECODE_READ_TOKENS) continue;
       const costMs = engine.readCostMs(ask.promptTokens, cached);
-      const endMs = costMs + this.firstEventMs + HOPS_MS;
+      const endMs = costMs + this.afterReadMs;
       if (endMs > ask.objectiveLeftMs) continue;
       if (best === undefined || endMs < best.endMs) best = { engine, endMs };
     }
--- /dev/null
+++ b/src/scheduling/sizeFairness.ts
@@ -0,0 +1,94 @@
+/**
+ * Whether the large requests of a route are served about as often as the
+ * rest. Long prompts rarely fit the objective in a rush; without this they
+ * would hardly be served at all. Pure.
+ */
+import { build } from "hdr-histogram-js";
+import type { Histogram } from "hdr-histogram-js";
+
+/** Percentiles of size at which the two groups of large requests begin. */
+const LARGE_PERCENTILE = 70;
+const LARGEST_PERCENTILE = 90;
+/** A group lags that is served less than this times as often as all. */
+const LAG_RATIO = 0.7;
+/** Sizes that are needed before groups mean anything. */
+const LEAST_SIZES = 40;
+/** Counts are halved when so many requests of a route were counted. */
+const KEPT_REQUESTS = 1500;
+const MAX_ROUTES = 256;
+
+export type SizeGroup = "largest" | "large" | "rest";
+
+interface Count {
+  asked: number;
+  served: number;
+}
+
+const newCount = (): Count => ({ asked: 0, served: 0 });
+
+class RouteSizes {
+  private readonly sizes: Histogram = build({
+    bitBucketSize: 32,
+    autoResize: true,
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: 1_000_000,
+    numberOfSignificantValueDigits: 2,
+  });
+  private readonly all = newCount();
+  private readonly groups: Record<SizeGroup, Count> = {
+    largest: newCount(),
+    large: newCount(),
+    rest: newCount(),
+  };
+
+  groupOf(size: number): SizeGroup {
+    const { sizes } = this;
+    if (sizes.totalCount < LEAST_SIZES) return "rest";
+    if (size >= sizes.getValueAtPercentile(LARGEST_PERCENTILE)) {
+      return "largest";
+    }
+    const isLarge = size >= sizes.getValueAtPercentile(LARGE_PERCENTILE);
+    return isLarge ? "large" : "rest";
+  }
+
+  lags(group: SizeGroup): boolean {
+    const { asked, served } = this.groups[group];
+    if (group === "rest" || asked === 0 || this.all.asked === 0) return false;
+    const share = this.all.served / this.all.asked;
+    return served / asked < share * LAG_RATIO;
+  }
+
+  count(size: number, isServed: boolean): void {
+    const group = this.groups[this.groupOf(size)];
+    for (const count of [this.all, group]) {
+      count.asked += 1;
+      if (isServed) count.served += 1;
+    }
+    this.sizes.recordValue(Math.max(1, Math.round(size)));
+    if (this.all.asked < KEPT_REQUESTS) return;
+    for (const count of [this.all, ...Object.values(this.groups)]) {
+      count.asked /= 2;
+      count.served /= 2;
+    }
+  }
+}
+
+export class SizeFairness {
+  private readonly routes = new Map<string, RouteSizes>();
+
+  /** Whether requests of this size lag behind the rest of their route. */
+  lags(route: string, size: number): boolean {
+    const sizes = this.routes.get(route);
+    return sizes !== undefined && sizes.lags(sizes.groupOf(size));
+  }
+
+  /** Counts one request and whether it was served. */
+  count(route: string, size: number, isServed: boolean): void {
+    const known = this.routes.get(route);
+    if (known !== undefined) return known.count(size, isServed);
+    if (this.routes.size >= MAX_ROUTES) return;
+    const fresh = new RouteSizes();
+    this.routes.set(route, fresh);
+    fresh.count(size, isServed);
+  }
+}
--- a/src/scheduling/types.ts
+++ b/src/scheduling/types.ts
@@ -25,6 +25,8 @@
   /** Unique among the requests of all entries. */
   id: string;
   service: string;
+  /** Requests of one route are of one kind. */
+  route: string;
   zone: string;
   model: string;
   promptTokens: number;
--- a/src/telemetry/lineWriter.ts
+++ b/src/telemetry/lineWriter.ts
@@ -17,15 +17,22 @@
   private timer: NodeJS.Timeout | undefined;
   /** Lines dropped since the reader last kept up. */
   private dropped = 0;
+  private droppedEver = 0;
 
   constructor(
     private readonly fd: number,
     private readonly flushMs = FLUSH_MS,
   ) {}
 
+  /** Lines dropped since the start. */
+  get droppedLines(): number {
+    return this.droppedEver;
+  }
+
   line(text: string): void {
     if (this.heldBytes + text.length > MAX_HELD_BYTES) {
       this.dropped += 1;
+      this.droppedEver += 1;
       return;
     }
     this.held.push(text);
--- /dev/null
+++ b/tests/gateway/scheduling.test.ts
@@ -0,0 +1,286 @@
+/** Decisions of the scheduler and the planner of stages, without I/O. */
+import { expect } from "chai";
+
+import { EngineScheduler, planStages } from "../../src/scheduling/index.js";
+import type {
+  EngineView,
+  PlacementAnswer,
+  PlacementAsk,
+  PlannedEngine,
+  Stage,
+} from "../../src/scheduling/index.js";
+import { SizeFairness } from "../../src/scheduling/sizeFairness.js";
+
+const engine = (id: string, stage: Stage): EngineView => ({
+  id,
+  stage,
+  zone: "zone-1",
+  slots: 4,
+  kvCapacityTokens: 40_000,
+});
+
+const FLEET = [
+  engine("pre-1", "prefill"),
+  engine("pre-2", "prefill"),
+  engine("dec-1", "decode"),
+  engine("dec-2", "decode"),
+];
+
+let sequence = 0;
+const ask = (more: Partial<PlacementAsk> = {}): PlacementAsk => {
+  sequence += 1;
+  return {
+    id: `ask-${sequence}`,
+    service: "model",
+    route: "lookup",
+    zone: "zone-1",
+    model: "m",
+    promptTokens: 6000,
+    outputTokens: 100,
+    parts: [
+      { id: "manual", tokens: 4000 },
+      { id: `own-${sequence}`, tokens: 2000 },
+    ],
+    objectiveLeftMs: 200,
+    deadlineLeftMs: 2000,
+    priority: 0,
+    isReturn: false,
+    avoid: [],
+    ...more,
+  };
+};
+
+const newScheduler = (share = 1, fleet = FLEET): EngineScheduler => {
+  const scheduler = new EngineScheduler(() => share);
+  scheduler.setEngines(fleet);
+  return scheduler;
+};
+
+const granted = (answer: PlacementAnswer) => {
+  if (answer.kind === "refused") throw new Error(`refused: ${answer.why}`);
+  return answer;
+};
+
+/** Asks until one is refused; gives the number of grants. */
+const fill = (scheduler: EngineScheduler, more: Partial<PlacementAsk>) => {
+  for (let count = 0; ; count += 1) {
+    const answer = scheduler.place(ask({ parts: [], ...more }), 0);
+    if (answer.kind === "refused") return count;
+  }
+};
+
+describe("scheduler", () => {
+  it("has a long prompt read apart, a short one where it runs", () => {
+    const scheduler = newScheduler();
+    const long = granted(scheduler.place(ask(), 0));
+    const short = granted(scheduler.place(ask({ promptTokens: 200 }), 0));
+    expect(long.reader).to.match(/^pre-/);
+    expect(long.runner).to.match(/^dec-/);
+    expect(short.reader).to.equal(undefined);
+  });
+
+  it("reads a shared part where it was read before", () => {
+    const scheduler = newScheduler();
+    const first = granted(scheduler.place(ask(), 0));
+    const second = granted(scheduler.place(ask(), 1000));
+    expect(second.reader).to.equal(first.reader);
+  });
+
+  it("goes elsewhere when the engine with the part is behind", () => {
+    const scheduler = newScheduler();
+    const parts = [{ id: "manual", tokens: 1000 }];
+    const readers = new Set<string | undefined>();
+    for (let at = 0; at < 6; at += 1) {
+      readers.add(granted(scheduler.place(ask({ parts }), 0)).reader);
+    }
+    expect(readers.size).to.equal(2);
+  });
+
+  it("refuses what can't be in time, with a time to come back", () => {
+    const scheduler = newScheduler();
+    const count = fill(scheduler, { outputTokens: 10 });
+    const answer = scheduler.place(ask({ parts: [] }), 0);
+    expect(count).to.be.greaterThan(2);
+    if (answer.kind !== "refused") throw new Error("granted");
+    expect(answer.retryAfterMs).to.be.greaterThan(0);
+    expect(answer.retryAfterMs).to.be.at.most(2000 / 3);
+  });
+
+  it("has room again when what it granted has ended", () => {
+    const scheduler = newScheduler();
+    const first = ask({ parts: [] });
+    scheduler.place(first, 0);
+    fill(scheduler, {});
+    expect(scheduler.place(ask({ parts: [] }), 0).kind).to.equal("refused");
+    for (const state of scheduler.engineStates()) state.expire(1e9);
+    scheduler.onEvent({ kind: "ended", id: first.id, ok: true }, 10);
+    expect(scheduler.place(ask({ parts: [] }), 10).kind).to.equal("granted");
+  });
+
+  it("counts what others may have placed by its share", () => {
+    const alone = fill(newScheduler(1), { promptTokens: 200 });
+    const shared = fill(newScheduler(4), { promptTokens: 200 });
+    expect(shared).to.be.at.most(Math.ceil(alone / 4));
+    expect(shared).to.be.greaterThan(0);
+  });
+
+  it("never fills more than the slots of the engines that run", () => {
+    const count = fill(newScheduler(), { promptTokens: 100, outputTokens: 1 });
+    expect(count).to.equal(8);
+  });
+
+  it("keeps long runs together, so that an engine stays free", () => {
+    const scheduler = newScheduler();
+    const runners = new Set<string>();
+    for (let at = 0; at < 3; at += 1) {
+      const long = ask({ promptTokens: 100, outputTokens: 5000 });
+      runners.add(granted(scheduler.place(long, 0)).runner);
+    }
+    expect(runners.size).to.equal(1);
+  });
+
+  it("leaves an engine out that fails again and again, then tries it", () => {
+    const scheduler = newScheduler(1, [
+      engine("pre-1", "prefill"),
+      engine("dec-1", "decode"),
+    ]);
+    for (let at = 0; at < 2; at += 1) {
+      const one = ask({ promptTokens: 100 });
+      scheduler.place(one, at);
+      scheduler.onEvent({ kind: "ended", id: one.id, ok: false }, at);
+    }
+    const short = { promptTokens: 100 };
+    expect(scheduler.place(ask(short), 10).kind).to.equal("refused");
+    expect(scheduler.place(ask(short), 5000).kind).to.equal("granted");
+  });
+
+  it("takes over grants of another scheduler", () => {
+    const scheduler = newScheduler();
+    for (let at = 0; at < 8; at += 1) {
+      const runner = at % 2 === 0 ? "dec-1" : "dec-2";
+      const held = ask({ promptTokens: 100 });
+      const grant = { kind: "granted" as const, reader: undefined, runner };
+      scheduler.adopt(held, { ...grant, readMs: 0 }, 0);
+    }
+    const answer = scheduler.place(ask({ promptTokens: 100 }), 0);
+    expect(answer.kind).to.equal("refused");
+  });
+});
+
+describe("fairness by size", () => {
+  /** Sizes 1 to 100, in no order. */
+  const sizes = Array.from({ length: 400 }, (_, at) => ((at * 37) % 100) + 1);
+
+  it("sees that the largest requests are left behind", () => {
+    const fairness = new SizeFairness();
+    for (const size of sizes) fairness.count("lookup", size, size <= 90);
+    expect(fairness.lags("lookup", 99)).to.equal(true);
+    expect(fairness.lags("lookup", 50)).to.equal(false);
+    expect(fairness.lags("other", 99)).to.equal(false);
+  });
+
+  it("is content when they are served as often", () => {
+    const fairness = new SizeFairness();
+    for (const size of sizes) fairness.count("lookup", size, size % 2 === 0);
+    expect(fairness.lags("lookup", 99)).to.equal(false);
+  });
+});
+
+describe("planner of stages", () => {
+  const planned =
+    (stage: Stage, runs = 0, changingTo?: Stage) =>
+    (id: string): PlannedEngine => ({
+      id,
+      stage,
+      runs,
+      runTokens: runs * 100,
+      slots: 10,
+      kvCapacityTokens: 100_000,
+      changingTo,
+    });
+  const fleet = (prefill: number, decode: number, runs = 0) => [
+    ...Array.from({ length: prefill }, (_, at) => planned("prefill")(`p${at}`)),
+    ...Array.from({ length: decode }, (_, at) =>
+      planned("decode", runs)(`d${at}`),
+    ),
+  ];
+  const question = {
+    readDemand: 1,
+    peakRuns: 5,
+    peakRunTokens: 500,
+    sinceToPrefillMs: Infinity,
+    sinceToDecodeMs: Infinity,
+  };
+
+  const cases = [
+    {
+      name: "leaves a fleet alone that does its work",
+      prefill: 3,
+      decode: 5,
+      readDemand: 2,
+      peakRuns: 20,
+      to: undefined,
+    },
+    {
+      name: "takes an idle engine for reading",
+      prefill: 3,
+      decode: 5,
+      readDemand: 4,
+      peakRuns: 5,
+      to: "prefill",
+    },
+    {
+      name: "takes none that runs need",
+      prefill: 3,
+      decode: 5,
+      readDemand: 6,
+      peakRuns: 36,
+      to: undefined,
+    },
+    {
+      name: "gives one back that runs need",
+      prefill: 6,
+      decode: 2,
+      readDemand: 1,
+      peakRuns: 25,
+      to: "decode",
+    },
+    {
+      name: "keeps engines that make tokens",
+      prefill: 6,
+      decode: 2,
+      readDemand: 9,
+      peakRuns: 0,
+      to: undefined,
+    },
+  ];
+  for (const { name, prefill, decode, readDemand, peakRuns, to } of cases) {
+    it(name, () => {
+      const engines = fleet(prefill, decode);
+      const change = planStages({ ...question, engines, readDemand, peakRuns });
+      expect(change?.to).to.equal(to);
+    });
+  }
+
+  it("does not turn back soon after a change", () => {
+    const engines = fleet(3, 5);
+    const asked = { ...question, engines, readDemand: 4 };
+    expect(planStages({ ...asked, sinceToDecodeMs: 100 })).to.equal(undefined);
+  });
+
+  it("changes a part of the fleet at a time", () => {
+    const engines = [
+      ...fleet(3, 3),
+      planned("decode", 0, "prefill")("c0"),
+      planned("decode", 0, "prefill")("c1"),
+    ];
+    const asked = { ...question, engines, readDemand: 9 };
+    expect(planStages(asked)).to.equal(undefined);
+  });
+
+  it("takes the engine with the least to finish", () => {
+    const engines = [...fleet(3, 4, 4), planned("decode", 1)("idle")];
+    const change = planStages({ ...question, engines, readDemand: 4 });
+    expect(change?.id).to.equal("idle");
+  });
+});
--- /dev/null
+++ b/tests/gateway/state.test.ts
@@ -0,0 +1,196 @@
+/** What a gateway believes: routes, replicas, events, budgets, log lines. */
+import { expect } from "chai";
+import { spawnSync } from "node:child_process";
+import { constants, mkdtempSync, openSync } from "node:fs";
+import os from "node:os";
+import path from "node:path";
+
+import { EventSplitter } from "../../src/gateway/eventSplitter.js";
+import { ReplicaSet, VANISHED_KEEP_MS } from "../../src/gateway/replicaSet.js";
+import { RetryBudgets } from "../../src/gateway/retryBudgets.js";
+import { drawService, RouteTable } from "../../src/gateway/routeTable.js";
+import type { Replica, Route } from "../../src/gateway/index.js";
+import { LineBudget } from "../../src/telemetry/lineBudget.js";
+import { LineWriter } from "../../src/telemetry/lineWriter.js";
+
+const route = (name: string, pathPrefix: string, weights = [1]): Route => ({
+  name,
+  host: "parts.example",
+  pathPrefix,
+  kind: "safe",
+  timeoutMs: 1000,
+  objectiveMs: 100,
+  priority: 0,
+  maxAttempts: 1,
+  isResumable: false,
+  targets: weights.map((weight, at) => ({ service: `s${at}`, weight })),
+});
+
+describe("routes", () => {
+  const table = new RouteTable({
+    version: 3,
+    routes: [route("short", "/a/"), route("long", "/a/b/")],
+    services: [],
+    limits: { maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+  });
+
+  const cases = [
+    { target: "/a/x", name: "short" },
+    { target: "/a/b/x?q=/c/", name: "long" },
+    { target: "/a/bx", name: "short" },
+    { target: "/b/a/", name: undefined },
+    { target: "/a", name: undefined },
+  ];
+  for (const { target, name } of cases) {
+    it(`${target}: ${name ?? "none"}`, () => {
+      expect(table.match("parts.example", target)?.name).to.equal(name);
+    });
+  }
+
+  it("knows no route of another host", () => {
+    expect(table.match("other.example", "/a/x")).to.equal(undefined);
+  });
+
+  it("draws services by weight, and none of weight 0", () => {
+    const split = route("split", "/", [90, 0, 10]);
+    expect(drawService(split, () => 0.89)).to.equal("s0");
+    expect(drawService(split, () => 0.9)).to.equal("s2");
+    expect(drawService(split, () => 0.999)).to.equal("s2");
+  });
+});
+
+describe("replicas", () => {
+  const replica = (id: string, more: Partial<Replica> = {}): Replica => ({
+    id,
+    service: "plain",
+    address: "127.0.0.1:1",
+    zone: "zone-1",
+    slots: 1,
+    state: "ready",
+    stage: undefined,
+    ...more,
+  });
+  const ids = (set: ReplicaSet, now: number) =>
+    set.usable("plain", now).map((item) => item.id);
+
+  it("a replica that drains or vanishes gets nothing more", () => {
+    const set = new ReplicaSet();
+    for (const id of ["a", "b", "c"]) set.put(replica(id));
+    set.put(replica("a", { state: "draining" }));
+    set.remove("b", 0, false);
+    expect(ids(set, 0)).to.deep.equal(["c"]);
+  });
+
+  it("one that vanishes in trouble is kept for a while", () => {
+    const set = new ReplicaSet();
+    set.put(replica("a"));
+    set.remove("a", 0, true);
+    expect(ids(set, VANISHED_KEEP_MS - 1)).to.deep.equal(["a"]);
+    expect(ids(set, VANISHED_KEEP_MS)).to.deep.equal([]);
+    expect(set.expire(VANISHED_KEEP_MS)).to.have.length(1);
+  });
+
+  it("one that comes back is no longer given up", () => {
+    const set = new ReplicaSet();
+    set.put(replica("a"));
+    set.replace([], 0, true);
+    set.put(replica("a"));
+    expect(ids(set, VANISHED_KEEP_MS * 2)).to.deep.equal(["a"]);
+  });
+
+  it("a draining one that vanishes in trouble is gone", () => {
+    const set = new ReplicaSet();
+    set.put(replica("a", { state: "draining" }));
+    set.remove("a", 0, true);
+    expect(set.size).to.equal(0);
+  });
+
+  it("a second list in trouble does not prolong it", () => {
+    const set = new ReplicaSet();
+    set.put(replica("a"));
+    set.replace([], 0, true);
+    set.replace([], VANISHED_KEEP_MS - 1, true);
+    expect(ids(set, VANISHED_KEEP_MS)).to.deep.equal([]);
+  });
+});
+
+describe("event streams", () => {
+  const whole = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+  it("passes events only when they are whole, at any cut", () => {
+    for (let cut = 0; cut <= whole.length; cut += 1) {
+      const splitter = new EventSplitter();
+      const first = splitter.take(Buffer.from(whole.slice(0, cut)));
+      const second = splitter.take(Buffer.from(whole.slice(cut)));
+      expect(`${first.bytes}${second.bytes}`).to.equal(whole);
+      expect(first.bytes.toString()).to.match(/^(id: \d\ndata: \w\n\n)*$/);
+      expect(second.lastId ?? first.lastId).to.equal("2");
+    }
+  });
+
+  it("holds what is left of an event", () => {
+    const splitter = new EventSplitter();
+    const { bytes } = splitter.take(Buffer.from(`${whole}id: 3\ndata:`));
+    expect(bytes.toString()).to.equal(whole);
+    expect(splitter.heldBytes).to.equal(11);
+  });
+
+  it("takes line ends of two bytes", () => {
+    const splitter = new EventSplitter();
+    const { lastId } = splitter.take(Buffer.from("id: 7\r\ndata\r\n\r\nid"));
+    expect(lastId).to.equal("7");
+    expect(splitter.heldBytes).to.equal(2);
+  });
+});
+
+describe("retry budgets", () => {
+  it("allow no more than the ratio, over any number of requests", () => {
+    const budgets = new RetryBudgets({ ratio: 0.2, burst: 64 }, () => 0);
+    let spent = 0;
+    for (let at = 0; at < 1000; at += 1) {
+      budgets.earn("s");
+      if (budgets.spend("s")) spent += 1;
+    }
+    expect(spent).to.be.at.most(1000 * 0.2);
+    expect(spent).to.be.greaterThan(1000 * 0.1);
+  });
+
+  it("start with a part of the fleet's stock", () => {
+    const budgets = new RetryBudgets({ ratio: 0.2, burst: 64 }, () => 0);
+    const taken = [1, 2, 3].map(() => budgets.spend("s"));
+    expect(taken).to.deep.equal([true, true, false]);
+  });
+
+  it("are kept apart by service", () => {
+    const budgets = new RetryBudgets({ ratio: 0.2, burst: 32 }, () => 0);
+    expect(budgets.spend("a")).to.equal(true);
+    expect(budgets.spend("b")).to.equal(true);
+  });
+});
+
+describe("log", () => {
+  it("leaves lines of one kind out beyond the budget, and counts them", () => {
+    const budget = new LineBudget();
+    let written = 0;
+    for (let at = 0; at < 1000; at += 1) {
+      if (budget.take("refused", 0)) written += 1;
+    }
+    const [omission] = budget.report(0);
+    expect(written).to.be.at.most(100);
+    expect(omission).to.deep.equal({ kind: "refused", count: 1000 - written });
+    expect(budget.take("failed", 0)).to.equal(true);
+  });
+
+  it("does not wait for a reader that has stopped", () => {
+    const file = path.join(mkdtempSync(path.join(os.tmpdir(), "log-")), "pipe");
+    spawnSync("mkfifo", [file]);
+    const flags = constants.O_RDWR | constants.O_NONBLOCK;
+    const writer = new LineWriter(openSync(file, flags), 1);
+    const line = "x".repeat(1000);
+    for (let at = 0; at < 2000; at += 1) {
+      writer.line(line);
+      writer.flush();
+    }
+    expect(writer.droppedLines).to.be.greaterThan(0);
+  });
+});
