Cached parts are taken from the engine that holds them

Cause: a shared part of 3,800 tokens takes 12 ms to read and half a ms to move.

Change: the scheduler names a donor where another engine holds at least 512 tokens more of the prompt; the engine that reads takes them first.

--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -154,7 +154,7 @@
       if (read.kind !== "read") return read;
       handle = read.handle;
     }
-    const round = await this.runAt(journey, grant.runner, handle);
+    const round = await this.runAt(journey, grant, handle);
     if (round.kind !== "done" && handle !== undefined) this.free(handle);
     return round;
   }
@@ -189,8 +189,9 @@
   ): Promise<Round | { kind: "read"; handle: ReadHandle }> {
     const { placement } = this.options;
     const { caller, grantId } = journey;
+    const cacheSource = this.cacheSource(grant);
     const limitMs = grant.readMs * READ_PATIENCE + READ_SLACK_MS;
-    const read = await this.exchangeRead(caller, reader, limitMs);
+    const read = await this.exchangeRead(caller, reader, limitMs, cacheSource);
     const ok = read.kind === "read";
     placement.note(caller.service, { kind: "read", id: grantId, ok });
     if (read.kind === "read") {
@@ -207,6 +208,7 @@
     caller: CallerRequest,
     reader: string,
     limitMs: number,
+    cacheSource: string | undefined,
   ): Promise<
     { kind: "read"; handle: ReadHandle } | { kind: "failed"; why: string }
   > {
@@ -217,6 +219,7 @@
         replicaId: reader,
         deadlineMs: Math.round(caller.leftMs()),
         phase: "read",
+        cacheSource,
       });
       if (sent.kind === "failed") return { kind: "failed", why: sent.why };
       const { res, address } = sent;
@@ -239,10 +242,12 @@
 
   private async runAt(
     journey: Journey,
-    runner: string,
+    grant: Grant,
     handle: ReadHandle | undefined,
   ): Promise<Round> {
     const { form, now } = this.options;
+    const { runner } = grant;
+    const readsItself = grant.reader === undefined;
     const { caller, relay } = journey;
     journey.runSentAt = now();
     const sent = await this.send(caller, runner, caller.cancellation, {
@@ -250,6 +255,7 @@
       deadlineMs: Math.round(caller.leftMs()),
       phase: "run",
       handle,
+      cacheSource: readsItself ? this.cacheSource(grant) : undefined,
       afterEventId: relay.lastEventId,
     });
     if (sent.kind === "failed") {
@@ -299,6 +305,12 @@
     }
   }
 
+  /** Address of the engine whose cached parts are taken first. */
+  private cacheSource({ donor }: Grant): string | undefined {
+    const replica = donor && this.options.replicas.get(donor);
+    return replica ? replica.address : undefined;
+  }
+
   /** A replica's own failure is passed on, unless a stream has begun. */
   private async answerFailure(
     journey: Journey,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -142,6 +142,8 @@
   phase: "read" | "run";
   /** The run goes on from this read prompt. */
   handle?: ReadHandle;
+  /** Address of a replica whose cached parts it takes first. */
+  cacheSource?: string;
   /** The run goes on after this event. */
   afterEventId?: string;
 }
--- a/src/gen/snowgate.ts
+++ b/src/gen/snowgate.ts
@@ -149,6 +149,8 @@
   entries: number;
   /** Whether the holder's lease is fresh; if not, look for another. */
   isFresh: boolean;
+  /** Engine whose cached parts the one that reads takes first; may be empty. */
+  donor: string;
 }
 
 function createBaseRumour(): Rumour {
@@ -2023,7 +2025,17 @@
 };
 
 function createBasePlaceReply(): PlaceReply {
-  return { id: "", runner: "", reader: "", readMs: 0, refusal: "", retryAfterMs: 0, entries: 0, isFresh: false };
+  return {
+    id: "",
+    runner: "",
+    reader: "",
+    readMs: 0,
+    refusal: "",
+    retryAfterMs: 0,
+    entries: 0,
+    isFresh: false,
+    donor: "",
+  };
 }
 
 export const PlaceReply: MessageFns<PlaceReply> = {
@@ -2052,6 +2064,9 @@
     if (message.isFresh !== false) {
       writer.uint32(64).bool(message.isFresh);
     }
+    if (message.donor !== "") {
+      writer.uint32(74).string(message.donor);
+    }
     return writer;
   },
 
@@ -2132,6 +2147,14 @@
             message.isFresh = reader.bool();
             continue;
           }
+          case 9: {
+            if (tag !== 74) {
+              break;
+            }
+
+            message.donor = reader.string();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2166,6 +2189,7 @@
         : isSet(object.is_fresh)
         ? globalThis.Boolean(object.is_fresh)
         : false,
+      donor: isSet(object.donor) ? globalThis.String(object.donor) : "",
     };
   },
 
@@ -2195,6 +2219,9 @@
     if (message.isFresh !== false) {
       obj.isFresh = message.isFresh;
     }
+    if (message.donor !== "") {
+      obj.donor = message.donor;
+    }
     return obj;
   },
 
@@ -2211,6 +2238,7 @@
     message.retryAfterMs = object.retryAfterMs ?? 0;
     message.entries = object.entries ?? 0;
     message.isFresh = object.isFresh ?? false;
+    message.donor = object.donor ?? "";
     return message;
   },
 };
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -64,6 +64,7 @@
     id,
     runner: isGrant ? answer.runner : "",
     reader: isGrant ? (answer.reader ?? "") : "",
+    donor: isGrant ? (answer.donor ?? "") : "",
     readMs: isGrant ? whole(answer.readMs) : 0,
     refusal: isRefusal ? answer.why : "",
     retryAfterMs: isRefusal ? whole(answer.retryAfterMs) : 0,
@@ -73,11 +74,16 @@
 
 const REFUSALS: readonly Refusal["why"][] = ["no-engine", "slots", "too-late"];
 
+/** An empty text stands for none. */
+export const nameIn = (text: string): string | undefined =>
+  text === "" ? undefined : text;
+
 export const fromPlaceReply = (reply: PlaceReply): PlacementAnswer => {
   if (reply.runner !== "") {
-    const reader = reply.reader === "" ? undefined : reply.reader;
     const { runner, readMs } = reply;
-    return { kind: "granted", reader, runner, readMs } satisfies Grant;
+    const reader = nameIn(reply.reader);
+    const donor = nameIn(reply.donor);
+    return { kind: "granted", reader, runner, donor, readMs } satisfies Grant;
   }
   const why = REFUSALS.find((item) => item === reply.refusal) ?? "too-late";
   return { kind: "refused", why, retryAfterMs: reply.retryAfterMs };
--- a/src/placement/placementServer.ts
+++ b/src/placement/placementServer.ts
@@ -7,7 +7,12 @@
 import { splitAddress } from "../http/index.js";
 import type { Log } from "../telemetry/index.js";
 import type { LocalPlacement } from "./localPlacement.js";
-import { fromPlaceAsk, fromPlaceEvent, toPlaceReply } from "./messages.js";
+import {
+  fromPlaceAsk,
+  fromPlaceEvent,
+  nameIn,
+  toPlaceReply,
+} from "./messages.js";
 import type { HolderState } from "./messages.js";
 
 /** Pings that find dead peers, ms; see `placementClient.ts`. */
@@ -107,8 +112,9 @@
       const { reader, runner } = held;
       placement.adopt(fromPlaceAsk(service, held.ask), {
         kind: "granted",
-        reader: reader === "" ? undefined : reader,
+        reader: nameIn(reader),
         runner,
+        donor: undefined,
         readMs: 0,
       });
     }
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -19,8 +19,17 @@
 const LEAST_SPLIT_TOKENS = 1024;
 /** Weight of an engine's reading time as a cost to everybody else. */
 const READ_WEIGHT = 1;
-/** Prompt tokens that a decode engine may have ahead at once. */
-const DECODE_READ_TOKENS = 8000;
+/**
+ * Longest read that a decode engine does besides its runs, ms: its streams
+ * pause meanwhile, and pauses beyond some 150 ms make them late.
+ */
+const DECODE_READ_MS = 60;
+/** Parts of fewer tokens are read again rather than moved. */
+const LEAST_DONATED_TOKENS = 512;
+/** Time to take cached parts from another engine, ms: links carry a token
+ * in a tenth of a microsecond to one, and moves wait for each other. */
+const MOVE_MS = 1;
+const MOVE_MS_PER_TOKEN = 0.0004;
 /** Time of the hops between the end of a read and the caller, ms. */
 const HOPS_MS = 16;
 /** Start of the estimate of a run's first event, ms after its send. */
@@ -63,7 +72,16 @@
 interface ReadPlan {
   engine: EngineState;
   costMs: number;
+  /** From now until it is read, ms. */
   endMs: number;
+  /** Engine to take cached parts from, if that is worth it. */
+  donor: EngineState | undefined;
+}
+
+/** The engine that holds most of a prompt, and how much. */
+interface Donor {
+  engine: EngineState;
+  cached: number;
 }
 
 /** Work asked for since start, for the planner of stages. */
@@ -132,7 +150,7 @@
       return this.grant(ask, plan, runner, now);
     }
     const own = this.planOwnRead(ask, open, now);
-    if (own !== undefined) return this.grant(ask, undefined, own, now);
+    if (own !== undefined) return this.grant(ask, own, own.engine, now);
     if (plan === undefined) return this.refuse(ask, "no-engine");
     if (this.mayBeLate(ask, plan)) return this.grant(ask, plan, runner, now);
     return this.refuse(ask, "too-late");
@@ -176,7 +194,8 @@
     const cached = engine.cachedTokens(ask.model, ask.parts);
     const costMs = engine.readCostMs(ask.promptTokens, cached);
     const endMs = engine.backlogMs(now) + costMs;
-    this.grant(ask, { engine, costMs, endMs }, runner, now);
+    const plan = { engine, costMs, endMs, donor: undefined };
+    this.grant(ask, plan, runner, now);
   }
 
   onEvent(event: PlacementEvent, now: number): void {
@@ -267,16 +286,42 @@
     open: readonly EngineState[],
     now: number,
   ): ReadPlan | undefined {
+    const donor = this.findDonor(ask, open);
     let best: (ReadPlan & { score: number }) | undefined;
     for (const engine of open) {
       if (engine.view.stage !== "prefill") continue;
+      const plan = this.readAt(ask, engine, donor, now);
+      const score = plan.endMs + plan.costMs * READ_WEIGHT;
+      if (best === undefined || score < best.score) best = { ...plan, score };
+    }
+    return best;
+  }
+
+  private readAt(
+    ask: PlacementAsk,
+    engine: EngineState,
+    donor: Donor | undefined,
+    now: number,
+  ): ReadPlan {
+    const own = engine.cachedTokens(ask.model, ask.parts);
+    const more = (donor?.cached ?? 0) - own;
+    const isWorth = donor !== undefined && more >= LEAST_DONATED_TOKENS;
+    const cached = isWorth ? donor.cached : own;
+    const moveMs = isWorth ? MOVE_MS + more * MOVE_MS_PER_TOKEN : 0;
+    const costMs = engine.readCostMs(ask.promptTokens, cached) + moveMs;
+    const endMs = engine.backlogMs(now) + costMs;
+    const from = isWorth ? donor.engine : undefined;
+    return { engine, costMs, endMs, donor: from };
+  }
+
+  private findDonor(
+    ask: PlacementAsk,
+    open: readonly EngineState[],
+  ): Donor | undefined {
+    let best: Donor | undefined;
+    for (const engine of open) {
       const cached = engine.cachedTokens(ask.model, ask.parts);
-      const costMs = engine.readCostMs(ask.promptTokens, cached);
-      const endMs = engine.backlogMs(now) + costMs;
-      const score = endMs + costMs * READ_WEIGHT;
-      if (best === undefined || score < best.score) {
-        best = { engine, costMs, endMs, score };
-      }
+      if (cached > (best?.cached ?? 0)) best = { engine, cached };
     }
     return best;
   }
@@ -286,44 +331,41 @@
     ask: PlacementAsk,
     open: readonly EngineState[],
     now: number,
-  ): EngineState | undefined {
-    let best: { engine: EngineState; endMs: number } | undefined;
+  ): ReadPlan | undefined {
+    const donor = this.findDonor(ask, open);
+    let best: ReadPlan | undefined;
     for (const engine of open) {
       if (engine.view.stage !== "decode" || engine.readCount > 0) continue;
       if (this.runCost(ask, engine, now) === undefined) continue;
-      const cached = engine.cachedTokens(ask.model, ask.parts);
-      if (ask.promptTokens - cached > DECODE_READ_TOKENS) continue;
-      const costMs = engine.readCostMs(ask.promptTokens, cached);
-      const endMs = costMs + this.afterReadMs;
-      if (endMs > ask.objectiveLeftMs) continue;
-      if (best === undefined || endMs < best.endMs) best = { engine, endMs };
+      const plan = this.readAt(ask, engine, donor, now);
+      if (plan.costMs > DECODE_READ_MS) continue;
+      if (plan.endMs + this.afterReadMs > ask.objectiveLeftMs) continue;
+      if (best === undefined || plan.endMs < best.endMs) best = plan;
     }
-    return best?.engine;
+    return best;
   }
 
+  /** `plan`: absent where the runner reads a short rest by the way. */
   private grant(
     ask: PlacementAsk,
     plan: ReadPlan | undefined,
     runner: EngineState,
     now: number,
   ): PlacementAnswer {
-    const reader = plan?.engine;
-    const deadlineAt = now + ask.deadlineLeftMs;
-    if (plan !== undefined) {
-      plan.engine.addRead(ask.id, plan.costMs * this.share(), now);
-      plan.engine.remember(ask.model, ask.parts);
-    } else {
-      const cached = runner.cachedTokens(ask.model, ask.parts);
-      const costMs = runner.readCostMs(ask.promptTokens, cached);
-      runner.addRead(ask.id, costMs * this.share(), now);
-    }
+    const reader = plan?.engine ?? runner;
+    const cached = reader.cachedTokens(ask.model, ask.parts);
+    const costMs = plan?.costMs ?? reader.readCostMs(ask.promptTokens, cached);
+    reader.addRead(ask.id, costMs * this.share(), now);
+    reader.remember(ask.model, ask.parts);
     const needed = ask.promptTokens + ask.outputTokens;
-    runner.addRun(ask.id, needed, deadlineAt, now);
-    this.placed.set(ask.id, { reader, runner, ask, at: now });
+    runner.addRun(ask.id, needed, now + ask.deadlineLeftMs, now);
+    const apart = reader === runner ? undefined : reader;
+    this.placed.set(ask.id, { reader: apart, runner, ask, at: now });
     return {
       kind: "granted",
-      reader: reader?.view.id,
+      reader: apart?.view.id,
       runner: runner.view.id,
+      donor: plan?.donor?.view.id,
       readMs: plan?.endMs ?? 0,
     };
   }
--- a/src/scheduling/types.ts
+++ b/src/scheduling/types.ts
@@ -50,6 +50,8 @@
   /** Engine that reads the prompt for the runner; absent: the runner. */
   reader: string | undefined;
   runner: string;
+  /** Engine from which the one that reads takes cached parts first. */
+  donor: string | undefined;
   /** Expected time from now to the end of the read, ms. */
   readMs: number;
 }
--- a/tests/gateway/scheduling.test.ts
+++ b/tests/gateway/scheduling.test.ts
@@ -96,6 +96,16 @@
     expect(readers.size).to.equal(2);
   });
 
+  it("takes cached parts from another engine where that is quicker", () => {
+    const scheduler = newScheduler();
+    const first = granted(scheduler.place(ask(), 0));
+    let second = first;
+    while (second.reader === first.reader) {
+      second = granted(scheduler.place(ask({ objectiveLeftMs: 900 }), 0));
+    }
+    expect(second.donor).to.equal(first.reader);
+  });
+
   it("refuses what can't be in time, with a time to come back", () => {
     const scheduler = newScheduler();
     const count = fill(scheduler, { outputTokens: 10 });
@@ -160,7 +170,8 @@
       const runner = at % 2 === 0 ? "dec-1" : "dec-2";
       const held = ask({ promptTokens: 100 });
       const grant = { kind: "granted" as const, reader: undefined, runner };
-      scheduler.adopt(held, { ...grant, readMs: 0 }, 0);
+      const rest = { donor: undefined, readMs: 0 };
+      scheduler.adopt(held, { ...grant, ...rest }, 0);
     }
     const answer = scheduler.place(ask({ promptTokens: 100 }), 0);
     expect(answer.kind).to.equal("refused");
