A scheduler process beside each replica places the requests of all entries

Cause: with processor time counted, the entry that held the lease and its own share of a rush used all of its half core; asks stayed unanswered and entries placed by guess.

Change: role scheduler on the side machines, which cost a tenth of an entry's; one holds the lease and watches the store, the rest stand by on a stream. Entries take the lease only where no scheduler does. Asks wait 90 ms, and a holder is lost after 400 ms of silence; the first event's time rides with the end of a request.

Ruled out: the side as a door (each request would pass it); more entries (the fleet is fixed).

--- a/bench/gatewayLoad.ts
+++ b/bench/gatewayLoad.ts
@@ -46,6 +46,7 @@
   file,
   `
 node: gw
+machineClass: front
 ip: 127.0.0.1
 zone: zone-1
 listen: { front: "127.0.0.1:${front}", ready: "127.0.0.1:${ready}" }
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,5 +1,7 @@
 export { startGateway } from "./gatewayDaemon.js";
 export type { GatewayParts, GatewaySettings } from "./gatewayDaemon.js";
+export { startScheduler } from "./schedulerDaemon.js";
+export type { SchedulerSettings } from "./schedulerDaemon.js";
 export type { GatewaySource } from "./gatewayState.js";
 export type { FailureAnswer, ReplicaCall, RequestForm } from "./requestForm.js";
 export type {
--- /dev/null
+++ b/src/gateway/placementRole.ts
@@ -0,0 +1,137 @@
+/**
+ * What a process needs to place requests together with others: the lease,
+ * the schedulers, the server for others, and orders of stage while it holds
+ * the lease.
+ */
+import {
+  LocalPlacement,
+  PlacementServer,
+  SharedPlacement,
+} from "../placement/index.js";
+import type { ObjectFeed } from "../store/index.js";
+import type { Supervisor } from "../tasks/index.js";
+import type { Log } from "../telemetry/index.js";
+import type { GatewayState } from "./gatewayState.js";
+import type { RequestForm } from "./requestForm.js";
+import { StageKeeper } from "./stageKeeper.js";
+import type { UpstreamClient } from "./upstreamClient.js";
+
+/**
+ * Lease of placing, ms. Shorter than that of orders: placing needs no
+ * authority, and entries place by guess until a lost holder is replaced.
+ */
+const PLACEMENT_LEASE_MS = 1500;
+/** Period of keeping or seeking leases, ms. */
+const LEASE_STEP_MS = 300;
+/** Period of planning stages, ms. */
+const STAGE_STEP_MS = 250;
+/** Period of dropping what was never reported on, ms. */
+const HOUSEKEEPING_MS = 250;
+/** An entry leaves the lease to schedulers for so many lease times. */
+const ENTRY_PATIENCE_LEASES = 3;
+
+/** What a process does besides placing. */
+export type PlacementHost = "entry" | "scheduler";
+
+export interface PlacementRoleOptions {
+  host: PlacementHost;
+  /** Name of the process. */
+  id: string;
+  peerAddress: string;
+  /** Time that orders of two holders must lie apart, ms. */
+  orderLeaseMs: number;
+  /** Services whose leases it keeps or seeks. */
+  services(): string[];
+  state: GatewayState;
+  feed: ObjectFeed;
+  client: UpstreamClient;
+  form: RequestForm;
+  log: Log;
+  now: () => number;
+}
+
+export interface PlacementRole {
+  placement: SharedPlacement;
+  /** Where others reach it. */
+  peerAddress: string;
+  start(supervisor: Supervisor): void;
+  stop(): void;
+}
+
+export const createPlacementRole = async (
+  options: PlacementRoleOptions,
+): Promise<PlacementRole> => {
+  const { host, id, services, state, feed, log, now } = options;
+  const patienceMs =
+    host === "entry" ? PLACEMENT_LEASE_MS * ENTRY_PATIENCE_LEASES : 0;
+  let address = options.peerAddress;
+  const local: LocalPlacement = new LocalPlacement({
+    engines: (service) => state.engines(service),
+    share: (service) => placement.share(service),
+    now,
+  });
+  const placement: SharedPlacement = new SharedPlacement({
+    local,
+    feed,
+    self: id,
+    isStandby: host === "scheduler",
+    address: () => address,
+    leaseMs: PLACEMENT_LEASE_MS,
+    patienceMs,
+    entriesHere: (service) => peers.entries(service),
+    log,
+    now,
+  });
+  const peers: PlacementServer = new PlacementServer({
+    placement: local,
+    isEntry: host === "entry",
+    isHolder: (service) => placement.isHolder(service) && state.isReady,
+    isFresh: (service) => placement.isFresh(service),
+    log,
+  });
+  address = await peers.listen(options.peerAddress);
+  const keepers = new Map<string, StageKeeper>();
+  const stepStages = async (): Promise<void> => {
+    for (const service of services()) {
+      const keeper =
+        keepers.get(service) ??
+        newStageKeeper(options, service, local, placement);
+      keepers.set(service, keeper);
+      await keeper.step();
+    }
+  };
+  const start = (supervisor: Supervisor): void => {
+    supervisor.every("leases", LEASE_STEP_MS, () => placement.step(services()));
+    supervisor.every("stages", STAGE_STEP_MS, stepStages);
+    supervisor.every("housekeeping", HOUSEKEEPING_MS, async () => {
+      state.expire();
+      local.expire();
+    });
+  };
+  const stop = (): void => {
+    placement.close();
+    peers.close();
+  };
+  return { placement, peerAddress: address, start, stop };
+};
+
+const newStageKeeper = (
+  options: PlacementRoleOptions,
+  service: string,
+  local: LocalPlacement,
+  authority: SharedPlacement,
+): StageKeeper => {
+  const { id, orderLeaseMs, state, client, form, log, now } = options;
+  return new StageKeeper({
+    service,
+    self: id,
+    leaseMs: orderLeaseMs,
+    scheduler: local.scheduler(service),
+    replicas: state.replicas,
+    authority,
+    client,
+    form,
+    log,
+    now,
+  });
+};
--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -68,6 +68,10 @@
   runs: number;
   grantId: string;
   runSentAt: number;
+  /** From the send to the first event of the round, ms; 0: none yet. */
+  firstEventMs: number;
+  /** The runner reads a long prompt itself. */
+  readsAtRunner: boolean;
 }
 
 export class StreamFlow {
@@ -105,6 +109,8 @@
       runs: 0,
       grantId: "",
       runSentAt: 0,
+      firstEventMs: 0,
+      readsAtRunner: false,
     };
     return journey;
   }
@@ -141,7 +147,9 @@
     } finally {
       const id = journey.grantId;
       const ok = isGood || caller.isCallerGone;
-      placement.note(caller.service, { kind: "ended", id, ok });
+      const { firstEventMs } = journey;
+      const event = { kind: "ended" as const, id, ok, firstEventMs };
+      placement.note(caller.service, event);
     }
   }
 
@@ -250,6 +258,8 @@
     const readsItself = grant.reader === undefined;
     const { caller, relay } = journey;
     journey.runSentAt = now();
+    journey.firstEventMs = 0;
+    journey.readsAtRunner = readsItself && grant.readMs > 0;
     const sent = await this.send(caller, runner, caller.cancellation, {
       replicaId: runner,
       deadlineMs: Math.round(caller.leftMs()),
@@ -382,9 +392,10 @@
   }
 
   private noteBegun(journey: Journey): void {
-    const tookMs = this.options.now() - journey.runSentAt;
     const { caller, grantId } = journey;
-    const event = { kind: "begun" as const, id: grantId, tookMs };
+    journey.firstEventMs = this.options.now() - journey.runSentAt;
+    if (!journey.readsAtRunner) return;
+    const event = { kind: "begun" as const, id: grantId };
     this.options.placement.note(caller.service, event);
   }
 
--- a/src/gen/snowgate.ts
+++ b/src/gen/snowgate.ts
@@ -125,6 +125,7 @@
   /** "read", "begun" or "ended". */
   kind: string;
   ok: boolean;
+  /** Of "ended": from the send to the runner to the first event; 0: none. */
   tookMs: number;
 }
 
@@ -132,7 +133,11 @@
   service: string;
   ask: PlaceAsk | undefined;
   events: PlaceEvent[];
-  held: PlaceHeld | undefined;
+  held:
+    | PlaceHeld
+    | undefined;
+  /** The caller places nothing; it takes over if the holder is lost. */
+  isStandby: boolean;
 }
 
 export interface PlaceReply {
@@ -1908,7 +1913,7 @@
 };
 
 function createBasePlaceCall(): PlaceCall {
-  return { service: "", ask: undefined, events: [], held: undefined };
+  return { service: "", ask: undefined, events: [], held: undefined, isStandby: false };
 }
 
 export const PlaceCall: MessageFns<PlaceCall> = {
@@ -1925,6 +1930,9 @@
     if (message.held !== undefined) {
       PlaceHeld.encode(message.held, writer.uint32(34).fork()).join();
     }
+    if (message.isStandby !== false) {
+      writer.uint32(40).bool(message.isStandby);
+    }
     return writer;
   },
 
@@ -1973,6 +1981,14 @@
             message.held = PlaceHeld.decode(reader, reader.uint32());
             continue;
           }
+          case 5: {
+            if (tag !== 40) {
+              break;
+            }
+
+            message.isStandby = reader.bool();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1991,6 +2007,11 @@
       ask: isSet(object.ask) ? PlaceAsk.fromJSON(object.ask) : undefined,
       events: globalThis.Array.isArray(object?.events) ? object.events.map((e: any) => PlaceEvent.fromJSON(e)) : [],
       held: isSet(object.held) ? PlaceHeld.fromJSON(object.held) : undefined,
+      isStandby: isSet(object.isStandby)
+        ? globalThis.Boolean(object.isStandby)
+        : isSet(object.is_standby)
+        ? globalThis.Boolean(object.is_standby)
+        : false,
     };
   },
 
@@ -2008,6 +2029,9 @@
     if (message.held !== undefined) {
       obj.held = PlaceHeld.toJSON(message.held);
     }
+    if (message.isStandby !== false) {
+      obj.isStandby = message.isStandby;
+    }
     return obj;
   },
 
@@ -2020,6 +2044,7 @@
     message.ask = (object.ask !== undefined && object.ask !== null) ? PlaceAsk.fromPartial(object.ask) : undefined;
     message.events = object.events?.map((e) => PlaceEvent.fromPartial(e)) || [];
     message.held = (object.held !== undefined && object.held !== null) ? PlaceHeld.fromPartial(object.held) : undefined;
+    message.isStandby = object.isStandby ?? false;
     return message;
   },
 };
--- a/src/placement/leaseKeeper.ts
+++ b/src/placement/leaseKeeper.ts
@@ -38,6 +38,8 @@
   self: string;
   address: string;
   leaseMs: number;
+  /** How long it leaves a free lease to others, ms. */
+  patienceMs: number;
   log: Log;
   now: () => number;
 }
@@ -47,6 +49,8 @@
   private stored: StoredLease | undefined;
   private revision = ABSENT;
   private mustRead = true;
+  /** Since when it has been looking for a holder, ms. */
+  private lookingSince: number | undefined;
 
   constructor(private readonly options: LeaseKeeperOptions) {}
 
@@ -75,7 +79,11 @@
   /** One step; `mustLook`: the holder can't be reached or is unsure. */
   async step(mustLook: boolean): Promise<void> {
     const { self, leaseMs, now } = this.options;
-    if (!this.isHolder && !mustLook) return;
+    if (!this.isHolder && !mustLook) {
+      this.lookingSince = undefined;
+      return;
+    }
+    this.lookingSince ??= now();
     if (this.mustRead || !this.isHolder) await this.read();
     switch (leaseStep(this.state, self, leaseMs, now())) {
       case "wait":
@@ -83,6 +91,7 @@
       case "renew":
         return this.write(this.epoch, (this.stored?.beat ?? 0) + 1);
       case "take":
+        if (now() - this.lookingSince < this.options.patienceMs) return;
         return this.write(this.epoch + 1, 0);
     }
   }
@@ -106,7 +115,10 @@
     this.revision = item?.revision ?? ABSENT;
     const hasOtherEpoch = before?.epoch !== parsed.data?.epoch;
     this.state = seeLease(this.state, parsed.data ?? null, self, now());
-    if (hasOtherEpoch) this.state = { ...this.state, sentAt: undefined };
+    if (hasOtherEpoch) {
+      this.lookingSince = now();
+      this.state = { ...this.state, sentAt: undefined };
+    }
     if (wasHolder && !this.isHolder) {
       log.warn("lease lost", { service, holder: parsed.data?.holder });
     }
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -34,7 +34,7 @@
   id: event.id,
   kind: event.kind,
   ok: event.kind === "begun" || event.ok,
-  tookMs: event.kind === "begun" ? whole(event.tookMs) : 0,
+  tookMs: event.kind === "ended" ? whole(event.firstEventMs) : 0,
 });
 
 /** Undefined for a kind that this version does not know. */
@@ -42,8 +42,9 @@
   event: PlaceEvent,
 ): PlacementEvent | undefined => {
   const { id, kind, ok, tookMs } = event;
-  if (kind === "begun") return { kind, id, tookMs };
-  if (kind === "read" || kind === "ended") return { kind, id, ok };
+  if (kind === "begun") return { kind, id };
+  if (kind === "read") return { kind, id, ok };
+  if (kind === "ended") return { kind, id, ok, firstEventMs: tookMs };
   return undefined;
 };
 
--- a/src/placement/placementClient.ts
+++ b/src/placement/placementClient.ts
@@ -16,16 +16,17 @@
 import { KEEPALIVE_OPTIONS } from "./placementServer.js";
 
 /**
- * An ask without an answer by then is placed here, ms: several round trips
- * between zones, and little beside an objective of some hundred ms.
+ * An ask without an answer by then is placed here, ms. A holder that is busy
+ * for a moment still places better than a guess, so this is about as long as
+ * a request can wait and be in time.
  */
-const ANSWER_MS = 40;
+const ANSWER_MS = 90;
 /** Events wait this long for an ask to go with, ms. */
-const EVENTS_MS = 4;
+const EVENTS_MS = 6;
 /** A holder that has not accepted the stream by then is given up, ms. */
 const CONNECT_MS = 1000;
-/** Unanswered asks in a row after which the holder counts as lost. */
-const LOST_AFTER = 3;
+/** A holder that has answered nothing for so long counts as lost, ms. */
+const LOST_MS = 400;
 
 interface Waiting {
   resolve(answer: PlacementAnswer | undefined): void;
@@ -35,10 +36,13 @@
 export interface PlacementClientOptions {
   service: string;
   address: string;
+  /** It places nothing here, and only waits for the holder to be lost. */
+  isStandby: boolean;
   /** The stream ended; the client is of no further use. */
   onLost(why: string): void;
   onState(state: HolderState): void;
   log: Log;
+  now: () => number;
 }
 
 export class PlacementClient {
@@ -47,7 +51,8 @@
   private readonly waiting = new Map<string, Waiting>();
   private events: PlaceEvent[] = [];
   private eventTimer: NodeJS.Timeout | undefined;
-  private unanswered = 0;
+  /** When the first ask since the last answer was sent, ms. */
+  private silentSince: number | undefined;
   private isLost = false;
   /** The holder has accepted the stream. */
   private isReady = false;
@@ -87,6 +92,7 @@
       const giveUp = () => setImmediate(() => this.onUnanswered(ask.id));
       const timer = setTimeout(giveUp, ANSWER_MS);
       this.waiting.set(ask.id, { resolve, timer });
+      this.silentSince ??= this.options.now();
       this.send({ ask: toPlaceAsk(ask) });
     });
   }
@@ -120,13 +126,14 @@
       ask: undefined,
       events,
       held: undefined,
+      isStandby: this.options.isStandby,
       ...call,
     });
   }
 
   private onReply(reply: PlaceReply): void {
     const { entries, isFresh } = reply;
-    this.unanswered = 0;
+    this.silentSince = undefined;
     this.options.onState({ entries, isFresh });
     const waiting = this.waiting.get(reply.id);
     if (waiting !== undefined) {
@@ -136,7 +143,7 @@
     }
     // Too late: the request was placed here, so the grant is given back.
     if (reply.runner === "") return;
-    this.note({ kind: "ended", id: reply.id, ok: true });
+    this.note({ kind: "ended", id: reply.id, ok: true, firstEventMs: 0 });
   }
 
   private onUnanswered(id: string): void {
@@ -144,8 +151,9 @@
     if (waiting === undefined) return;
     this.waiting.delete(id);
     waiting.resolve(undefined);
-    this.unanswered += 1;
-    if (this.unanswered >= LOST_AFTER) this.lose("asks are not answered");
+    const { now } = this.options;
+    const silentMs = now() - (this.silentSince ?? now());
+    if (silentMs >= LOST_MS) this.lose("asks are not answered");
   }
 
   private lose(why: string): void {
--- a/src/placement/placementServer.ts
+++ b/src/placement/placementServer.ts
@@ -29,6 +29,8 @@
 
 export interface PlacementServerOptions {
   placement: LocalPlacement;
+  /** Whether this process places requests of its own besides. */
+  isEntry: boolean;
   /** Whether this process holds the lease of a service. */
   isHolder(service: string): boolean;
   /** Whether that lease was renewed lately. */
@@ -61,7 +63,8 @@
 
   /** Entries that place through this process, itself included. */
   entries(service: string): number {
-    return (this.streams.get(service)?.size ?? 0) + 1;
+    const others = this.streams.get(service)?.size ?? 0;
+    return others + (this.options.isEntry ? 1 : 0);
   }
 
   close(): void {
@@ -74,7 +77,7 @@
     stream.sendMetadata(new Metadata());
     stream.on("data", (call: PlaceCall) => {
       if (!this.options.isHolder(call.service)) return void stream.end();
-      if (service === undefined) {
+      if (service === undefined && !call.isStandby) {
         service = call.service;
         this.register(service, stream);
       }
--- a/src/placement/sharedPlacement.ts
+++ b/src/placement/sharedPlacement.ts
@@ -27,6 +27,10 @@
   /** Where it places for others; known once it listens. */
   address(): string;
   leaseMs: number;
+  /** How long it leaves a free lease to others, ms. */
+  patienceMs: number;
+  /** Whether this process places nothing of its own. */
+  isStandby: boolean;
   /** Entries that place through this process, itself included. */
   entriesHere(service: string): number;
   log: Log;
@@ -78,7 +82,7 @@
     if (link === undefined) return UNKNOWN_ENTRIES;
     if (!link.keeper.isHolder) return link.entries;
     // Cut off from the store, others may have found another holder.
-    const isAlone = this.options.entriesHere(service) === 1;
+    const isAlone = this.options.entriesHere(service) <= 1;
     return isAlone && !link.keeper.isFresh ? link.entries : 1;
   }
 
@@ -120,13 +124,14 @@
   }
 
   private addLink(service: string): HolderLink {
-    const { feed, self, address, leaseMs, log, now } = this.options;
+    const { feed, self, address, leaseMs, patienceMs, log, now } = this.options;
     const keeper = new LeaseKeeper({
       feed,
       service,
       self,
       address: address(),
       leaseMs,
+      patienceMs,
       log,
       now,
     });
@@ -145,7 +150,9 @@
     const client = new PlacementClient({
       service,
       address,
+      isStandby: this.options.isStandby,
       log,
+      now: this.options.now,
       onState: ({ entries, isFresh }) => {
         link.entries = entries;
         link.isFresh = isFresh;
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -208,11 +208,7 @@
         if (reader !== undefined) this.judge(reader, event.ok, now);
         return;
       case "begun":
-        if (reader === undefined) runner.endRead(event.id, false, now);
-        else {
-          const gain = (event.tookMs - this.firstEventMs) * FIRST_EVENT_GAIN;
-          this.firstEventMs += gain;
-        }
+        runner.endRead(event.id, false, now);
         runner.remember(ask.model, ask.parts);
         this.judge(runner, true, now);
         return;
@@ -221,7 +217,12 @@
         runner.endRead(event.id, false, now);
         runner.endRun(event.id);
         this.placed.delete(event.id);
-        if (!event.ok) this.judge(runner, false, now);
+        if (reader !== undefined && event.firstEventMs > 0) {
+          const more = event.firstEventMs - this.firstEventMs;
+          this.firstEventMs += more * FIRST_EVENT_GAIN;
+        }
+        if (event.ok) runner.remember(ask.model, ask.parts);
+        this.judge(runner, event.ok, now);
         return;
     }
   }
--- a/src/scheduling/types.ts
+++ b/src/scheduling/types.ts
@@ -69,7 +69,10 @@
 export type PlacementEvent =
   /** The reader has read the prompt, or failed to. */
   | { kind: "read"; id: string; ok: boolean }
-  /** The first event came, `tookMs` after the send to the runner. */
-  | { kind: "begun"; id: string; tookMs: number }
-  /** Nothing of it is at any engine any more. */
-  | { kind: "ended"; id: string; ok: boolean };
+  /** The runner has read the prompt itself and sent the first event. */
+  | { kind: "begun"; id: string }
+  /**
+   * Nothing of it is at any engine any more. The first event came
+   * `firstEventMs` after the send to the runner; 0 if none came.
+   */
+  | { kind: "ended"; id: string; ok: boolean; firstEventMs: number };
--- a/src/store/feed.ts
+++ b/src/store/feed.ts
@@ -64,6 +64,8 @@
  * connection was cut without a word hears again soon after the cut heals.
  */
 const WAIT_MS = 1500;
+/** Pause between two looks whether it is active, ms. */
+const IDLE_MS = 100;
 const FIRST_BACKOFF_MS = 80;
 const LONGEST_BACKOFF_MS = 700;
 /** The store counts as in trouble for this long after a failed call, ms. */
@@ -82,11 +84,14 @@
   log: Log;
   rng: Rng;
   now: () => number;
+  /** While false, nothing is asked; afterwards the list is read anew. */
+  isActive?: () => boolean;
 }
 
 export class FeedWatch {
   private revision: number | undefined;
   private failures = 0;
+  private isIdle = false;
   private lastTroubleAt = -Infinity;
   /** When the store last answered, ms. */
   lastAnswerAt = -Infinity;
@@ -106,7 +111,13 @@
 
   /** One call: the list if there is none yet, else what has changed. */
   async step(): Promise<void> {
-    const { kind, log, now } = this.options;
+    const { kind, log, now, isActive } = this.options;
+    if (isActive?.() === false) {
+      this.revision = undefined;
+      this.isIdle = true;
+      return;
+    }
+    this.isIdle = false;
     try {
       if (this.revision === undefined) await this.readList();
       else await this.readChanges(this.revision);
@@ -149,6 +160,7 @@
   }
 
   private pauseMs(): number {
+    if (this.isIdle) return IDLE_MS;
     if (this.failures === 0) return 0;
     const longest = Math.min(
       LONGEST_BACKOFF_MS,
--- a/tests/gateway/scheduling.test.ts
+++ b/tests/gateway/scheduling.test.ts
@@ -50,6 +50,13 @@
   };
 };
 
+const ended = (id: string, ok: boolean) => ({
+  kind: "ended" as const,
+  id,
+  ok,
+  firstEventMs: 0,
+});
+
 const newScheduler = (share = 1, fleet = FLEET): EngineScheduler => {
   const scheduler = new EngineScheduler(() => share);
   scheduler.setEngines(fleet);
@@ -123,7 +130,7 @@
     fill(scheduler, {});
     expect(scheduler.place(ask({ parts: [] }), 0).kind).to.equal("refused");
     for (const state of scheduler.engineStates()) state.expire(1e9);
-    scheduler.onEvent({ kind: "ended", id: first.id, ok: true }, 10);
+    scheduler.onEvent(ended(first.id, true), 10);
     expect(scheduler.place(ask({ parts: [] }), 10).kind).to.equal("granted");
   });
 
@@ -157,7 +164,7 @@
     for (let at = 0; at < 2; at += 1) {
       const one = ask({ promptTokens: 100 });
       scheduler.place(one, at);
-      scheduler.onEvent({ kind: "ended", id: one.id, ok: false }, at);
+      scheduler.onEvent(ended(one.id, false), at);
     }
     const short = { promptTokens: 100 };
     expect(scheduler.place(ask(short), 10).kind).to.equal("refused");
