--- a/src/gateway/callerRequest.ts
+++ b/src/gateway/callerRequest.ts
@@ -24,6 +24,8 @@
   log: Log;
   metrics: Metrics;
   now: () => number;
+  /** Version of the configuration that routed it. */
+  configVersion: number;
   /** The longest time that callers of this route were seen to give, ms. */
   fullDeadlineMs: number;
 }
@@ -44,6 +46,8 @@
   /** Whether the caller went before its answer was whole. */
   isCallerGone = false;
   isOverdue = false;
+  /** Replicas that it was sent to, in order, for the log. */
+  readonly sentTo: string[] = [];
 
   constructor(private readonly options: CallerRequestOptions) {
     const { head, route, service, body, arrivedAt, res, now } = options;
@@ -135,6 +139,8 @@
       outcome,
       elapsedMs: Math.round(this.elapsedMs()),
       deadlineLeftMs: Math.round(this.leftMs()),
+      configuration: this.options.configVersion,
+      sentTo: this.sentTo.join(","),
       ...fields,
     });
   }
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -3,6 +3,7 @@
 
 import { listen } from "../http/index.js";
 import type { Daemon } from "../daemon/types.js";
+import { errText } from "../shared/utils.js";
 import type { Rng } from "../shared/rng.js";
 import type { ObjectFeed } from "../store/index.js";
 import { Supervisor } from "../tasks/index.js";
@@ -10,6 +11,7 @@
 import { GatewayServer } from "./gatewayServer.js";
 import { GatewayState } from "./gatewayState.js";
 import type { GatewaySource } from "./gatewayState.js";
+import { newMetricsServer } from "./metricsServer.js";
 import { createPlacementRole } from "./placementRole.js";
 import { PlainFlow } from "./plainFlow.js";
 import type { RequestForm } from "./requestForm.js";
@@ -36,6 +38,8 @@
   readyAddress: string;
   /** Where other gateways reach this one. */
   peerAddress: string;
+  /** Where counters and latencies are told as text; undefined: nowhere. */
+  metricsAddress?: string;
   /** How long a lease outlasts its last renewal, ms. */
   leaseMs: number;
   retry: RetryLimits;
@@ -101,11 +105,21 @@
     res.writeHead(isReady ? 200 : 503, { "content-length": 0 });
     res.end();
   });
-  const addresses = {
+  const addresses: Record<string, string> = {
     callers: await listen(server.http, settings.callerAddress),
     ready: await listen(ready, settings.readyAddress),
     peers: role.peerAddress,
   };
+  const metricsServer = newMetricsServer(metrics);
+  const { metricsAddress } = settings;
+  if (metricsAddress !== undefined) {
+    // Requests go before figures: an address in use is no reason not to start.
+    const listening = listen(metricsServer, metricsAddress);
+    addresses.metrics = await listening.catch((err) => {
+      log.warn("metrics are not served", { metricsAddress, why: errText(err) });
+      return "";
+    });
+  }
   log.info("started", { zone, ...addresses });
   const stop = async () => {
     isStopping = true;
@@ -114,6 +128,7 @@
     supervisor.stop();
     role.stop();
     client.close();
+    metricsServer.close();
     ready.close();
     ready.closeAllConnections();
     log.info("stopped", { inFlight: server.inFlight });
@@ -125,8 +140,9 @@
   new Promise((resolve) => setTimeout(resolve, ms));
 
 /**
- * Takes requests until the balancer has noticed, answers what is in flight,
- * and ends before the grace does.
+ * Goes on until nothing is in flight and the balancer has noticed, or the
+ * grace ends. The port stays open until then: where all entries of a zone
+ * stop in turn, there may be no other to turn to.
  */
 const drain = async (
   server: GatewayServer,
@@ -134,13 +150,13 @@
   now: () => number,
 ): Promise<void> => {
   const begun = now();
-  const endAt = begun + graceMs - END_MARGIN_MS;
-  server.closeWithAnswers();
-  await sleep(Math.min(STILL_TAKES_MS, graceMs / 2));
-  server.http.close();
-  while (server.inFlight > 0 && now() < endAt) {
-    server.http.closeIdleConnections();
+  const endsAt = begun + graceMs - END_MARGIN_MS;
+  const takesAllUntil = begun + Math.min(STILL_TAKES_MS, graceMs / 2);
+  server.beginDrain({ takesAllUntil, endsAt });
+  while (now() < endsAt) {
+    if (now() > takesAllUntil && server.inFlight === 0) break;
     await sleep(DRAIN_POLL_MS);
   }
+  server.http.close();
   server.http.closeAllConnections();
 };
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -22,6 +22,9 @@
 /** When to come back while no configuration is known, ms. */
 const NO_CONFIG_RETRY_MS = 500;
 
+/** Another process answers then, ms. */
+const LEAVING_RETRY_MS = 100;
+
 /** Serves one request whose service has been drawn. */
 export interface RequestRunner {
   run(caller: CallerRequest): Promise<void>;
@@ -50,11 +53,22 @@
   retryAfterMs: NO_CONFIG_RETRY_MS,
 };
 
+const LEAVING: RequestFailure = {
+  ...failure(503, "leaving", "this process is about to stop"),
+  retryAfterMs: LEAVING_RETRY_MS,
+};
+
+/** Instants of a planned stop, ms. */
+export interface Drain {
+  takesAllUntil: number;
+  endsAt: number;
+}
+
 export class GatewayServer {
   readonly http: Server;
   /** Requests that are not answered yet. */
   inFlight = 0;
-  private isClosing = false;
+  private drain: Drain | undefined;
   /** Longest time that callers gave, ms, by route. */
   private readonly fullDeadlines = new Map<string, number>();
 
@@ -70,9 +84,12 @@
     this.http.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
   }
 
-  /** From now on each answer closes its connection. */
-  closeWithAnswers(): void {
-    this.isClosing = true;
+  /**
+   * From now on each answer closes its connection, and after a while only
+   * requests are taken that end before the process does.
+   */
+  beginDrain(drain: Drain): void {
+    this.drain = drain;
   }
 
   private onRequest(req: IncomingMessage, res: ServerResponse): void {
@@ -82,7 +99,7 @@
       if (!isOver) this.inFlight -= 1;
       isOver = true;
     });
-    if (this.isClosing) res.setHeader("Connection", "close");
+    if (this.drain !== undefined) res.setHeader("Connection", "close");
     this.serve(req, res).catch((err) => {
       this.options.log.error("request threw", { why: errText(err) });
       res.destroy();
@@ -105,6 +122,9 @@
       const unknown = failure(404, "unknown_route", "no route fits");
       return this.refuse(req, res, head.id, unknown);
     }
+    if (!this.mayTake(route, head)) {
+      return this.refuse(req, res, head.id, LEAVING);
+    }
     const limit = table.config.limits.maxBodyBytes;
     const body = await this.readBody(req, res, head, limit);
     if (body === undefined) return;
@@ -114,6 +134,18 @@
     await flow.run(caller);
   }
 
+  private mayTake(route: Route, head: InboundHead): boolean {
+    if (this.drain === undefined) return true;
+    const now = this.options.now();
+    const { takesAllUntil, endsAt } = this.drain;
+    if (now < takesAllUntil) return true;
+    const budgetMs = Math.min(
+      head.deadlineMs ?? route.timeoutMs,
+      route.timeoutMs,
+    );
+    return now + budgetMs < endsAt;
+  }
+
   private admit(
     res: ServerResponse,
     head: InboundHead,
@@ -135,6 +167,7 @@
       log,
       metrics,
       now,
+      configVersion: this.options.state.routes?.version ?? 0,
       fullDeadlineMs: this.fullDeadline(route, head),
     });
   }
--- a/src/gateway/placementRole.ts
+++ b/src/gateway/placementRole.ts
@@ -21,12 +21,8 @@
  * authority, and entries place by guess until a lost holder is replaced.
  */
 const PLACEMENT_LEASE_MS = 1500;
-/** Period of keeping or seeking leases, ms. */
-const LEASE_STEP_MS = 300;
-/** Period of planning stages, ms. */
-const STAGE_STEP_MS = 250;
-/** Period of dropping what was never reported on, ms. */
-const HOUSEKEEPING_MS = 250;
+/** Period of keeping leases, planning stages and dropping lost grants, ms. */
+const STEP_MS = 300;
 /** An entry leaves the lease to schedulers for so many lease times. */
 const ENTRY_PATIENCE_LEASES = 3;
 
@@ -93,6 +89,7 @@
   const keepers = new Map<string, StageKeeper>();
   const stepStages = async (): Promise<void> => {
     for (const service of services()) {
+      if (!placement.isHolder(service)) continue;
       const keeper =
         keepers.get(service) ??
         newStageKeeper(options, service, local, placement);
@@ -100,14 +97,14 @@
       await keeper.step();
     }
   };
-  const start = (supervisor: Supervisor): void => {
-    supervisor.every("leases", LEASE_STEP_MS, () => placement.step(services()));
-    supervisor.every("stages", STAGE_STEP_MS, stepStages);
-    supervisor.every("housekeeping", HOUSEKEEPING_MS, async () => {
-      state.expire();
-      local.expire();
-    });
+  const step = async (): Promise<void> => {
+    state.expire();
+    local.expire();
+    await placement.step(services());
+    await stepStages();
   };
+  const start = (supervisor: Supervisor): void =>
+    supervisor.every("placement", STEP_MS, step);
   const stop = (): void => {
     placement.close();
     peers.close();
--- a/src/gateway/plainFlow.ts
+++ b/src/gateway/plainFlow.ts
@@ -119,6 +119,7 @@
     replica: Replica,
   ): Promise<Attempt> {
     const { id } = replica;
+    caller.sentTo.push(id);
     this.inFlight.set(id, (this.inFlight.get(id) ?? 0) + 1);
     try {
       const attempt = await this.exchange(caller, replica);
--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -139,6 +139,7 @@
         failure: isNotRun ? { ...failure, retryAfterMs } : failure,
       };
     }
+    this.logGrant(journey, answer);
     let isGood = false;
     try {
       const round = await this.carryOut(journey, answer);
@@ -355,6 +356,7 @@
     }
     const { head, body } = caller;
     const { address } = replica;
+    caller.sentTo.push(id);
     const outcome = await client.send({
       address,
       method: head.method,
@@ -409,6 +411,19 @@
     journey.caller.fail(failure);
   }
 
+  private logGrant({ caller, rounds }: Journey, grant: Grant): void {
+    this.options.log.info("placed", {
+      requestId: caller.head.id,
+      reader: grant.reader,
+      runner: grant.runner,
+      donor: grant.donor,
+      expectedReadMs: Math.round(grant.readMs),
+      promptTokens: caller.head.prompt?.promptTokens,
+      elapsedMs: Math.round(caller.elapsedMs()),
+      round: rounds,
+    });
+  }
+
   private logFault(
     caller: CallerRequest,
     replica: string,
--- a/src/placement/sharedPlacement.ts
+++ b/src/placement/sharedPlacement.ts
@@ -18,6 +18,12 @@
 
 /** Entries assumed to share the engines while none was counted. */
 const UNKNOWN_ENTRIES = 4;
+/**
+ * Part of the entries that an entry which places alone counts as busy as
+ * itself. Callers are not spread evenly, and an engine that is full refuses
+ * by itself.
+ */
+const GUESSED_PART = 0.5;
 
 export interface SharedPlacementOptions {
   local: LocalPlacement;
@@ -80,10 +86,11 @@
   share(service: string): number {
     const link = this.links.get(service);
     if (link === undefined) return UNKNOWN_ENTRIES;
-    if (!link.keeper.isHolder) return link.entries;
+    const guess = Math.max(1, link.entries * GUESSED_PART);
+    if (!link.keeper.isHolder) return guess;
     // Cut off from the store, others may have found another holder.
     const isAlone = this.options.entriesHere(service) <= 1;
-    return isAlone && !link.keeper.isFresh ? link.entries : 1;
+    return isAlone && !link.keeper.isFresh ? guess : 1;
   }
 
   isHolder(service: string): boolean {
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -51,8 +51,11 @@
 const LEAST_RETRY_MS = 200;
 /** Runs of at least this many tokens are packed. */
 const LONG_OUTPUT_TOKENS = 512;
-/** Packed engines are filled up to this share of slots or memory. */
-const PACK_LOAD = 0.8;
+/**
+ * Packed engines are filled up to this share of slots or memory: beyond it
+ * each step takes so much longer that the longest streams miss their time.
+ */
+const PACK_LOAD = 0.6;
 /** Engines in another zone count as this much busier, share of slots. */
 const OTHER_ZONE_COST = 0.02;
 /** An engine that failed gets no work for this long at first, ms. */
--- a/src/store/feed.ts
+++ b/src/store/feed.ts
@@ -65,7 +65,7 @@
  */
 const WAIT_MS = 1500;
 /** Pause between two looks whether it is active, ms. */
-const IDLE_MS = 100;
+const IDLE_MS = 400;
 const FIRST_BACKOFF_MS = 80;
 const LONGEST_BACKOFF_MS = 700;
 /** The store counts as in trouble for this long after a failed call, ms. */
