--- a/src/gateway/callerRequest.ts
+++ b/src/gateway/callerRequest.ts
@@ -190,14 +190,3 @@
   res.writeHead(answer.status, [...answer.headers, "Content-Length", length]);
   res.end(answer.body);
 };
-
-/** The failure of a request whose time is over. */
-export const overdueFailure = (
-  verdict: RequestFailure["verdict"],
-): RequestFailure => ({
-  status: verdict === "not-run" ? 503 : 504,
-  code: "deadline",
-  message: "its time is over",
-  verdict,
-  retryAfterMs: verdict === "not-run" ? 1000 : undefined,
-});
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -15,6 +15,7 @@
 import { createPlacementRole } from "./placementRole.js";
 import { PlainFlow } from "./plainFlow.js";
 import type { RequestForm } from "./requestForm.js";
+import type { GatewayParts } from "./parts.js";
 import { RetryBudgets } from "./retryBudgets.js";
 import type { RetryLimits } from "./retryBudgets.js";
 import { watchStore } from "./storeWatch.js";
@@ -47,17 +48,6 @@
   graceMs: number;
 }
 
-/** What a gateway is made of besides its settings. */
-export interface GatewayParts {
-  form: RequestForm;
-  source: GatewaySource;
-  feed: ObjectFeed;
-  log: Log;
-  metrics: Metrics;
-  rng: Rng;
-  now: () => number;
-}
-
 export const startGateway = async (
   settings: GatewaySettings,
   parts: GatewayParts,
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,5 +1,6 @@
 export { startGateway } from "./gatewayDaemon.js";
-export type { GatewayParts, GatewaySettings } from "./gatewayDaemon.js";
+export type { GatewaySettings } from "./gatewayDaemon.js";
+export type { GatewayParts } from "./parts.js";
 export { startScheduler } from "./schedulerDaemon.js";
 export type { SchedulerSettings } from "./schedulerDaemon.js";
 export type { GatewaySource } from "./gatewayState.js";
--- a/src/gateway/plainFlow.ts
+++ b/src/gateway/plainFlow.ts
@@ -3,17 +3,16 @@
 import { isEjected } from "../routing/health.js";
 import type { Health } from "../routing/health.js";
 import { BoundedCancellation } from "../shared/cancellation.js";
-import type { RequestFailure } from "../shared/errors.js";
 import type { Verdict } from "../shared/verdict.js";
 import { worseVerdict } from "../shared/verdict.js";
 import type { CallerRequest } from "./callerRequest.js";
-import { overdueFailure } from "./callerRequest.js";
 import type { ReplicaSet } from "./replicaSet.js";
 import type { RequestForm } from "./requestForm.js";
 import type { RetryBudgets } from "./retryBudgets.js";
 import type { Replica, ReplyHead } from "./types.js";
 import type { UpstreamClient } from "./upstreamClient.js";
 import { readWholeBody } from "./upstreamClient.js";
+import { failureOf, overdueFailure, replyFault } from "./verdicts.js";
 
 /** Largest answer that is held whole, bytes. */
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
@@ -21,8 +20,6 @@
 const OTHER_ZONE_COST = 1;
 /** Sends of one request at the most, refusals included. */
 const MAX_SENDS = 4;
-/** When a caller may come back where no replica took the request, ms. */
-const BUSY_RETRY_MS = 400;
 const HTTP_SERVER_ERROR = 500;
 
 export interface PlainFlowOptions {
@@ -213,34 +210,3 @@
     return this.health.get(id) ?? HEALTHY;
   }
 }
-
-/** What is wrong with the head of a reply; undefined if nothing is. */
-export const replyFault = (
-  reply: ReplyHead,
-  requestId: string,
-): string | undefined => {
-  if (reply.requestId !== undefined && reply.requestId !== requestId) {
-    return "the answer belongs to another request";
-  }
-  const isSuccess = reply.status >= 200 && reply.status < 300;
-  if (isSuccess && !reply.isSigned) return "the answer is not signed";
-  if (reply.isEncoded) return "the body is encoded";
-  if (!reply.isNotRun && reply.isPromise) {
-    return `status ${reply.status} without proof that nothing ran`;
-  }
-  return undefined;
-};
-
-/** The failure of a request that no replica answered. */
-export const failureOf = (verdict: Verdict, why: string): RequestFailure => {
-  if (verdict === "not-run") {
-    return {
-      status: 503,
-      code: "overloaded",
-      message: why,
-      verdict,
-      retryAfterMs: BUSY_RETRY_MS,
-    };
-  }
-  return { status: 502, code: "cut", message: why, verdict };
-};
--- a/src/gateway/schedulerDaemon.ts
+++ b/src/gateway/schedulerDaemon.ts
@@ -5,7 +5,7 @@
  */
 import type { Daemon } from "../daemon/types.js";
 import { Supervisor } from "../tasks/index.js";
-import type { GatewayParts } from "./gatewayDaemon.js";
+import type { GatewayParts } from "./parts.js";
 import { GatewayState } from "./gatewayState.js";
 import { createPlacementRole } from "./placementRole.js";
 import { watchStore } from "./storeWatch.js";
--- a/src/gateway/storeWatch.ts
+++ b/src/gateway/storeWatch.ts
@@ -1,7 +1,7 @@
 /** Keeps what a process knows in step with the store. */
 import { FeedWatch } from "../store/index.js";
 import type { Supervisor } from "../tasks/index.js";
-import type { GatewayParts } from "./gatewayDaemon.js";
+import type { GatewayParts } from "./parts.js";
 import type { GatewayState } from "./gatewayState.js";
 
 /** Follows the configuration and the replicas while `isActive`. */
--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -5,26 +5,19 @@
  */
 import type { Grant, PlacementAsk } from "../scheduling/index.js";
 import type { Placement } from "../placement/index.js";
-import { BoundedCancellation } from "../shared/cancellation.js";
-import type { Cancellation } from "../shared/cancellation.js";
 import type { RequestFailure } from "../shared/errors.js";
-import { errText } from "../shared/utils.js";
 import type { Verdict } from "../shared/verdict.js";
 import { worseVerdict } from "../shared/verdict.js";
-import type { Log } from "../telemetry/index.js";
 import type { CallerRequest } from "./callerRequest.js";
-import { overdueFailure } from "./callerRequest.js";
-import { failureOf, replyFault } from "./plainFlow.js";
-import type { ReplicaSet } from "./replicaSet.js";
-import type { RequestForm } from "./requestForm.js";
+import { EngineCalls, MAX_SHORT_ANSWER_BYTES } from "./engineCalls.js";
+import type { EngineCallsOptions } from "./engineCalls.js";
 import type { RetryBudgets } from "./retryBudgets.js";
 import { StreamRelay } from "./streamRelay.js";
-import type { ReadHandle, UpstreamSend } from "./types.js";
-import type { UpstreamClient, UpstreamReply } from "./upstreamClient.js";
+import type { ReadHandle } from "./types.js";
+import type { UpstreamReply } from "./upstreamClient.js";
 import { readWholeBody } from "./upstreamClient.js";
+import { failureOf, overdueFailure, replyFault } from "./verdicts.js";
 
-/** A handle's answer is a few hundred bytes. */
-const MAX_HANDLE_BYTES = 16 * 1024;
 /** Rounds of placement of one request at the most. */
 const MAX_ROUNDS = 4;
 /** A read is given up after this many times its expected time, … */
@@ -34,15 +27,10 @@
 /** Less time than this is not worth another round, ms. */
 const LEAST_LEFT_MS = 30;
 
-export interface StreamFlowOptions {
-  replicas: ReplicaSet;
-  client: UpstreamClient;
-  form: RequestForm;
+export interface StreamFlowOptions extends EngineCallsOptions {
   budgets: RetryBudgets;
   placement: Placement;
   zone: string;
-  log: Log;
-  now: () => number;
 }
 
 /** What one round of placement, read and run came to. */
@@ -75,13 +63,16 @@
 }
 
 export class StreamFlow {
+  private readonly calls: EngineCalls;
   private sequence = 0;
 
   constructor(
     private readonly options: StreamFlowOptions,
     /** Makes grant ids unique among the entries. */
     private readonly entryId: string,
-  ) {}
+  ) {
+    this.calls = new EngineCalls(options);
+  }
 
   async run(caller: CallerRequest): Promise<void> {
     const { budgets } = this.options;
@@ -164,7 +155,7 @@
       handle = read.handle;
     }
     const round = await this.runAt(journey, grant, handle);
-    if (round.kind !== "done" && handle !== undefined) this.free(handle);
+    if (round.kind !== "done" && handle !== undefined) this.calls.free(handle);
     return round;
   }
 
@@ -198,14 +189,14 @@
   ): Promise<Round | { kind: "read"; handle: ReadHandle }> {
     const { placement } = this.options;
     const { caller, grantId } = journey;
-    const cacheSource = this.cacheSource(grant);
+    const cacheSource = this.calls.addressOf(grant.donor);
     const limitMs = grant.readMs * READ_PATIENCE + READ_SLACK_MS;
-    const read = await this.exchangeRead(caller, reader, limitMs, cacheSource);
+    const read = await this.calls.read(caller, reader, limitMs, cacheSource);
     const ok = read.kind === "read";
     placement.note(caller.service, { kind: "read", id: grantId, ok });
     if (read.kind === "read") {
       if (!caller.cancellation.isCancelled) return read;
-      this.free(read.handle);
+      this.calls.free(read.handle);
       return this.overdue(journey);
     }
     if (caller.isOverdue) return this.overdue(journey);
@@ -213,42 +204,6 @@
     return { kind: "failed", verdict: "not-run", why: read.why, avoid: reader };
   }
 
-  private async exchangeRead(
-    caller: CallerRequest,
-    reader: string,
-    limitMs: number,
-    cacheSource: string | undefined,
-  ): Promise<
-    { kind: "read"; handle: ReadHandle } | { kind: "failed"; why: string }
-  > {
-    const { form } = this.options;
-    const stop = new BoundedCancellation(caller.cancellation, limitMs);
-    try {
-      const sent = await this.send(caller, reader, stop, {
-        replicaId: reader,
-        deadlineMs: Math.round(caller.leftMs()),
-        phase: "read",
-        cacheSource,
-      });
-      if (sent.kind === "failed") return { kind: "failed", why: sent.why };
-      const { res, address } = sent;
-      const reply = form.readReply(res.statusCode ?? 0, res.headers);
-      const whole = await readWholeBody(sent, MAX_HANDLE_BYTES);
-      if (reply.isNotRun || reply.status !== 200) {
-        return { kind: "failed", why: `read refused with ${reply.status}` };
-      }
-      if (reply.requestId !== undefined && reply.requestId !== caller.head.id) {
-        return { kind: "failed", why: "the answer belongs to another request" };
-      }
-      if (whole.kind === "cut") return { kind: "failed", why: whole.why };
-      const handle = form.readHandle(address, whole.body.toString("utf8"));
-      if (handle !== undefined) return { kind: "read", handle };
-      return { kind: "failed", why: "the answer names no handle" };
-    } finally {
-      stop.dispose();
-    }
-  }
-
   private async runAt(
     journey: Journey,
     grant: Grant,
@@ -261,12 +216,12 @@
     journey.runSentAt = now();
     journey.firstEventMs = 0;
     journey.readsAtRunner = readsItself && grant.readMs > 0;
-    const sent = await this.send(caller, runner, caller.cancellation, {
+    const sent = await this.calls.send(caller, runner, caller.cancellation, {
       replicaId: runner,
       deadlineMs: Math.round(caller.leftMs()),
       phase: "run",
       handle,
-      cacheSource: readsItself ? this.cacheSource(grant) : undefined,
+      cacheSource: readsItself ? this.calls.addressOf(grant.donor) : undefined,
       afterEventId: relay.lastEventId,
     });
     if (sent.kind === "failed") {
@@ -316,12 +271,6 @@
     }
   }
 
-  /** Address of the engine whose cached parts are taken first. */
-  private cacheSource({ donor }: Grant): string | undefined {
-    const replica = donor && this.options.replicas.get(donor);
-    return replica ? replica.address : undefined;
-  }
-
   /** A replica's own failure is passed on, unless a stream has begun. */
   private async answerFailure(
     journey: Journey,
@@ -330,7 +279,7 @@
   ): Promise<Round> {
     const { caller } = journey;
     const { res } = sent;
-    const whole = await readWholeBody(sent, MAX_HANDLE_BYTES);
+    const whole = await readWholeBody(sent, MAX_SHORT_ANSWER_BYTES);
     const status = res.statusCode ?? 0;
     const why = `engine failed with ${status}`;
     const isFinal = whole.kind === "whole" && !caller.hasBegun;
@@ -342,57 +291,6 @@
     return { kind: "failed", verdict: "may-have-run", why, avoid: runner };
   }
 
-  private async send(
-    caller: CallerRequest,
-    id: string,
-    cancellation: Cancellation,
-    send: UpstreamSend,
-  ) {
-    const { replicas, client, form } = this.options;
-    const replica = replicas.get(id);
-    if (replica === undefined || replica.state !== "ready") {
-      const why = "the replica is leaving or gone";
-      return { kind: "failed" as const, verdict: "not-run" as const, why };
-    }
-    const { head, body } = caller;
-    const { address } = replica;
-    caller.sentTo.push(id);
-    const outcome = await client.send({
-      address,
-      method: head.method,
-      target: head.target,
-      headers: form.upstreamHeaders(head, send, body.length),
-      body,
-      cancellation,
-    });
-    return outcome.kind === "failed" ? outcome : { ...outcome, address };
-  }
-
-  /** Tells the replica that nobody will take the handle. */
-  private free(handle: ReadHandle): void {
-    const { client, form, log, now } = this.options;
-    const begun = now();
-    const cancellation = new BoundedCancellation(undefined, FREE_MS);
-    void client
-      .send({
-        address: handle.address,
-        method: "DELETE",
-        target: form.freeHandlePath(handle),
-        headers: ["Host", handle.address, "Content-Length", "0"],
-        body: Buffer.alloc(0),
-        cancellation,
-      })
-      .then((outcome) => {
-        cancellation.dispose();
-        if (outcome.kind === "reply") outcome.res.resume();
-        else {
-          const tookMs = Math.round(now() - begun);
-          log.debug("handle not freed", { why: outcome.why, tookMs });
-        }
-      })
-      .catch((err) => log.debug("handle not freed", { why: errText(err) }));
-  }
-
   private noteBegun(journey: Journey): void {
     const { caller, grantId } = journey;
     journey.firstEventMs = this.options.now() - journey.runSentAt;
@@ -440,6 +338,3 @@
     });
   }
 }
-
-/** The call that frees a handle is given up after this, ms. */
-const FREE_MS = 1000;
--- /dev/null
+++ b/src/scheduling/readPlanner.ts
@@ -0,0 +1,104 @@
+/**
+ * Which engine reads a prompt, when it will have read it, and from which
+ * engine it takes cached parts first. Pure.
+ */
+import type { EngineState } from "./engineState.js";
+import type { PlacementAsk } from "./types.js";
+
+/** Weight of an engine's reading time as a cost to everybody else. */
+const READ_WEIGHT = 1;
+/**
+ * Longest read that a decode engine does besides its runs, ms: its streams
+ * pause meanwhile, and pauses beyond some 150 ms make them late.
+ */
+const DECODE_READ_MS = 60;
+/** Parts of fewer tokens are read again rather than moved. */
+const LEAST_DONATED_TOKENS = 512;
+/**
+ * Time to take cached parts from another engine, ms. Links carry a token in
+ * a tenth of a microsecond, but moves wait for each other.
+ */
+const MOVE_MS = 1;
+const MOVE_MS_PER_TOKEN = 0.0004;
+
+export interface ReadPlan {
+  engine: EngineState;
+  costMs: number;
+  /** From now until it is read, ms. */
+  endMs: number;
+  /** Engine to take cached parts from, if that is worth it. */
+  donor: EngineState | undefined;
+}
+
+/** The engine that holds most of a prompt, and how much. */
+interface Donor {
+  engine: EngineState;
+  cached: number;
+}
+
+/** The prefill engine that has read the prompt first and at least cost. */
+export const planRead = (
+  ask: PlacementAsk,
+  open: readonly EngineState[],
+  now: number,
+): ReadPlan | undefined => {
+  const donor = findDonor(ask, open);
+  let best: (ReadPlan & { score: number }) | undefined;
+  for (const engine of open) {
+    if (engine.view.stage !== "prefill") continue;
+    const plan = readAt(ask, engine, donor, now);
+    const score = plan.endMs + plan.costMs * READ_WEIGHT;
+    if (best === undefined || score < best.score) best = { ...plan, score };
+  }
+  return best;
+};
+
+/**
+ * The decode engine that is first to read the prompt itself by `limitMs`;
+ * undefined if none is. `open`: those with room for the run.
+ */
+export const planOwnRead = (
+  ask: PlacementAsk,
+  open: readonly EngineState[],
+  all: readonly EngineState[],
+  limitMs: number,
+  now: number,
+): ReadPlan | undefined => {
+  const donor = findDonor(ask, all);
+  let best: ReadPlan | undefined;
+  for (const engine of open) {
+    if (engine.view.stage !== "decode" || engine.readCount > 0) continue;
+    const plan = readAt(ask, engine, donor, now);
+    if (plan.costMs > DECODE_READ_MS || plan.endMs > limitMs) continue;
+    if (best === undefined || plan.endMs < best.endMs) best = plan;
+  }
+  return best;
+};
+
+const readAt = (
+  ask: PlacementAsk,
+  engine: EngineState,
+  donor: Donor | undefined,
+  now: number,
+): ReadPlan => {
+  const own = engine.cachedTokens(ask.model, ask.parts);
+  const more = (donor?.cached ?? 0) - own;
+  const isWorth = donor !== undefined && more >= LEAST_DONATED_TOKENS;
+  const cached = isWorth ? donor.cached : own;
+  const moveMs = isWorth ? MOVE_MS + more * MOVE_MS_PER_TOKEN : 0;
+  const costMs = engine.readCostMs(ask.promptTokens, cached) + moveMs;
+  const endMs = engine.backlogMs(now) + costMs;
+  return { engine, costMs, endMs, donor: isWorth ? donor.engine : undefined };
+};
+
+const findDonor = (
+  ask: PlacementAsk,
+  open: readonly EngineState[],
+): Donor | undefined => {
+  let best: Donor | undefined;
+  for (const engine of open) {
+    const cached = engine.cachedTokens(ask.model, ask.parts);
+    if (cached > (best?.cached ?? 0)) best = { engine, cached };
+  }
+  return best;
+};
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -5,6 +5,9 @@
  * its own for the time when it can't.
  */
 import { EngineState } from "./engineState.js";
+import { planOwnRead, planRead } from "./readPlanner.js";
+import type { ReadPlan } from "./readPlanner.js";
+import { chooseRunner, hasRoom } from "./runPlanner.js";
 import { SizeFairness } from "./sizeFairness.js";
 import type {
   EngineView,
@@ -17,19 +20,6 @@
 
 /** Shorter unread prompts are read where they run. */
 const LEAST_SPLIT_TOKENS = 1024;
-/** Weight of an engine's reading time as a cost to everybody else. */
-const READ_WEIGHT = 1;
-/**
- * Longest read that a decode engine does besides its runs, ms: its streams
- * pause meanwhile, and pauses beyond some 150 ms make them late.
- */
-const DECODE_READ_MS = 60;
-/** Parts of fewer tokens are read again rather than moved. */
-const LEAST_DONATED_TOKENS = 512;
-/** Time to take cached parts from another engine, ms: links carry a token
- * in a tenth of a microsecond to one, and moves wait for each other. */
-const MOVE_MS = 1;
-const MOVE_MS_PER_TOKEN = 0.0004;
 /** Time of the hops between the end of a read and the caller, ms. */
 const HOPS_MS = 16;
 /** Start of the estimate of a run's first event, ms after its send. */
@@ -49,22 +39,10 @@
  */
 const RETRY_PART = 0.33;
 const LEAST_RETRY_MS = 200;
-/** Runs of at least this many tokens are packed. */
-const LONG_OUTPUT_TOKENS = 512;
-/**
- * Packed engines are filled up to this share of slots or memory: beyond it
- * each step takes so much longer that the longest streams miss their time.
- */
-const PACK_LOAD = 0.6;
-/** Engines in another zone count as this much busier, share of slots. */
-const OTHER_ZONE_COST = 0.02;
 /** An engine that failed gets no work for this long at first, ms. */
 const FIRST_CLOSE_MS = 700;
 const LONGEST_CLOSE_MS = 6000;
 const FAILURES_TO_CLOSE = 2;
-/** Share of the KV memory that running requests may take. */
-const RUN_MEMORY_SHARE = 0.92;
-
 interface Placed {
   reader: EngineState | undefined;
   runner: EngineState;
@@ -72,21 +50,6 @@
   at: number;
 }
 
-interface ReadPlan {
-  engine: EngineState;
-  costMs: number;
-  /** From now until it is read, ms. */
-  endMs: number;
-  /** Engine to take cached parts from, if that is worth it. */
-  donor: EngineState | undefined;
-}
-
-/** The engine that holds most of a prompt, and how much. */
-interface Donor {
-  engine: EngineState;
-  cached: number;
-}
-
 /** Work asked for since start, for the planner of stages. */
 export interface SchedulerLoad {
   /** Reading time of one prefill engine, refused requests included, ms. */
@@ -139,7 +102,8 @@
 
   private decide(ask: PlacementAsk, now: number): PlacementAnswer {
     const open = this.openEngines(ask, now);
-    const runner = this.chooseRunner(ask, open, now);
+    const share = this.share();
+    const runner = chooseRunner(ask, open, share, now);
     if (runner === undefined) {
       const hasDecode = open.some((item) => item.view.stage === "decode");
       return this.refuse(ask, hasDecode ? "slots" : "no-engine");
@@ -147,12 +111,14 @@
     const cachedAtRunner = runner.cachedTokens(ask.model, ask.parts);
     const isLong = ask.promptTokens - cachedAtRunner >= LEAST_SPLIT_TOKENS;
     if (!isLong) return this.grant(ask, undefined, runner, now);
-    const plan = this.planRead(ask, open, now);
+    const plan = planRead(ask, open, now);
     if (!ask.isReturn) this.asked.readMs += plan?.costMs ?? 0;
     if (plan !== undefined && this.isInTime(ask, plan)) {
       return this.grant(ask, plan, runner, now);
     }
-    const own = this.planOwnRead(ask, open, now);
+    const roomy = open.filter((item) => hasRoom(ask, item, share));
+    const limitMs = ask.objectiveLeftMs - this.afterReadMs;
+    const own = planOwnRead(ask, roomy, open, limitMs, now);
     if (own !== undefined) return this.grant(ask, own, own.engine, now);
     if (plan === undefined) return this.refuse(ask, "no-engine");
     if (this.mayBeLate(ask, plan)) return this.grant(ask, plan, runner, now);
@@ -246,109 +212,6 @@
     );
   }
 
-  private chooseRunner(
-    ask: PlacementAsk,
-    open: readonly EngineState[],
-    now: number,
-  ): EngineState | undefined {
-    let best: { engine: EngineState; cost: number } | undefined;
-    for (const engine of open) {
-      if (engine.view.stage !== "decode") continue;
-      const cost = this.runCost(ask, engine, now);
-      if (cost === undefined) continue;
-      if (best === undefined || cost < best.cost) best = { engine, cost };
-    }
-    return best?.engine;
-  }
-
-  /** Share of its slots or memory in use; undefined if it is full. */
-  private runCost(
-    ask: PlacementAsk,
-    engine: EngineState,
-    now: number,
-  ): number | undefined {
-    const { slots, kvCapacityTokens, zone } = engine.view;
-    const runs = engine.runCount * this.share();
-    if (runs + 1 > slots) return undefined;
-    const needed = ask.promptTokens + ask.outputTokens;
-    const tokens = engine.runTokens * this.share() + needed;
-    const memory = tokens / (kvCapacityTokens * RUN_MEMORY_SHARE);
-    if (memory > 1 && engine.runCount > 0) return undefined;
-    const away = zone === ask.zone ? 0 : OTHER_ZONE_COST;
-    const reading = engine.backlogMs(now) / 1000;
-    const load = Math.max(runs / slots, memory);
-    if (ask.outputTokens < LONG_OUTPUT_TOKENS) return load + away + reading;
-    // Long runs fill one engine after the other, so that the rest can change
-    // their stage without a wait, and read without slowing streams.
-    const isPacked = load <= PACK_LOAD;
-    return (isPacked ? 1 - load : 1 + load) + away + reading;
-  }
-
-  /** The prefill engine that has read the prompt first and at least cost. */
-  private planRead(
-    ask: PlacementAsk,
-    open: readonly EngineState[],
-    now: number,
-  ): ReadPlan | undefined {
-    const donor = this.findDonor(ask, open);
-    let best: (ReadPlan & { score: number }) | undefined;
-    for (const engine of open) {
-      if (engine.view.stage !== "prefill") continue;
-      const plan = this.readAt(ask, engine, donor, now);
-      const score = plan.endMs + plan.costMs * READ_WEIGHT;
-      if (best === undefined || score < best.score) best = { ...plan, score };
-    }
-    return best;
-  }
-
-  private readAt(
-    ask: PlacementAsk,
-    engine: EngineState,
-    donor: Donor | undefined,
-    now: number,
-  ): ReadPlan {
-    const own = engine.cachedTokens(ask.model, ask.parts);
-    const more = (donor?.cached ?? 0) - own;
-    const isWorth = donor !== undefined && more >= LEAST_DONATED_TOKENS;
-    const cached = isWorth ? donor.cached : own;
-    const moveMs = isWorth ? MOVE_MS + more * MOVE_MS_PER_TOKEN : 0;
-    const costMs = engine.readCostMs(ask.promptTokens, cached) + moveMs;
-    const endMs = engine.backlogMs(now) + costMs;
-    const from = isWorth ? donor.engine : undefined;
-    return { engine, costMs, endMs, donor: from };
-  }
-
-  private findDonor(
-    ask: PlacementAsk,
-    open: readonly EngineState[],
-  ): Donor | undefined {
-    let best: Donor | undefined;
-    for (const engine of open) {
-      const cached = engine.cachedTokens(ask.model, ask.parts);
-      if (cached > (best?.cached ?? 0)) best = { engine, cached };
-    }
-    return best;
-  }
-
-  /** A decode engine that can read the prompt itself in time. */
-  private planOwnRead(
-    ask: PlacementAsk,
-    open: readonly EngineState[],
-    now: number,
-  ): ReadPlan | undefined {
-    const donor = this.findDonor(ask, open);
-    let best: ReadPlan | undefined;
-    for (const engine of open) {
-      if (engine.view.stage !== "decode" || engine.readCount > 0) continue;
-      if (this.runCost(ask, engine, now) === undefined) continue;
-      const plan = this.readAt(ask, engine, donor, now);
-      if (plan.costMs > DECODE_READ_MS) continue;
-      if (plan.endMs + this.afterReadMs > ask.objectiveLeftMs) continue;
-      if (best === undefined || plan.endMs < best.endMs) best = plan;
-    }
-    return best;
-  }
-
   /** `plan`: absent where the runner reads a short rest by the way. */
   private grant(
     ask: PlacementAsk,
