Connections to each replica are bounded; a queued request can be cancelled

Cause: a replica resets connections beyond its cap over all callers; entries bounded theirs nowhere. The test of the bound found that Node tells nothing of a cancelled request that waits for a connection, so that it hung until one was free.

Change: each entry uses 0.8 of the cap divided by the entries that its scheduler counts; a cancelled request without a connection ends at once, as 'not run'. Health of replicas is remembered for a bounded number of them.

--- a/src/gateway/engineCalls.ts
+++ b/src/gateway/engineCalls.ts
@@ -94,6 +94,7 @@
     const { address } = replica;
     caller.sentTo.push(id);
     const outcome = await client.send({
+      service: caller.service,
       address,
       method: head.method,
       target: head.target,
@@ -105,12 +106,13 @@
   }
 
   /** Tells the replica that nobody will take the handle. */
-  free(handle: ReadHandle): void {
+  free(service: string, handle: ReadHandle): void {
     const { client, form, log, now } = this.options;
     const begun = now();
     const cancellation = new BoundedCancellation(undefined, FREE_MS);
     void client
       .send({
+        service,
         address: handle.address,
         method: "DELETE",
         target: form.freeHandlePath(handle),
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -4,17 +4,12 @@
 import { listen } from "../http/index.js";
 import type { Daemon } from "../daemon/types.js";
 import { errText } from "../shared/utils.js";
-import type { Rng } from "../shared/rng.js";
-import type { ObjectFeed } from "../store/index.js";
 import { Supervisor } from "../tasks/index.js";
-import type { Log, Metrics } from "../telemetry/index.js";
 import { GatewayServer } from "./gatewayServer.js";
 import { GatewayState } from "./gatewayState.js";
-import type { GatewaySource } from "./gatewayState.js";
 import { newMetricsServer } from "./metricsServer.js";
 import { createPlacementRole } from "./placementRole.js";
 import { PlainFlow } from "./plainFlow.js";
-import type { RequestForm } from "./requestForm.js";
 import type { GatewayParts } from "./parts.js";
 import { RetryBudgets } from "./retryBudgets.js";
 import type { RetryLimits } from "./retryBudgets.js";
@@ -30,6 +25,12 @@
 /** Time kept for the end itself at the end of the grace, ms. */
 const END_MARGIN_MS = 500;
 const DRAIN_POLL_MS = 50;
+/** Period of dividing a replica's connections among the entries, ms. */
+const CONNECTION_LIMITS_MS = 1000;
+/** Part of a replica's connections that entries use; the rest covers
+ * entries that come and go, and orders. */
+const CONNECTION_PART = 0.8;
+const LEAST_CONNECTIONS = 2;
 
 export interface GatewaySettings {
   /** Name of this process, unique in the fleet. */
@@ -89,6 +90,13 @@
   });
   watchStore(supervisor, parts, state, () => true);
   role.start(supervisor);
+  supervisor.every("connection limits", CONNECTION_LIMITS_MS, async () => {
+    for (const { name, maxConnections } of state.services()) {
+      const entries = placement.entries(state.engineServices());
+      const most = Math.floor((maxConnections * CONNECTION_PART) / entries);
+      client.limitConnections(name, Math.max(LEAST_CONNECTIONS, most));
+    }
+  });
   let isStopping = false;
   const ready = http.createServer((_req, res) => {
     const isReady = state.isReady && !isStopping;
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -8,7 +8,7 @@
 import { ReplicaSet } from "./replicaSet.js";
 import type { ReplicaChange } from "./replicaSet.js";
 import { RouteTable } from "./routeTable.js";
-import type { GatewayConfig, Replica } from "./types.js";
+import type { GatewayConfig, GatewayService, Replica } from "./types.js";
 
 /** How stored objects become configurations and replicas. */
 export interface GatewaySource {
@@ -84,10 +84,15 @@
     this.logChanges(this.replicas.expire(this.now()));
   }
 
+  services(): readonly GatewayService[] {
+    return this.table?.config.services ?? [];
+  }
+
   /** Services that have engines. */
   engineServices(): string[] {
-    const services = this.table?.config.services ?? [];
-    return services.flatMap(({ name, engine }) => (engine ? [name] : []));
+    return this.services().flatMap(({ name, engine }) =>
+      engine ? [name] : [],
+    );
   }
 
   /** The engines of a service that may get new work. */
--- a/src/gateway/plainFlow.ts
+++ b/src/gateway/plainFlow.ts
@@ -1,4 +1,6 @@
 /** Requests to plain services: one replica, and another where that is safe. */
+import { LRUCache } from "lru-cache";
+
 import { afterFailure, afterSuccess, HEALTHY } from "../routing/health.js";
 import { isEjected } from "../routing/health.js";
 import type { Health } from "../routing/health.js";
@@ -18,6 +20,8 @@
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 /** A replica in another zone counts as this many requests busier. */
 const OTHER_ZONE_COST = 1;
+/** Replicas whose health is remembered, the newest first. */
+const MAX_HEALTH = 4096;
 /** Sends of one request at the most, refusals included. */
 const MAX_SENDS = 4;
 const HTTP_SERVER_ERROR = 500;
@@ -40,7 +44,9 @@
 
 export class PlainFlow {
   private readonly inFlight = new Map<string, number>();
-  private readonly health = new Map<string, Health>();
+  private readonly health = new LRUCache<string, Health>({
+    max: MAX_HEALTH,
+  });
 
   constructor(private readonly options: PlainFlowOptions) {}
 
@@ -148,6 +154,7 @@
     };
     try {
       const outcome = await client.send({
+        service: caller.service,
         address: replica.address,
         method: head.method,
         target: head.target,
--- a/src/gateway/stageKeeper.ts
+++ b/src/gateway/stageKeeper.ts
@@ -201,8 +201,9 @@
   ): Promise<OrderOutcome> {
     const { address } = replica;
     const cancellation = new BoundedCancellation(undefined, ORDER_MS);
-    const { client } = this.options;
-    const sent = await client.send({ ...call, address, cancellation });
+    const { client, service } = this.options;
+    const request = { ...call, service, address, cancellation };
+    const sent = await client.send(request);
     if (sent.kind === "failed") {
       const kind = sent.verdict === "not-run" ? "refused" : "unknown";
       return { kind, why: sent.why };
--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -155,7 +155,8 @@
       handle = read.handle;
     }
     const round = await this.runAt(journey, grant, handle);
-    if (round.kind !== "done" && handle !== undefined) this.calls.free(handle);
+    if (round.kind !== "done" && handle !== undefined)
+      this.calls.free(caller.service, handle);
     return round;
   }
 
@@ -196,7 +197,7 @@
     placement.note(caller.service, { kind: "read", id: grantId, ok });
     if (read.kind === "read") {
       if (!caller.cancellation.isCancelled) return read;
-      this.calls.free(read.handle);
+      this.calls.free(caller.service, read.handle);
       return this.overdue(journey);
     }
     if (caller.isOverdue) return this.overdue(journey);
--- a/src/gateway/upstreamClient.ts
+++ b/src/gateway/upstreamClient.ts
@@ -20,6 +20,8 @@
 
 /** One request to a replica. */
 export interface UpstreamRequest {
+  /** Connections are kept and bounded by service. */
+  service: string;
   address: string;
   method: string;
   target: string;
@@ -61,11 +63,8 @@
 }
 
 export class UpstreamClient {
-  private readonly agent = new CautiousAgent({
-    keepAlive: true,
-    maxFreeSockets: MAX_IDLE_SOCKETS,
-    scheduling: "lifo",
-  });
+  /** Connections, by service. */
+  private readonly agents = new Map<string, http.Agent>();
 
   /** Resolves with the head of the answer, or with what is known instead. */
   send(order: UpstreamRequest): Promise<SendOutcome> {
@@ -73,6 +72,11 @@
       const { host, port } = splitAddress(order.address);
       let isConnected = false;
       let timer: NodeJS.Timeout | undefined;
+      const fail = (why: string) => {
+        clearTimeout(timer);
+        const verdict = isConnected ? "may-have-run" : "not-run";
+        resolve({ kind: "failed", verdict, why });
+      };
       const req = http.request({
         host,
         port,
@@ -80,10 +84,12 @@
         path: order.target,
         headers: order.headers as unknown as http.OutgoingHttpHeaders,
         setHost: false,
-        agent: this.agent,
+        agent: this.agent(order.service),
       });
       const off = order.cancellation.onCancel(() => {
         req.destroy(new Error("cancelled"));
+        // Without a connection yet, Node tells nothing until there is one.
+        if (!isConnected) fail("cancelled");
       });
       req.once("close", off);
       const onConnected = () => {
@@ -105,21 +111,31 @@
       });
       req.on("error", (err) => {
         hasFailed = true;
-        clearTimeout(timer);
-        const verdict = isConnected ? "may-have-run" : "not-run";
-        resolve({ kind: "failed", verdict, why: err.message });
+        fail(err.message);
       });
       req.end(order.body);
     });
   }
 
-  /** Bounds the connections to one replica. */
-  limitConnections(most: number): void {
-    this.agent.maxSockets = most;
+  /** Bounds the connections to each replica of a service. */
+  limitConnections(service: string, most: number): void {
+    this.agent(service).maxSockets = most;
   }
 
   close(): void {
-    this.agent.destroy();
+    for (const agent of this.agents.values()) agent.destroy();
+  }
+
+  private agent(service: string): http.Agent {
+    const known = this.agents.get(service);
+    if (known !== undefined) return known;
+    const fresh = new CautiousAgent({
+      keepAlive: true,
+      maxFreeSockets: MAX_IDLE_SOCKETS,
+      scheduling: "lifo",
+    });
+    this.agents.set(service, fresh);
+    return fresh;
   }
 }
 
--- a/src/placement/sharedPlacement.ts
+++ b/src/placement/sharedPlacement.ts
@@ -106,9 +106,15 @@
     return this.links.get(service)?.keeper.epoch ?? 0;
   }
 
-  /** Entries that place on a service's engines, as last heard. */
-  entries(service: string): number {
-    return this.links.get(service)?.entries ?? UNKNOWN_ENTRIES;
+  /** Most entries that place on the engines of any of these services. */
+  entries(services: readonly string[]): number {
+    const counts = services.map((service) => {
+      const link = this.links.get(service);
+      if (link === undefined) return UNKNOWN_ENTRIES;
+      const here = this.options.entriesHere(service);
+      return link.keeper.isHolder ? here : link.entries;
+    });
+    return Math.max(1, ...(counts.length > 0 ? counts : [UNKNOWN_ENTRIES]));
   }
 
   /** Keeps or seeks the lease of each service that has engines. */
