Test of a caller that goes away looks at the new run, at whichever engine

The test joined the runs of two engines and looked behind the number of runs before; where the new run was at the first engine, that was an old run of the second. Which engine gets it depends on the timing of the streams before.

Change: the run that was not there before, by its id, must be the only new one and be cancelled: as strict, and not about the order.

--- a/tests/promises/wholeAnswers.test.ts
+++ b/tests/promises/wholeAnswers.test.ts
@@ -91,13 +91,13 @@
 
     it("cancels at the engine when the caller goes away", async () => {
       await until(async () => (await stream("back")).isWhole);
-      const before = (await runs()).length;
+      const known = new Set((await runs()).map((run) => run.requestId));
       const open = openStream(fleet.entryUrl(), "leaving", 10_000);
       await open.begun;
       open.hangUp();
       await until(async () => {
-        const [last] = (await runs()).slice(before);
-        return last?.state === "cancelled";
+        const fresh = (await runs()).filter((run) => !known.has(run.requestId));
+        return fresh.length === 1 && fresh[0]?.state === "cancelled";
       });
     });
   });
