A refused long answer comes back after a second at the most

A refused caller was told to come back after a third of its time: 5 s of 15, and the longest streams need more than the 10 s that are left.

Change: no pause is longer than 1 s. Routes of 2 s are not touched.

The test fails without the bound.

--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -39,6 +39,8 @@
  */
 const RETRY_PART = 0.33;
 const LEAST_RETRY_MS = 200;
+/** A long answer needs the rest of its time: no pause is longer, ms. */
+const LONGEST_RETRY_MS = 1000;
 /** An engine that failed gets no work for this long at first, ms. */
 const FIRST_CLOSE_MS = 700;
 const LONGEST_CLOSE_MS = 6000;
@@ -242,7 +244,10 @@
     return {
       kind: "refused",
       why,
-      retryAfterMs: Math.max(LEAST_RETRY_MS, pauseMs),
+      retryAfterMs: Math.min(
+        LONGEST_RETRY_MS,
+        Math.max(LEAST_RETRY_MS, pauseMs),
+      ),
     };
   }
 
--- a/tests/gateway/scheduling.test.ts
+++ b/tests/gateway/scheduling.test.ts
@@ -123,6 +123,15 @@
     expect(answer.retryAfterMs).to.be.at.most(2000 / 3);
   });
 
+  it("leaves a long answer the most of its time after a refusal", () => {
+    const scheduler = newScheduler();
+    const long = { promptTokens: 100, outputTokens: 1, deadlineLeftMs: 15_000 };
+    fill(scheduler, long);
+    const answer = scheduler.place(ask(long), 0);
+    if (answer.kind !== "refused") throw new Error("granted");
+    expect(answer.retryAfterMs).to.be.at.most(1000);
+  });
+
   it("has room again when what it granted has ended", () => {
     const scheduler = newScheduler();
     const first = ask({ parts: [] });
