Fault soak: real processes, harm from outside, promises checked on records

Entries and schedulers run as processes of their own; the store and the replicas are stand-ins behind links that delay, hold back, swallow (one way too) or reset. Faults come in series and overlap; every third seed has planned work only, so that cuts by planned work show.

Each check has a test on records that fails without it (tests/soak).

--- /dev/null
+++ b/soak/checks.ts
@@ -0,0 +1,217 @@
+/**
+ * The promises, checked on what callers and upstreams recorded. Pure: records
+ * in, violations out.
+ */
+import { MAY_RUN_AGAIN } from "./types.js";
+import type {
+  CallRecord,
+  NewsRecord,
+  SoakRecords,
+  Violation,
+} from "./types.js";
+
+/** Events of a whole stream; the stand-in replicas send as many. */
+export const STREAM_EVENTS = 40;
+/** Calm before a bound on time holds, ms: the users' contact time. */
+const CALM_BEFORE_MS = 3000;
+/** Bound on news that every process must know, ms, with slack for a busy
+ * machine. */
+const NEWS_BOUND_MS = 4000;
+/** Share and stock of further sends, as in the settings of the processes. */
+const RETRY_RATIO = 0.2;
+const RETRY_BURST = 64;
+/** Statuses that say that nothing ran and nothing will. */
+const PROMISES_NOT_RUN: readonly number[] = [408, 421, 429, 503];
+
+type Check = (records: SoakRecords) => Violation[];
+
+const isSuccess = ({ status }: CallRecord): boolean =>
+  status >= 200 && status < 300;
+
+const groupBy = <T>(items: readonly T[], key: (item: T) => string) => {
+  const groups = new Map<string, T[]>();
+  for (const item of items) {
+    const group = groups.get(key(item)) ?? [];
+    group.push(item);
+    groups.set(key(item), group);
+  }
+  return groups;
+};
+
+/** Whether no unplanned fault lasted at any time between two instants. */
+const isCalm = (records: SoakRecords, from: number, until: number): boolean =>
+  records.faults.every(
+    (fault) => fault.isPlanned || fault.until < from || fault.from > until,
+  );
+
+const wholeAnswers: Check = ({ calls }) =>
+  calls.filter(isSuccess).flatMap((call) => {
+    const { id, kind, events } = call;
+    const faults: string[] = [];
+    if (call.answerId !== id) faults.push(`names request ${call.answerId}`);
+    if (call.signedBy === undefined) faults.push("is not signed");
+    const isStream = kind === "resumable" || kind === "draft";
+    if (isStream) {
+      const isInOrder = events.every((event, at) => event === at + 1);
+      if (!isInOrder) faults.push(`has events ${events.join(",")}`);
+      if (call.isWhole && events.length !== STREAM_EVENTS) {
+        faults.push(`ends as whole after ${events.length} events`);
+      }
+    } else if (call.isWhole && call.bodyBy !== call.signedBy) {
+      faults.push(`is signed by ${call.signedBy}, of ${call.bodyBy}`);
+    }
+    return faults.map((fault) => ({
+      promise: "whole answers",
+      what: `answer to ${id} (${kind}) ${fault}`,
+    }));
+  });
+
+const atMostOnce: Check = ({ calls, runs }) => {
+  const byRequest = groupBy(runs, (run) => run.requestId);
+  return calls
+    .filter((call) => !MAY_RUN_AGAIN[call.kind])
+    .flatMap(({ id, kind }) => {
+      const ran = byRequest.get(id) ?? [];
+      if (ran.length <= 1) return [];
+      const where = ran.map((run) => run.replica).join(", ");
+      const what = `${id} (${kind}) ran ${ran.length} times: ${where}`;
+      return [{ promise: "at most once", what }];
+    });
+};
+
+const notRunIsTrue: Check = ({ calls, runs }) => {
+  const ran = new Set(runs.map((run) => run.requestId));
+  return calls
+    .filter((call) => !MAY_RUN_AGAIN[call.kind])
+    .filter(
+      ({ status, id }) => PROMISES_NOT_RUN.includes(status) && ran.has(id),
+    )
+    .map(({ id, kind, status }) => ({
+      promise: "not run is true",
+      what: `${id} (${kind}) was told ${status} and ran`,
+    }));
+};
+
+const onlyAsked: Check = ({ calls, probes, runs }) => {
+  const asked = new Set([...calls, ...probes].map((item) => item.id));
+  return runs
+    .filter((run) => !asked.has(run.requestId))
+    .map(({ requestId, replica }) => ({
+      promise: "only what was asked runs",
+      what: `${replica} ran ${requestId}, which no caller sent`,
+    }));
+};
+
+const neverBack: Check = ({ probes }) => {
+  const violations: Violation[] = [];
+  const lives = groupBy(probes, ({ entry, life }) => `${entry}/${life}`);
+  for (const [life, asked] of lives) {
+    for (const late of asked.filter((probe) => probe.status === 404)) {
+      const before = asked.find(
+        (probe) =>
+          probe.version >= late.version &&
+          probe.status !== 404 &&
+          probe.status !== 0 &&
+          probe.status !== 503 &&
+          probe.endedAt < late.sentAt,
+      );
+      if (before === undefined) continue;
+      const what = `${life} knew ${before.version}, then not ${late.version}`;
+      violations.push({ promise: "configuration never goes back", what });
+    }
+  }
+  return violations;
+};
+
+const lateNews = (records: SoakRecords, news: NewsRecord, at: number) =>
+  at > news.at + NEWS_BOUND_MS && isCalm(records, news.at - CALM_BEFORE_MS, at);
+
+const newsInForce: Check = (records) => {
+  const violations: Violation[] = [];
+  for (const news of records.news) {
+    if (news.kind === "configuration") {
+      for (const { version, sentAt, status, entry } of records.probes) {
+        const isLate = lateNews(records, news, sentAt);
+        if (String(version) !== news.subject || !isLate) continue;
+        if (status !== 404) continue;
+        const what = `${entry} did not know ${version} in time`;
+        violations.push({ promise: "configuration in force", what });
+      }
+    } else {
+      for (const { replica, at, requestId } of records.runs) {
+        if (replica !== news.subject) continue;
+        if (!lateNews(records, news, at)) continue;
+        const what = `${replica} is leaving and got ${requestId}`;
+        violations.push({ promise: "no work for leaving replicas", what });
+      }
+    }
+  }
+  return violations;
+};
+
+const boundedRetries: Check = ({ calls, probes, runs }) => {
+  const further = [...groupBy(runs, (run) => run.requestId).values()].reduce(
+    (sum, ran) => sum + ran.length - 1,
+    0,
+  );
+  const requests = calls.length + probes.length;
+  const most = requests * RETRY_RATIO + RETRY_BURST;
+  if (further <= most) return [];
+  const what = `${further} further sends for ${requests} requests`;
+  return [{ promise: "bounded retries", what }];
+};
+
+/** A request that crossed the close of its connection and ran nowhere was
+ * not cut. */
+const plannedStopCutsNothing: Check = (records) => {
+  const ran = new Set(records.runs.map((run) => run.requestId));
+  return records.calls
+    .filter((call) => (call.status === 0 || !call.isWhole) && ran.has(call.id))
+    .filter((call) =>
+      isCalm(records, call.sentAt - CALM_BEFORE_MS, call.endedAt),
+    )
+    .flatMap(({ id, kind, entry, sentAt, endedAt }) => {
+      const stop = records.faults.find(
+        (fault) =>
+          fault.isPlanned && fault.from <= endedAt && fault.until >= sentAt,
+      );
+      if (stop === undefined) return [];
+      const what = `${id} (${kind}) at ${entry} was cut by ${stop.name}`;
+      return [{ promise: "planned work cuts nothing", what }];
+    });
+};
+
+const oneHolder: Check = ({ orders }) => {
+  const violations: Violation[] = [];
+  for (const [replica, taken] of groupBy(orders, (order) => order.replica)) {
+    const holders = new Map<number, string>();
+    let highest = 0;
+    for (const { fence, holder } of taken) {
+      const known = holders.get(fence) ?? holder;
+      holders.set(fence, known);
+      const isShared = known !== holder;
+      if (isShared || fence < highest) {
+        const what = `${replica}: fence ${fence} of ${holder} after ${highest}`;
+        violations.push({ promise: "one holder", what });
+      }
+      highest = Math.max(highest, fence);
+    }
+  }
+  return violations;
+};
+
+const CHECKS: readonly Check[] = [
+  wholeAnswers,
+  atMostOnce,
+  notRunIsTrue,
+  onlyAsked,
+  neverBack,
+  newsInForce,
+  boundedRetries,
+  plannedStopCutsNothing,
+  oneHolder,
+];
+
+/** Everything that the records prove to be wrong. */
+export const findViolations = (records: SoakRecords): Violation[] =>
+  CHECKS.flatMap((check) => check(records));
--- /dev/null
+++ b/soak/main.ts
@@ -0,0 +1,96 @@
+/**
+ * The soak from the command line: seeds one after the other; what breaks a
+ * promise is printed with the seed and how to repeat it.
+ *
+ * node dist/soak/main.js --from 1 --count 50 --seconds 12
+ */
+import { mkdirSync, writeFileSync } from "node:fs";
+import path from "node:path";
+import { cac } from "cac";
+
+import { profileOf } from "./profile.js";
+import { DEFAULT_SIZES, runSoak } from "./runSoak.js";
+import type { SoakOptions, SoakResult } from "./runSoak.js";
+
+const cli = cac("soak");
+cli.option("--from <seed>", "first seed", { default: 1 });
+cli.option("--count <seeds>", "how many seeds", { default: 1 });
+cli.option("--seconds <s>", "time of faults a seed", { default: 12 });
+cli.option("--logs <folder>", "where logs of failed seeds go");
+for (const [name, value] of Object.entries(DEFAULT_SIZES)) {
+  cli.option(`--${name} <n>`, `number of ${name}`, { default: value });
+}
+cli.help();
+
+/** Which faults struck, and how often. */
+const countsOf = ({ records }: SoakResult): string => {
+  const counts = new Map<string, number>();
+  for (const { name } of records.faults) {
+    counts.set(name, (counts.get(name) ?? 0) + 1);
+  }
+  return [...counts].map(([name, count]) => `${name} ${count}`).join(", ");
+};
+
+const report = (options: SoakOptions, result: SoakResult): void => {
+  const { calls, runs, orders } = result.records;
+  const served = calls.filter(
+    (call) => call.status === 200 && call.isWhole,
+  ).length;
+  console.log(
+    `seed ${options.seed} (${options.profile}): ${calls.length} requests, ` +
+      `${served} answered whole, ${runs.length} runs, ${orders.length} orders;` +
+      ` faults: ${countsOf(result)}; ${result.violations.length} violations`,
+  );
+  for (const { promise, what } of result.violations.slice(0, 20)) {
+    console.log(`  ${promise}: ${what}`);
+  }
+};
+
+const keepLogs = (folder: string, seed: number, result: SoakResult): void => {
+  const at = path.join(folder, `seed-${seed}`);
+  mkdirSync(at, { recursive: true });
+  for (const [id, lines] of result.logs) {
+    writeFileSync(path.join(at, `${id}.log`), lines.join("\n"));
+  }
+  const records = JSON.stringify(result.records, null, 1);
+  writeFileSync(path.join(at, "records.json"), records);
+};
+
+const main = async (): Promise<number> => {
+  const { options } = cli.parse();
+  if (options.help) return 0;
+  const number = (name: string): number => {
+    const value = Number(options[name]);
+    if (Number.isInteger(value) && value > 0) return value;
+    throw new Error(`--${name} must be a whole number above 0`);
+  };
+  let failed = 0;
+  const first = number("from");
+  for (let at = 0; at < number("count"); at += 1) {
+    const seed = first + at;
+    const run: SoakOptions = {
+      seed,
+      seconds: number("seconds"),
+      profile: profileOf(seed),
+      entries: number("entries"),
+      schedulers: number("schedulers"),
+      plain: number("plain"),
+      engines: number("engines"),
+      callers: number("callers"),
+    };
+    const result = await runSoak(run);
+    report(run, result);
+    if (result.violations.length === 0) continue;
+    failed += 1;
+    if (options.logs) keepLogs(String(options.logs), seed, result);
+  }
+  console.log(`${failed} seeds failed`);
+  return failed > 0 ? 1 : 0;
+};
+
+try {
+  process.exitCode = await main();
+} catch (err) {
+  console.error(`soak: ${err instanceof Error ? err.message : String(err)}`);
+  process.exitCode = 2;
+}
--- /dev/null
+++ b/soak/runSoak.ts
@@ -0,0 +1,66 @@
+/** One run of the soak: a seed in, records and violations out. */
+import { monotonicNow } from "../src/daemon/clock.js";
+import { seededRng } from "../src/shared/rng.js";
+import { probe, SoakCaller } from "./callers.js";
+import { findViolations } from "./checks.js";
+import { FaultInjector, faultsOf } from "./faults.js";
+import type { FaultProfile } from "./faults.js";
+import { SoakFleet } from "./fleet.js";
+import type { FleetSizes } from "./fleet.js";
+import type { SoakRecords, Violation } from "./types.js";
+
+export interface SoakOptions extends FleetSizes {
+  seed: number;
+  /** Time during which faults strike. */
+  seconds: number;
+  callers: number;
+  profile: FaultProfile;
+}
+
+export const DEFAULT_SIZES: FleetSizes & { callers: number } = {
+  entries: 3,
+  schedulers: 3,
+  plain: 3,
+  engines: 4,
+  callers: 12,
+};
+
+export interface SoakResult {
+  records: SoakRecords;
+  violations: Violation[];
+  /** Log lines by process. */
+  logs: Map<string, readonly string[]>;
+}
+
+/** Pause between two faults, ms. */
+const FAULT_PAUSE = { least: 60, most: 500 };
+/** Calm traffic after the last fault, ms: what comes late is seen too. */
+const CALM_END_MS = 1500;
+const MS_PER_SECOND = 1000;
+/** Keeps the seeds of the parts apart. */
+const SEED_STEP = 7919;
+
+export const runSoak = async (options: SoakOptions): Promise<SoakResult> => {
+  const { seed, seconds, profile } = options;
+  const rngOf = (part: number) => seededRng(seed * SEED_STEP + part);
+  const fleet = new SoakFleet(rngOf(0), monotonicNow);
+  try {
+    await fleet.start(options);
+    const endsAt = monotonicNow() + seconds * MS_PER_SECOND;
+    const injector = new FaultInjector(fleet, faultsOf(profile), rngOf(1));
+    let isOver = false;
+    const traffic = Array.from({ length: options.callers }, (_item, at) =>
+      new SoakCaller(`caller${at}`, fleet, rngOf(100 + at)).run(() => isOver),
+    );
+    traffic.push(probe(fleet, rngOf(2), () => isOver));
+    await injector.run(() => monotonicNow() > endsAt, FAULT_PAUSE);
+    await new Promise((resolve) => setTimeout(resolve, CALM_END_MS));
+    isOver = true;
+    await Promise.all(traffic);
+  } finally {
+    await fleet.stop();
+  }
+  const { records } = fleet;
+  const logs = new Map(fleet.processes.map((item) => [item.id, item.lines]));
+  return { records, violations: findViolations(records), logs };
+};
--- /dev/null
+++ b/soak/types.ts
@@ -0,0 +1,101 @@
+/** What the soak writes down while it runs, and what it finds in it. */
+
+/** What callers may send: plain requests and streams. */
+export const CALL_KINDS = ["safe", "unsafe", "resumable", "draft"] as const;
+
+export type CallKind = (typeof CALL_KINDS)[number];
+
+/** How often a request of a kind may run. */
+export const MAY_RUN_AGAIN: Readonly<Record<CallKind, boolean>> = {
+  safe: true,
+  unsafe: false,
+  resumable: true,
+  draft: false,
+};
+
+/** One request as its caller saw it. Times are ms of one clock. */
+export interface CallRecord {
+  id: string;
+  kind: CallKind;
+  /** Entry process, and which of its lives. */
+  entry: string;
+  life: number;
+  sentAt: number;
+  endedAt: number;
+  /** 0: no head came. */
+  status: number;
+  /** Whether the answer ended as its framing says. */
+  isWhole: boolean;
+  /** Request id that the answer names. */
+  answerId: string | undefined;
+  /** Replica whose signature the answer bears. */
+  signedBy: string | undefined;
+  /** Replica that the body names; plain answers only. */
+  bodyBy: string | undefined;
+  /** Ids of the events that came, in order; streams only. */
+  events: number[];
+}
+
+/** One question for a route that a configuration added. */
+export interface ProbeRecord {
+  id: string;
+  entry: string;
+  life: number;
+  /** Configuration that added the route. */
+  version: number;
+  sentAt: number;
+  endedAt: number;
+  status: number;
+}
+
+/** A request that began to run at a replica. */
+export interface RunRecord {
+  requestId: string;
+  replica: string;
+  at: number;
+}
+
+/** An order that a replica took. */
+export interface OrderRecord {
+  replica: string;
+  holder: string;
+  fence: number;
+  at: number;
+}
+
+/** When and how the soak did harm. */
+export interface FaultRecord {
+  name: string;
+  /** Which of several ways; empty where there is one. */
+  variant: string;
+  /** What it struck. */
+  target: string;
+  from: number;
+  /** `Infinity` while it lasts. */
+  until: number;
+  /** Planned work, such as a stop by SIGTERM, must cut nothing. */
+  isPlanned: boolean;
+}
+
+/** A change that everybody must know of after a while. */
+export interface NewsRecord {
+  kind: "configuration" | "leaving";
+  /** Version, or replica that leaves. */
+  subject: string;
+  at: number;
+}
+
+export interface SoakRecords {
+  calls: CallRecord[];
+  probes: ProbeRecord[];
+  runs: RunRecord[];
+  orders: OrderRecord[];
+  faults: FaultRecord[];
+  news: NewsRecord[];
+}
+
+/** A promise that did not hold. */
+export interface Violation {
+  promise: string;
+  what: string;
+}
--- /dev/null
+++ b/tests/soak/checks.test.ts
@@ -0,0 +1,190 @@
+/** Each check of the soak finds its fault in records, and nothing else. */
+import { expect } from "chai";
+
+import { findViolations, STREAM_EVENTS } from "../../soak/checks.js";
+import type {
+  CallRecord,
+  FaultRecord,
+  ProbeRecord,
+  SoakRecords,
+} from "../../soak/types.js";
+
+const EVENTS = Array.from({ length: STREAM_EVENTS }, (_item, at) => at + 1);
+
+const call = (more: Partial<CallRecord> = {}): CallRecord => ({
+  id: "a",
+  kind: "unsafe",
+  entry: "entry-0",
+  life: 1,
+  sentAt: 10_000,
+  endedAt: 10_050,
+  status: 200,
+  isWhole: true,
+  answerId: "a",
+  signedBy: "plain-0",
+  bodyBy: "plain-0",
+  events: [],
+  ...more,
+});
+
+const stream = (more: Partial<CallRecord> = {}): CallRecord =>
+  call({ kind: "draft", bodyBy: undefined, events: EVENTS, ...more });
+
+const probe = (more: Partial<ProbeRecord> = {}): ProbeRecord => ({
+  id: "p",
+  entry: "entry-0",
+  life: 1,
+  version: 2,
+  sentAt: 10_000,
+  endedAt: 10_010,
+  status: 200,
+  ...more,
+});
+
+const fault = (more: Partial<FaultRecord> = {}): FaultRecord => ({
+  name: "process stopped",
+  variant: "",
+  target: "entry-0",
+  from: 9900,
+  until: 10_500,
+  isPlanned: true,
+  ...more,
+});
+
+const run = (requestId = "a", replica = "plain-0", at = 10_020) => ({
+  requestId,
+  replica,
+  at,
+});
+
+const order = (holder: string, fence: number) => ({
+  replica: "engine-0",
+  holder,
+  fence,
+  at: 0,
+});
+
+const records = (more: Partial<SoakRecords> = {}): SoakRecords => ({
+  calls: [],
+  probes: [],
+  runs: [],
+  orders: [],
+  faults: [],
+  news: [],
+  ...more,
+});
+
+const promises = (more: Partial<SoakRecords>): string[] =>
+  findViolations(records(more)).map((item) => item.promise);
+
+describe("soak checks", () => {
+  it("find nothing in a good run", () => {
+    const calls = [call(), stream({ id: "b", answerId: "b" })];
+    const runs = [run("a"), run("b", "engine-0")];
+    const orders = [order("s-0", 1), order("s-0", 1), order("s-1", 2)];
+    expect(promises({ calls, runs, orders, probes: [probe()] })).to.eql([]);
+  });
+
+  describe("whole answers", () => {
+    const wrong: Record<string, CallRecord> = {
+      "another request's": call({ answerId: "x" }),
+      unsigned: call({ signedBy: undefined, bodyBy: undefined }),
+      "half a body": call({ bodyBy: undefined }),
+      "a missing event": stream({ events: [1, 3] }),
+      "a doubled event": stream({ events: [1, 1, 2], isWhole: false }),
+      "an early end": stream({ events: [1, 2] }),
+    };
+    for (const [name, answer] of Object.entries(wrong)) {
+      it(`find ${name}`, () => {
+        expect(promises({ calls: [answer] })).to.include("whole answers");
+      });
+    }
+
+    it("let a cut stream pass that looks cut", () => {
+      const cut = stream({ events: [1, 2], isWhole: false });
+      expect(promises({ calls: [cut] })).to.eql([]);
+    });
+  });
+
+  it("find a second run of what may run once", () => {
+    const runs = [run(), run()];
+    expect(promises({ calls: [call()], runs })).to.include("at most once");
+    const calls = [call({ kind: "safe" })];
+    expect(promises({ calls, runs })).to.eql([]);
+  });
+
+  it("find a run of what was told not to have run", () => {
+    const calls = [call({ status: 503, bodyBy: undefined })];
+    expect(promises({ calls, runs: [run()] })).to.eql(["not run is true"]);
+    expect(promises({ calls })).to.eql([]);
+  });
+
+  it("find a run that nobody asked for", () => {
+    expect(promises({ runs: [run("z")] })).to.eql(["only what was asked runs"]);
+  });
+
+  describe("configuration", () => {
+    const late = probe({ sentAt: 10_100, endedAt: 10_110, status: 404 });
+
+    it("find a process that goes back", () => {
+      const promise = "configuration never goes back";
+      expect(promises({ probes: [probe(), late] })).to.include(promise);
+    });
+
+    it("let a new life begin with less", () => {
+      const probes = [probe(), { ...late, life: 2 }];
+      expect(promises({ probes })).to.eql([]);
+    });
+
+    it("find news that is not in force in calm times", () => {
+      const news = [{ kind: "configuration" as const, subject: "2", at: 5000 }];
+      const probes = [late];
+      expect(promises({ news, probes })).to.eql(["configuration in force"]);
+      const faults = [fault({ isPlanned: false, from: 4000, until: 6000 })];
+      expect(promises({ news, probes, faults })).to.eql([]);
+    });
+  });
+
+  it("find work for a replica that is leaving", () => {
+    const news = [{ kind: "leaving" as const, subject: "plain-0", at: 5000 }];
+    const calls = [call()];
+    const late = { calls, news, runs: [run()] };
+    expect(promises(late)).to.eql(["no work for leaving replicas"]);
+    const early = { calls, news, runs: [run("a", "plain-0", 6000)] };
+    expect(promises(early)).to.eql([]);
+  });
+
+  it("find too many further sends", () => {
+    const calls = [call({ kind: "safe" })];
+    const runs = Array.from({ length: 80 }, () => run());
+    expect(promises({ calls, runs })).to.eql(["bounded retries"]);
+  });
+
+  describe("planned work", () => {
+    const cut = call({ status: 0, isWhole: false });
+
+    it("find what it cut", () => {
+      const found = promises({
+        calls: [cut],
+        runs: [run()],
+        faults: [fault()],
+      });
+      expect(found).to.eql(["planned work cuts nothing"]);
+    });
+
+    it("let pass what crossed the close, or was cut by other faults", () => {
+      const faults = [fault()];
+      expect(promises({ calls: [cut], faults })).to.eql([]);
+      const other = fault({ isPlanned: false, from: 9000, until: 9500 });
+      const both = { calls: [cut], runs: [run()], faults: [fault(), other] };
+      expect(promises(both)).to.eql([]);
+    });
+  });
+
+  it("find two holders", () => {
+    const shared = [order("s-0", 1), order("s-1", 1)];
+    expect(promises({ orders: shared })).to.eql(["one holder"]);
+    const lower = [order("s-0", 2), order("s-1", 1)];
+    expect(promises({ orders: lower })).to.eql(["one holder"]);
+  });
+});
