Standbys hear that the holder has lost its lease

Standbys ask for nothing and so never heard that the lease was not fresh; only entries did, and they wait 4.5 s.

Change: the holder tells its standbys when that changes, and their rank; three look at once, three more after each two seconds, so that a large fleet does not read the lease all at once. A stream counts as accepted when the holder has taken its first message, and the log says who stands by.

Ruled out: waiting less at entries (they would then hold leases that standbys should have). Test: lifecycle, 'another takes over from one that is cut from the store'; without the telling it waits for ever (limit of 60 s).

--- a/src/gateway/placementRole.ts
+++ b/src/gateway/placementRole.ts
@@ -100,6 +100,9 @@
   const step = async (): Promise<void> => {
     state.expire();
     local.expire();
+    for (const service of services()) {
+      if (placement.isHolder(service)) peers.tellStandbys(service);
+    }
     await placement.step(services());
     await stepStages();
   };
--- a/src/gen/snowgate.ts
+++ b/src/gen/snowgate.ts
@@ -156,6 +156,8 @@
   isFresh: boolean;
   /** Engine whose cached parts the one that reads takes first; may be empty. */
   donor: string;
+  /** Place of a standby among those that take over: 0 is the first. */
+  standbyRank: number;
 }
 
 function createBaseRumour(): Rumour {
@@ -2060,6 +2062,7 @@
     entries: 0,
     isFresh: false,
     donor: "",
+    standbyRank: 0,
   };
 }
 
@@ -2092,6 +2095,9 @@
     if (message.donor !== "") {
       writer.uint32(74).string(message.donor);
     }
+    if (message.standbyRank !== 0) {
+      writer.uint32(80).uint32(message.standbyRank);
+    }
     return writer;
   },
 
@@ -2180,6 +2186,14 @@
             message.donor = reader.string();
             continue;
           }
+          case 10: {
+            if (tag !== 80) {
+              break;
+            }
+
+            message.standbyRank = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2215,6 +2229,11 @@
         ? globalThis.Boolean(object.is_fresh)
         : false,
       donor: isSet(object.donor) ? globalThis.String(object.donor) : "",
+      standbyRank: isSet(object.standbyRank)
+        ? globalThis.Number(object.standbyRank)
+        : isSet(object.standby_rank)
+        ? globalThis.Number(object.standby_rank)
+        : 0,
     };
   },
 
@@ -2247,6 +2266,9 @@
     if (message.donor !== "") {
       obj.donor = message.donor;
     }
+    if (message.standbyRank !== 0) {
+      obj.standbyRank = Math.round(message.standbyRank);
+    }
     return obj;
   },
 
@@ -2264,6 +2286,7 @@
     message.entries = object.entries ?? 0;
     message.isFresh = object.isFresh ?? false;
     message.donor = object.donor ?? "";
+    message.standbyRank = object.standbyRank ?? 0;
     return message;
   },
 };
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -52,6 +52,8 @@
 export interface HolderState {
   entries: number;
   isFresh: boolean;
+  /** Place of the standby that is told, among those that take over. */
+  standbyRank: number;
 }
 
 export const toPlaceReply = (
--- a/src/placement/placementClient.ts
+++ b/src/placement/placementClient.ts
@@ -38,6 +38,8 @@
   address: string;
   /** It places nothing here, and only waits for the holder to be lost. */
   isStandby: boolean;
+  /** The holder reads what is sent from now on. */
+  onAccepted(): void;
   /** The stream ended; the client is of no further use. */
   onLost(why: string): void;
   onState(state: HolderState): void;
@@ -69,6 +71,7 @@
     this.stream.on("metadata", () => {
       this.isReady = true;
       clearTimeout(this.connectTimer);
+      options.onAccepted();
     });
     this.stream.on("data", (reply: PlaceReply) => this.onReply(reply));
     this.stream.on("end", () => this.lose("the holder ended the stream"));
@@ -132,9 +135,9 @@
   }
 
   private onReply(reply: PlaceReply): void {
-    const { entries, isFresh } = reply;
+    const { entries, isFresh, standbyRank } = reply;
     this.silentSince = undefined;
-    this.options.onState({ entries, isFresh });
+    this.options.onState({ entries, isFresh, standbyRank });
     const waiting = this.waiting.get(reply.id);
     if (waiting !== undefined) {
       this.waiting.delete(reply.id);
--- a/src/placement/placementServer.ts
+++ b/src/placement/placementServer.ts
@@ -27,6 +27,9 @@
 
 type PlaceStream = ServerDuplexStream<PlaceCall, PlaceReply>;
 
+/** Standbys of one service, in the order in which they came. */
+type Standbys = Map<PlaceStream, HolderState | undefined>;
+
 export interface PlacementServerOptions {
   placement: LocalPlacement;
   /** Whether this process places requests of its own besides. */
@@ -42,6 +45,8 @@
   private readonly server = new Server(KEEPALIVE_OPTIONS);
   /** Open streams, by service. */
   private readonly streams = new Map<string, Set<PlaceStream>>();
+  /** Standbys and what they were told last, by service. */
+  private readonly standbys = new Map<string, Standbys>();
 
   constructor(private readonly options: PlacementServerOptions) {
     this.server.addService(SchedulingService, {
@@ -67,24 +72,46 @@
     return others + (this.options.isEntry ? 1 : 0);
   }
 
+  /**
+   * Tells standbys what has changed since they were told last. They ask for
+   * nothing, so they learn only by this that the holder has lost its lease.
+   */
+  tellStandbys(service: string): void {
+    const standbys = this.standbys.get(service) ?? new Map();
+    const { isFresh, entries } = this.state(service);
+    let standbyRank = 0;
+    for (const [stream, told] of standbys) {
+      const isNews =
+        told?.isFresh !== isFresh || told.standbyRank !== standbyRank;
+      const state = { isFresh, entries, standbyRank };
+      if (isNews) {
+        standbys.set(stream, state);
+        stream.write(toPlaceReply("", undefined, state));
+      }
+      standbyRank += 1;
+    }
+  }
+
   close(): void {
     this.server.forceShutdown();
   }
 
   private serve(stream: PlaceStream): void {
     let service: string | undefined;
-    // Tells the entry that its asks will be read.
-    stream.sendMetadata(new Metadata());
     stream.on("data", (call: PlaceCall) => {
       if (!this.options.isHolder(call.service)) return void stream.end();
-      if (service === undefined && !call.isStandby) {
+      if (service === undefined) {
         service = call.service;
-        this.register(service, stream);
+        // Tells the other side that its asks will be read.
+        stream.sendMetadata(new Metadata());
+        this.register(service, stream, call.isStandby);
       }
       this.onCall(stream, call);
     });
     const leave = () => {
-      if (service !== undefined) this.streams.get(service)?.delete(stream);
+      if (service === undefined) return;
+      this.streams.get(service)?.delete(stream);
+      this.standbys.get(service)?.delete(stream);
     };
     stream.on("end", () => {
       leave();
@@ -98,7 +125,17 @@
     });
   }
 
-  private register(service: string, stream: PlaceStream): void {
+  private register(
+    service: string,
+    stream: PlaceStream,
+    isStandby: boolean,
+  ): void {
+    if (isStandby) {
+      const standbys: Standbys = this.standbys.get(service) ?? new Map();
+      standbys.set(stream, undefined);
+      this.standbys.set(service, standbys);
+      return;
+    }
     const known = this.streams.get(service) ?? new Set();
     known.add(stream);
     this.streams.set(service, known);
@@ -131,6 +168,7 @@
     return {
       entries: this.entries(service),
       isFresh: this.options.isFresh(service),
+      standbyRank: 0,
     };
   }
 }
--- a/src/placement/sharedPlacement.ts
+++ b/src/placement/sharedPlacement.ts
@@ -25,6 +25,14 @@
  */
 const GUESSED_PART = 0.5;
 
+/**
+ * Standbys that look for a lost lease at once; as many more follow after each
+ * pause, so that a large fleet does not ask the store all at once.
+ */
+const STANDBYS_AT_ONCE = 3;
+/** Pause between two such groups, ms: as long as a takeover takes. */
+const STANDBY_PAUSE_MS = 2000;
+
 export interface SharedPlacementOptions {
   local: LocalPlacement;
   feed: ObjectFeed;
@@ -50,6 +58,10 @@
   entries: number;
   /** Whether the holder says that its lease is fresh. */
   isFresh: boolean;
+  /** Since when there is no holder with a fresh lease, ms. */
+  unsureSince: number | undefined;
+  /** How long this process leaves looking for another to others, ms. */
+  leaveMs: number;
 }
 
 interface InUse {
@@ -128,14 +140,24 @@
 
   private async stepOne(service: string): Promise<void> {
     const link = this.links.get(service) ?? this.addLink(service);
-    const isLinked = link.client !== undefined && link.isFresh;
-    await link.keeper.step(!isLinked);
+    await link.keeper.step(this.mustLook(link));
     const { otherHolder } = link.keeper;
     if (link.client?.address === otherHolder) return;
     link.client?.close();
     if (otherHolder !== undefined) this.connect(service, link, otherHolder);
   }
 
+  /** Whether the lease in the store has to be looked at. */
+  private mustLook(link: HolderLink): boolean {
+    if (link.client !== undefined && link.isFresh) {
+      link.unsureSince = undefined;
+      return false;
+    }
+    const now = this.options.now();
+    link.unsureSince ??= now;
+    return now - link.unsureSince >= link.leaveMs;
+  }
+
   private addLink(service: string): HolderLink {
     const { feed, self, address, leaseMs, patienceMs, log, now } = this.options;
     const keeper = new LeaseKeeper({
@@ -153,6 +175,8 @@
       client: undefined,
       entries: UNKNOWN_ENTRIES,
       isFresh: true,
+      unsureSince: undefined,
+      leaveMs: 0,
     };
     this.links.set(service, link);
     return link;
@@ -166,9 +190,17 @@
       isStandby: this.options.isStandby,
       log,
       now: this.options.now,
-      onState: ({ entries, isFresh }) => {
+      onState: ({ entries, isFresh, standbyRank }) => {
         link.entries = entries;
         link.isFresh = isFresh;
+        const group = Math.floor(standbyRank / STANDBYS_AT_ONCE);
+        link.leaveMs = group * STANDBY_PAUSE_MS;
+      },
+      onAccepted: () => {
+        const message = this.options.isStandby
+          ? "standing by for the holder"
+          : "placing through the holder";
+        log.info(message, { service, address });
       },
       onLost: (why) => {
         log.warn("holder lost", { service, address, why });
@@ -177,7 +209,6 @@
     });
     link.client = client;
     link.isFresh = true;
-    log.info("placing through the holder", { service, address });
     for (const { ask, grant } of this.inUse.values()) {
       if (ask.service === service) client.tellHeld(ask, grant);
     }
