Watches of the store wait as long as the deployment's contact time allows

Ruled out: longer waits with a cheap probe beside them, since an answer that is lost on a connection would stay unnoticed for the wait.

--- a/bench/gatewayLoad.ts
+++ b/bench/gatewayLoad.ts
@@ -51,7 +51,12 @@
 zone: zone-1
 listen: { front: "127.0.0.1:${front}", ready: "127.0.0.1:${ready}" }
 portRange: [${peers}, ${peers}]
-bounds: { graceS: 2, leaseMs: 1000, retryBudgetRatio: 0.2, retryBurst: 50 }
+bounds:
+  graceS: 2
+  leaseMs: 1000
+  contactMs: 3000
+  retryBudgetRatio: 0.2
+  retryBurst: 50
 platform: { address: "${deployment.store.address}" }
 `,
 );
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -35,6 +35,7 @@
 
 const GRACE_MS = 3000;
 const LEASE_MS = 1000;
+const CONTACT_MS = 3000;
 /** How long an engine takes to play another part, ms. */
 const STAGE_CHANGE_MS = 300;
 const ZONES = 3;
@@ -169,6 +170,7 @@
       storeAddress: link.address,
       graceMs: GRACE_MS,
       leaseMs: LEASE_MS,
+      contactMs: CONTACT_MS,
     };
     this.processes.push(new DaemonProcess(machine, this.folder));
   }
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -45,6 +45,8 @@
   /** How long a lease outlasts its last renewal, ms. */
   leaseMs: number;
   retry: RetryLimits;
+  /** After a cut from the store has healed, it knows the news by then, ms. */
+  catchUpMs: number;
   /** From the signal to stop until the process is ended, ms. */
   graceMs: number;
 }
@@ -88,7 +90,7 @@
     rng,
     now,
   });
-  watchStore(supervisor, parts, state, () => true);
+  watchStore(supervisor, parts, state, settings.catchUpMs, () => true);
   role.start(supervisor);
   supervisor.every("connection limits", CONNECTION_LIMITS_MS, async () => {
     for (const { name, maxConnections } of state.services()) {
--- a/src/gateway/schedulerDaemon.ts
+++ b/src/gateway/schedulerDaemon.ts
@@ -20,6 +20,8 @@
   peerAddress: string;
   /** Time that orders of two holders must lie apart, ms. */
   leaseMs: number;
+  /** After a cut from the store has healed, it knows the news by then, ms. */
+  catchUpMs: number;
 }
 
 export const startScheduler = async (
@@ -45,7 +47,7 @@
     now,
   });
   const isHolder = () => role.placement.isHolder(service);
-  watchStore(supervisor, parts, state, isHolder);
+  watchStore(supervisor, parts, state, settings.catchUpMs, isHolder);
   role.start(supervisor);
   log.info("started", { service, peers: role.peerAddress });
   const stop = async () => {
--- a/src/gateway/storeWatch.ts
+++ b/src/gateway/storeWatch.ts
@@ -1,5 +1,5 @@
 /** Keeps what a process knows in step with the store. */
-import { FeedWatch } from "../store/index.js";
+import { FeedWatch, watchWaitMs } from "../store/index.js";
 import type { Supervisor } from "../tasks/index.js";
 import type { GatewayParts } from "./parts.js";
 import type { GatewayState } from "./gatewayState.js";
@@ -9,9 +9,12 @@
   supervisor: Supervisor,
   { source, feed, log, rng, now }: GatewayParts,
   state: GatewayState,
+  /** Time after a cut within which the process must know the news, ms. */
+  catchUpMs: number,
   isActive: () => boolean,
 ): void => {
-  const common = { feed, log, rng, now, isActive };
+  const waitMs = watchWaitMs(catchUpMs);
+  const common = { feed, log, rng, now, waitMs, isActive };
   const configWatch = new FeedWatch({
     ...common,
     kind: source.configKind,
--- a/src/store/feed.ts
+++ b/src/store/feed.ts
@@ -60,10 +60,20 @@
 }
 
 /**
- * How long one call waits for a change, ms. Short, so that a process whose
- * connection was cut without a word hears again soon after the cut heals.
+ * Part of the catch-up time that is kept for giving up a call whose
+ * connection was cut without a word, and for reading the list anew, ms.
  */
-const WAIT_MS = 1500;
+const CATCH_UP_MARGIN_MS = 1500;
+/** Shortest wait of one call for a change, ms. */
+const LEAST_WAIT_MS = 500;
+
+/**
+ * How long one call may wait for a change, ms, so that a process hears again
+ * within the catch-up time after a cut has healed. Longer waits are cheaper.
+ */
+export const watchWaitMs = (catchUpMs: number): number =>
+  Math.max(LEAST_WAIT_MS, catchUpMs - CATCH_UP_MARGIN_MS);
+
 /** Pause between two looks whether it is active, ms. */
 const IDLE_MS = 400;
 const FIRST_BACKOFF_MS = 80;
@@ -84,6 +94,8 @@
   log: Log;
   rng: Rng;
   now: () => number;
+  /** How long one call waits for a change, ms. */
+  waitMs: number;
   /** While false, nothing is asked; afterwards the list is read anew. */
   isActive?: () => boolean;
 }
@@ -146,8 +158,8 @@
   }
 
   private async readChanges(revision: number): Promise<void> {
-    const { feed, kind, handlers, log } = this.options;
-    const reply = await feed.changes(kind, revision, WAIT_MS);
+    const { feed, kind, handlers, log, waitMs } = this.options;
+    const reply = await feed.changes(kind, revision, waitMs);
     if (reply.kind === "history-gone") {
       log.warn("history gone: the list is read again", { kind, revision });
       this.revision = undefined;
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -9,7 +9,7 @@
   WatchReply,
   WriteResult,
 } from "./types.js";
-export { FeedWatch } from "./feed.js";
+export { FeedWatch, watchWaitMs } from "./feed.js";
 export type {
   ConditionalWrite,
   FeedChange,
