Several engines change their stage at once

Change: up to four orders a step, half of the engines under way at the most; engines that runs need are never taken, as before.

--- a/src/gateway/stageKeeper.ts
+++ b/src/gateway/stageKeeper.ts
@@ -1,7 +1,8 @@
 /**
  * Orders changes of stage while this process holds a service's lease: takes
  * the demand from its scheduler, asks the planner, and sends one order at a
- * time with the lease's epoch as fencing number.
+ * time to an engine, to a few engines at once, with the lease's epoch as
+ * fencing number.
  */
 import type { EngineScheduler, Stage } from "../scheduling/index.js";
 import { planStages } from "../scheduling/index.js";
@@ -27,6 +28,8 @@
 
 /** No order for this long after one was refused, ms. */
 const REFUSED_PAUSE_MS = 1000;
+/** Orders of one step at the most, each to another engine. */
+const ORDERS_AT_ONCE = 4;
 /** Answers to orders are short. */
 const MAX_ANSWER_BYTES = 16 * 1024;
 
@@ -79,8 +82,23 @@
     this.measure(now());
     this.settleChanges(now());
     if (!this.mayOrder(now())) return;
-    const change = this.plan(now());
-    if (change !== undefined) await this.order(change);
+    const changes: StageChange[] = [];
+    while (changes.length < ORDERS_AT_ONCE) {
+      const change = this.plan(now());
+      if (change === undefined) break;
+      this.begin(change);
+      changes.push(change);
+    }
+    await Promise.all(changes.map((change) => this.order(change)));
+  }
+
+  /** From now on the change counts as under way. */
+  private begin({ id, to }: StageChange): void {
+    const { scheduler, now } = this.options;
+    const since = now();
+    this.changing.set(id, { to, since });
+    this.lastChange[to] = since;
+    scheduler.close(id, since + CHANGE_LOST_MS);
   }
 
   /** The holder before may have ordered until its lease ran out. */
@@ -155,10 +173,6 @@
     const { service, authority, replicas, scheduler, log, now } = this.options;
     const replica = replicas.get(id);
     if (replica === undefined) return;
-    const since = now();
-    this.changing.set(id, { to, since });
-    this.lastChange[to] = since;
-    scheduler.close(id, since + CHANGE_LOST_MS);
     const fence = authority.epoch(service);
     const outcome = await this.send(replica, to, fence);
     log.info("change of stage ordered", {
--- a/src/scheduling/stagePlanner.ts
+++ b/src/scheduling/stagePlanner.ts
@@ -44,7 +44,7 @@
 /** Engines of each stage at least, share of all. */
 const LEAST_SHARE = 0.2;
 /** Changes under way at once, share of all engines. */
-const CHANGING_SHARE = 0.25;
+const CHANGING_SHARE = 0.5;
 /** No change back sooner than this after a change, ms. */
 const DWELL_MS = 4000;
 
