snowgate story: one request out of several processes' logs

Cause: on call, a request's id was followed with grep over the logs of all processes, and what they believed of its replicas had to be looked up apart.

Change: 'snowgate story REQUEST-ID FILES' prints the request's lines in order of time, after the lines of five seconds before it that concern its replicas or its processes. Lines that can't be read are counted and told.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -10,6 +10,7 @@
 import { askEntry } from "./operatorClient.js";
 import type { OperatorTarget } from "./operatorClient.js";
 import { renderSyntax, renderTable } from "./render.js";
+import { parseLog, renderStory, storyOf } from "./requestStory.js";
 
 /** Exit codes that scripts can rely on. */
 const EXIT = {
@@ -94,14 +95,18 @@
     return show(answer, statement, flags.json ?? false);
   });
 
+/** A file that can't be read counts as wrong use. */
+const readFile = (file: string): string => {
+  try {
+    return readText(file);
+  } catch (err) {
+    throw new TypeError(errText(err));
+  }
+};
+
 const runApply = (file: string, flags: Flags) =>
   end(async () => {
-    let text: string;
-    try {
-      text = readText(file);
-    } catch (err) {
-      throw new TypeError(errText(err));
-    }
+    const text = readFile(file);
     const answer = await askEntry(targetOf(flags), "/config", text);
     if (answer.kind !== "syntax") {
       return show(answer, "", flags.json ?? false);
@@ -129,6 +134,23 @@
     }
   });
 
+/** Joins log files of several processes into the story of one request. */
+const runStory = (requestId: string, files: string[], flags: Flags) =>
+  end(async () => {
+    if (files.length === 0) throw new TypeError("a log file is needed");
+    const logs = files.map((file) => parseLog(readFile(file)));
+    const lines = logs.flatMap((log) => log.lines);
+    const unreadable = logs.reduce((sum, log) => sum + log.unreadable, 0);
+    if (unreadable > 0) complain(`${unreadable} lines can't be read`);
+    const story = storyOf(lines, requestId);
+    if (story.own.length === 0) {
+      complain(`no line names request ${requestId}`);
+      return EXIT.refused;
+    }
+    print(flags.json ? JSON.stringify(story) : renderStory(story));
+    return EXIT.ok;
+  });
+
 const cli = cac("snowgate");
 cli.option("--entry <address>", "Operators' address of an entry, IP:port");
 cli.option("--token <token>", "Operator token (or SNOWGATE_TOKEN)");
@@ -140,6 +162,11 @@
 cli
   .command("watch <upstream>", "Wait until the upstream's order is finished")
   .action((upstream: string, flags: Flags) => runWatch(upstream, flags));
+cli
+  .command("story <request-id> [...files]", "Tell a request's story from logs")
+  .action((requestId: string, files: string[], flags: Flags) =>
+    runStory(requestId, files, flags),
+  );
 cli
   .command("[...statement]", "Run one statement of the language")
   .action((words: string[], flags: Flags) => runStatement(words, flags));
--- /dev/null
+++ b/src/cli/requestStory.ts
@@ -0,0 +1,139 @@
+/**
+ * One request's story out of the log files of several processes: its own
+ * lines, and what its processes came to believe shortly before. Pure.
+ */
+import { z } from "zod/v4";
+
+/** A line of a log; fields besides these depend on its message. */
+const lineSchema = z.looseObject({
+  time: z.iso.datetime(),
+  process: z.string().default(""),
+  message: z.string(),
+});
+
+export type LogLine = z.infer<typeof lineSchema>;
+
+/** What the lines of a file came to. */
+export interface ParsedLog {
+  lines: LogLine[];
+  /** Lines that are not of the log's form. */
+  unreadable: number;
+}
+
+/** Lines of one request, in the order of their time. */
+export interface RequestStory {
+  own: LogLine[];
+  /** Lines on its replicas and processes that may explain it. */
+  context: LogLine[];
+}
+
+/** Context from so long before the first line to so long after the last, ms;
+ * clocks of VMs may differ by a good part of it. */
+const CONTEXT_BEFORE_MS = 5000;
+const CONTEXT_AFTER_MS = 1000;
+/** Messages on what a process believes; requests' lines are no context. */
+const CONTEXT_MESSAGES: ReadonlySet<string> = new Set([
+  "replica added",
+  "replica changed",
+  "replica vanished",
+  "replica gone",
+  "change of stage ordered",
+  "change of stage ended",
+  "configuration in force",
+  "older configuration ignored",
+  "configuration can't be read",
+  "store lost",
+  "store regained",
+  "history gone: the list is read again",
+  "holder lost",
+  "placing through the holder",
+  "lease taken",
+  "lease lost",
+  "lines omitted",
+  "log lines dropped",
+  "started",
+  "stopping",
+]);
+/** Fields of lines that name replicas. */
+const REPLICA_FIELDS = ["replica", "reader", "runner", "donor"] as const;
+
+/** Fields that say nothing in a story. */
+const HIDDEN_FIELDS: ReadonlySet<string> = new Set(["level", "requestId"]);
+
+/** Reads log lines; a line may have other text before its object. */
+export const parseLog = (text: string): ParsedLog => {
+  const lines: LogLine[] = [];
+  let unreadable = 0;
+  for (const raw of text.split("\n")) {
+    const at = raw.indexOf("{");
+    if (at < 0) continue;
+    const line = parseLine(raw.slice(at));
+    if (line === undefined) unreadable += 1;
+    else lines.push(line);
+  }
+  return { lines, unreadable };
+};
+
+const parseLine = (text: string): LogLine | undefined => {
+  try {
+    return lineSchema.parse(JSON.parse(text));
+  } catch {
+    // Counted by the caller, which tells how many were left out.
+    return undefined;
+  }
+};
+
+const byTime = (left: LogLine, right: LogLine): number =>
+  left.time.localeCompare(right.time);
+
+const replicasIn = (lines: readonly LogLine[]): Set<string> => {
+  const found = new Set<string>();
+  for (const line of lines) {
+    for (const field of REPLICA_FIELDS) {
+      if (typeof line[field] === "string") found.add(line[field]);
+    }
+    const { sentTo } = line;
+    if (typeof sentTo !== "string" || sentTo === "") continue;
+    for (const id of sentTo.split(",")) found.add(id);
+  }
+  return found;
+};
+
+export const storyOf = (
+  lines: readonly LogLine[],
+  requestId: string,
+): RequestStory => {
+  const own = lines.filter((line) => line.requestId === requestId).sort(byTime);
+  const first = own[0];
+  const last = own.at(-1);
+  if (first === undefined || last === undefined) return { own, context: [] };
+  const from = Date.parse(first.time) - CONTEXT_BEFORE_MS;
+  const until = Date.parse(last.time) + CONTEXT_AFTER_MS;
+  const processes = new Set(own.map((line) => line.process));
+  const replicas = replicasIn(own);
+  const isContext = (line: LogLine): boolean => {
+    if (!CONTEXT_MESSAGES.has(line.message)) return false;
+    const at = Date.parse(line.time);
+    if (at < from || at > until) return false;
+    if (typeof line.replica === "string") return replicas.has(line.replica);
+    return processes.has(line.process);
+  };
+  return { own, context: lines.filter(isContext).sort(byTime) };
+};
+
+const renderLine = ({ time, process, message, ...fields }: LogLine): string => {
+  const rest = Object.entries(fields)
+    .filter(([name, value]) => !HIDDEN_FIELDS.has(name) && value !== "")
+    .map(([name, value]) => `${name}=${String(value)}`);
+  return [time, process, message, ...rest].join("  ");
+};
+
+/** The story as text: context first, then the request's own lines. */
+export const renderStory = ({ own, context }: RequestStory): string => {
+  const before = context.map((line) => `  ${renderLine(line)}`);
+  return [
+    ...(before.length > 0 ? ["what its processes believed:", ...before] : []),
+    "the request:",
+    ...own.map((line) => `  ${renderLine(line)}`),
+  ].join("\n");
+};
