A lighter scheduler; entries don't ask for what is being refused

Change: the cache of a prompt is looked up once an engine and ask, with keys made once; the list of engines is made anew only when it changes; bounds of the groups of sizes are looked up each 20 requests. With four asks under way, an entry refuses what its route was refused for within 0.3 s without asking.

Ruled out: waiting longer for an answer (the queue at the holder grows). Tests: gateway/state 'engines of a service', scheduling 'asks in a rush'.

--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -21,10 +21,21 @@
   decodeReplica(id: string, value: unknown): Replica;
 }
 
+/** A list of engines and what it was made from. */
+interface EngineList {
+  table: RouteTable | undefined;
+  /** Of the set of replicas. */
+  revision: number;
+  /** Instant from which it has to be made anew, ms. */
+  until: number;
+  engines: readonly EngineView[];
+}
+
 export class GatewayState {
   readonly replicas = new ReplicaSet();
   private table: RouteTable | undefined;
   private hasReplicas = false;
+  private readonly engineLists = new Map<string, EngineList>();
 
   constructor(
     private readonly source: GatewaySource,
@@ -95,11 +106,30 @@
     );
   }
 
-  /** The engines of a service that may get new work. */
-  engines(service: string): EngineView[] {
+  /**
+   * The engines of a service that may get new work; the same list until it
+   * changes, since each request asks for it.
+   */
+  engines(service: string): readonly EngineView[] {
+    const { table, replicas } = this;
+    const now = this.now();
+    const kept = this.engineLists.get(service);
+    const isKept =
+      kept?.table === table &&
+      kept?.revision === replicas.revision &&
+      now < kept.until;
+    if (isKept) return kept.engines;
+    const engines = this.listEngines(service, now);
+    const { revision } = replicas;
+    const until = replicas.usableUntil();
+    this.engineLists.set(service, { table, revision, until, engines });
+    return engines;
+  }
+
+  private listEngines(service: string, now: number): EngineView[] {
     const sizes = this.table?.service(service)?.engine;
     if (sizes === undefined) return [];
-    return this.replicas.usable(service, this.now()).map((replica) => ({
+    return this.replicas.usable(service, now).map((replica) => ({
       id: replica.id,
       zone: replica.zone,
       stage: replica.stage ?? "decode",
--- a/src/gateway/replicaSet.ts
+++ b/src/gateway/replicaSet.ts
@@ -26,6 +26,8 @@
 
 export class ReplicaSet {
   private readonly known = new Map<string, Known>();
+  /** Grows with each change. */
+  revision = 0;
 
   get(id: string): Replica | undefined {
     return this.known.get(id)?.replica;
@@ -34,6 +36,7 @@
   /** A replica wrote its entry. */
   put(replica: Replica): ReplicaChange {
     const kind = this.known.has(replica.id) ? "changed" : "added";
+    this.revision += 1;
     this.known.set(replica.id, { replica, vanishedAt: undefined });
     return { kind, replica };
   }
@@ -46,6 +49,7 @@
   ): ReplicaChange | undefined {
     const known = this.known.get(id);
     if (known === undefined) return undefined;
+    this.revision += 1;
     const { replica } = known;
     if (inTrouble && replica.state === "ready") {
       known.vanishedAt ??= now;
@@ -79,6 +83,7 @@
       if (vanishedAt === undefined) continue;
       if (now - vanishedAt < VANISHED_KEEP_MS) continue;
       this.known.delete(id);
+      this.revision += 1;
       gone.push({ kind: "gone", replica });
     }
     return gone;
@@ -96,6 +101,16 @@
     return found;
   }
 
+  /** Until when `usable` gives the same if nothing changes, ms. */
+  usableUntil(): number {
+    let until = Infinity;
+    for (const { vanishedAt } of this.known.values()) {
+      if (vanishedAt === undefined) continue;
+      until = Math.min(until, vanishedAt + VANISHED_KEEP_MS);
+    }
+    return until;
+  }
+
   get size(): number {
     return this.known.size;
   }
--- a/src/placement/localPlacement.ts
+++ b/src/placement/localPlacement.ts
@@ -11,7 +11,7 @@
 
 export interface LocalPlacementOptions {
   /** The engines of a service that may get new work. */
-  engines(service: string): EngineView[];
+  engines(service: string): readonly EngineView[];
   /** How many processes place on the same engines without talking. */
   share(service: string): number;
   now: () => number;
--- a/src/placement/placementClient.ts
+++ b/src/placement/placementClient.ts
@@ -86,6 +86,11 @@
     return this.options.address;
   }
 
+  /** Asks that are not answered yet. */
+  get waitingCount(): number {
+    return this.waiting.size;
+  }
+
   /** The holder's answer; undefined if it can't be had. */
   ask(ask: PlacementAsk): Promise<PlacementAnswer | undefined> {
     if (this.isLost || !this.isReady) return Promise.resolve(undefined);
--- a/src/placement/sharedPlacement.ts
+++ b/src/placement/sharedPlacement.ts
@@ -11,6 +11,7 @@
 } from "../scheduling/index.js";
 import type { ObjectFeed } from "../store/index.js";
 import type { Log } from "../telemetry/index.js";
+import { AskLimit } from "./askLimit.js";
 import { LeaseKeeper } from "./leaseKeeper.js";
 import type { LocalPlacement } from "./localPlacement.js";
 import { PlacementClient } from "./placementClient.js";
@@ -72,14 +73,20 @@
 export class SharedPlacement implements Placement {
   private readonly links = new Map<string, HolderLink>();
   private readonly inUse = new Map<string, InUse>();
+  private readonly askLimit = new AskLimit();
 
   constructor(private readonly options: SharedPlacementOptions) {}
 
   async place(ask: PlacementAsk): Promise<PlacementAnswer> {
-    const { local } = this.options;
+    const { local, now } = this.options;
     const client = this.links.get(ask.service)?.client;
+    const waiting = client?.waitingCount ?? 0;
+    const refusal = this.askLimit.refusal(ask.route, waiting, now());
+    // A request that has been at an engine goes on being placed.
+    if (refusal !== undefined && ask.avoid.length === 0) return refusal;
     const answer = await client?.ask(ask);
     if (answer !== undefined) {
+      this.askLimit.note(ask.route, answer, now());
       if (answer.kind === "granted") local.adopt(ask, answer);
       return this.used(ask, answer);
     }
--- a/src/scheduling/engineState.ts
+++ b/src/scheduling/engineState.ts
@@ -4,7 +4,8 @@
  */
 import { LRUCache } from "lru-cache";
 
-import type { CachePart, EngineView } from "./types.js";
+import type { KeyedPart } from "./promptCache.js";
+import type { EngineView } from "./types.js";
 
 /**
  * Prior of the time to read one token, ms; each engine's own pace is learnt
@@ -68,11 +69,11 @@
   }
 
   /** Tokens at the start of the prompt that it holds already. */
-  cachedTokens(model: string, parts: readonly CachePart[]): number {
+  cachedTokens(parts: readonly KeyedPart[]): number {
     let cached = 0;
-    for (const part of parts) {
-      if (!this.cache.has(`${model}/${part.id}`)) break;
-      cached += part.tokens;
+    for (const { key, tokens } of parts) {
+      if (!this.cache.has(key)) break;
+      cached += tokens;
     }
     return cached;
   }
@@ -119,9 +120,8 @@
     this.runTokens -= run.tokens;
   }
 
-  remember(model: string, parts: readonly CachePart[]): void {
-    for (const part of parts)
-      this.cache.set(`${model}/${part.id}`, part.tokens);
+  remember(parts: readonly KeyedPart[]): void {
+    for (const { key, tokens } of parts) this.cache.set(key, tokens);
   }
 
   /** Drops grants whose end was never reported. */
--- /dev/null
+++ b/src/scheduling/promptCache.ts
@@ -0,0 +1,49 @@
+/**
+ * How much of one prompt each engine's cache holds, looked up once an engine
+ * and ask: a decision asks for it several times.
+ */
+import type { EngineState } from "./engineState.js";
+import type { CachePart, PlacementAsk } from "./types.js";
+
+/** A part of a prompt under the key by which caches know it. */
+export interface KeyedPart {
+  key: string;
+  tokens: number;
+}
+
+const keyed = (model: string, parts: readonly CachePart[]): KeyedPart[] =>
+  parts.map(({ id, tokens }) => ({ key: `${model}/${id}`, tokens }));
+
+/** The engine that holds most of a prompt, and how much. */
+export interface Donor {
+  engine: EngineState;
+  cached: number;
+}
+
+export class PromptCache {
+  readonly parts: readonly KeyedPart[];
+  private readonly known = new Map<EngineState, number>();
+
+  constructor(ask: Pick<PlacementAsk, "model" | "parts">) {
+    this.parts = keyed(ask.model, ask.parts);
+  }
+
+  /** Tokens at the start of the prompt that the engine holds. */
+  at(engine: EngineState): number {
+    const known = this.known.get(engine);
+    if (known !== undefined) return known;
+    const cached = engine.cachedTokens(this.parts);
+    this.known.set(engine, cached);
+    return cached;
+  }
+
+  /** The engine among these that holds most; undefined if none holds any. */
+  donor(engines: readonly EngineState[]): Donor | undefined {
+    let best: Donor | undefined;
+    for (const engine of engines) {
+      const cached = this.at(engine);
+      if (cached > (best?.cached ?? 0)) best = { engine, cached };
+    }
+    return best;
+  }
+}
--- a/src/scheduling/readPlanner.ts
+++ b/src/scheduling/readPlanner.ts
@@ -3,6 +3,7 @@
  * engine it takes cached parts first. Pure.
  */
 import type { EngineState } from "./engineState.js";
+import type { Donor, PromptCache } from "./promptCache.js";
 import type { PlacementAsk } from "./types.js";
 
 /** Weight of an engine's reading time as a cost to everybody else. */
@@ -30,23 +31,18 @@
   donor: EngineState | undefined;
 }
 
-/** The engine that holds most of a prompt, and how much. */
-interface Donor {
-  engine: EngineState;
-  cached: number;
-}
-
 /** The prefill engine that has read the prompt first and at least cost. */
 export const planRead = (
   ask: PlacementAsk,
+  cache: PromptCache,
   open: readonly EngineState[],
   now: number,
 ): ReadPlan | undefined => {
-  const donor = findDonor(ask, open);
+  const donor = cache.donor(open);
   let best: (ReadPlan & { score: number }) | undefined;
   for (const engine of open) {
     if (engine.view.stage !== "prefill") continue;
-    const plan = readAt(ask, engine, donor, now);
+    const plan = readAt(ask, cache, engine, donor, now);
     const score = plan.endMs + plan.costMs * READ_WEIGHT;
     if (best === undefined || score < best.score) best = { ...plan, score };
   }
@@ -59,16 +55,17 @@
  */
 export const planOwnRead = (
   ask: PlacementAsk,
+  cache: PromptCache,
   open: readonly EngineState[],
   all: readonly EngineState[],
   limitMs: number,
   now: number,
 ): ReadPlan | undefined => {
-  const donor = findDonor(ask, all);
+  const donor = cache.donor(all);
   let best: ReadPlan | undefined;
   for (const engine of open) {
     if (engine.view.stage !== "decode" || engine.readCount > 0) continue;
-    const plan = readAt(ask, engine, donor, now);
+    const plan = readAt(ask, cache, engine, donor, now);
     if (plan.costMs > DECODE_READ_MS || plan.endMs > limitMs) continue;
     if (best === undefined || plan.endMs < best.endMs) best = plan;
   }
@@ -77,11 +74,12 @@
 
 const readAt = (
   ask: PlacementAsk,
+  cache: PromptCache,
   engine: EngineState,
   donor: Donor | undefined,
   now: number,
 ): ReadPlan => {
-  const own = engine.cachedTokens(ask.model, ask.parts);
+  const own = cache.at(engine);
   const more = (donor?.cached ?? 0) - own;
   const isWorth = donor !== undefined && more >= LEAST_DONATED_TOKENS;
   const cached = isWorth ? donor.cached : own;
@@ -90,15 +88,3 @@
   const endMs = engine.backlogMs(now) + costMs;
   return { engine, costMs, endMs, donor: isWorth ? donor.engine : undefined };
 };
-
-const findDonor = (
-  ask: PlacementAsk,
-  open: readonly EngineState[],
-): Donor | undefined => {
-  let best: Donor | undefined;
-  for (const engine of open) {
-    const cached = engine.cachedTokens(ask.model, ask.parts);
-    if (cached > (best?.cached ?? 0)) best = { engine, cached };
-  }
-  return best;
-};
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -5,6 +5,8 @@
  * its own for the time when it can't.
  */
 import { EngineState } from "./engineState.js";
+import { PromptCache } from "./promptCache.js";
+import type { KeyedPart } from "./promptCache.js";
 import { planOwnRead, planRead } from "./readPlanner.js";
 import type { ReadPlan } from "./readPlanner.js";
 import { chooseRunner, hasRoom } from "./runPlanner.js";
@@ -48,8 +50,9 @@
 interface Placed {
   reader: EngineState | undefined;
   runner: EngineState;
-  ask: PlacementAsk;
-  at: number;
+  parts: readonly KeyedPart[];
+  /** Instant after which its end will not be reported any more, ms. */
+  lostAt: number;
 }
 
 /** Work asked for since start, for the planner of stages. */
@@ -61,6 +64,8 @@
 export class EngineScheduler {
   private readonly engines = new Map<string, EngineState>();
   private readonly placed = new Map<string, Placed>();
+  /** The list that was set last. */
+  private views: readonly EngineView[] | undefined;
   private readonly fairness = new SizeFairness();
   private firstEventMs = FIRST_EVENT_MS;
   /** Mean time to read the prompts that were asked for, ms. */
@@ -70,8 +75,13 @@
   /** `share`: how many schedulers place on these engines without talking. */
   constructor(private share: () => number) {}
 
-  /** The engines that may get work; others keep what they run. */
+  /**
+   * The engines that may get work; others keep what they run. The same list
+   * again, not a copy, changes nothing.
+   */
   setEngines(views: readonly EngineView[]): void {
+    if (views === this.views) return;
+    this.views = views;
     const listed = new Set(views.map((view) => view.id));
     for (const id of this.engines.keys()) {
       if (!listed.has(id)) this.engines.delete(id);
@@ -110,20 +120,22 @@
       const hasDecode = open.some((item) => item.view.stage === "decode");
       return this.refuse(ask, hasDecode ? "slots" : "no-engine");
     }
-    const cachedAtRunner = runner.cachedTokens(ask.model, ask.parts);
-    const isLong = ask.promptTokens - cachedAtRunner >= LEAST_SPLIT_TOKENS;
-    if (!isLong) return this.grant(ask, undefined, runner, now);
-    const plan = planRead(ask, open, now);
+    const cache = new PromptCache(ask);
+    const isLong = ask.promptTokens - cache.at(runner) >= LEAST_SPLIT_TOKENS;
+    if (!isLong) return this.grant(ask, cache, undefined, runner, now);
+    const plan = planRead(ask, cache, open, now);
     if (!ask.isReturn) this.asked.readMs += plan?.costMs ?? 0;
     if (plan !== undefined && this.isInTime(ask, plan)) {
-      return this.grant(ask, plan, runner, now);
+      return this.grant(ask, cache, plan, runner, now);
     }
     const roomy = open.filter((item) => hasRoom(ask, item, share));
     const limitMs = ask.objectiveLeftMs - this.afterReadMs;
-    const own = planOwnRead(ask, roomy, open, limitMs, now);
-    if (own !== undefined) return this.grant(ask, own, own.engine, now);
+    const own = planOwnRead(ask, cache, roomy, open, limitMs, now);
+    if (own !== undefined) return this.grant(ask, cache, own, own.engine, now);
     if (plan === undefined) return this.refuse(ask, "no-engine");
-    if (this.mayBeLate(ask, plan)) return this.grant(ask, plan, runner, now);
+    if (this.mayBeLate(ask, plan)) {
+      return this.grant(ask, cache, plan, runner, now);
+    }
     return this.refuse(ask, "too-late");
   }
 
@@ -160,19 +172,19 @@
     const runner = this.engines.get(grant.runner);
     if (runner === undefined || this.placed.has(ask.id)) return;
     const engine = grant.reader ? this.engines.get(grant.reader) : undefined;
+    const cache = new PromptCache(ask);
     if (engine === undefined)
-      return void this.grant(ask, undefined, runner, now);
-    const cached = engine.cachedTokens(ask.model, ask.parts);
-    const costMs = engine.readCostMs(ask.promptTokens, cached);
+      return void this.grant(ask, cache, undefined, runner, now);
+    const costMs = engine.readCostMs(ask.promptTokens, cache.at(engine));
     const endMs = engine.backlogMs(now) + costMs;
     const plan = { engine, costMs, endMs, donor: undefined };
-    this.grant(ask, plan, runner, now);
+    this.grant(ask, cache, plan, runner, now);
   }
 
   onEvent(event: PlacementEvent, now: number): void {
     const placed = this.placed.get(event.id);
     if (placed === undefined) return;
-    const { reader, runner, ask } = placed;
+    const { reader, runner, parts } = placed;
     switch (event.kind) {
       case "read":
         reader?.endRead(event.id, event.ok, now);
@@ -180,7 +192,7 @@
         return;
       case "begun":
         runner.endRead(event.id, false, now);
-        runner.remember(ask.model, ask.parts);
+        runner.remember(parts);
         this.judge(runner, true, now);
         return;
       case "ended":
@@ -192,7 +204,7 @@
           const more = event.firstEventMs - this.firstEventMs;
           this.firstEventMs += more * FIRST_EVENT_GAIN;
         }
-        if (event.ok) runner.remember(ask.model, ask.parts);
+        if (event.ok) runner.remember(parts);
         this.judge(runner, event.ok, now);
         return;
     }
@@ -201,10 +213,8 @@
   /** Drops what was never reported on. */
   expire(now: number): void {
     for (const engine of this.engines.values()) engine.expire(now);
-    for (const [id, { ask, at }] of this.placed) {
-      if (now - at > ask.deadlineLeftMs + LONGEST_CLOSE_MS) {
-        this.placed.delete(id);
-      }
+    for (const [id, { lostAt }] of this.placed) {
+      if (now > lostAt) this.placed.delete(id);
     }
   }
 
@@ -217,19 +227,23 @@
   /** `plan`: absent where the runner reads a short rest by the way. */
   private grant(
     ask: PlacementAsk,
+    cache: PromptCache,
     plan: ReadPlan | undefined,
     runner: EngineState,
     now: number,
   ): PlacementAnswer {
     const reader = plan?.engine ?? runner;
-    const cached = reader.cachedTokens(ask.model, ask.parts);
-    const costMs = plan?.costMs ?? reader.readCostMs(ask.promptTokens, cached);
+    const { parts } = cache;
+    const costMs =
+      plan?.costMs ?? reader.readCostMs(ask.promptTokens, cache.at(reader));
     reader.addRead(ask.id, costMs * this.share(), now);
-    reader.remember(ask.model, ask.parts);
+    reader.remember(parts);
     const needed = ask.promptTokens + ask.outputTokens;
     runner.addRun(ask.id, needed, now + ask.deadlineLeftMs, now);
     const apart = reader === runner ? undefined : reader;
-    this.placed.set(ask.id, { reader: apart, runner, ask, at: now });
+    const { deadlineLeftMs } = ask;
+    const lostAt = now + deadlineLeftMs + LONGEST_CLOSE_MS;
+    this.placed.set(ask.id, { reader: apart, runner, parts, lostAt });
     return {
       kind: "granted",
       reader: apart?.view.id,
--- a/src/scheduling/sizeFairness.ts
+++ b/src/scheduling/sizeFairness.ts
@@ -11,6 +11,8 @@
 const LARGEST_PERCENTILE = 90;
 /** A group lags that is served less than this times as often as all. */
 const LAG_RATIO = 0.7;
+/** Requests after which the bounds of the groups are looked up again. */
+const BOUNDS_EACH = 20;
 /** Sizes that are needed before groups mean anything. */
 const LEAST_SIZES = 40;
 /** Counts are halved when so many requests of a route were counted. */
@@ -34,6 +36,9 @@
     highestTrackableValue: 1_000_000,
     numberOfSignificantValueDigits: 2,
   });
+  /** Sizes at which the groups begin. */
+  private largestFrom = Infinity;
+  private largeFrom = Infinity;
   private readonly all = newCount();
   private readonly groups: Record<SizeGroup, Count> = {
     largest: newCount(),
@@ -42,13 +47,18 @@
   };
 
   groupOf(size: number): SizeGroup {
+    if (this.sizes.totalCount < LEAST_SIZES) return "rest";
+    if (size >= this.largestFrom) return "largest";
+    return size >= this.largeFrom ? "large" : "rest";
+  }
+
+  /** Percentiles are dear to look up, and move slowly. */
+  private record(size: number): void {
     const { sizes } = this;
-    if (sizes.totalCount < LEAST_SIZES) return "rest";
-    if (size >= sizes.getValueAtPercentile(LARGEST_PERCENTILE)) {
-      return "largest";
-    }
-    const isLarge = size >= sizes.getValueAtPercentile(LARGE_PERCENTILE);
-    return isLarge ? "large" : "rest";
+    sizes.recordValue(Math.max(1, Math.round(size)));
+    if (sizes.totalCount % BOUNDS_EACH !== 0) return;
+    this.largestFrom = sizes.getValueAtPercentile(LARGEST_PERCENTILE);
+    this.largeFrom = sizes.getValueAtPercentile(LARGE_PERCENTILE);
   }
 
   lags(group: SizeGroup): boolean {
@@ -64,7 +74,7 @@
       count.asked += 1;
       if (isServed) count.served += 1;
     }
-    this.sizes.recordValue(Math.max(1, Math.round(size)));
+    this.record(size);
     if (this.all.asked < KEPT_REQUESTS) return;
     for (const count of [this.all, ...Object.values(this.groups)]) {
       count.asked /= 2;
--- a/tests/gateway/scheduling.test.ts
+++ b/tests/gateway/scheduling.test.ts
@@ -1,6 +1,7 @@
 /** Decisions of the scheduler and the planner of stages, without I/O. */
 import { expect } from "chai";
 
+import { AskLimit } from "../../src/placement/askLimit.js";
 import { EngineScheduler, planStages } from "../../src/scheduling/index.js";
 import type {
   EngineView,
@@ -320,3 +321,36 @@
     expect(change?.id).to.equal("idle");
   });
 });
+
+describe("asks in a rush", () => {
+  const refusal = {
+    kind: "refused" as const,
+    why: "too-late" as const,
+    retryAfterMs: 600,
+  };
+  const cases = [
+    { name: "refused at once", waiting: 4, later: 100, route: "lookup" },
+    { name: "asked while few wait", waiting: 3, later: 100, route: "lookup" },
+    {
+      name: "asked again after a while",
+      waiting: 9,
+      later: 301,
+      route: "lookup",
+    },
+    { name: "asked for other routes", waiting: 9, later: 100, route: "draft" },
+  ];
+  for (const [at, { name, waiting, later, route }] of cases.entries()) {
+    it(name, () => {
+      const limit = new AskLimit();
+      limit.note("lookup", refusal, 1000);
+      const answer = limit.refusal(route, waiting, 1000 + later);
+      expect(answer).to.equal(at === 0 ? refusal : undefined);
+    });
+  }
+
+  it("go on where the holder grants, or lacks slots only", () => {
+    const limit = new AskLimit();
+    limit.note("lookup", { ...refusal, why: "slots" }, 1000);
+    expect(limit.refusal("lookup", 9, 1000)).to.equal(undefined);
+  });
+});
--- a/tests/gateway/state.test.ts
+++ b/tests/gateway/state.test.ts
@@ -9,7 +9,8 @@
 import { ReplicaSet, VANISHED_KEEP_MS } from "../../src/gateway/replicaSet.js";
 import { RetryBudgets } from "../../src/gateway/retryBudgets.js";
 import { drawService, RouteTable } from "../../src/gateway/routeTable.js";
-import type { Replica, Route } from "../../src/gateway/index.js";
+import { GatewayState } from "../../src/gateway/gatewayState.js";
+import type { GatewayConfig, Replica, Route } from "../../src/gateway/index.js";
 import { LineBudget } from "../../src/telemetry/lineBudget.js";
 import { LineWriter } from "../../src/telemetry/lineWriter.js";
 
@@ -194,3 +195,69 @@
     expect(writer.droppedLines).to.be.greaterThan(0);
   });
 });
+
+describe("engines of a service", () => {
+  const KIND = "replicas";
+  const newState = () => {
+    const clock = { now: 0 };
+    const quiet = () => undefined;
+    const state = new GatewayState(
+      {
+        configKind: "config",
+        configName: "main",
+        replicaKind: KIND,
+        decodeConfig: (value) => value as GatewayConfig,
+        decodeReplica: (id, value) => ({ id, ...(value as object) }) as Replica,
+      },
+      { info: quiet, warn: quiet, error: quiet, debug: quiet },
+      () => clock.now,
+      quiet,
+    );
+    const engine = {
+      slots: 4,
+      kvCapacityTokens: 1000,
+      handleTtlMs: 1,
+      stageChangeMs: 1,
+    };
+    const value: GatewayConfig = {
+      version: 1,
+      routes: [],
+      services: [{ name: "model", maxConnections: 9, engine }],
+      limits: { maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    };
+    state.onConfigItem({ name: "main", revision: 1, value });
+    return { state, clock };
+  };
+  const listed = (name: string, stage: string) => ({
+    item: {
+      name,
+      revision: 1,
+      value: { service: "model", state: "ready", zone: "", stage },
+    },
+    isRemoved: false,
+  });
+  const ids = (state: GatewayState): string[] =>
+    state.engines("model").map(({ id, stage }) => `${id} ${stage}`);
+
+  it("are the same list until something changes", () => {
+    const { state } = newState();
+    state.onReplicaChange(listed("a", "decode"), false);
+    const before = state.engines("model");
+    expect(state.engines("model")).to.equal(before);
+    state.onReplicaChange(listed("a", "prefill"), false);
+    expect(ids(state)).to.eql(["a prefill"]);
+    state.onReplicaChange(listed("b", "decode"), false);
+    expect(ids(state)).to.eql(["a prefill", "b decode"]);
+  });
+
+  it("lack one that vanished as soon as its time is over", () => {
+    const { state, clock } = newState();
+    state.onReplicaChange(listed("a", "decode"), false);
+    expect(ids(state)).to.have.length(1);
+    state.onReplicaChange({ ...listed("a", "decode"), isRemoved: true }, true);
+    clock.now = VANISHED_KEEP_MS - 1;
+    expect(ids(state)).to.have.length(1);
+    clock.now = VANISHED_KEEP_MS;
+    expect(ids(state)).to.have.length(0);
+  });
+});
