Soak: a request whose time was over was not cut by planned work

The check asked only whether another fault was near.

SIGINT and SIGTERM of the soak end its processes.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -8,6 +8,7 @@
 } from "../platform/standins/caller.js";
 import { longPrompt, shortPrompt } from "../platform/standins/deployment.js";
 import type { Rng } from "../src/shared/rng.js";
+import { DEADLINE_MS } from "./checks.js";
 import type { DaemonProcess } from "./daemonProcess.js";
 import type { SoakFleet } from "./fleet.js";
 import { CALL_KINDS } from "./types.js";
@@ -19,7 +20,6 @@
   resumable: "/resume/a",
   draft: "/draft/a",
 };
-const DEADLINE_MS = 2000;
 /** Beyond the deadline, before a caller gives up, ms. */
 const PATIENCE_MS = 1000;
 /** Pause of a caller between two requests, ms. */
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -12,6 +12,8 @@
 
 /** Events of a whole stream; the stand-in replicas send as many. */
 export const STREAM_EVENTS = 40;
+/** Time that callers of the soak give a request, ms. */
+export const DEADLINE_MS = 2000;
 /** Calm before a bound on time holds, ms: the users' contact time. */
 const CALM_BEFORE_MS = 3000;
 /** Bound on news that every process must know, ms, with slack for a busy
@@ -161,12 +163,16 @@
   return [{ promise: "bounded retries", what }];
 };
 
-/** A request that crossed the close of its connection and ran nowhere was
- * not cut. */
+/**
+ * A request that crossed the close of its connection and ran nowhere was not
+ * cut, nor one whose time was over: a machine that stands still for seconds
+ * ends requests without any fault of the product.
+ */
 const plannedStopCutsNothing: Check = (records) => {
   const ran = new Set(records.runs.map((run) => run.requestId));
   return records.calls
     .filter((call) => (call.status === 0 || !call.isWhole) && ran.has(call.id))
+    .filter((call) => call.endedAt - call.sentAt < DEADLINE_MS)
     .filter((call) =>
       isCalm(records, call.sentAt - CALM_BEFORE_MS, call.endedAt),
     )
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -44,6 +44,8 @@
   const { seed, seconds, profile } = options;
   const rngOf = (part: number) => seededRng(seed * SEED_STEP + part);
   const fleet = new SoakFleet(rngOf(0), monotonicNow);
+  const onSignal = () => void fleet.stop().then(() => process.exit(1));
+  process.once("SIGINT", onSignal).once("SIGTERM", onSignal);
   try {
     await fleet.start(options);
     const endsAt = monotonicNow() + seconds * MS_PER_SECOND;
@@ -58,6 +60,7 @@
     isOver = true;
     await Promise.all(traffic);
   } finally {
+    process.off("SIGINT", onSignal).off("SIGTERM", onSignal);
     await fleet.stop();
   }
   const { records } = fleet;
--- a/tests/soak/checks.test.ts
+++ b/tests/soak/checks.test.ts
@@ -1,7 +1,11 @@
 /** Each check of the soak finds its fault in records, and nothing else. */
 import { expect } from "chai";
 
-import { findViolations, STREAM_EVENTS } from "../../soak/checks.js";
+import {
+  DEADLINE_MS,
+  findViolations,
+  STREAM_EVENTS,
+} from "../../soak/checks.js";
 import type {
   CallRecord,
   FaultRecord,
@@ -172,6 +176,17 @@
       expect(found).to.eql(["planned work cuts nothing"]);
     });
 
+    it("let pass what ended with its time", () => {
+      const at = (endedAt: number) => ({
+        calls: [call({ status: 0, isWhole: false, endedAt })],
+        runs: [run()],
+        faults: [fault({ until: 20_000 })],
+      });
+      expect(promises(at(10_000 + DEADLINE_MS))).to.eql([]);
+      const early = promises(at(10_000 + DEADLINE_MS - 1));
+      expect(early).to.eql(["planned work cuts nothing"]);
+    });
+
     it("let pass what crossed the close, or was cut by other faults", () => {
       const faults = [fault()];
       expect(promises({ calls: [cut], faults })).to.eql([]);
