Soak: one list of link modes, one draw, one table of streamed kinds

Cause: reading the change again. The harmful modes were listed beside the link's own list, a draw from a list was written in callers and in faults, and which kinds stream was asked in two places.

Change: the modes come from standins/faultLink.ts, drawOne and IS_STREAM stand once. Checks and their tests are unchanged.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -9,9 +9,10 @@
 import { longPrompt, shortPrompt } from "../platform/standins/deployment.js";
 import type { Rng } from "../src/shared/rng.js";
 import { DEADLINE_MS } from "./checks.js";
+import { drawOne } from "./draw.js";
 import type { DaemonProcess } from "./daemonProcess.js";
 import type { SoakFleet } from "./fleet.js";
-import { CALL_KINDS } from "./types.js";
+import { CALL_KINDS, IS_STREAM } from "./types.js";
 import type { CallKind } from "./types.js";
 
 const PATHS: Readonly<Record<CallKind, string>> = {
@@ -102,9 +103,8 @@
   /** Sends requests one after the other until it is over. */
   async run(isOver: () => boolean): Promise<void> {
     while (!isOver()) {
-      const entry = this.draw(
-        this.fleet.entries.filter((item) => item.callers),
-      );
+      const reachable = this.fleet.entries.filter((item) => item.callers);
+      const entry = drawOne(reachable, this.rng);
       if (entry?.callers === undefined) await pause(NOBODY_MS);
       else await this.call(entry, entry.callers);
       await pause(PAUSE_MS * this.rng());
@@ -116,8 +116,8 @@
     const { now, records } = this.fleet;
     this.sequence += 1;
     const id = `${this.name}-${this.sequence}`;
-    const kind = this.draw(CALL_KINDS) ?? "safe";
-    const isStream = kind === "resumable" || kind === "draft";
+    const kind = drawOne(CALL_KINDS, this.rng) ?? "safe";
+    const isStream = IS_STREAM[kind];
     const prompt = this.rng() < 0.5 ? longPrompt() : shortPrompt();
     const headers = {
       ...callHeaders(id, DEADLINE_MS),
@@ -143,10 +143,6 @@
       events: isStream ? eventsIn(body) : [],
     });
   }
-
-  private draw<T>(items: readonly T[]): T | undefined {
-    return items[Math.floor(this.rng() * items.length)];
-  }
 }
 
 /** Asks each entry for routes that configurations have added. */
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -2,7 +2,7 @@
  * The promises, checked on what callers and upstreams recorded. Pure: records
  * in, violations out.
  */
-import { MAY_RUN_AGAIN } from "./types.js";
+import { IS_STREAM, MAY_RUN_AGAIN } from "./types.js";
 import type {
   CallRecord,
   NewsRecord,
@@ -52,8 +52,7 @@
     const faults: string[] = [];
     if (call.answerId !== id) faults.push(`names request ${call.answerId}`);
     if (call.signedBy === undefined) faults.push("is not signed");
-    const isStream = kind === "resumable" || kind === "draft";
-    if (isStream) {
+    if (IS_STREAM[kind]) {
       const isInOrder = events.every((event, at) => event === at + 1);
       if (!isInOrder) faults.push(`has events ${events.join(",")}`);
       if (call.isWhole && events.length !== STREAM_EVENTS) {
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -2,7 +2,8 @@
 import type { Behaviour } from "../platform/standins/replica.js";
 import type { StoreMode } from "../platform/standins/store.js";
 import type { Rng } from "../src/shared/rng.js";
-import type { LinkMode } from "../standins/faultLink.js";
+import { LINK_MODES } from "../standins/faultLink.js";
+import { drawOne } from "./draw.js";
 import type { DaemonProcess } from "./daemonProcess.js";
 import type { SoakFleet, SoakReplica } from "./fleet.js";
 import type { FaultRecord } from "./types.js";
@@ -52,15 +53,7 @@
   },
 });
 
-const LINK_MODES: readonly LinkMode[] = [
-  "delay",
-  "freeze",
-  "cut",
-  "half-open",
-  "one-way",
-  "drop-answer",
-  "refuse",
-];
+const HARMFUL_MODES = LINK_MODES.filter((mode) => mode !== "pass");
 const STORE_MODES: readonly StoreMode[] = ["busy", "silent", "lost"];
 const MISBEHAVIOURS: readonly Behaviour[] = [
   "refuse",
@@ -150,7 +143,7 @@
     target.signal("SIGCONT");
   }),
   processFault("store link", async ({ id }, { fleet, draw, last, note }) => {
-    const mode = draw(LINK_MODES) ?? "cut";
+    const mode = draw(HARMFUL_MODES) ?? "cut";
     note(mode);
     fleet.storeLinks.get(id)?.set({ mode, delayMs: LINK_DELAY_MS });
     await last(300, 3500);
@@ -162,7 +155,7 @@
     target: anyReplica,
     nameOf: ofReplica,
     run: async ({ link }, { draw, last, note }) => {
-      const mode = draw(LINK_MODES) ?? "cut";
+      const mode = draw(HARMFUL_MODES) ?? "cut";
       note(mode);
       link.set({ mode, delayMs: LINK_DELAY_MS });
       await last(200, 2500);
@@ -261,8 +254,7 @@
 
   private strike(): void {
     const { fleet, rng } = this;
-    const draw = <T>(items: readonly T[]): T | undefined =>
-      items[Math.floor(rng() * items.length)];
+    const draw = <T>(items: readonly T[]) => drawOne(items, rng);
     const last = (leastMs: number, mostMs: number) =>
       this.last(leastMs, mostMs);
     const chosen = draw(this.faults);
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -13,6 +13,14 @@
   draft: false,
 };
 
+/** Which kinds are answered by a stream of events. */
+export const IS_STREAM: Readonly<Record<CallKind, boolean>> = {
+  safe: false,
+  unsafe: false,
+  resumable: true,
+  draft: true,
+};
+
 /** One request as its caller saw it. Times are ms of one clock. */
 export interface CallRecord {
   id: string;
