--- a/src/gateway/engineCalls.ts
+++ b/src/gateway/engineCalls.ts
@@ -9,9 +9,8 @@
 import type { RequestForm } from "./requestForm.js";
 import type { ReadHandle, UpstreamSend } from "./types.js";
 import type { UpstreamClient, UpstreamReply } from "./upstreamClient.js";
-import { readWholeBody } from "./upstreamClient.js";
 
-/** A handle's answer, or a failure's body, is a few hundred bytes. */
+/** A handle's answer, a report or a failure's body is short, bytes. */
 export const MAX_SHORT_ANSWER_BYTES = 16 * 1024;
 /** The call that frees a handle is given up after this, ms. */
 const FREE_MS = 1000;
@@ -21,8 +20,13 @@
   | (UpstreamReply & { address: string })
   | { kind: "failed"; verdict: Verdict; why: string };
 
-export type ReadOutcome =
-  { kind: "read"; handle: ReadHandle } | { kind: "failed"; why: string };
+/**
+ * After a pause of this process callers' closes lie unread in the sockets,
+ * and timers are behind. One turn of the event loop takes them in, so that
+ * nothing is sent for callers that have left.
+ */
+const settledSockets = (): Promise<void> =>
+  new Promise((resolve) => setImmediate(resolve));
 
 export interface EngineCallsOptions {
   replicas: ReplicaSet;
@@ -42,41 +46,6 @@
       : this.options.replicas.get(id)?.address;
   }
 
-  /** Has an engine read a prompt for another. */
-  async read(
-    caller: CallerRequest,
-    reader: string,
-    limitMs: number,
-    cacheSource: string | undefined,
-  ): Promise<ReadOutcome> {
-    const { form } = this.options;
-    const stop = new BoundedCancellation(caller.cancellation, limitMs);
-    try {
-      const sent = await this.send(caller, reader, stop, {
-        replicaId: reader,
-        deadlineMs: Math.round(caller.leftMs()),
-        phase: "read",
-        cacheSource,
-      });
-      if (sent.kind === "failed") return { kind: "failed", why: sent.why };
-      const { res, address } = sent;
-      const reply = form.readReply(res.statusCode ?? 0, res.headers);
-      const whole = await readWholeBody(sent, MAX_SHORT_ANSWER_BYTES);
-      if (reply.isNotRun || reply.status !== 200) {
-        return { kind: "failed", why: `read refused with ${reply.status}` };
-      }
-      if (reply.requestId !== undefined && reply.requestId !== caller.head.id) {
-        return { kind: "failed", why: "the answer belongs to another request" };
-      }
-      if (whole.kind === "cut") return { kind: "failed", why: whole.why };
-      const handle = form.readHandle(address, whole.body.toString("utf8"));
-      if (handle !== undefined) return { kind: "read", handle };
-      return { kind: "failed", why: "the answer names no handle" };
-    } finally {
-      stop.dispose();
-    }
-  }
-
   /** Sends one phase of a request; resolves with the head of the answer. */
   async send(
     caller: CallerRequest,
@@ -90,6 +59,10 @@
       const why = "the replica is leaving or gone";
       return { kind: "failed", verdict: "not-run", why };
     }
+    await settledSockets();
+    if (caller.leftMs() <= 0 || cancellation.isCancelled) {
+      return { kind: "failed", verdict: "not-run", why: "its time is over" };
+    }
     const { head, body } = caller;
     const { address } = replica;
     caller.sentTo.push(id);
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -73,8 +73,13 @@
   }
 
   onReplicaList(items: readonly FeedItem[], inTrouble: boolean): void {
-    const replicas = items.flatMap((item) => this.decodeReplica(item) ?? []);
-    const changes = this.replicas.replace(replicas, this.now(), inTrouble);
+    const listed = items.flatMap((item) => {
+      const replica = this.decodeReplica(item);
+      return replica === undefined
+        ? []
+        : [{ replica, revision: item.revision }];
+    });
+    const changes = this.replicas.replace(listed, this.now(), inTrouble);
     this.logChanges(changes);
     this.hasReplicas = true;
   }
@@ -87,7 +92,8 @@
       return;
     }
     const replica = this.decodeReplica(item);
-    if (replica !== undefined) this.logChanges([this.replicas.put(replica)]);
+    if (replica === undefined) return;
+    this.logChanges([this.replicas.put(replica, item.revision)]);
   }
 
   /** Gives up replicas that vanished and did not come back. */
@@ -121,7 +127,7 @@
     if (isKept) return kept.engines;
     const engines = this.listEngines(service, now);
     const { revision } = replicas;
-    const until = replicas.usableUntil();
+    const until = replicas.usableUntil(now);
     this.engineLists.set(service, { table, revision, until, engines });
     return engines;
   }
--- a/src/gateway/placementRole.ts
+++ b/src/gateway/placementRole.ts
@@ -83,6 +83,7 @@
     isEntry: host === "entry",
     isHolder: (service) => placement.isHolder(service) && state.isReady,
     isFresh: (service) => placement.isFresh(service),
+    leaseMark: (service) => placement.leaseMark(service),
     log,
   });
   address = await peers.listen(options.peerAddress);
--- a/src/gateway/plainFlow.ts
+++ b/src/gateway/plainFlow.ts
@@ -208,6 +208,7 @@
       this.health.set(id, afterSuccess(health, now));
       return;
     }
+    if (attempt.fault === "gone") this.options.replicas.deny(id, now);
     const isAway = attempt.fault === "unreachable" || attempt.fault === "gone";
     const next = afterFailure(health, now, isAway);
     this.health.set(id, next);
--- a/src/gateway/replicaSet.ts
+++ b/src/gateway/replicaSet.ts
@@ -12,18 +12,41 @@
  */
 export const VANISHED_KEEP_MS = 1700;
 
+/**
+ * How long a replica is not used that another answered for, ms. The entry of
+ * one that has crashed goes after three heartbeats, a few seconds.
+ */
+const DENIED_MS = 4000;
+
 interface Known {
   replica: Replica;
+  /** Revision of the entry's last change in the store. */
+  revision: number;
+  /** Not used until then: it answered that it is another one, ms. */
+  deniedUntil: number;
   /** Instant at which its entry vanished, ms. */
   vanishedAt: number | undefined;
 }
 
+/** A replica and the revision of its entry's last change. */
+export interface ListedReplica {
+  replica: Replica;
+  revision?: number;
+}
+
 /** What a change of the list came to, for the log. */
 export type ReplicaChange = {
   kind: "added" | "changed" | "vanished" | "gone";
   replica: Replica;
 };
 
+const isNewer = (left: Known, right: Known, now: number): boolean => {
+  const isLeftDenied = left.deniedUntil > now;
+  const isRightDenied = right.deniedUntil > now;
+  if (isLeftDenied !== isRightDenied) return isRightDenied;
+  return left.revision > right.revision;
+};
+
 export class ReplicaSet {
   private readonly known = new Map<string, Known>();
   /** Grows with each change. */
@@ -33,11 +56,17 @@
     return this.known.get(id)?.replica;
   }
 
-  /** A replica wrote its entry. */
-  put(replica: Replica): ReplicaChange {
+  /** A replica wrote its entry; `revision`: of that change in the store. */
+  put(replica: Replica, revision = 0): ReplicaChange {
     const kind = this.known.has(replica.id) ? "changed" : "added";
     this.revision += 1;
-    this.known.set(replica.id, { replica, vanishedAt: undefined });
+    const deniedUntil = this.known.get(replica.id)?.deniedUntil ?? 0;
+    this.known.set(replica.id, {
+      replica,
+      revision,
+      deniedUntil,
+      vanishedAt: undefined,
+    });
     return { kind, replica };
   }
 
@@ -61,18 +90,20 @@
 
   /** The whole list was read: what it lacks has vanished. */
   replace(
-    replicas: readonly Replica[],
+    listed: readonly ListedReplica[],
     now: number,
     inTrouble: boolean,
   ): ReplicaChange[] {
-    const listed = new Set(replicas.map((item) => item.id));
+    const ids = new Set(listed.map(({ replica }) => replica.id));
     const changes: ReplicaChange[] = [];
     for (const id of [...this.known.keys()]) {
-      if (listed.has(id)) continue;
+      if (ids.has(id)) continue;
       const change = this.remove(id, now, inTrouble);
       if (change !== undefined) changes.push(change);
     }
-    for (const replica of replicas) changes.push(this.put(replica));
+    for (const { replica, revision } of listed) {
+      changes.push(this.put(replica, revision));
+    }
     return changes;
   }
 
@@ -89,10 +120,30 @@
     return gone;
   }
 
-  /** The replicas that may get new work. */
+  /** Another one answered at its address: it is not used for a while. */
+  deny(id: string, now: number): void {
+    const known = this.known.get(id);
+    if (known === undefined) return;
+    known.deniedUntil = now + DENIED_MS;
+    this.revision += 1;
+  }
+
+  /**
+   * The replicas that may get new work. Of those that are listed at one
+   * address only the newest lives: a replica that has crashed stays listed
+   * for three heartbeats beside the one that took its place.
+   */
   usable(service: string, now: number): Replica[] {
+    const newest = new Map<string, Known>();
+    for (const known of this.known.values()) {
+      const { address } = known.replica;
+      const other = newest.get(address);
+      if (other === undefined || isNewer(known, other, now)) {
+        newest.set(address, known);
+      }
+    }
     const found: Replica[] = [];
-    for (const { replica, vanishedAt } of this.known.values()) {
+    for (const { replica, vanishedAt } of newest.values()) {
       if (replica.service !== service || replica.state !== "ready") continue;
       const isLost =
         vanishedAt !== undefined && now - vanishedAt >= VANISHED_KEEP_MS;
@@ -102,9 +153,10 @@
   }
 
   /** Until when `usable` gives the same if nothing changes, ms. */
-  usableUntil(): number {
+  usableUntil(now: number): number {
     let until = Infinity;
-    for (const { vanishedAt } of this.known.values()) {
+    for (const { vanishedAt, deniedUntil } of this.known.values()) {
+      if (deniedUntil > now) until = Math.min(until, deniedUntil);
       if (vanishedAt === undefined) continue;
       until = Math.min(until, vanishedAt + VANISHED_KEEP_MS);
     }
--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -3,7 +3,12 @@
  * engine where that pays, the answer streamed from another, and a cut stream
  * resumed where its route allows it.
  */
-import type { Grant, PlacementAsk } from "../scheduling/index.js";
+import type {
+  Grant,
+  PlacementAnswer,
+  PlacementAsk,
+  PlacementEvent,
+} from "../scheduling/index.js";
 import type { Placement } from "../placement/index.js";
 import type { RequestFailure } from "../shared/errors.js";
 import type { Verdict } from "../shared/verdict.js";
@@ -11,6 +16,7 @@
 import type { CallerRequest } from "./callerRequest.js";
 import { EngineCalls, MAX_SHORT_ANSWER_BYTES } from "./engineCalls.js";
 import type { EngineCallsOptions } from "./engineCalls.js";
+import { PromptReader } from "./promptReader.js";
 import type { RetryBudgets } from "./retryBudgets.js";
 import { StreamRelay } from "./streamRelay.js";
 import type { ReadHandle } from "./types.js";
@@ -20,10 +26,6 @@
 
 /** Rounds of placement of one request at the most. */
 const MAX_ROUNDS = 4;
-/** A read is given up after this many times its expected time, … */
-const READ_PATIENCE = 3;
-/** … and this many ms on top, for the hops and the estimate's error. */
-const READ_SLACK_MS = 250;
 /** Less time than this is not worth another round, ms. */
 const LEAST_LEFT_MS = 30;
 
@@ -43,6 +45,8 @@
       why: string;
       /** Engine to leave out in the next round. */
       avoid: string;
+      /** The engine is not to blame. */
+      isBlameless?: boolean;
     };
 
 /** What a request carries from round to round. */
@@ -62,8 +66,16 @@
   readsAtRunner: boolean;
 }
 
+const endedUnused = (id: string): PlacementEvent => ({
+  kind: "ended",
+  id,
+  ok: true,
+  firstEventMs: 0,
+});
+
 export class StreamFlow {
   private readonly calls: EngineCalls;
+  private readonly reader: PromptReader;
   private sequence = 0;
 
   constructor(
@@ -72,6 +84,7 @@
     private readonly entryId: string,
   ) {
     this.calls = new EngineCalls(options);
+    this.reader = new PromptReader(this.calls, options);
   }
 
   async run(caller: CallerRequest): Promise<void> {
@@ -120,7 +133,8 @@
     journey.rounds += 1;
     this.sequence += 1;
     journey.grantId = `${this.entryId}/${this.sequence}`;
-    const answer = await placement.place(this.ask(journey));
+    const answer = await this.place(journey);
+    if (answer === undefined) return this.overdue(journey);
     if (answer.kind === "refused") {
       const failure = failureOf(journey.verdict, `no engine: ${answer.why}`);
       const retryAfterMs = answer.retryAfterMs;
@@ -134,7 +148,7 @@
     let isGood = false;
     try {
       const round = await this.carryOut(journey, answer);
-      isGood = round.kind === "done" || round.kind === "refused";
+      isGood = round.kind !== "failed" || round.isBlameless === true;
       return round;
     } finally {
       const id = journey.grantId;
@@ -145,6 +159,27 @@
     }
   }
 
+  /** Where it goes; undefined if it was cancelled before that was known. */
+  private place(journey: Journey): Promise<PlacementAnswer | undefined> {
+    const { placement } = this.options;
+    const { caller, grantId } = journey;
+    const { service } = caller;
+    return new Promise((resolve, reject) => {
+      const off = caller.cancellation.onCancel(() => {
+        placement.withdraw(service, grantId);
+        resolve(undefined);
+      });
+      const onAnswer = (answer: PlacementAnswer): void => {
+        off();
+        resolve(answer);
+        if (!caller.cancellation.isCancelled) return;
+        const isGranted = answer.kind === "granted";
+        if (isGranted) placement.note(service, endedUnused(grantId));
+      };
+      placement.place(this.ask(journey)).then(onAnswer, reject);
+    });
+  }
+
   private async carryOut(journey: Journey, grant: Grant): Promise<Round> {
     const { caller } = journey;
     if (caller.cancellation.isCancelled) return this.overdue(journey);
@@ -163,9 +198,13 @@
   private ask(journey: Journey): PlacementAsk {
     const { caller, avoid, grantId } = journey;
     const { prompt } = caller.head;
+    const elapsedMs = caller.elapsedMs();
     const objectiveMs = caller.hasBegun
       ? caller.leftMs()
-      : caller.route.objectiveMs - caller.elapsedMs();
+      : caller.route.objectiveMs - elapsedMs;
+    const silenceMs = caller.hasBegun
+      ? caller.leftMs()
+      : caller.route.silenceMs - elapsedMs;
     return {
       id: grantId,
       service: caller.service,
@@ -176,7 +215,7 @@
       outputTokens: prompt?.outputTokens ?? 0,
       parts: prompt?.parts ?? [],
       objectiveLeftMs: Math.min(objectiveMs, caller.leftMs()),
-      deadlineLeftMs: caller.leftMs(),
+      deadlineLeftMs: Math.min(silenceMs, caller.leftMs()),
       priority: caller.route.priority,
       isReturn: caller.isReturn,
       avoid,
@@ -190,9 +229,13 @@
   ): Promise<Round | { kind: "read"; handle: ReadHandle }> {
     const { placement } = this.options;
     const { caller, grantId } = journey;
-    const cacheSource = this.calls.addressOf(grant.donor);
-    const limitMs = grant.readMs * READ_PATIENCE + READ_SLACK_MS;
-    const read = await this.calls.read(caller, reader, limitMs, cacheSource);
+    const order = {
+      reader,
+      expectedMs: grant.readMs,
+      cacheSource: this.calls.addressOf(grant.donor),
+    };
+    const read = await this.reader.read(caller, order);
+    if (read.kind === "wrong-stage") return this.wrongStage(journey, reader);
     const ok = read.kind === "read";
     placement.note(caller.service, { kind: "read", id: grantId, ok });
     if (read.kind === "read") {
@@ -205,6 +248,23 @@
     return { kind: "failed", verdict: "not-run", why: read.why, avoid: reader };
   }
 
+  /** The engine has changed its stage, or is gone: news, and no failure. */
+  private wrongStage(journey: Journey, engine: string): Round {
+    const { caller, grantId } = journey;
+    const news = { kind: "wrong-stage" as const, id: grantId, engine };
+    this.options.placement.note(caller.service, news);
+    this.options.replicas.deny(engine, this.options.now());
+    const why = "the engine does something else now";
+    this.logFault(caller, engine, "place", why);
+    return {
+      kind: "failed",
+      verdict: "not-run",
+      why,
+      avoid: engine,
+      isBlameless: true,
+    };
+  }
+
   private async runAt(
     journey: Journey,
     grant: Grant,
@@ -234,6 +294,10 @@
     }
     const { res } = sent;
     const reply = form.readReply(res.statusCode ?? 0, res.headers);
+    if (reply.isMisdirected) {
+      res.resume();
+      return this.wrongStage(journey, runner);
+    }
     if (reply.isNotRun) {
       res.resume();
       const why = `engine refused with ${reply.status}`;
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -27,6 +27,11 @@
   timeoutMs: number;
   /** Time in which an answer, or its first event, is in time, ms. */
   objectiveMs: number;
+  /**
+   * Longest silence of a stream that callers bear, before its first event
+   * too; unbounded where answers come whole, ms.
+   */
+  silenceMs: number;
   /** 0 is the most urgent. */
   priority: number;
   /** Replicas that may run one request at the most. */
@@ -95,6 +100,9 @@
   isBusy: boolean;
   /** Orders that it has taken since its start. */
   orders: number;
+  /** Requests that it works on, and that wait there. */
+  running: number;
+  waiting: number;
 }
 
 /** One part of a prompt, shared between requests by its id. */
--- a/src/gen/snowgate.ts
+++ b/src/gen/snowgate.ts
@@ -122,11 +122,13 @@
 
 export interface PlaceEvent {
   id: string;
-  /** "read", "begun" or "ended". */
+  /** "read", "wrong-stage", "begun" or "ended". */
   kind: string;
   ok: boolean;
   /** Of "ended": from the send to the runner to the first event; 0: none. */
   tookMs: number;
+  /** Of "wrong-stage": the engine that denied its stage. */
+  engine: string;
 }
 
 export interface PlaceCall {
@@ -158,6 +160,22 @@
   donor: string;
   /** Place of a standby among those that take over: 0 is the first. */
   standbyRank: number;
+  /** It waits for an engine: another reply with its id follows. */
+  isQueued: boolean;
+  /** Set when what the holder has learnt of reading has changed. */
+  readPace:
+    | ReadPaceNews
+    | undefined;
+  /** The holder's lease as it wrote it last. */
+  leaseEpoch: number;
+  leaseBeat: number;
+}
+
+/** Time that engines of a service take to read, by part, ms. */
+export interface ReadPaceNews {
+  fixedMs: number;
+  tokenMs: number;
+  mPairMs: number;
 }
 
 function createBaseRumour(): Rumour {
@@ -1794,7 +1812,7 @@
 };
 
 function createBasePlaceEvent(): PlaceEvent {
-  return { id: "", kind: "", ok: false, tookMs: 0 };
+  return { id: "", kind: "", ok: false, tookMs: 0, engine: "" };
 }
 
 export const PlaceEvent: MessageFns<PlaceEvent> = {
@@ -1811,6 +1829,9 @@
     if (message.tookMs !== 0) {
       writer.uint32(32).uint32(message.tookMs);
     }
+    if (message.engine !== "") {
+      writer.uint32(42).string(message.engine);
+    }
     return writer;
   },
 
@@ -1859,6 +1880,14 @@
             message.tookMs = reader.uint32();
             continue;
           }
+          case 5: {
+            if (tag !== 42) {
+              break;
+            }
+
+            message.engine = reader.string();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1881,6 +1910,7 @@
         : isSet(object.took_ms)
         ? globalThis.Number(object.took_ms)
         : 0,
+      engine: isSet(object.engine) ? globalThis.String(object.engine) : "",
     };
   },
 
@@ -1898,6 +1928,9 @@
     if (message.tookMs !== 0) {
       obj.tookMs = Math.round(message.tookMs);
     }
+    if (message.engine !== "") {
+      obj.engine = message.engine;
+    }
     return obj;
   },
 
@@ -1910,6 +1943,7 @@
     message.kind = object.kind ?? "";
     message.ok = object.ok ?? false;
     message.tookMs = object.tookMs ?? 0;
+    message.engine = object.engine ?? "";
     return message;
   },
 };
@@ -2063,6 +2097,10 @@
     isFresh: false,
     donor: "",
     standbyRank: 0,
+    isQueued: false,
+    readPace: undefined,
+    leaseEpoch: 0,
+    leaseBeat: 0,
   };
 }
 
@@ -2098,6 +2136,18 @@
     if (message.standbyRank !== 0) {
       writer.uint32(80).uint32(message.standbyRank);
     }
+    if (message.isQueued !== false) {
+      writer.uint32(88).bool(message.isQueued);
+    }
+    if (message.readPace !== undefined) {
+      ReadPaceNews.encode(message.readPace, writer.uint32(98).fork()).join();
+    }
+    if (message.leaseEpoch !== 0) {
+      writer.uint32(104).uint64(message.leaseEpoch);
+    }
+    if (message.leaseBeat !== 0) {
+      writer.uint32(112).uint64(message.leaseBeat);
+    }
     return writer;
   },
 
@@ -2194,6 +2244,38 @@
             message.standbyRank = reader.uint32();
             continue;
           }
+          case 11: {
+            if (tag !== 88) {
+              break;
+            }
+
+            message.isQueued = reader.bool();
+            continue;
+          }
+          case 12: {
+            if (tag !== 98) {
+              break;
+            }
+
+            message.readPace = ReadPaceNews.decode(reader, reader.uint32());
+            continue;
+          }
+          case 13: {
+            if (tag !== 104) {
+              break;
+            }
+
+            message.leaseEpoch = longToNumber(reader.uint64());
+            continue;
+          }
+          case 14: {
+            if (tag !== 112) {
+              break;
+            }
+
+            message.leaseBeat = longToNumber(reader.uint64());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2234,6 +2316,26 @@
         : isSet(object.standby_rank)
         ? globalThis.Number(object.standby_rank)
         : 0,
+      isQueued: isSet(object.isQueued)
+        ? globalThis.Boolean(object.isQueued)
+        : isSet(object.is_queued)
+        ? globalThis.Boolean(object.is_queued)
+        : false,
+      readPace: isSet(object.readPace)
+        ? ReadPaceNews.fromJSON(object.readPace)
+        : isSet(object.read_pace)
+        ? ReadPaceNews.fromJSON(object.read_pace)
+        : undefined,
+      leaseEpoch: isSet(object.leaseEpoch)
+        ? globalThis.Number(object.leaseEpoch)
+        : isSet(object.lease_epoch)
+        ? globalThis.Number(object.lease_epoch)
+        : 0,
+      leaseBeat: isSet(object.leaseBeat)
+        ? globalThis.Number(object.leaseBeat)
+        : isSet(object.lease_beat)
+        ? globalThis.Number(object.lease_beat)
+        : 0,
     };
   },
 
@@ -2269,6 +2371,18 @@
     if (message.standbyRank !== 0) {
       obj.standbyRank = Math.round(message.standbyRank);
     }
+    if (message.isQueued !== false) {
+      obj.isQueued = message.isQueued;
+    }
+    if (message.readPace !== undefined) {
+      obj.readPace = ReadPaceNews.toJSON(message.readPace);
+    }
+    if (message.leaseEpoch !== 0) {
+      obj.leaseEpoch = Math.round(message.leaseEpoch);
+    }
+    if (message.leaseBeat !== 0) {
+      obj.leaseBeat = Math.round(message.leaseBeat);
+    }
     return obj;
   },
 
@@ -2287,6 +2401,125 @@
     message.isFresh = object.isFresh ?? false;
     message.donor = object.donor ?? "";
     message.standbyRank = object.standbyRank ?? 0;
+    message.isQueued = object.isQueued ?? false;
+    message.readPace = (object.readPace !== undefined && object.readPace !== null)
+      ? ReadPaceNews.fromPartial(object.readPace)
+      : undefined;
+    message.leaseEpoch = object.leaseEpoch ?? 0;
+    message.leaseBeat = object.leaseBeat ?? 0;
+    return message;
+  },
+};
+
+function createBaseReadPaceNews(): ReadPaceNews {
+  return { fixedMs: 0, tokenMs: 0, mPairMs: 0 };
+}
+
+export const ReadPaceNews: MessageFns<ReadPaceNews> = {
+  encode(message: ReadPaceNews, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.fixedMs !== 0) {
+      writer.uint32(9).double(message.fixedMs);
+    }
+    if (message.tokenMs !== 0) {
+      writer.uint32(17).double(message.tokenMs);
+    }
+    if (message.mPairMs !== 0) {
+      writer.uint32(25).double(message.mPairMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): ReadPaceNews {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseReadPaceNews();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 9) {
+              break;
+            }
+
+            message.fixedMs = reader.double();
+            continue;
+          }
+          case 2: {
+            if (tag !== 17) {
+              break;
+            }
+
+            message.tokenMs = reader.double();
+            continue;
+          }
+          case 3: {
+            if (tag !== 25) {
+              break;
+            }
+
+            message.mPairMs = reader.double();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): ReadPaceNews {
+    return {
+      fixedMs: isSet(object.fixedMs)
+        ? globalThis.Number(object.fixedMs)
+        : isSet(object.fixed_ms)
+        ? globalThis.Number(object.fixed_ms)
+        : 0,
+      tokenMs: isSet(object.tokenMs)
+        ? globalThis.Number(object.tokenMs)
+        : isSet(object.token_ms)
+        ? globalThis.Number(object.token_ms)
+        : 0,
+      mPairMs: isSet(object.mPairMs)
+        ? globalThis.Number(object.mPairMs)
+        : isSet(object.m_pair_ms)
+        ? globalThis.Number(object.m_pair_ms)
+        : 0,
+    };
+  },
+
+  toJSON(message: ReadPaceNews): unknown {
+    const obj: any = {};
+    if (message.fixedMs !== 0) {
+      obj.fixedMs = floatToJson(message.fixedMs);
+    }
+    if (message.tokenMs !== 0) {
+      obj.tokenMs = floatToJson(message.tokenMs);
+    }
+    if (message.mPairMs !== 0) {
+      obj.mPairMs = floatToJson(message.mPairMs);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<ReadPaceNews>, I>>(base?: I): ReadPaceNews {
+    return ReadPaceNews.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<ReadPaceNews>, I>>(object: I): ReadPaceNews {
+    const message = createBaseReadPaceNews();
+    message.fixedMs = object.fixedMs ?? 0;
+    message.tokenMs = object.tokenMs ?? 0;
+    message.mPairMs = object.mPairMs ?? 0;
     return message;
   },
 };
@@ -2526,6 +2759,10 @@
   }
 }
 
+function floatToJson(value: number | null | undefined): number | string | null | undefined {
+  return typeof value === "number" && !globalThis.Number.isFinite(value) ? globalThis.String(value) : value;
+}
+
 type Builtin = Date | Function | Uint8Array | string | number | boolean | undefined;
 
 export type DeepPartial<T> = T extends Builtin ? T
--- a/src/placement/leaseKeeper.ts
+++ b/src/placement/leaseKeeper.ts
@@ -15,6 +15,7 @@
 import type { LeaseState } from "../control/leaseState.js";
 import { ABSENT } from "../store/index.js";
 import type { FeedItem, ObjectFeed } from "../store/index.js";
+import type { ReadCost } from "../scheduling/index.js";
 import type { Log } from "../telemetry/index.js";
 
 /** Object kind of leases; named by their service. */
@@ -28,10 +29,23 @@
   beat: z.number(),
   /** Where the holder places requests. */
   address: z.string(),
+  /**
+   * What the holder has learnt of its engines' pace, so that the next one
+   * need not begin with guesses; absent while it has learnt nothing.
+   */
+  pace: z
+    .object({ fixedMs: z.number(), tokenMs: z.number(), mPairMs: z.number() })
+    .optional(),
 });
 
 type StoredLease = z.infer<typeof leaseSchema>;
 
+/** One state of a lease: it changes with each renewal. */
+export interface LeaseMark {
+  epoch: number;
+  beat: number;
+}
+
 export interface LeaseKeeperOptions {
   feed: ObjectFeed;
   service: string;
@@ -40,6 +54,10 @@
   leaseMs: number;
   /** How long it leaves a free lease to others, ms. */
   patienceMs: number;
+  /** What this process has learnt of its engines' pace. */
+  pace(): ReadCost | undefined;
+  /** Another holder's word of it was read. */
+  onPace(cost: ReadCost): void;
   log: Log;
   now: () => number;
 }
@@ -49,6 +67,8 @@
   private stored: StoredLease | undefined;
   private revision = ABSENT;
   private mustRead = true;
+  /** Whether this process has sought it in this life. */
+  private hasHeld = false;
   /** Since when it has been looking for a holder, ms. */
   private lookingSince: number | undefined;
 
@@ -76,6 +96,35 @@
     return isSelf ? undefined : this.stored.address;
   }
 
+  /**
+   * The lease of an earlier life of this process, on this machine: nobody
+   * holds it any more, so that there is nothing to wait for.
+   */
+  private get isOwnLeftover(): boolean {
+    const { self, address } = this.options;
+    const { stored } = this;
+    const isOwn = stored?.holder === self && stored.address === address;
+    return isOwn && !this.isHolder && !this.hasHeld;
+  }
+
+  /** The holder said that its lease stood so a moment ago. */
+  hear(told: LeaseMark): void {
+    const { stored } = this;
+    if (this.isHolder || stored === undefined) return;
+    if (told.epoch !== stored.epoch || told.beat < stored.beat) return;
+    const lease = { ...stored, beat: told.beat };
+    this.stored = lease;
+    const { self, now } = this.options;
+    this.state = seeLease(this.state, lease, self, now());
+  }
+
+  /** What this process wrote last as the holder; undefined for others. */
+  get mark(): LeaseMark | undefined {
+    if (!this.isHolder || this.stored === undefined) return undefined;
+    const { epoch, beat } = this.stored;
+    return { epoch, beat };
+  }
+
   /** One step; `mustLook`: the holder can't be reached or is unsure. */
   async step(mustLook: boolean): Promise<void> {
     const { self, leaseMs, now } = this.options;
@@ -85,7 +134,10 @@
     }
     this.lookingSince ??= now();
     if (this.mustRead || !this.isHolder) await this.read();
-    switch (leaseStep(this.state, self, leaseMs, now())) {
+    const next = this.isOwnLeftover
+      ? "take"
+      : leaseStep(this.state, self, leaseMs, now());
+    switch (next) {
       case "wait":
         return;
       case "renew":
@@ -113,6 +165,8 @@
     const before = this.stored;
     this.stored = parsed.data;
     this.revision = item?.revision ?? ABSENT;
+    const { holder, pace } = parsed.data ?? {};
+    if (pace !== undefined && holder !== self) this.options.onPace(pace);
     const hasOtherEpoch = before?.epoch !== parsed.data?.epoch;
     this.state = seeLease(this.state, parsed.data ?? null, self, now());
     if (hasOtherEpoch) {
@@ -126,9 +180,11 @@
 
   private async write(epoch: number, beat: number): Promise<void> {
     const { feed, service, self, address, log, now } = this.options;
-    const lease: StoredLease = { holder: self, epoch, beat, address };
+    const pace = this.options.pace();
+    const lease: StoredLease = { holder: self, epoch, beat, address, pace };
     const sentAt = now();
     const result = await feed.write(LEASE_KIND, service, lease, this.revision);
+    if (result.kind !== "refused") this.hasHeld = true;
     switch (result.kind) {
       case "written": {
         const isNew = !this.isHolder;
--- a/src/placement/localPlacement.ts
+++ b/src/placement/localPlacement.ts
@@ -6,6 +6,7 @@
   PlacementAnswer,
   PlacementAsk,
   PlacementEvent,
+  Queued,
 } from "../scheduling/index.js";
 import type { Placement } from "./types.js";
 
@@ -17,20 +18,37 @@
   now: () => number;
 }
 
+/** Gets the answer of a request that was queued. */
+type OnAnswer = (answer: PlacementAnswer) => void;
+
+/** While requests wait, engines that come free are looked for each, ms. */
+const SETTLE_MS = 20;
+
 export class LocalPlacement implements Placement {
   private readonly schedulers = new Map<string, EngineScheduler>();
+  /** By id of the request that waits. */
+  private readonly queued = new Map<string, OnAnswer>();
+  private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly options: LocalPlacementOptions) {}
 
-  async place(ask: PlacementAsk): Promise<PlacementAnswer> {
-    return this.placeNow(ask);
+  place(ask: PlacementAsk): Promise<PlacementAnswer> {
+    return new Promise((resolve) => {
+      const answer = this.placeNow(ask, resolve);
+      if (answer.kind !== "queued") resolve(answer);
+    });
   }
 
-  /** The same without waiting. */
-  placeNow(ask: PlacementAsk): PlacementAnswer {
+  /** The same without waiting; `onAnswer` is called where it is queued. */
+  placeNow(ask: PlacementAsk, onAnswer: OnAnswer): PlacementAnswer | Queued {
     const scheduler = this.scheduler(ask.service);
     scheduler.setEngines(this.options.engines(ask.service));
-    return scheduler.place(ask, this.options.now());
+    const answer = scheduler.place(ask, this.options.now());
+    if (answer.kind === "queued") {
+      this.queued.set(ask.id, onAnswer);
+      this.timer ??= setTimeout(() => this.onTime(), SETTLE_MS);
+    }
+    return answer;
   }
 
   /** Takes over a grant that another scheduler has given. */
@@ -41,7 +59,15 @@
   }
 
   note(service: string, event: PlacementEvent): void {
-    this.scheduler(service).onEvent(event, this.options.now());
+    const scheduler = this.scheduler(service);
+    scheduler.onEvent(event, this.options.now());
+    if (event.kind === "ended") this.queued.delete(event.id);
+    this.settle(scheduler);
+  }
+
+  /** The request is given up; what waits for it hears nothing more. */
+  withdraw(service: string, id: string): void {
+    this.note(service, { kind: "ended", id, ok: true, firstEventMs: 0 });
   }
 
   scheduler(service: string): EngineScheduler {
@@ -58,4 +84,26 @@
       scheduler.expire(this.options.now());
     }
   }
+
+  close(): void {
+    clearTimeout(this.timer);
+  }
+
+  private onTime(): void {
+    this.timer = undefined;
+    for (const [service, scheduler] of this.schedulers) {
+      scheduler.setEngines(this.options.engines(service));
+      this.settle(scheduler);
+    }
+    if (this.queued.size === 0) return;
+    this.timer = setTimeout(() => this.onTime(), SETTLE_MS);
+  }
+
+  private settle(scheduler: EngineScheduler): void {
+    for (const { id, answer } of scheduler.settle(this.options.now())) {
+      const onAnswer = this.queued.get(id);
+      this.queued.delete(id);
+      onAnswer?.(answer);
+    }
+  }
 }
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -5,8 +5,10 @@
   PlacementAnswer,
   PlacementAsk,
   PlacementEvent,
-  Refusal,
+  Queued,
+  ReadCost,
 } from "../scheduling/index.js";
+import { REFUSAL_CAUSES } from "../scheduling/index.js";
 
 const whole = (value: number): number => Math.max(0, Math.round(value));
 
@@ -33,17 +35,19 @@
 export const toPlaceEvent = (event: PlacementEvent): PlaceEvent => ({
   id: event.id,
   kind: event.kind,
-  ok: event.kind === "begun" || event.ok,
+  ok: event.kind === "read" || event.kind === "ended" ? event.ok : true,
   tookMs: event.kind === "ended" ? whole(event.firstEventMs) : 0,
+  engine: event.kind === "wrong-stage" ? event.engine : "",
 });
 
 /** Undefined for a kind that this version does not know. */
 export const fromPlaceEvent = (
   event: PlaceEvent,
 ): PlacementEvent | undefined => {
-  const { id, kind, ok, tookMs } = event;
+  const { id, kind, ok, tookMs, engine } = event;
   if (kind === "begun") return { kind, id };
   if (kind === "read") return { kind, id, ok };
+  if (kind === "wrong-stage") return { kind, id, engine };
   if (kind === "ended") return { kind, id, ok, firstEventMs: tookMs };
   return undefined;
 };
@@ -54,11 +58,16 @@
   isFresh: boolean;
   /** Place of the standby that is told, among those that take over. */
   standbyRank: number;
+  /** What it has learnt of reading; undefined where nothing is new. */
+  readPace: ReadCost | undefined;
+  /** Its lease as it wrote it last; zeros where it has none. */
+  leaseEpoch: number;
+  leaseBeat: number;
 }
 
 export const toPlaceReply = (
   id: string,
-  answer: PlacementAnswer | undefined,
+  answer: PlacementAnswer | Queued | undefined,
   state: HolderState,
 ): PlaceReply => {
   const isGrant = answer?.kind === "granted";
@@ -71,12 +80,11 @@
     readMs: isGrant ? whole(answer.readMs) : 0,
     refusal: isRefusal ? answer.why : "",
     retryAfterMs: isRefusal ? whole(answer.retryAfterMs) : 0,
+    isQueued: answer?.kind === "queued",
     ...state,
   };
 };
 
-const REFUSALS: readonly Refusal["why"][] = ["no-engine", "slots", "too-late"];
-
 /** An empty text stands for none. */
 export const nameIn = (text: string): string | undefined =>
   text === "" ? undefined : text;
@@ -88,6 +96,7 @@
     const donor = nameIn(reply.donor);
     return { kind: "granted", reader, runner, donor, readMs } satisfies Grant;
   }
-  const why = REFUSALS.find((item) => item === reply.refusal) ?? "too-late";
+  const why =
+    REFUSAL_CAUSES.find((item) => item === reply.refusal) ?? "too-late";
   return { kind: "refused", why, retryAfterMs: reply.retryAfterMs };
 };
--- a/src/placement/placementClient.ts
+++ b/src/placement/placementClient.ts
@@ -13,7 +13,7 @@
 import type { Log } from "../telemetry/index.js";
 import { fromPlaceReply, toPlaceAsk, toPlaceEvent } from "./messages.js";
 import type { HolderState } from "./messages.js";
-import { KEEPALIVE_OPTIONS } from "./placementServer.js";
+import { KEEPALIVE_OPTIONS, STANDBYS_AT_ONCE } from "./placementServer.js";
 
 /**
  * An ask without an answer by then is placed here, ms. A holder that is busy
@@ -28,9 +28,17 @@
 /** A holder that has answered nothing for so long counts as lost, ms. */
 const LOST_MS = 400;
 
+/**
+ * A standby that is told the holder's state each 300 ms counts it as lost
+ * after a silence of so long, ms: two in a row may be late.
+ */
+const BEATS_LOST_MS = 900;
+
 interface Waiting {
   resolve(answer: PlacementAnswer | undefined): void;
   timer: NodeJS.Timeout;
+  /** The holder has it, and answers when an engine comes free. */
+  isQueued: boolean;
 }
 
 export interface PlacementClientOptions {
@@ -51,10 +59,14 @@
   private readonly client: SchedulingClient;
   private readonly stream: ClientDuplexStream<PlaceCall, PlaceReply>;
   private readonly waiting = new Map<string, Waiting>();
+  private queuedCount = 0;
   private events: PlaceEvent[] = [];
   private eventTimer: NodeJS.Timeout | undefined;
   /** When the first ask since the last answer was sent, ms. */
   private silentSince: number | undefined;
+  /** States that a standby was told. */
+  private beats = 0;
+  private beatTimer: NodeJS.Timeout | undefined;
   private isLost = false;
   /** The holder has accepted the stream. */
   private isReady = false;
@@ -86,9 +98,9 @@
     return this.options.address;
   }
 
-  /** Asks that are not answered yet. */
+  /** Asks that the holder has not taken up yet. */
   get waitingCount(): number {
-    return this.waiting.size;
+    return this.waiting.size - this.queuedCount;
   }
 
   /** The holder's answer; undefined if it can't be had. */
@@ -99,12 +111,18 @@
       // timer comes before it, what it sets off comes after.
       const giveUp = () => setImmediate(() => this.onUnanswered(ask.id));
       const timer = setTimeout(giveUp, ANSWER_MS);
-      this.waiting.set(ask.id, { resolve, timer });
+      this.waiting.set(ask.id, { resolve, timer, isQueued: false });
       this.silentSince ??= this.options.now();
       this.send({ ask: toPlaceAsk(ask) });
     });
   }
 
+  /** Takes an ask back; it is not answered any more. */
+  withdraw(id: string): void {
+    if (this.take(id) === undefined) return;
+    this.note({ kind: "ended", id, ok: true, firstEventMs: 0 });
+  }
+
   /** Told with the next ask, or soon. */
   note(event: PlacementEvent): void {
     if (this.isLost) return;
@@ -140,25 +158,65 @@
   }
 
   private onReply(reply: PlaceReply): void {
-    const { entries, isFresh, standbyRank } = reply;
+    const { id, entries, isFresh, standbyRank, readPace } = reply;
     this.silentSince = undefined;
-    this.options.onState({ entries, isFresh, standbyRank });
-    const waiting = this.waiting.get(reply.id);
-    if (waiting !== undefined) {
-      this.waiting.delete(reply.id);
-      clearTimeout(waiting.timer);
-      return waiting.resolve(fromPlaceReply(reply));
-    }
+    const { leaseEpoch, leaseBeat } = reply;
+    const lease = { leaseEpoch, leaseBeat };
+    this.options.onState({
+      entries,
+      isFresh,
+      standbyRank,
+      readPace,
+      ...lease,
+    });
+    this.watchBeats(standbyRank);
+    if (reply.isQueued) return this.onQueued(id);
+    const waiting = this.take(id);
+    if (waiting !== undefined) return waiting.resolve(fromPlaceReply(reply));
     // Too late: the request was placed here, so the grant is given back.
     if (reply.runner === "") return;
-    this.note({ kind: "ended", id: reply.id, ok: true, firstEventMs: 0 });
+    this.note({ kind: "ended", id, ok: true, firstEventMs: 0 });
   }
 
-  private onUnanswered(id: string): void {
+  /** The first standbys hear from the holder all the time. */
+  private watchBeats(standbyRank: number): void {
+    clearTimeout(this.beatTimer);
+    if (!this.options.isStandby || standbyRank >= STANDBYS_AT_ONCE) return;
+    // After a pause of this process the next one may be there, unread.
+    const onSilence = () => setImmediate(() => this.loseAfter(heard));
+    this.beats += 1;
+    const heard = this.beats;
+    this.beatTimer = setTimeout(onSilence, BEATS_LOST_MS);
+  }
+
+  private loseAfter(heard: number): void {
+    if (this.beats === heard) this.lose("the holder says nothing");
+  }
+
+  private onQueued(id: string): void {
+    const waiting = this.waiting.get(id);
+    // Placed here meanwhile: it must not wait there any longer.
+    if (waiting === undefined)
+      return this.note({ kind: "ended", id, ok: true, firstEventMs: 0 });
+    clearTimeout(waiting.timer);
+    waiting.isQueued = true;
+    this.queuedCount += 1;
+  }
+
+  /** Ends the wait for an answer. */
+  private take(id: string): Waiting | undefined {
     const waiting = this.waiting.get(id);
-    if (waiting === undefined) return;
+    if (waiting === undefined) return undefined;
     this.waiting.delete(id);
-    waiting.resolve(undefined);
+    clearTimeout(waiting.timer);
+    if (waiting.isQueued) this.queuedCount -= 1;
+    return waiting;
+  }
+
+  private onUnanswered(id: string): void {
+    const waiting = this.waiting.get(id);
+    if (waiting === undefined || waiting.isQueued) return;
+    this.take(id)?.resolve(undefined);
     const { now } = this.options;
     const silentMs = now() - (this.silentSince ?? now());
     if (silentMs >= LOST_MS) this.lose("asks are not answered");
@@ -169,6 +227,7 @@
     this.isLost = true;
     clearTimeout(this.connectTimer);
     clearTimeout(this.eventTimer);
+    clearTimeout(this.beatTimer);
     for (const { resolve, timer } of this.waiting.values()) {
       clearTimeout(timer);
       resolve(undefined);
--- a/src/placement/placementServer.ts
+++ b/src/placement/placementServer.ts
@@ -5,7 +5,9 @@
 import { SchedulingService } from "../gen/snowgate.js";
 import type { PlaceCall, PlaceReply } from "../gen/snowgate.js";
 import { splitAddress } from "../http/index.js";
+import type { PlacementAnswer, Queued, ReadCost } from "../scheduling/index.js";
 import type { Log } from "../telemetry/index.js";
+import type { LeaseMark } from "./leaseKeeper.js";
 import type { LocalPlacement } from "./localPlacement.js";
 import {
   fromPlaceAsk,
@@ -25,6 +27,12 @@
   "grpc.http2.min_ping_interval_without_data_ms": 500,
 } as const;
 
+/**
+ * Standbys that look for a lost lease at once; as many more follow after each
+ * pause, so that a large fleet does not ask the store all at once.
+ */
+export const STANDBYS_AT_ONCE = 3;
+
 type PlaceStream = ServerDuplexStream<PlaceCall, PlaceReply>;
 
 /** Standbys of one service, in the order in which they came. */
@@ -38,6 +46,8 @@
   isHolder(service: string): boolean;
   /** Whether that lease was renewed lately. */
   isFresh(service: string): boolean;
+  /** That lease as this process wrote it last. */
+  leaseMark(service: string): LeaseMark | undefined;
   log: Log;
 }
 
@@ -47,6 +57,10 @@
   private readonly streams = new Map<string, Set<PlaceStream>>();
   /** Standbys and what they were told last, by service. */
   private readonly standbys = new Map<string, Standbys>();
+  /** Ids of asks that wait for an engine, by stream. */
+  private readonly waiting = new Map<PlaceStream, Set<string>>();
+  /** What each stream was told of reading last. */
+  private readonly toldPace = new WeakMap<PlaceStream, ReadCost | undefined>();
 
   constructor(private readonly options: PlacementServerOptions) {
     this.server.addService(SchedulingService, {
@@ -73,17 +87,20 @@
   }
 
   /**
-   * Tells standbys what has changed since they were told last. They ask for
-   * nothing, so they learn only by this that the holder has lost its lease.
+   * Tells the first standbys that the holder lives, and the others what has
+   * changed. They ask for nothing, so that they would learn only from a lost
+   * connection, seconds later, that there is no holder any more.
    */
   tellStandbys(service: string): void {
     const standbys = this.standbys.get(service) ?? new Map();
-    const { isFresh, entries } = this.state(service);
     let standbyRank = 0;
     for (const [stream, told] of standbys) {
+      const state = this.state(service, stream, standbyRank);
       const isNews =
-        told?.isFresh !== isFresh || told.standbyRank !== standbyRank;
-      const state = { isFresh, entries, standbyRank };
+        standbyRank < STANDBYS_AT_ONCE ||
+        told?.isFresh !== state.isFresh ||
+        told.standbyRank !== standbyRank ||
+        state.readPace !== undefined;
       if (isNews) {
         standbys.set(stream, state);
         stream.write(toPlaceReply("", undefined, state));
@@ -110,6 +127,10 @@
     });
     const leave = () => {
       if (service === undefined) return;
+      const { placement } = this.options;
+      const waiting = this.waiting.get(stream) ?? [];
+      this.waiting.delete(stream);
+      for (const id of waiting) placement.withdraw(service, id);
       this.streams.get(service)?.delete(stream);
       this.standbys.get(service)?.delete(stream);
     };
@@ -159,16 +180,53 @@
       });
     }
     if (ask !== undefined) {
-      const answer = placement.placeNow(fromPlaceAsk(service, ask));
-      stream.write(toPlaceReply(ask.id, answer, this.state(service)));
+      const { id } = ask;
+      const answer = placement.placeNow(fromPlaceAsk(service, ask), (later) => {
+        this.waiting.get(stream)?.delete(id);
+        this.reply(service, stream, id, later);
+      });
+      if (answer.kind === "queued") this.noteWaiting(stream, id);
+      this.reply(service, stream, id, answer);
     }
   }
 
-  private state(service: string): HolderState {
+  private reply(
+    service: string,
+    stream: PlaceStream,
+    id: string,
+    answer: PlacementAnswer | Queued,
+  ): void {
+    const state = this.state(service, stream, 0);
+    stream.write(toPlaceReply(id, answer, state));
+  }
+
+  private state(
+    service: string,
+    stream: PlaceStream,
+    standbyRank: number,
+  ): HolderState {
+    const { epoch = 0, beat = 0 } = this.options.leaseMark(service) ?? {};
     return {
       entries: this.entries(service),
       isFresh: this.options.isFresh(service),
-      standbyRank: 0,
+      standbyRank,
+      readPace: this.paceNews(service, stream),
+      leaseEpoch: epoch,
+      leaseBeat: beat,
     };
   }
+
+  private noteWaiting(stream: PlaceStream, id: string): void {
+    const known = this.waiting.get(stream) ?? new Set();
+    known.add(id);
+    this.waiting.set(stream, known);
+  }
+
+  /** What was learnt of reading since that stream was told. */
+  private paceNews(service: string, stream: PlaceStream): ReadCost | undefined {
+    const { known } = this.options.placement.scheduler(service).pace;
+    if (known === this.toldPace.get(stream)) return undefined;
+    this.toldPace.set(stream, known);
+    return known;
+  }
 }
--- a/src/placement/sharedPlacement.ts
+++ b/src/placement/sharedPlacement.ts
@@ -8,13 +8,16 @@
   PlacementAnswer,
   PlacementAsk,
   PlacementEvent,
+  ReadCost,
 } from "../scheduling/index.js";
 import type { ObjectFeed } from "../store/index.js";
 import type { Log } from "../telemetry/index.js";
 import { AskLimit } from "./askLimit.js";
 import { LeaseKeeper } from "./leaseKeeper.js";
+import type { LeaseMark } from "./leaseKeeper.js";
 import type { LocalPlacement } from "./localPlacement.js";
 import { PlacementClient } from "./placementClient.js";
+import { STANDBYS_AT_ONCE } from "./placementServer.js";
 import type { Placement } from "./types.js";
 
 /** Entries assumed to share the engines while none was counted. */
@@ -26,11 +29,6 @@
  */
 const GUESSED_PART = 0.5;
 
-/**
- * Standbys that look for a lost lease at once; as many more follow after each
- * pause, so that a large fleet does not ask the store all at once.
- */
-const STANDBYS_AT_ONCE = 3;
 /** Pause between two such groups, ms: as long as a takeover takes. */
 const STANDBY_PAUSE_MS = 2000;
 
@@ -90,11 +88,18 @@
       if (answer.kind === "granted") local.adopt(ask, answer);
       return this.used(ask, answer);
     }
-    const own = local.placeNow(ask);
-    if (own.kind === "granted") client?.tellHeld(ask, own);
+    const own = await local.place(ask);
+    const { client: newest } = this.links.get(ask.service) ?? {};
+    if (own.kind === "granted") newest?.tellHeld(ask, own);
     return this.used(ask, own);
   }
 
+  withdraw(service: string, id: string): void {
+    this.inUse.delete(id);
+    this.options.local.withdraw(service, id);
+    this.links.get(service)?.client?.withdraw(id);
+  }
+
   note(service: string, event: PlacementEvent): void {
     if (event.kind === "ended") this.inUse.delete(event.id);
     this.options.local.note(service, event);
@@ -125,6 +130,11 @@
     return this.links.get(service)?.keeper.epoch ?? 0;
   }
 
+  /** The lease as this process wrote it last, if it holds it. */
+  leaseMark(service: string): LeaseMark | undefined {
+    return this.links.get(service)?.keeper.mark;
+  }
+
   /** Most entries that place on the engines of any of these services. */
   entries(services: readonly string[]): number {
     const counts = services.map((service) => {
@@ -166,7 +176,8 @@
   }
 
   private addLink(service: string): HolderLink {
-    const { feed, self, address, leaseMs, patienceMs, log, now } = this.options;
+    const { local, feed, self, address, leaseMs, patienceMs, log, now } =
+      this.options;
     const keeper = new LeaseKeeper({
       feed,
       service,
@@ -174,6 +185,8 @@
       address: address(),
       leaseMs,
       patienceMs,
+      pace: () => local.scheduler(service).pace.known,
+      onPace: (cost) => this.restorePace(service, cost),
       log,
       now,
     });
@@ -197,13 +210,17 @@
       isStandby: this.options.isStandby,
       log,
       now: this.options.now,
-      onState: ({ entries, isFresh, standbyRank }) => {
+      onState: ({ entries, isFresh, standbyRank, readPace, ...lease }) => {
+        const { leaseEpoch: epoch, leaseBeat: beat } = lease;
+        link.keeper.hear({ epoch, beat });
+        if (readPace !== undefined) this.restorePace(service, readPace);
         link.entries = entries;
         link.isFresh = isFresh;
         const group = Math.floor(standbyRank / STANDBYS_AT_ONCE);
         link.leaveMs = group * STANDBY_PAUSE_MS;
       },
       onAccepted: () => {
+        link.isFresh = true;
         const message = this.options.isStandby
           ? "standing by for the holder"
           : "placing through the holder";
@@ -215,12 +232,18 @@
       },
     });
     link.client = client;
-    link.isFresh = true;
+    // Until it accepts, the lease has to be looked at: it may be gone.
+    link.isFresh = false;
     for (const { ask, grant } of this.inUse.values()) {
       if (ask.service === service) client.tellHeld(ask, grant);
     }
   }
 
+  /** What another process has learnt of the engines' pace. */
+  private restorePace(service: string, cost: ReadCost): void {
+    this.options.local.scheduler(service).pace.restore(cost);
+  }
+
   private used(ask: PlacementAsk, answer: PlacementAnswer): PlacementAnswer {
     if (answer.kind === "granted") {
       this.inUse.set(ask.id, { ask, grant: answer });
--- a/src/scheduling/engineState.ts
+++ b/src/scheduling/engineState.ts
@@ -3,32 +3,34 @@
  * runs, the cache and the measured pace. All times are ms of one clock.
  */
 import { LRUCache } from "lru-cache";
+import { median } from "simple-statistics";
 
 import type { KeyedPart } from "./promptCache.js";
+import { addWork, workOf } from "./readPace.js";
+import type { ReadPace, ReadWork } from "./readPace.js";
 import type { EngineView } from "./types.js";
 
-/**
- * Prior of the time to read one token, ms; each engine's own pace is learnt
- * as a factor on top. From the engines of the first deployments (3 tokens in
- * 10 microseconds).
- */
-const READ_MS_PER_TOKEN = 1 / 300;
-/** Prior of the time for one million pairs of tokens in attention, ms. */
-const READ_MS_PER_M_PAIRS = 0.15;
 /** An engine that makes tokens reads at half the pace. */
 const DECODE_READ_FACTOR = 2;
-/** Weight of one new measurement of the pace. */
-const PACE_GAIN = 0.15;
-const SLOWEST_PACE = 20;
-const FASTEST_PACE = 0.4;
+/** Reads from which an engine is known to be slower, or quicker, than others. */
+const LEAST_RATIOS = 3;
+const KEPT_RATIOS = 7;
+/** Bounds of an engine's time over that of the others. */
+const SLOWEST_FACTOR = 20;
+const FASTEST_FACTOR = 0.3;
 /** A time shorter than this says nothing of the pace, ms. */
 const LEAST_MEASURED_MS = 4;
+/** An engine that failed gets no work for this long at first, ms. */
+const FIRST_CLOSE_MS = 700;
+export const LONGEST_CLOSE_MS = 6000;
+const FAILURES_TO_CLOSE = 2;
 /** Share of the memory that idle cached parts can be expected to keep. */
 const CACHE_SHARE = 0.85;
 /** A grant nobody reported on is dropped after this, ms. */
 const GRANT_LOST_MS = 6000;
 
 interface Read {
+  work: ReadWork;
   costMs: number;
   at: number;
 }
@@ -46,20 +48,52 @@
   /** When it will have read all that was given to it. */
   private freeAt = 0;
   private lastReadEnd = 0;
-  /** Measured time to read over the prior's. */
-  pace = 1;
+  /** Read since the last measurement, in a time too short for one. */
+  private unmeasured: ReadWork | undefined;
+  private unmeasuredSince = 0;
+  /** Times of the last reads over those of the service's engines. */
+  private readonly ratios: number[] = [];
   runTokens = 0;
-  /** No work before this instant: it failed, or changes its stage. */
-  closedUntil = 0;
-  failures = 0;
-
-  constructor(public view: EngineView) {
+  /** No work before this instant: it changes its stage. */
+  changesUntil = 0;
+  /** No work before this instant, where others can do it: it failed. */
+  private closedUntil = 0;
+  private failures = 0;
+
+  constructor(
+    public view: EngineView,
+    /** Of all engines of the service. */
+    private readonly pace: ReadPace,
+  ) {
     this.cache = new LRUCache<string, number>({
       maxSize: Math.max(1, Math.floor(view.kvCapacityTokens * CACHE_SHARE)),
       sizeCalculation: (tokens) => Math.max(1, tokens),
     });
   }
 
+  /** The list says this of it now; news of its stage end any doubt. */
+  see(view: EngineView): void {
+    if (view.stage !== this.view.stage) this.changesUntil = 0;
+    this.view = view;
+  }
+
+  isClosed(now: number): boolean {
+    return this.closedUntil > now;
+  }
+
+  /** A send to it ended well, or didn't. */
+  judge(ok: boolean, now: number): void {
+    if (ok) {
+      this.failures = 0;
+      return;
+    }
+    this.failures += 1;
+    if (this.failures < FAILURES_TO_CLOSE || this.isClosed(now)) return;
+    const times = this.failures - FAILURES_TO_CLOSE;
+    const pause = Math.min(LONGEST_CLOSE_MS, FIRST_CLOSE_MS * 2 ** times);
+    this.closedUntil = now + pause;
+  }
+
   get readCount(): number {
     return this.reads.size;
   }
@@ -80,12 +114,7 @@
 
   /** Time to read a prompt of which `cached` tokens are held, ms. */
   readCostMs(promptTokens: number, cached: number): number {
-    const fresh = Math.max(0, promptTokens - cached);
-    const pairs = fresh * (cached + fresh / 2);
-    const prior =
-      fresh * READ_MS_PER_TOKEN + (pairs / 1e6) * READ_MS_PER_M_PAIRS;
-    const factor = this.view.stage === "decode" ? DECODE_READ_FACTOR : 1;
-    return prior * this.pace * factor;
+    return this.costMs(workOf(promptTokens, cached));
   }
 
   /** Time until it has read what it was given, ms. */
@@ -93,17 +122,18 @@
     return Math.max(0, this.freeAt - now);
   }
 
-  addRead(id: string, costMs: number, now: number): void {
-    this.reads.set(id, { costMs, at: now });
+  addRead(id: string, work: ReadWork, costMs: number, now: number): void {
+    this.reads.set(id, { work, costMs, at: now });
     this.freeAt = Math.max(now, this.freeAt) + costMs;
   }
 
-  /** A read ended; what is left begins now. */
-  endRead(id: string, ok: boolean, now: number): void {
+  /** A read ended; what is left begins now. `isMeasure`: its time counts. */
+  endRead(id: string, isMeasure: boolean, now: number): void {
     const read = this.reads.get(id);
     if (read === undefined) return;
     this.reads.delete(id);
-    if (ok) this.learnPace(read, now);
+    if (isMeasure) this.measure(read, now);
+    else this.unmeasured = undefined;
     this.lastReadEnd = now;
     this.freeAt = now + this.outstandingReadMs();
   }
@@ -140,12 +170,40 @@
     return sum;
   }
 
-  private learnPace(read: Read, now: number): void {
+  private costMs(work: ReadWork): number {
+    const stageFactor = this.view.stage === "decode" ? DECODE_READ_FACTOR : 1;
+    return this.pace.expectMs(work) * this.factor * stageFactor;
+  }
+
+  /** Its time to read over that of the other engines. */
+  private get factor(): number {
+    const { ratios } = this;
+    if (ratios.length < LEAST_RATIOS) return 1;
+    return Math.min(SLOWEST_FACTOR, Math.max(FASTEST_FACTOR, median(ratios)));
+  }
+
+  /**
+   * An engine reads one prompt after the other, so the time since the end of
+   * the one before is this one's. Reads that end together are measured as one.
+   */
+  private measure(read: Read, now: number): void {
     const begun = Math.max(read.at, this.lastReadEnd);
-    const tookMs = now - begun;
-    if (read.costMs < LEAST_MEASURED_MS || tookMs <= 0) return;
-    const seen = (tookMs / read.costMs) * this.pace;
-    const bounded = Math.min(SLOWEST_PACE, Math.max(FASTEST_PACE, seen));
-    this.pace += (bounded - this.pace) * PACE_GAIN;
+    if (read.at >= this.lastReadEnd) this.unmeasured = undefined;
+    const { unmeasured } = this;
+    const work = unmeasured ? addWork(unmeasured, read.work) : read.work;
+    const since = unmeasured ? this.unmeasuredSince : begun;
+    const tookMs = now - since;
+    if (tookMs < LEAST_MEASURED_MS) {
+      this.unmeasured = work;
+      this.unmeasuredSince = since;
+      return;
+    }
+    this.unmeasured = undefined;
+    const { isSure } = this.pace;
+    const expectedMs = this.pace.expectMs(work);
+    this.pace.observe(work, tookMs);
+    if (!isSure || expectedMs < LEAST_MEASURED_MS) return;
+    this.ratios.push(tookMs / expectedMs);
+    if (this.ratios.length > KEPT_RATIOS) this.ratios.shift();
   }
 }
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -1,8 +1,9 @@
 export { EngineScheduler } from "./scheduler.js";
-export type { SchedulerLoad } from "./scheduler.js";
+export type { SchedulerLoad, Settled } from "./scheduler.js";
+export type { ReadCost } from "./readPace.js";
 export { planStages } from "./stagePlanner.js";
 export type { PlannedEngine, StageChange } from "./stagePlanner.js";
-export { STAGES } from "./types.js";
+export { REFUSAL_CAUSES, STAGES } from "./types.js";
 export type {
   CachePart,
   EngineView,
@@ -10,6 +11,7 @@
   PlacementAnswer,
   PlacementAsk,
   PlacementEvent,
+  Queued,
   Refusal,
   Stage,
 } from "./types.js";
--- a/src/scheduling/readPlanner.ts
+++ b/src/scheduling/readPlanner.ts
@@ -22,8 +22,13 @@
 const MOVE_MS = 1;
 const MOVE_MS_PER_TOKEN = 0.0004;
 
+/** Counts for being too late: more than any read takes, ms. */
+const OVER_LIMIT_MS = 1e6;
+
 export interface ReadPlan {
   engine: EngineState;
+  /** Tokens that it need not read: held, or taken from another engine. */
+  cached: number;
   costMs: number;
   /** From now until it is read, ms. */
   endMs: number;
@@ -31,19 +36,27 @@
   donor: EngineState | undefined;
 }
 
-/** The prefill engine that has read the prompt first and at least cost. */
+/**
+ * The prefill engine that has read the prompt first and at least cost, one
+ * that has by `limitMs` before any other. `meant`: reading that engines are
+ * to be given first, ms.
+ */
 export const planRead = (
   ask: PlacementAsk,
   cache: PromptCache,
   open: readonly EngineState[],
+  limitMs: number,
   now: number,
+  meant: ReadonlyMap<EngineState, number> = new Map(),
 ): ReadPlan | undefined => {
   const donor = cache.donor(open);
   let best: (ReadPlan & { score: number }) | undefined;
   for (const engine of open) {
     if (engine.view.stage !== "prefill") continue;
     const plan = readAt(ask, cache, engine, donor, now);
-    const score = plan.endMs + plan.costMs * READ_WEIGHT;
+    plan.endMs += meant.get(engine) ?? 0;
+    const overMs = plan.endMs > limitMs ? OVER_LIMIT_MS : 0;
+    const score = plan.endMs + plan.costMs * READ_WEIGHT + overMs;
     if (best === undefined || score < best.score) best = { ...plan, score };
   }
   return best;
@@ -86,5 +99,11 @@
   const moveMs = isWorth ? MOVE_MS + more * MOVE_MS_PER_TOKEN : 0;
   const costMs = engine.readCostMs(ask.promptTokens, cached) + moveMs;
   const endMs = engine.backlogMs(now) + costMs;
-  return { engine, costMs, endMs, donor: isWorth ? donor.engine : undefined };
+  return {
+    engine,
+    cached,
+    costMs,
+    endMs,
+    donor: isWorth ? donor.engine : undefined,
+  };
 };
--- /dev/null
+++ b/src/scheduling/refusals.ts
@@ -0,0 +1,19 @@
+/** Why a request is refused, and when its caller may come back. Pure. */
+import type { PlacementAsk, Refusal, RefusalCause } from "./types.js";
+
+/**
+ * Part of its time after which a refused caller is told to come back. What
+ * fills the engines outlasts shorter pauses, and a caller that is refused
+ * twice is worse off; callers don't wait for longer than a third of their
+ * time.
+ */
+const RETRY_PART = 0.33;
+const LEAST_RETRY_MS = 200;
+/** A long answer needs the rest of its time: no pause is longer, ms. */
+const LONGEST_RETRY_MS = 1000;
+
+export const refuse = (ask: PlacementAsk, why: RefusalCause): Refusal => {
+  const pauseMs = Math.max(LEAST_RETRY_MS, ask.deadlineLeftMs * RETRY_PART);
+  const retryAfterMs = Math.min(LONGEST_RETRY_MS, pauseMs);
+  return { kind: "refused", why, retryAfterMs };
+};
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -4,49 +4,51 @@
  * all entries of a service while it can be reached; each entry has one of
  * its own for the time when it can't.
  */
-import { EngineState } from "./engineState.js";
+import { FadingSum } from "../shared/fadingSum.js";
+import { RunningMean } from "../shared/runningMean.js";
+import { EngineState, LONGEST_CLOSE_MS } from "./engineState.js";
 import { PromptCache } from "./promptCache.js";
 import type { KeyedPart } from "./promptCache.js";
 import { planOwnRead, planRead } from "./readPlanner.js";
 import type { ReadPlan } from "./readPlanner.js";
+import { ReadPace, workOf } from "./readPace.js";
+import { refuse } from "./refusals.js";
 import { chooseRunner, hasRoom } from "./runPlanner.js";
 import { SizeFairness } from "./sizeFairness.js";
+import { STAGES } from "./types.js";
 import type {
   EngineView,
   Grant,
   PlacementAnswer,
   PlacementAsk,
   PlacementEvent,
-  Refusal,
+  Queued,
+  RefusalCause,
 } from "./types.js";
+import { WaitQueue } from "./waitQueue.js";
+import type { ReadingLoad, WaitingAsk } from "./waitQueue.js";
 
 /** Shorter unread prompts are read where they run. */
 const LEAST_SPLIT_TOKENS = 1024;
 /** Time of the hops between the end of a read and the caller, ms. */
 const HOPS_MS = 16;
-/** Start of the estimate of a run's first event, ms after its send. */
-const FIRST_EVENT_MS = 50;
 const FIRST_EVENT_GAIN = 0.05;
-/** Start of the mean time to read a prompt, ms. */
-const MEAN_READ_MS = 20;
 const MEAN_READ_GAIN = 0.02;
 /** One token of output counts as this many of the prompt in a size. */
 const OUTPUT_WEIGHT = 10;
-/** Longest wait for a prompt that is late by its own length alone, ms. */
-const LONG_PROMPT_WAIT_MS = 30;
 /**
- * Part of its time after which a refused caller is told to come back. A rush
- * outlasts shorter pauses, and a caller that is refused twice is worse off;
- * callers don't wait for longer than a third of their time.
+ * An engine gets a prompt when it will have read the rest within the time of
+ * the hops and this many mean reads: more would fix the order too early, less
+ * would let it stand idle.
  */
-const RETRY_PART = 0.33;
-const LEAST_RETRY_MS = 200;
-/** A long answer needs the rest of its time: no pause is longer, ms. */
-const LONGEST_RETRY_MS = 1000;
-/** An engine that failed gets no work for this long at first, ms. */
-const FIRST_CLOSE_MS = 700;
-const LONGEST_CLOSE_MS = 6000;
-const FAILURES_TO_CLOSE = 2;
+const READS_AHEAD = 0.5;
+/** Requests that are looked at for engines that come free. */
+const LOOK_AHEAD = 16;
+/** Time constant of the rates of urgent reading and of runs that end, ms. */
+const RATE_MEMORY_MS = 1000;
+/** An engine that denied its stage gets no work until the list says more, ms. */
+const STAGE_DOUBT_MS = 2500;
+
 interface Placed {
   reader: EngineState | undefined;
   runner: EngineState;
@@ -61,16 +63,48 @@
   readMs: number;
 }
 
+/** The late answer to a request that was queued. */
+export interface Settled {
+  id: string;
+  answer: PlacementAnswer;
+}
+
+/** What there is to choose from for one request. */
+interface Choice {
+  ask: PlacementAsk;
+  cache: PromptCache;
+  open: readonly EngineState[];
+  now: number;
+}
+
+/** Reading that is meant for engines and not given to them yet, ms. */
+type MeantReads = Map<EngineState, number>;
+
+const sizeOf = (ask: PlacementAsk): number =>
+  ask.promptTokens + OUTPUT_WEIGHT * ask.outputTokens;
+
+/** The ask as it stands after its wait. */
+const aged = ({ ask, arrivedAt }: WaitingAsk, now: number): PlacementAsk => ({
+  ...ask,
+  objectiveLeftMs: ask.objectiveLeftMs - (now - arrivedAt),
+  deadlineLeftMs: ask.deadlineLeftMs - (now - arrivedAt),
+});
+
 export class EngineScheduler {
   private readonly engines = new Map<string, EngineState>();
   private readonly placed = new Map<string, Placed>();
   /** The list that was set last. */
   private views: readonly EngineView[] | undefined;
   private readonly fairness = new SizeFairness();
-  private firstEventMs = FIRST_EVENT_MS;
+  private readonly queue = new WaitQueue();
+  private readonly firstEventMs = new RunningMean(FIRST_EVENT_GAIN);
   /** Mean time to read the prompts that were asked for, ms. */
-  private meanReadMs = MEAN_READ_MS;
+  private readonly meanReadMs = new RunningMean(MEAN_READ_GAIN);
+  /** Urgent reading that was given out, ms. */
+  private readonly urgentMs = new FadingSum(RATE_MEMORY_MS);
+  private readonly runEnds = new FadingSum(RATE_MEMORY_MS);
   readonly asked: SchedulerLoad = { readMs: 0 };
+  readonly pace = new ReadPace();
 
   /** `share`: how many schedulers place on these engines without talking. */
   constructor(private share: () => number) {}
@@ -88,8 +122,8 @@
     }
     for (const view of views) {
       const known = this.engines.get(view.id);
-      if (known === undefined) this.engines.set(view.id, new EngineState(view));
-      else known.view = view;
+      if (known !== undefined) known.see(view);
+      else this.engines.set(view.id, new EngineState(view, this.pace));
     }
   }
 
@@ -97,74 +131,174 @@
     return [...this.engines.values()];
   }
 
-  /** Closes an engine to new work until an instant. */
+  /** Closes an engine, which changes its stage, until an instant. */
   close(id: string, until: number): void {
     const engine = this.engines.get(id);
-    if (engine !== undefined) engine.closedUntil = until;
+    if (engine !== undefined) engine.changesUntil = until;
   }
 
-  place(ask: PlacementAsk, now: number): PlacementAnswer {
-    const answer = this.decide(ask, now);
+  /** How many requests wait for an engine. */
+  get waiting(): number {
+    return this.queue.size;
+  }
+
+  place(ask: PlacementAsk, now: number): PlacementAnswer | Queued {
+    this.pace.guess(ask.objectiveLeftMs, ask.promptTokens);
+    const answer = this.admit(ask, now);
     if (ask.avoid.length === 0) {
-      const size = ask.promptTokens + OUTPUT_WEIGHT * ask.outputTokens;
-      this.fairness.count(ask.route, size, answer.kind === "granted");
+      const isServed = answer.kind !== "refused";
+      this.fairness.count(ask.route, sizeOf(ask), isServed);
     }
     return answer;
   }
 
-  private decide(ask: PlacementAsk, now: number): PlacementAnswer {
+  /** Answers of requests that waited, as far as there are any now. */
+  settle(now: number): Settled[] {
+    if (this.queue.size === 0) return [];
+    const settled: Settled[] = this.queue
+      .takeHopeless(now)
+      .map(({ ask }) => ({ id: ask.id, answer: refuse(ask, "too-late") }));
+    if (!this.hasIdleReader(now)) return settled;
+    const meant: MeantReads = new Map();
+    for (const item of this.queue.first(LOOK_AHEAD)) {
+      const answer = this.start(item, meant, now);
+      if (answer === undefined) continue;
+      this.queue.drop(item.ask.id);
+      settled.push({ id: item.ask.id, answer });
+    }
+    return settled;
+  }
+
+  /** Starts it, lets it wait, or refuses it. */
+  private admit(ask: PlacementAsk, now: number): PlacementAnswer | Queued {
+    const open = this.openEngines(ask, now);
+    const plan = planRead(
+      ask,
+      new PromptCache(ask),
+      open,
+      ask.objectiveLeftMs,
+      now,
+    );
+    const costMs = plan?.costMs ?? 0;
+    if (!ask.isReturn) this.asked.readMs += costMs;
+    if (costMs > 0) this.meanReadMs.add(costMs);
+    const item = this.waitingAsk(ask, costMs, now);
+    const grant = this.queue.hasBefore(item)
+      ? undefined
+      : this.start(item, new Map(), now);
+    if (grant !== undefined) return grant;
+    const hasRunner = open.some((item) => hasRoom(ask, item, this.share()));
+    const load = this.readingLoad(hasRunner, now);
+    if (!this.queue.mayWait(item, load, now)) {
+      return refuse(ask, this.whyNot(open));
+    }
+    this.queue.add(item, now);
+    return { kind: "queued" };
+  }
+
+  private waitingAsk(
+    ask: PlacementAsk,
+    costMs: number,
+    now: number,
+  ): WaitingAsk {
+    const needMs = costMs + this.afterReadMs;
+    const inTimeUntil = now + ask.objectiveLeftMs - needMs;
+    const latestStartAt = now + ask.deadlineLeftMs - needMs;
+    // Where the large ones fall behind, they wait as the others do.
+    const isBehind =
+      costMs > this.meanReadMs.value &&
+      this.fairness.lags(ask.route, sizeOf(ask));
+    const usualMs = this.meanReadMs.value + this.afterReadMs;
+    const usualUntil = now + ask.objectiveLeftMs - usualMs;
+    return {
+      ask,
+      costMs,
+      arrivedAt: now,
+      inTimeUntil: isBehind ? usualUntil : inTimeUntil,
+      latestStartAt,
+    };
+  }
+
+  private whyNot(open: readonly EngineState[]): RefusalCause {
+    const share = this.share();
+    const stages = new Set(open.map((item) => item.view.stage));
+    if (stages.size < STAGES.length) return "no-engine";
+    const runners = open.filter((item) => item.view.stage === "decode");
+    const hasSlot = runners.some(
+      (item) => item.runCount * share + 1 <= item.view.slots,
+    );
+    if (!hasSlot) return "slots";
+    return "too-late";
+  }
+
+  /**
+   * Its grant, if engines can begin it soon; `meant`: what those before it
+   * wait for, to which its own read is added if it has to wait.
+   */
+  private start(
+    item: WaitingAsk,
+    meant: MeantReads,
+    now: number,
+  ): Grant | undefined {
+    const ask = aged(item, now);
     const open = this.openEngines(ask, now);
     const share = this.share();
     const runner = chooseRunner(ask, open, share, now);
-    if (runner === undefined) {
-      const hasDecode = open.some((item) => item.view.stage === "decode");
-      return this.refuse(ask, hasDecode ? "slots" : "no-engine");
-    }
+    if (runner === undefined) return undefined;
     const cache = new PromptCache(ask);
+    const choice = { ask, open, now, cache };
     const isLong = ask.promptTokens - cache.at(runner) >= LEAST_SPLIT_TOKENS;
-    if (!isLong) return this.grant(ask, cache, undefined, runner, now);
-    const plan = planRead(ask, cache, open, now);
-    if (!ask.isReturn) this.asked.readMs += plan?.costMs ?? 0;
-    if (plan !== undefined && this.isInTime(ask, plan)) {
-      return this.grant(ask, cache, plan, runner, now);
-    }
-    const roomy = open.filter((item) => hasRoom(ask, item, share));
+    if (!isLong) return this.grant(choice, undefined, runner);
     const limitMs = ask.objectiveLeftMs - this.afterReadMs;
+    const plan = planRead(ask, cache, open, limitMs, now, meant);
+    if (plan !== undefined && this.mayBegin(plan)) {
+      if (plan.endMs <= limitMs) this.urgentMs.add(plan.costMs, now);
+      return this.grant(choice, plan, runner);
+    }
+    const roomy = open.filter((other) => hasRoom(ask, other, share));
     const own = planOwnRead(ask, cache, roomy, open, limitMs, now);
-    if (own !== undefined) return this.grant(ask, cache, own, own.engine, now);
-    if (plan === undefined) return this.refuse(ask, "no-engine");
-    if (this.mayBeLate(ask, plan)) {
-      return this.grant(ask, cache, plan, runner, now);
+    if (own !== undefined) return this.grant(choice, own, own.engine);
+    if (plan !== undefined) {
+      const before = meant.get(plan.engine) ?? 0;
+      meant.set(plan.engine, before + plan.costMs);
     }
-    return this.refuse(ask, "too-late");
+    return undefined;
   }
 
-  private isInTime(ask: PlacementAsk, plan: ReadPlan): boolean {
-    this.meanReadMs += (plan.costMs - this.meanReadMs) * MEAN_READ_GAIN;
-    return plan.endMs + this.afterReadMs <= ask.objectiveLeftMs;
+  private mayBegin(plan: ReadPlan): boolean {
+    return plan.endMs - plan.costMs <= this.startAheadMs;
   }
 
-  /**
-   * A prompt that is late by its own length alone is served late, after a
-   * short wait; where prompts of its size fall behind, after as long a wait
-   * as others have.
-   */
-  private mayBeLate(ask: PlacementAsk, plan: ReadPlan): boolean {
-    const isLateAnyway = plan.costMs + this.afterReadMs > ask.objectiveLeftMs;
-    const isLarge = plan.costMs > this.meanReadMs;
-    if (!isLateAnyway && !isLarge) return false;
-    if (plan.endMs + this.afterReadMs > ask.deadlineLeftMs) return false;
-    const waitMs = plan.endMs - plan.costMs;
-    if (isLateAnyway && waitMs <= LONG_PROMPT_WAIT_MS) return true;
-    const size = ask.promptTokens + OUTPUT_WEIGHT * ask.outputTokens;
-    const usualWaitMs =
-      ask.objectiveLeftMs - this.meanReadMs - this.afterReadMs;
-    return waitMs <= usualWaitMs && this.fairness.lags(ask.route, size);
+  /** An engine gets more when it has less than this to read, ms. */
+  private get startAheadMs(): number {
+    return HOPS_MS + this.meanReadMs.value * READS_AHEAD;
+  }
+
+  private hasIdleReader(now: number): boolean {
+    for (const engine of this.engines.values()) {
+      const isReader = engine.view.stage === "prefill";
+      if (isReader && engine.backlogMs(now) <= this.startAheadMs) return true;
+    }
+    return false;
+  }
+
+  private readingLoad(hasRunner: boolean, now: number): ReadingLoad {
+    const readers = this.engineStates().filter(
+      (item) => item.view.stage === "prefill" && item.changesUntil <= now,
+    );
+    const engines = readers.length;
+    const backlog = readers.reduce((sum, item) => sum + item.backlogMs(now), 0);
+    return {
+      engines,
+      backlogMs: backlog / Math.max(1, engines),
+      urgentShare: this.urgentMs.rate(now) / Math.max(1, engines),
+      roomMs: hasRunner ? 0 : 1 / this.runEnds.rate(now),
+    };
   }
 
   /** From the end of a read to the first event at the caller, ms. */
   private get afterReadMs(): number {
-    return this.firstEventMs + HOPS_MS;
+    return this.firstEventMs.value + HOPS_MS;
   }
 
   /** Takes over a grant that another scheduler has given. */
@@ -173,39 +307,46 @@
     if (runner === undefined || this.placed.has(ask.id)) return;
     const engine = grant.reader ? this.engines.get(grant.reader) : undefined;
     const cache = new PromptCache(ask);
-    if (engine === undefined)
-      return void this.grant(ask, cache, undefined, runner, now);
-    const costMs = engine.readCostMs(ask.promptTokens, cache.at(engine));
+    const choice = { ask, cache, open: [], now };
+    if (engine === undefined) return void this.grant(choice, undefined, runner);
+    const cached = cache.at(engine);
+    const costMs = engine.readCostMs(ask.promptTokens, cached);
     const endMs = engine.backlogMs(now) + costMs;
-    const plan = { engine, costMs, endMs, donor: undefined };
-    this.grant(ask, cache, plan, runner, now);
+    const plan = { engine, cached, costMs, endMs, donor: undefined };
+    this.grant(choice, plan, runner);
   }
 
   onEvent(event: PlacementEvent, now: number): void {
     const placed = this.placed.get(event.id);
-    if (placed === undefined) return;
+    if (placed === undefined) {
+      if (event.kind === "ended") this.queue.drop(event.id);
+      return;
+    }
     const { reader, runner, parts } = placed;
     switch (event.kind) {
       case "read":
-        reader?.endRead(event.id, event.ok, now);
-        if (reader !== undefined) this.judge(reader, event.ok, now);
+        reader?.endRead(event.id, event.ok && this.share() === 1, now);
+        reader?.judge(event.ok, now);
+        return;
+      case "wrong-stage":
+        this.close(event.engine, now + STAGE_DOUBT_MS);
         return;
       case "begun":
         runner.endRead(event.id, false, now);
         runner.remember(parts);
-        this.judge(runner, true, now);
+        runner.judge(true, now);
         return;
       case "ended":
         reader?.endRead(event.id, false, now);
         runner.endRead(event.id, false, now);
         runner.endRun(event.id);
+        this.runEnds.add(1, now);
         this.placed.delete(event.id);
         if (reader !== undefined && event.firstEventMs > 0) {
-          const more = event.firstEventMs - this.firstEventMs;
-          this.firstEventMs += more * FIRST_EVENT_GAIN;
+          this.firstEventMs.add(event.firstEventMs);
         }
         if (event.ok) runner.remember(parts);
-        this.judge(runner, event.ok, now);
+        runner.judge(event.ok, now);
         return;
     }
   }
@@ -218,25 +359,33 @@
     }
   }
 
+  /**
+   * The engines that may get the request. Those that failed lately are left
+   * out, but for a stage that would have none: a failure is better than none
+   * of them.
+   */
   private openEngines(ask: PlacementAsk, now: number): EngineState[] {
-    return [...this.engines.values()].filter(
-      (item) => item.closedUntil <= now && !ask.avoid.includes(item.view.id),
+    const able = [...this.engines.values()].filter(
+      (item) => item.changesUntil <= now && !ask.avoid.includes(item.view.id),
     );
+    const open = able.filter((item) => !item.isClosed(now));
+    const stages = new Set(open.map((item) => item.view.stage));
+    const lastResort = able.filter((item) => !stages.has(item.view.stage));
+    return [...open, ...lastResort];
   }
 
   /** `plan`: absent where the runner reads a short rest by the way. */
   private grant(
-    ask: PlacementAsk,
-    cache: PromptCache,
+    { ask, cache, now }: Choice,
     plan: ReadPlan | undefined,
     runner: EngineState,
-    now: number,
-  ): PlacementAnswer {
+  ): Grant {
     const reader = plan?.engine ?? runner;
     const { parts } = cache;
-    const costMs =
-      plan?.costMs ?? reader.readCostMs(ask.promptTokens, cache.at(reader));
-    reader.addRead(ask.id, costMs * this.share(), now);
+    const cached = plan?.cached ?? cache.at(reader);
+    const costMs = plan?.costMs ?? reader.readCostMs(ask.promptTokens, cached);
+    const work = workOf(ask.promptTokens, cached);
+    reader.addRead(ask.id, work, costMs * this.share(), now);
     reader.remember(parts);
     const needed = ask.promptTokens + ask.outputTokens;
     runner.addRun(ask.id, needed, now + ask.deadlineLeftMs, now);
@@ -252,28 +401,4 @@
       readMs: plan?.endMs ?? 0,
     };
   }
-
-  private refuse(ask: PlacementAsk, why: Refusal["why"]): Refusal {
-    const pauseMs = ask.deadlineLeftMs * RETRY_PART;
-    return {
-      kind: "refused",
-      why,
-      retryAfterMs: Math.min(
-        LONGEST_RETRY_MS,
-        Math.max(LEAST_RETRY_MS, pauseMs),
-      ),
-    };
-  }
-
-  private judge(engine: EngineState, ok: boolean, now: number): void {
-    if (ok) {
-      engine.failures = 0;
-      return;
-    }
-    engine.failures += 1;
-    if (engine.failures < FAILURES_TO_CLOSE || engine.closedUntil > now) return;
-    const times = engine.failures - FAILURES_TO_CLOSE;
-    const pause = Math.min(LONGEST_CLOSE_MS, FIRST_CLOSE_MS * 2 ** times);
-    engine.closedUntil = now + pause;
-  }
 }
--- a/src/scheduling/types.ts
+++ b/src/scheduling/types.ts
@@ -34,7 +34,7 @@
   parts: CachePart[];
   /** Left until the first event is too late to be in time. */
   objectiveLeftMs: number;
-  /** Left until the answer is worthless. */
+  /** Left until the caller gives up if it has seen nothing. */
   deadlineLeftMs: number;
   /** 0 is the most urgent. */
   priority: number;
@@ -56,9 +56,22 @@
   readMs: number;
 }
 
+export const REFUSAL_CAUSES = ["no-engine", "slots", "too-late"] as const;
+
+/**
+ * `no-engine`: none of a stage may get work; `slots`: all that make tokens
+ * are full; `too-late`: its turn would not come soon enough.
+ */
+export type RefusalCause = (typeof REFUSAL_CAUSES)[number];
+
+/** It waits for an engine; its answer comes later. */
+export interface Queued {
+  kind: "queued";
+}
+
 export interface Refusal {
   kind: "refused";
-  why: "no-engine" | "slots" | "too-late";
+  why: RefusalCause;
   /** When there may be room, ms from now. */
   retryAfterMs: number;
 }
@@ -69,6 +82,8 @@
 export type PlacementEvent =
   /** The reader has read the prompt, or failed to. */
   | { kind: "read"; id: string; ok: boolean }
+  /** An engine does not do what its stage says: known too late. */
+  | { kind: "wrong-stage"; id: string; engine: string }
   /** The runner has read the prompt itself and sent the first event. */
   | { kind: "begun"; id: string }
   /**
