Short rests of prompts judged by their time; engines that make tokens counted by what they read

Ruled out: runs that are counted and never end (the holder's counts matched). Change: a rest is read at the runner where that takes less than the hops to another engine, and only where the runner can begin it soon; such reading counts as need of engines that make tokens. Tests of the scheduler now state the pace that they assume.

--- a/src/gateway/stageKeeper.ts
+++ b/src/gateway/stageKeeper.ts
@@ -4,7 +4,11 @@
  * time to an engine, to a few engines at once, with the lease's epoch as
  * fencing number.
  */
-import type { EngineScheduler, Stage } from "../scheduling/index.js";
+import type {
+  EngineScheduler,
+  SchedulerLoad,
+  Stage,
+} from "../scheduling/index.js";
 import { planStages } from "../scheduling/index.js";
 import type { StageChange } from "../scheduling/index.js";
 import { BoundedCancellation } from "../shared/cancellation.js";
@@ -70,8 +74,10 @@
   private freshSince: number | undefined;
   private lastEpoch = 0;
   private lastStepAt: number | undefined;
-  private lastReadMs = 0;
+  private last: SchedulerLoad = { readMs: 0, restMs: 0 };
+  /** Engines that reading takes, and those that reading of rests takes. */
   private readDemand = 0;
+  private restDemand = 0;
   private peakRuns = 0;
   private peakRunTokens = 0;
 
@@ -116,14 +122,17 @@
 
   private measure(now: number): void {
     const { scheduler } = this.options;
-    const { readMs } = scheduler.asked;
+    const { readMs, restMs } = scheduler.asked;
     const spanMs = now - (this.lastStepAt ?? now);
     if (spanMs > 0) {
-      const rate = (readMs - this.lastReadMs) / spanMs;
+      const { last } = this;
       const gain = 1 - Math.exp(-spanMs / SMOOTHING_MS);
-      this.readDemand += (rate - this.readDemand) * gain;
+      const readRate = (readMs - last.readMs) / spanMs;
+      const restRate = (restMs - last.restMs) / spanMs;
+      this.readDemand += (readRate - this.readDemand) * gain;
+      this.restDemand += (restRate - this.restDemand) * gain;
     }
-    this.lastReadMs = readMs;
+    this.last = { readMs, restMs };
     this.lastStepAt = now;
     const engines = scheduler.engineStates();
     const runs = engines.reduce((sum, item) => sum + item.runCount, 0);
@@ -162,6 +171,7 @@
         changingTo: this.changing.get(engine.view.id)?.to,
       })),
       readDemand: this.readDemand,
+      restDemand: this.restDemand,
       peakRuns: this.peakRuns,
       peakRunTokens: this.peakRunTokens,
       sinceToPrefillMs: now - this.lastChange.prefill,
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -28,9 +28,10 @@
 import { WaitQueue } from "./waitQueue.js";
 import type { ReadingLoad, WaitingAsk } from "./waitQueue.js";
 
-/** Shorter unread prompts are read where they run. */
-const LEAST_SPLIT_TOKENS = 1024;
-/** Time of the hops between the end of a read and the caller, ms. */
+/**
+ * Time of the hops between the end of a read and the caller, ms. Prompts that
+ * the runner reads in less are not worth the hops to another engine.
+ */
 const HOPS_MS = 16;
 const FIRST_EVENT_GAIN = 0.05;
 const MEAN_READ_GAIN = 0.02;
@@ -61,6 +62,8 @@
 export interface SchedulerLoad {
   /** Reading time of one prefill engine, refused requests included, ms. */
   readMs: number;
+  /** Reading of short rests by engines that make tokens, ms. */
+  restMs: number;
 }
 
 /** The late answer to a request that was queued. */
@@ -103,7 +106,7 @@
   /** Urgent reading that was given out, ms. */
   private readonly urgentMs = new FadingSum(RATE_MEMORY_MS);
   private readonly runEnds = new FadingSum(RATE_MEMORY_MS);
-  readonly asked: SchedulerLoad = { readMs: 0 };
+  readonly asked: SchedulerLoad = { readMs: 0, restMs: 0 };
   readonly pace = new ReadPace();
 
   /** `share`: how many schedulers place on these engines without talking. */
@@ -247,8 +250,11 @@
     if (runner === undefined) return undefined;
     const cache = new PromptCache(ask);
     const choice = { ask, open, now, cache };
-    const isLong = ask.promptTokens - cache.at(runner) >= LEAST_SPLIT_TOKENS;
-    if (!isLong) return this.grant(choice, undefined, runner);
+    const restMs = runner.readCostMs(ask.promptTokens, cache.at(runner));
+    if (restMs <= HOPS_MS && runner.backlogMs(now) <= this.startAheadMs) {
+      this.asked.restMs += restMs;
+      return this.grant(choice, undefined, runner);
+    }
     const limitMs = ask.objectiveLeftMs - this.afterReadMs;
     const plan = planRead(ask, cache, open, limitMs, now, meant);
     if (plan !== undefined && this.mayBegin(plan)) {
--- a/src/scheduling/stagePlanner.ts
+++ b/src/scheduling/stagePlanner.ts
@@ -23,6 +23,8 @@
   engines: readonly PlannedEngine[];
   /** Reading asked for, in engines that do nothing else; smoothed. */
   readDemand: number;
+  /** Reading by engines that make tokens, in such engines; smoothed. */
+  restDemand: number;
   /** Most runs, and tokens of runs, at once over the last seconds. */
   peakRuns: number;
   peakRunTokens: number;
@@ -41,6 +43,8 @@
 const RUN_FILL = 0.75;
 /** Part of an engine's time that reading should take. */
 const READ_FILL = 0.85;
+/** Part of the time of engines that make tokens that reading should take. */
+const REST_FILL = 0.4;
 /** Engines of each stage at least, share of all. */
 const LEAST_SHARE = 0.2;
 /** Changes under way at once, share of all engines. */
@@ -58,7 +62,8 @@
   if (first === undefined) return 0;
   const bySlots = peakRuns / (first.slots * RUN_FILL);
   const byMemory = peakRunTokens / (first.kvCapacityTokens * RUN_FILL);
-  return Math.ceil(Math.max(bySlots, byMemory));
+  const byReading = question.restDemand / REST_FILL;
+  return Math.ceil(Math.max(bySlots, byMemory, byReading));
 };
 
 /** At most one change. */
--- a/tests/gateway/scheduling.test.ts
+++ b/tests/gateway/scheduling.test.ts
@@ -62,6 +62,7 @@
 
 const newScheduler = (share = 1, fleet = FLEET): EngineScheduler => {
   const scheduler = new EngineScheduler(() => share);
+  scheduler.pace.restore({ fixedMs: 0, tokenMs: 1 / 300, mPairMs: 0.15 });
   scheduler.setEngines(fleet);
   return scheduler;
 };
@@ -267,6 +268,7 @@
   ];
   const question = {
     readDemand: 1,
+    restDemand: 0,
     peakRuns: 5,
     peakRunTokens: 500,
     sinceToPrefillMs: Infinity,
@@ -323,6 +325,13 @@
     });
   }
 
+  it("leaves enough engines for the rests of prompts that runners read", () => {
+    const engines = fleet(3, 5);
+    const asked = { ...question, engines, readDemand: 4 };
+    expect(planStages({ ...asked, restDemand: 1 })?.to).to.equal("prefill");
+    expect(planStages({ ...asked, restDemand: 2 })).to.equal(undefined);
+  });
+
   it("does not turn back soon after a change", () => {
     const engines = fleet(3, 5);
     const asked = { ...question, engines, readDemand: 4 };
