--- a/src/scheduling/readPlanner.ts
+++ b/src/scheduling/readPlanner.ts
@@ -22,9 +22,6 @@
 const MOVE_MS = 1;
 const MOVE_MS_PER_TOKEN = 0.0004;
 
-/** Counts for being too late: more than any read takes, ms. */
-const OVER_LIMIT_MS = 1e6;
-
 export interface ReadPlan {
   engine: EngineState;
   /** Tokens that it need not read: held, or taken from another engine. */
@@ -37,15 +34,13 @@
 }
 
 /**
- * The prefill engine that has read the prompt first and at least cost, one
- * that has by `limitMs` before any other. `meant`: reading that engines are
- * to be given first, ms.
+ * The prefill engine that has read the prompt first and at least cost.
+ * `meant`: reading that engines are to be given first, ms.
  */
 export const planRead = (
   ask: PlacementAsk,
   cache: PromptCache,
   open: readonly EngineState[],
-  limitMs: number,
   now: number,
   meant: ReadonlyMap<EngineState, number> = new Map(),
 ): ReadPlan | undefined => {
@@ -55,8 +50,7 @@
     if (engine.view.stage !== "prefill") continue;
     const plan = readAt(ask, cache, engine, donor, now);
     plan.endMs += meant.get(engine) ?? 0;
-    const overMs = plan.endMs > limitMs ? OVER_LIMIT_MS : 0;
-    const score = plan.endMs + plan.costMs * READ_WEIGHT + overMs;
+    const score = plan.endMs + plan.costMs * READ_WEIGHT;
     if (best === undefined || score < best.score) best = { ...plan, score };
   }
   return best;
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -35,14 +35,20 @@
 const HOPS_MS = 16;
 const FIRST_EVENT_GAIN = 0.05;
 const MEAN_READ_GAIN = 0.02;
+/**
+ * Part of the objective in which an answer is planned: those that begin last
+ * would else miss it by the error of the estimate.
+ */
+const OBJECTIVE_PART = 0.85;
 /** One token of output counts as this many of the prompt in a size. */
 const OUTPUT_WEIGHT = 10;
 /**
- * An engine gets a prompt when it will have read the rest within the time of
- * the hops and this many mean reads: more would fix the order too early, less
- * would let it stand idle.
+ * An engine gets a prompt when it will have read the rest by then, ms: four
+ * times the hops, which is as far as news of it and the answer to them may
+ * lag. More would fix the order, and the engine, too early; with less it
+ * stands idle.
  */
-const READS_AHEAD = 0.5;
+const START_AHEAD_MS = 4 * HOPS_MS;
 /** Requests that are looked at for engines that come free. */
 const LOOK_AHEAD = 16;
 /** Time constant of the rates of urgent reading and of runs that end, ms. */
@@ -166,7 +172,7 @@
     for (const item of this.queue.first(LOOK_AHEAD)) {
       const answer = this.start(item, meant, now);
       if (answer === undefined) continue;
-      this.queue.drop(item.ask.id);
+      this.queue.begin(item, now);
       settled.push({ id: item.ask.id, answer });
     }
     return settled;
@@ -205,14 +211,15 @@
     now: number,
   ): WaitingAsk {
     const needMs = costMs + this.afterReadMs;
-    const inTimeUntil = now + ask.objectiveLeftMs - needMs;
+    const objectiveMs = ask.objectiveLeftMs * OBJECTIVE_PART;
+    const inTimeUntil = now + objectiveMs - needMs;
     const latestStartAt = now + ask.deadlineLeftMs - needMs;
     // Where the large ones fall behind, they wait as the others do.
     const isBehind =
       costMs > this.meanReadMs.value &&
       this.fairness.lags(ask.route, sizeOf(ask));
     const usualMs = this.meanReadMs.value + this.afterReadMs;
-    const usualUntil = now + ask.objectiveLeftMs - usualMs;
+    const usualUntil = now + objectiveMs - usualMs;
     return {
       ask,
       costMs,
@@ -251,12 +258,12 @@
     const cache = new PromptCache(ask);
     const choice = { ask, open, now, cache };
     const restMs = runner.readCostMs(ask.promptTokens, cache.at(runner));
-    if (restMs <= HOPS_MS && runner.backlogMs(now) <= this.startAheadMs) {
+    if (restMs <= HOPS_MS && runner.backlogMs(now) <= START_AHEAD_MS) {
       this.asked.restMs += restMs;
       return this.grant(choice, undefined, runner);
     }
     const limitMs = ask.objectiveLeftMs - this.afterReadMs;
-    const plan = planRead(ask, cache, open, limitMs, now, meant);
+    const plan = planRead(ask, cache, open, now, meant);
     if (plan !== undefined && this.mayBegin(plan)) {
       if (plan.endMs <= limitMs) this.urgentMs.add(plan.costMs, now);
       return this.grant(choice, plan, runner);
@@ -272,18 +279,13 @@
   }
 
   private mayBegin(plan: ReadPlan): boolean {
-    return plan.endMs - plan.costMs <= this.startAheadMs;
-  }
-
-  /** An engine gets more when it has less than this to read, ms. */
-  private get startAheadMs(): number {
-    return HOPS_MS + this.meanReadMs.value * READS_AHEAD;
+    return plan.endMs - plan.costMs <= START_AHEAD_MS;
   }
 
   private hasIdleReader(now: number): boolean {
     for (const engine of this.engines.values()) {
       const isReader = engine.view.stage === "prefill";
-      if (isReader && engine.backlogMs(now) <= this.startAheadMs) return true;
+      if (isReader && engine.backlogMs(now) <= START_AHEAD_MS) return true;
     }
     return false;
   }
--- a/src/scheduling/waitQueue.ts
+++ b/src/scheduling/waitQueue.ts
@@ -16,6 +16,14 @@
 /** A larger share of reading in time is not believed. */
 const MOST_URGENT_SHARE = 0.9;
 const MAX_WAITING = 1024;
+/**
+ * What becomes of late requests corrects the estimate: each that waited in
+ * vain shortens the waits that are allowed to this part, …
+ */
+const VAIN_FACTOR = 0.8;
+/** … each that began adds this part of the full length again. */
+const BEGUN_STEP = 0.02;
+const LEAST_TRUST = 0.05;
 
 /** A request that waits. */
 export interface WaitingAsk {
@@ -67,6 +75,8 @@
   /** By the instant at which they must begin. */
   private readonly urgent: WaitingAsk[] = [];
   private readonly late: WaitingAsk[] = [];
+  /** Part of the allowed waits that is believed at the moment. */
+  private trust = 1;
 
   get size(): number {
     return this.urgent.length + this.late.length;
@@ -82,7 +92,7 @@
   mayWait(item: WaitingAsk, load: ReadingLoad, now: number): boolean {
     if (load.engines === 0 || this.size >= MAX_WAITING) return false;
     if (now + this.urgentWaitMs(item, load) <= item.inTimeUntil) return true;
-    const allowedMs = (item.latestStartAt - now) * EXPECTED_PART;
+    const allowedMs = (item.latestStartAt - now) * EXPECTED_PART * this.trust;
     return this.lateWaitMs(item, load) <= allowedMs;
   }
 
@@ -121,6 +131,13 @@
     }
   }
 
+  /** It begins now. */
+  begin(item: WaitingAsk, now: number): void {
+    this.drop(item.ask.id);
+    if (now <= item.inTimeUntil) return;
+    this.trust = Math.min(1, this.trust + BEGUN_STEP);
+  }
+
   /** Takes out those that nobody would wait for any longer. */
   takeHopeless(now: number): WaitingAsk[] {
     const expired = this.urgent.filter((item) => now > item.inTimeUntil);
@@ -129,7 +146,10 @@
       insert(this.late, item, goesBefore);
     }
     const hopeless = this.late.filter((item) => now > item.latestStartAt);
-    for (const { ask } of hopeless) this.drop(ask.id);
+    for (const { ask } of hopeless) {
+      this.drop(ask.id);
+      this.trust = Math.max(LEAST_TRUST, this.trust * VAIN_FACTOR);
+    }
     return hopeless;
   }
 
--- /dev/null
+++ b/tests/gateway/engineCalls.test.ts
@@ -0,0 +1,73 @@
+/** What is sent to engines for callers whose time is over, or who left. */
+import { expect } from "chai";
+
+import type { CallerRequest } from "../../src/gateway/callerRequest.js";
+import { EngineCalls } from "../../src/gateway/engineCalls.js";
+import type { EngineCallsOptions } from "../../src/gateway/engineCalls.js";
+import { ReplicaSet } from "../../src/gateway/replicaSet.js";
+import { Cancellation } from "../../src/shared/cancellation.js";
+
+const setUp = (leftMs: number) => {
+  const replicas = new ReplicaSet();
+  replicas.put({
+    id: "dec-1",
+    service: "model",
+    address: "10.0.0.1:1",
+    zone: "zone-1",
+    slots: 1,
+    state: "ready",
+    stage: "decode",
+  });
+  const sent: unknown[] = [];
+  const client = {
+    send: async (order: unknown) => {
+      sent.push(order);
+      return { kind: "failed", verdict: "not-run", why: "test" };
+    },
+  };
+  const form = { upstreamHeaders: () => [] };
+  const calls = new EngineCalls({
+    replicas,
+    client,
+    form,
+  } as unknown as EngineCallsOptions);
+  const cancellation = new Cancellation();
+  const caller = {
+    cancellation,
+    service: "model",
+    leftMs: () => leftMs,
+    head: { method: "POST", target: "/" },
+    body: Buffer.alloc(0),
+    sentTo: [],
+  } as unknown as CallerRequest;
+  const run = () =>
+    calls.send(caller, "dec-1", cancellation, {
+      replicaId: "dec-1",
+      deadlineMs: leftMs,
+      phase: "run",
+    });
+  return { run, sent, cancellation };
+};
+
+describe("sends to engines", () => {
+  it("go out while the caller waits", async () => {
+    const { run, sent } = setUp(500);
+    await run();
+    expect(sent).to.have.length(1);
+  });
+
+  it("do not for one whose time is over, though no timer has said so", async () => {
+    const { run, sent } = setUp(0);
+    expect(await run()).to.include({ kind: "failed", verdict: "not-run" });
+    expect(sent).to.have.length(0);
+  });
+
+  it("do not for one whose close waited behind the last answer", async () => {
+    const { run, sent, cancellation } = setUp(500);
+    const outcome = run();
+    // Both came in one turn of the event loop; the close is read second.
+    cancellation.cancel();
+    expect(await outcome).to.include({ kind: "failed", verdict: "not-run" });
+    expect(sent).to.have.length(0);
+  });
+});
--- a/tests/gateway/scheduling.test.ts
+++ b/tests/gateway/scheduling.test.ts
@@ -62,7 +62,7 @@
 
 const newScheduler = (share = 1, fleet = FLEET): EngineScheduler => {
   const scheduler = new EngineScheduler(() => share);
-  scheduler.pace.restore({ fixedMs: 0, tokenMs: 1 / 300, mPairMs: 0.15 });
+  scheduler.pace.restore({ fixedMs: 0, tokenMs: 1 / 100, mPairMs: 0.15 });
   scheduler.setEngines(fleet);
   return scheduler;
 };
@@ -215,6 +215,52 @@
     });
   });
 
+  describe("an engine that denies its stage", () => {
+    const denied = () => {
+      const scheduler = newScheduler();
+      const one = ask();
+      const { reader } = granted(scheduler.place(one, 0));
+      const event = { kind: "wrong-stage" as const, engine: reader! };
+      scheduler.onEvent({ ...event, id: one.id }, 1);
+      scheduler.onEvent(ended(one.id, true), 1);
+      return { scheduler, reader };
+    };
+    const readers = (scheduler: EngineScheduler, now: number) => {
+      const more = { parts: [], objectiveLeftMs: 1000, deadlineLeftMs: 1000 };
+      return [1, 2].map(() => {
+        const answer = scheduler.place(ask(more), now);
+        return answer.kind === "granted" ? answer.reader : undefined;
+      });
+    };
+
+    it("gets nothing of it until the list says more", () => {
+      const { scheduler, reader } = denied();
+      expect(readers(scheduler, 2)).to.not.include(reader);
+    });
+
+    it("is used as the list says it has become", () => {
+      const { scheduler, reader } = denied();
+      const now = FLEET.map((item) =>
+        item.id === reader ? { ...item, stage: "decode" as const } : item,
+      );
+      scheduler.setEngines(now);
+      const short = ask({ promptTokens: 100 });
+      const runners = [1, 2, 3].map(
+        () => granted(scheduler.place({ ...short }, 2)).runner,
+      );
+      expect(runners).to.include(reader);
+    });
+
+    it("is not judged to have failed", () => {
+      const { scheduler, reader } = denied();
+      const state = scheduler
+        .engineStates()
+        .find((item) => item.view.id === reader);
+      state!.judge(false, 2);
+      expect(state!.isClosed(2)).to.equal(false);
+    });
+  });
+
   it("takes over grants of another scheduler", () => {
     const scheduler = newScheduler();
     for (let at = 0; at < 8; at += 1) {
