--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -181,13 +181,7 @@
   /** Starts it, lets it wait, or refuses it. */
   private admit(ask: PlacementAsk, now: number): PlacementAnswer | Queued {
     const open = this.openEngines(ask, now);
-    const plan = planRead(
-      ask,
-      new PromptCache(ask),
-      open,
-      ask.objectiveLeftMs,
-      now,
-    );
+    const plan = planRead(ask, new PromptCache(ask), open, now);
     const costMs = plan?.costMs ?? 0;
     if (!ask.isReturn) this.asked.readMs += costMs;
     if (costMs > 0) this.meanReadMs.add(costMs);
