Engines that say nothing are noticed within a few sends; cancelled sends are reset

Entries looked at an engine only when a read was overdue, never for a run, and two failures were needed to leave it out. A read that ends alone is measured however short it was, else engines that read within 4 ms would keep the guess.

--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -16,6 +16,8 @@
 import type { CallerRequest } from "./callerRequest.js";
 import { EngineCalls, MAX_SHORT_ANSWER_BYTES } from "./engineCalls.js";
 import type { EngineCallsOptions } from "./engineCalls.js";
+import { EngineWatch } from "./engineWatch.js";
+import type { EngineMood } from "./engineWatch.js";
 import { PromptReader } from "./promptReader.js";
 import type { RetryBudgets } from "./retryBudgets.js";
 import { StreamRelay } from "./streamRelay.js";
@@ -26,6 +28,12 @@
 
 /** Rounds of placement of one request at the most. */
 const MAX_ROUNDS = 4;
+/**
+ * An engine that has not begun to answer a run by then is looked at, ms. What
+ * is sent to one that stands still reaches it when it goes on, long after its
+ * callers have left, so that it must be noticed within a few sends.
+ */
+const RUN_SLACK_MS = 200;
 /** Less time than this is not worth another round, ms. */
 const LEAST_LEFT_MS = 30;
 
@@ -75,6 +83,7 @@
 
 export class StreamFlow {
   private readonly calls: EngineCalls;
+  private readonly watch: EngineWatch;
   private readonly reader: PromptReader;
   private sequence = 0;
 
@@ -84,7 +93,8 @@
     private readonly entryId: string,
   ) {
     this.calls = new EngineCalls(options);
-    this.reader = new PromptReader(this.calls, options);
+    this.watch = new EngineWatch(options);
+    this.reader = new PromptReader(this.calls, this.watch, options);
   }
 
   async run(caller: CallerRequest): Promise<void> {
@@ -236,6 +246,7 @@
     };
     const read = await this.reader.read(caller, order);
     if (read.kind === "wrong-stage") return this.wrongStage(journey, reader);
+    if (read.kind === "silent") return this.silent(journey, reader);
     const ok = read.kind === "read";
     placement.note(caller.service, { kind: "read", id: grantId, ok });
     if (read.kind === "read") {
@@ -248,6 +259,22 @@
     return { kind: "failed", verdict: "not-run", why: read.why, avoid: reader };
   }
 
+  /** The engine says nothing at all: nobody else should wait for it. */
+  private silent(journey: Journey, engine: string): Round {
+    const { caller, grantId } = journey;
+    this.noteSilent(journey, engine);
+    const why = "the engine says nothing";
+    this.logFault(caller, engine, "read", why);
+    const ended = { kind: "read" as const, id: grantId, ok: false };
+    this.options.placement.note(caller.service, ended);
+    return { kind: "failed", verdict: "not-run", why, avoid: engine };
+  }
+
+  private noteSilent({ caller, grantId }: Journey, engine: string): void {
+    const news = { kind: "silent" as const, id: grantId, engine };
+    this.options.placement.note(caller.service, news);
+  }
+
   /** The engine has changed its stage, or is gone: news, and no failure. */
   private wrongStage(journey: Journey, engine: string): Round {
     const { caller, grantId } = journey;
@@ -277,6 +304,15 @@
     journey.runSentAt = now();
     journey.firstEventMs = 0;
     journey.readsAtRunner = readsItself && grant.readMs > 0;
+    const onNotWorking = (mood: EngineMood): void => {
+      if (mood === "silent") this.noteSilent(journey, runner);
+    };
+    const watch = this.watch.start(
+      caller.service,
+      runner,
+      RUN_SLACK_MS + (readsItself ? grant.readMs : 0),
+      onNotWorking,
+    );
     const sent = await this.calls.send(caller, runner, caller.cancellation, {
       replicaId: runner,
       deadlineMs: Math.round(caller.leftMs()),
@@ -285,6 +321,7 @@
       cacheSource: readsItself ? this.calls.addressOf(grant.donor) : undefined,
       afterEventId: relay.lastEventId,
     });
+    watch.cancel();
     if (sent.kind === "failed") {
       if (sent.verdict !== "not-run") journey.runs += 1;
       if (caller.cancellation.isCancelled)
--- a/src/gateway/upstreamClient.ts
+++ b/src/gateway/upstreamClient.ts
@@ -87,6 +87,9 @@
         agent: this.agent(order.service),
       });
       const off = order.cancellation.onCancel(() => {
+        // A reset, not an end: bytes that wait on the way are dropped, so
+        // that a peer that was cut off or stood still does not get them.
+        if (isConnected) req.socket?.resetAndDestroy();
         req.destroy(new Error("cancelled"));
         // Without a connection yet, Node tells nothing until there is one.
         if (!isConnected) fail("cancelled");
--- a/src/gen/snowgate.ts
+++ b/src/gen/snowgate.ts
@@ -122,12 +122,12 @@
 
 export interface PlaceEvent {
   id: string;
-  /** "read", "wrong-stage", "begun" or "ended". */
+  /** "read", "wrong-stage", "silent", "begun" or "ended". */
   kind: string;
   ok: boolean;
   /** Of "ended": from the send to the runner to the first event; 0: none. */
   tookMs: number;
-  /** Of "wrong-stage": the engine that denied its stage. */
+  /** Of "wrong-stage" and "silent": the engine that is meant. */
   engine: string;
 }
 
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -37,7 +37,7 @@
   kind: event.kind,
   ok: event.kind === "read" || event.kind === "ended" ? event.ok : true,
   tookMs: event.kind === "ended" ? whole(event.firstEventMs) : 0,
-  engine: event.kind === "wrong-stage" ? event.engine : "",
+  engine: "engine" in event ? event.engine : "",
 });
 
 /** Undefined for a kind that this version does not know. */
@@ -47,7 +47,7 @@
   const { id, kind, ok, tookMs, engine } = event;
   if (kind === "begun") return { kind, id };
   if (kind === "read") return { kind, id, ok };
-  if (kind === "wrong-stage") return { kind, id, engine };
+  if (kind === "wrong-stage" || kind === "silent") return { kind, id, engine };
   if (kind === "ended") return { kind, id, ok, firstEventMs: tookMs };
   return undefined;
 };
--- a/src/scheduling/engineState.ts
+++ b/src/scheduling/engineState.ts
@@ -18,7 +18,7 @@
 /** Bounds of an engine's time over that of the others. */
 const SLOWEST_FACTOR = 20;
 const FASTEST_FACTOR = 0.3;
-/** A time shorter than this says nothing of the pace, ms. */
+/** Reads that end closer behind one another are measured as one, ms. */
 const LEAST_MEASURED_MS = 4;
 /** An engine that failed gets no work for this long at first, ms. */
 const FIRST_CLOSE_MS = 700;
@@ -94,6 +94,13 @@
     this.closedUntil = now + pause;
   }
 
+  /** It answers nothing at all: others need not find that out too. */
+  noteSilent(now: number): void {
+    if (this.isClosed(now)) return;
+    this.failures = Math.max(this.failures, FAILURES_TO_CLOSE);
+    this.judge(false, now);
+  }
+
   get readCount(): number {
     return this.reads.size;
   }
@@ -188,12 +195,13 @@
    */
   private measure(read: Read, now: number): void {
     const begun = Math.max(read.at, this.lastReadEnd);
-    if (read.at >= this.lastReadEnd) this.unmeasured = undefined;
+    const isAlone = read.at >= this.lastReadEnd;
+    if (isAlone) this.unmeasured = undefined;
     const { unmeasured } = this;
     const work = unmeasured ? addWork(unmeasured, read.work) : read.work;
     const since = unmeasured ? this.unmeasuredSince : begun;
     const tookMs = now - since;
-    if (tookMs < LEAST_MEASURED_MS) {
+    if (tookMs < LEAST_MEASURED_MS && !isAlone) {
       this.unmeasured = work;
       this.unmeasuredSince = since;
       return;
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -319,6 +319,12 @@
   }
 
   onEvent(event: PlacementEvent, now: number): void {
+    if (event.kind === "wrong-stage") {
+      return this.close(event.engine, now + STAGE_DOUBT_MS);
+    }
+    if (event.kind === "silent") {
+      return this.engines.get(event.engine)?.noteSilent(now);
+    }
     const placed = this.placed.get(event.id);
     if (placed === undefined) {
       if (event.kind === "ended") this.queue.drop(event.id);
@@ -330,9 +336,6 @@
         reader?.endRead(event.id, event.ok && this.share() === 1, now);
         reader?.judge(event.ok, now);
         return;
-      case "wrong-stage":
-        this.close(event.engine, now + STAGE_DOUBT_MS);
-        return;
       case "begun":
         runner.endRead(event.id, false, now);
         runner.remember(parts);
--- a/src/scheduling/types.ts
+++ b/src/scheduling/types.ts
@@ -84,6 +84,8 @@
   | { kind: "read"; id: string; ok: boolean }
   /** An engine does not do what its stage says: known too late. */
   | { kind: "wrong-stage"; id: string; engine: string }
+  /** An engine answers nothing, not even what it does. */
+  | { kind: "silent"; id: string; engine: string }
   /** The runner has read the prompt itself and sent the first event. */
   | { kind: "begun"; id: string }
   /**
--- /dev/null
+++ b/tests/gateway/engineWatch.test.ts
@@ -0,0 +1,80 @@
+/** What is made of engines whose answers are overdue. */
+import http from "node:http";
+import { expect } from "chai";
+
+import { EngineWatch } from "../../src/gateway/engineWatch.js";
+import type { EngineMood } from "../../src/gateway/engineWatch.js";
+import type { EngineCallsOptions } from "../../src/gateway/engineCalls.js";
+import { ReplicaSet } from "../../src/gateway/replicaSet.js";
+import { UpstreamClient } from "../../src/gateway/upstreamClient.js";
+import { listen } from "../../src/http/index.js";
+
+const LOOK_MS = 5;
+
+interface Report {
+  running: number;
+  waiting: number;
+}
+
+describe("an engine whose answer is overdue", () => {
+  let server: http.Server;
+  let client: UpstreamClient;
+  let reports: (Report | undefined)[];
+
+  beforeEach(() => {
+    client = new UpstreamClient();
+    server = http.createServer((_req, res) => {
+      const report = reports.length > 1 ? reports.shift() : reports[0];
+      if (report !== undefined) res.end(JSON.stringify(report));
+    });
+  });
+
+  afterEach(() => {
+    client.close();
+    server.closeAllConnections();
+    server.close();
+  });
+
+  const verdict = async (): Promise<EngineMood> => {
+    const address = await listen(server, "127.0.0.1:0");
+    const replicas = new ReplicaSet();
+    replicas.put({
+      id: "pre-1",
+      service: "model",
+      address,
+      zone: "zone-1",
+      slots: 1,
+      state: "ready",
+      stage: "prefill",
+    });
+    const form = {
+      reportCall: () => ({
+        method: "GET",
+        target: "/",
+        headers: ["Host", address],
+        body: Buffer.alloc(0),
+      }),
+      readReport: (body: string) => JSON.parse(body) as Report,
+    };
+    const watch = new EngineWatch({
+      replicas,
+      client,
+      form,
+    } as unknown as EngineCallsOptions);
+    return new Promise((resolve) => {
+      watch.start("model", "pre-1", LOOK_MS, resolve);
+    });
+  };
+
+  it("is waited for while it works, and told when it has nothing to do", async () => {
+    const busy = { running: 1, waiting: 0 };
+    reports = [busy, busy, { running: 0, waiting: 0 }];
+    expect(await verdict()).to.equal("idle");
+    expect(reports).to.have.length(1);
+  });
+
+  it("is silent where it does not say what it does", async () => {
+    reports = [undefined];
+    expect(await verdict()).to.equal("silent");
+  });
+});
--- a/tests/gateway/scheduling.test.ts
+++ b/tests/gateway/scheduling.test.ts
@@ -215,6 +215,17 @@
     });
   });
 
+  it("leaves an engine out at once that answers nothing at all", () => {
+    const scheduler = newScheduler();
+    const one = ask({ promptTokens: 100 });
+    const { runner } = granted(scheduler.place(one, 0));
+    scheduler.onEvent({ kind: "silent", id: one.id, engine: runner }, 1);
+    const runners = [1, 2, 3].map(
+      () => granted(scheduler.place(ask({ promptTokens: 100 }), 2)).runner,
+    );
+    expect(runners).to.not.include(runner);
+  });
+
   describe("an engine that denies its stage", () => {
     const denied = () => {
       const scheduler = newScheduler();
