--- /dev/null
+++ b/src/scheduling/enginePool.ts
@@ -0,0 +1,79 @@
+/** The engines of one service as the scheduler sees them. Pure. */
+import { EngineState } from "./engineState.js";
+import type { ReadPace } from "./readPace.js";
+import type { EngineView, PlacementAsk } from "./types.js";
+
+/** An engine that denied its stage gets no work until the list says more, ms. */
+const STAGE_DOUBT_MS = 2500;
+
+export class EnginePool {
+  private readonly engines = new Map<string, EngineState>();
+  /** The list that was set last. */
+  private views: readonly EngineView[] | undefined;
+
+  constructor(private readonly pace: ReadPace) {}
+
+  /**
+   * The engines that may get work; others keep what they run. The same list
+   * again, not a copy, changes nothing.
+   */
+  set(views: readonly EngineView[]): void {
+    if (views === this.views) return;
+    this.views = views;
+    const listed = new Set(views.map((view) => view.id));
+    for (const id of this.engines.keys()) {
+      if (!listed.has(id)) this.engines.delete(id);
+    }
+    for (const view of views) {
+      const known = this.engines.get(view.id);
+      if (known !== undefined) known.see(view);
+      else this.engines.set(view.id, new EngineState(view, this.pace));
+    }
+  }
+
+  get(id: string): EngineState | undefined {
+    return this.engines.get(id);
+  }
+
+  all(): EngineState[] {
+    return [...this.engines.values()];
+  }
+
+  /** Those that read prompts for others. */
+  readers(now: number): EngineState[] {
+    return this.all().filter(
+      (item) => item.view.stage === "prefill" && item.changesUntil <= now,
+    );
+  }
+
+  /** Closes an engine, which changes its stage, until an instant. */
+  close(id: string, until: number): void {
+    const engine = this.engines.get(id);
+    if (engine !== undefined) engine.changesUntil = until;
+  }
+
+  /** The engine does not do what the list says. */
+  doubt(id: string, now: number): void {
+    this.close(id, now + STAGE_DOUBT_MS);
+  }
+
+  /**
+   * The engines that may get the request. Those that failed lately are left
+   * out, but for a stage that would have none: a failure is better than none
+   * of them.
+   */
+  open(ask: PlacementAsk, now: number): EngineState[] {
+    const able = this.all().filter(
+      (item) => item.changesUntil <= now && !ask.avoid.includes(item.view.id),
+    );
+    const open = able.filter((item) => !item.isClosed(now));
+    const stages = new Set(open.map((item) => item.view.stage));
+    const lastResort = able.filter((item) => !stages.has(item.view.stage));
+    return [...open, ...lastResort];
+  }
+
+  /** Drops work that was never reported on. */
+  expire(now: number): void {
+    for (const engine of this.engines.values()) engine.expire(now);
+  }
+}
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -6,7 +6,9 @@
  */
 import { FadingSum } from "../shared/fadingSum.js";
 import { RunningMean } from "../shared/runningMean.js";
-import { EngineState, LONGEST_CLOSE_MS } from "./engineState.js";
+import { EnginePool } from "./enginePool.js";
+import { LONGEST_CLOSE_MS } from "./engineState.js";
+import type { EngineState } from "./engineState.js";
 import { PromptCache } from "./promptCache.js";
 import type { KeyedPart } from "./promptCache.js";
 import { planOwnRead, planRead } from "./readPlanner.js";
@@ -53,9 +55,6 @@
 const LOOK_AHEAD = 16;
 /** Time constant of the rates of urgent reading and of runs that end, ms. */
 const RATE_MEMORY_MS = 1000;
-/** An engine that denied its stage gets no work until the list says more, ms. */
-const STAGE_DOUBT_MS = 2500;
-
 interface Placed {
   reader: EngineState | undefined;
   runner: EngineState;
@@ -100,10 +99,7 @@
 });
 
 export class EngineScheduler {
-  private readonly engines = new Map<string, EngineState>();
   private readonly placed = new Map<string, Placed>();
-  /** The list that was set last. */
-  private views: readonly EngineView[] | undefined;
   private readonly fairness = new SizeFairness();
   private readonly queue = new WaitQueue();
   private readonly firstEventMs = new RunningMean(FIRST_EVENT_GAIN);
@@ -114,36 +110,23 @@
   private readonly runEnds = new FadingSum(RATE_MEMORY_MS);
   readonly asked: SchedulerLoad = { readMs: 0, restMs: 0 };
   readonly pace = new ReadPace();
+  private readonly engines = new EnginePool(this.pace);
 
   /** `share`: how many schedulers place on these engines without talking. */
   constructor(private share: () => number) {}
 
-  /**
-   * The engines that may get work; others keep what they run. The same list
-   * again, not a copy, changes nothing.
-   */
+  /** The engines that may get work; others keep what they run. */
   setEngines(views: readonly EngineView[]): void {
-    if (views === this.views) return;
-    this.views = views;
-    const listed = new Set(views.map((view) => view.id));
-    for (const id of this.engines.keys()) {
-      if (!listed.has(id)) this.engines.delete(id);
-    }
-    for (const view of views) {
-      const known = this.engines.get(view.id);
-      if (known !== undefined) known.see(view);
-      else this.engines.set(view.id, new EngineState(view, this.pace));
-    }
+    this.engines.set(views);
   }
 
   engineStates(): EngineState[] {
-    return [...this.engines.values()];
+    return this.engines.all();
   }
 
   /** Closes an engine, which changes its stage, until an instant. */
   close(id: string, until: number): void {
-    const engine = this.engines.get(id);
-    if (engine !== undefined) engine.changesUntil = until;
+    this.engines.close(id, until);
   }
 
   /** How many requests wait for an engine. */
@@ -180,7 +163,7 @@
 
   /** Starts it, lets it wait, or refuses it. */
   private admit(ask: PlacementAsk, now: number): PlacementAnswer | Queued {
-    const open = this.openEngines(ask, now);
+    const open = this.engines.open(ask, now);
     const plan = planRead(ask, new PromptCache(ask), open, now);
     const costMs = plan?.costMs ?? 0;
     if (!ask.isReturn) this.asked.readMs += costMs;
@@ -245,7 +228,7 @@
     now: number,
   ): Grant | undefined {
     const ask = aged(item, now);
-    const open = this.openEngines(ask, now);
+    const open = this.engines.open(ask, now);
     const share = this.share();
     const runner = chooseRunner(ask, open, share, now);
     if (runner === undefined) return undefined;
@@ -258,7 +241,7 @@
     }
     const limitMs = ask.objectiveLeftMs - this.afterReadMs;
     const plan = planRead(ask, cache, open, now, meant);
-    if (plan !== undefined && this.mayBegin(plan)) {
+    if (plan !== undefined && plan.endMs - plan.costMs <= START_AHEAD_MS) {
       if (plan.endMs <= limitMs) this.urgentMs.add(plan.costMs, now);
       return this.grant(choice, plan, runner);
     }
@@ -272,22 +255,14 @@
     return undefined;
   }
 
-  private mayBegin(plan: ReadPlan): boolean {
-    return plan.endMs - plan.costMs <= START_AHEAD_MS;
-  }
-
   private hasIdleReader(now: number): boolean {
-    for (const engine of this.engines.values()) {
-      const isReader = engine.view.stage === "prefill";
-      if (isReader && engine.backlogMs(now) <= START_AHEAD_MS) return true;
-    }
-    return false;
+    return this.engines
+      .readers(now)
+      .some((engine) => engine.backlogMs(now) <= START_AHEAD_MS);
   }
 
   private readingLoad(hasRunner: boolean, now: number): ReadingLoad {
-    const readers = this.engineStates().filter(
-      (item) => item.view.stage === "prefill" && item.changesUntil <= now,
-    );
+    const readers = this.engines.readers(now);
     const engines = readers.length;
     const backlog = readers.reduce((sum, item) => sum + item.backlogMs(now), 0);
     return {
@@ -320,7 +295,7 @@
 
   onEvent(event: PlacementEvent, now: number): void {
     if (event.kind === "wrong-stage") {
-      return this.close(event.engine, now + STAGE_DOUBT_MS);
+      return this.engines.doubt(event.engine, now);
     }
     if (event.kind === "silent") {
       return this.engines.get(event.engine)?.noteSilent(now);
@@ -358,27 +333,12 @@
 
   /** Drops what was never reported on. */
   expire(now: number): void {
-    for (const engine of this.engines.values()) engine.expire(now);
+    this.engines.expire(now);
     for (const [id, { lostAt }] of this.placed) {
       if (now > lostAt) this.placed.delete(id);
     }
   }
 
-  /**
-   * The engines that may get the request. Those that failed lately are left
-   * out, but for a stage that would have none: a failure is better than none
-   * of them.
-   */
-  private openEngines(ask: PlacementAsk, now: number): EngineState[] {
-    const able = [...this.engines.values()].filter(
-      (item) => item.changesUntil <= now && !ask.avoid.includes(item.view.id),
-    );
-    const open = able.filter((item) => !item.isClosed(now));
-    const stages = new Set(open.map((item) => item.view.stage));
-    const lastResort = able.filter((item) => !stages.has(item.view.stage));
-    return [...open, ...lastResort];
-  }
-
   /** `plan`: absent where the runner reads a short rest by the way. */
   private grant(
     { ask, cache, now }: Choice,
