A holder that restarts knows the pace that its earlier life had learnt

Cause: read in the last look at the change: the lease's pace was taken only from another holder's lease; after a loss of power the holder takes its own lease back and began with guesses. Change: whoever does not hold the lease takes the pace that stands in it.

--- a/src/placement/leaseKeeper.ts
+++ b/src/placement/leaseKeeper.ts
@@ -56,7 +56,7 @@
   patienceMs: number;
   /** What this process has learnt of its engines' pace. */
   pace(): ReadCost | undefined;
-  /** Another holder's word of it was read. */
+  /** What the last holder had learnt was read; also an own earlier life. */
   onPace(cost: ReadCost): void;
   log: Log;
   now: () => number;
@@ -165,8 +165,8 @@
     const before = this.stored;
     this.stored = parsed.data;
     this.revision = item?.revision ?? ABSENT;
-    const { holder, pace } = parsed.data ?? {};
-    if (pace !== undefined && holder !== self) this.options.onPace(pace);
+    const pace = parsed.data?.pace;
+    if (pace !== undefined && !wasHolder) this.options.onPace(pace);
     const hasOtherEpoch = before?.epoch !== parsed.data?.epoch;
     this.state = seeLease(this.state, parsed.data ?? null, self, now());
     if (hasOtherEpoch) {
