The strongest process holds the first lease; long answers by pace; news gathered

Cause: (1) On the large catalogue the holder has half a core beside a replica and answers late at 700 asks a second, while 15 entries have 1.35 cores each. (3) While 39 replicas register, each of 100 processes makes a call to the store for each of them. (4) What a dead entry had at engines counts as work under way for 6 s.

Change: an entry with 0.6 cores for placing seeks the lease as a scheduler does; the first lease of a service is left longer the weaker a process is. A scheduler learns its services from the configuration, and a standby that becomes the holder places once it has read the replicas (looked for each 100 ms for 400). Long answers count an engine fuller by as much as it was slower in its last runs. A watch pauses 300 ms after changes. The holder ends the grants of an entry whose stream ends. Reports that aren't ends of reads wait up to 30 ms for others. A stream has one log line, at its end.

--- a/bench/gatewayLoad.ts
+++ b/bench/gatewayLoad.ts
@@ -46,9 +46,10 @@
   file,
   `
 node: gw
-machineClass: front
+role: entry
 ip: 127.0.0.1
 zone: zone-1
+limits: { cpuShare: 1000, cores: 1 }
 listen: { front: "127.0.0.1:${front}", ready: "127.0.0.1:${ready}" }
 portRange: [${peers}, ${peers}]
 bounds:
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -166,7 +166,6 @@
       id,
       role,
       zone: `zone-${at % ZONES}`,
-      service: "model",
       storeAddress: link.address,
       graceMs: GRACE_MS,
       leaseMs: LEASE_MS,
--- a/src/gateway/callerRequest.ts
+++ b/src/gateway/callerRequest.ts
@@ -3,7 +3,7 @@
 
 import { Cancellation } from "../shared/cancellation.js";
 import type { RequestFailure } from "../shared/errors.js";
-import type { Log, Metrics } from "../telemetry/index.js";
+import type { Log, LogFields, Metrics } from "../telemetry/index.js";
 import type { RequestForm } from "./requestForm.js";
 import type { InboundHead, Route } from "./types.js";
 
@@ -43,6 +43,8 @@
   private readonly timer: NodeJS.Timeout;
   private readonly fullDeadlineMs: number;
   private isAnswered = false;
+  /** When a stream began, ms after its arrival. */
+  private firstMs: number | undefined;
   /** Whether the caller went before its answer was whole. */
   isCallerGone = false;
   isOverdue = false;
@@ -94,13 +96,22 @@
     this.res.end(body);
   }
 
-  /** Sends the head of a streamed reply. */
+  /** Sends the head of a streamed reply; its end is logged, not its begin. */
   beginStream(status: number, headers: string[]): void {
-    if (!this.begin("streamed")) return;
+    if (this.isAnswered) return;
+    this.isAnswered = true;
+    if (this.res.destroyed) return this.note("caller_gone");
+    this.firstMs = Math.round(this.elapsedMs());
+    this.count("streamed");
     this.writeHead(status, headers);
     this.res.flushHeaders();
   }
 
+  /** A stream has ended, or its caller is gone. */
+  endStream(outcome: string, figures: LogFields): void {
+    this.log(outcome, { firstMs: this.firstMs, ...figures });
+  }
+
   get hasBegun(): boolean {
     return this.isAnswered;
   }
@@ -124,17 +135,22 @@
   }
 
   /** Counts and logs the outcome. */
-  private note(
-    outcome: string,
-    fields: Record<string, string | number | undefined> = {},
-  ): void {
-    const { log, metrics } = this.options;
+  private note(outcome: string, fields: LogFields = {}): void {
+    this.count(outcome);
+    this.log(outcome, fields);
+  }
+
+  private count(outcome: string): void {
+    const { metrics } = this.options;
     const className = this.route.name;
     metrics.count("request", { class: className, outcome });
     metrics.latency(className, this.service, this.elapsedMs());
-    log.info("request", {
+  }
+
+  private log(outcome: string, fields: LogFields): void {
+    this.options.log.info("request", {
       requestId: this.head.id,
-      route: className,
+      route: this.route.name,
       service: this.service,
       outcome,
       elapsedMs: Math.round(this.elapsedMs()),
@@ -145,10 +161,7 @@
     });
   }
 
-  private begin(
-    outcome: string,
-    fields: Record<string, string | number | undefined> = {},
-  ): boolean {
+  private begin(outcome: string, fields: LogFields = {}): boolean {
     if (this.isAnswered) return false;
     this.isAnswered = true;
     if (this.res.destroyed) {
--- a/src/gateway/engineRun.ts
+++ b/src/gateway/engineRun.ts
@@ -7,7 +7,6 @@
 import { mayGoOn, overdueRound } from "./journey.js";
 import type { Journey, Round } from "./journey.js";
 import type { ReadHandle } from "./types.js";
-import type { RunEnd } from "./streamRelay.js";
 import type { UpstreamReply } from "./upstreamClient.js";
 import { readWholeBody } from "./upstreamClient.js";
 import { replyFault } from "./verdicts.js";
@@ -89,12 +88,14 @@
     const headers = form.answerHeaders(res.rawHeaders);
     caller.beginStream(reply.status, headers);
     const end = await relay.run(sent);
-    this.logEnd(journey, runner, end);
+    const figures = { ...relay.figures() };
     switch (end.kind) {
       case "complete":
+        caller.endStream("streamed", figures);
         caller.res.end();
         return { kind: "done" };
       case "caller-gone":
+        caller.endStream("caller_gone", figures);
         return { kind: "done" };
       case "cut":
         if (caller.cancellation.isCancelled)
@@ -109,22 +110,6 @@
     }
   }
 
-  private logEnd(
-    { caller, relay }: Journey,
-    runner: string,
-    end: RunEnd,
-  ): void {
-    this.options.log.info("stream ended", {
-      requestId: caller.head.id,
-      runner,
-      outcome: end.kind,
-      why: end.kind === "cut" ? end.why : undefined,
-      isOverdue: caller.isOverdue,
-      elapsedMs: Math.round(caller.elapsedMs()),
-      ...relay.figures(),
-    });
-  }
-
   /** A replica's own failure is passed on, unless a stream has begun. */
   private async answerFailure(
     journey: Journey,
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -31,6 +31,8 @@
  * entries that come and go, and orders. */
 const CONNECTION_PART = 0.8;
 const LEAST_CONNECTIONS = 2;
+/** Part of its VM's processor time that an entry may use to place for all. */
+const PLACING_PART = 0.5;
 
 export interface GatewaySettings {
   /** Name of this process, unique in the fleet. */
@@ -40,6 +42,8 @@
   readyAddress: string;
   /** Where other gateways reach this one. */
   peerAddress: string;
+  /** Processor time of its VM, in cores. */
+  processorShare: number;
   /** Where counters and latencies are told as text; undefined: nowhere. */
   metricsAddress?: string;
   /** How long a lease outlasts its last renewal, ms. */
@@ -66,6 +70,7 @@
     host: "entry",
     id,
     peerAddress: settings.peerAddress,
+    capacity: settings.processorShare * PLACING_PART,
     orderLeaseMs: settings.leaseMs,
     services: () => state.engineServices(),
     state,
@@ -90,7 +95,7 @@
     rng,
     now,
   });
-  watchStore(supervisor, parts, state, settings.catchUpMs, () => true);
+  watchStore(supervisor, parts, state, settings.catchUpMs);
   role.start(supervisor);
   supervisor.every("connection limits", CONNECTION_LIMITS_MS, async () => {
     for (const { name, maxConnections } of state.services()) {
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -48,7 +48,7 @@
     return this.table;
   }
 
-  /** Knows a configuration and has seen the list of replicas. */
+  /** Knows a configuration and follows the list of replicas. */
   get isReady(): boolean {
     return this.table !== undefined && this.hasReplicas;
   }
@@ -84,6 +84,11 @@
     this.hasReplicas = true;
   }
 
+  /** The replicas are not followed any more. */
+  onReplicasStale(): void {
+    this.hasReplicas = false;
+  }
+
   onReplicaChange(change: FeedChange, inTrouble: boolean): void {
     const { item, isRemoved } = change;
     if (isRemoved) {
--- a/src/gateway/placementRole.ts
+++ b/src/gateway/placementRole.ts
@@ -23,8 +23,13 @@
 const PLACEMENT_LEASE_MS = 1500;
 /** Period of keeping leases, planning stages and dropping lost grants, ms. */
 const STEP_MS = 300;
-/** An entry leaves the lease to schedulers for so many lease times. */
+/** An entry leaves the lease to schedulers for so many lease times, … */
 const ENTRY_PATIENCE_LEASES = 3;
+/**
+ * … unless it has so many cores for placing: what a holder takes at 1,000
+ * asks a second for 34 engines.
+ */
+const HOLDER_CORES = 0.6;
 
 /** What a process does besides placing. */
 export type PlacementHost = "entry" | "scheduler";
@@ -34,6 +39,8 @@
   /** Name of the process. */
   id: string;
   peerAddress: string;
+  /** Processor time that it has for placing, in cores. */
+  capacity: number;
   /** Time that orders of two holders must lie apart, ms. */
   orderLeaseMs: number;
   /** Services whose leases it keeps or seeks. */
@@ -58,8 +65,8 @@
   options: PlacementRoleOptions,
 ): Promise<PlacementRole> => {
   const { host, id, services, state, feed, log, now } = options;
-  const patienceMs =
-    host === "entry" ? PLACEMENT_LEASE_MS * ENTRY_PATIENCE_LEASES : 0;
+  const isPatient = host === "entry" && options.capacity < HOLDER_CORES;
+  const patienceMs = isPatient ? PLACEMENT_LEASE_MS * ENTRY_PATIENCE_LEASES : 0;
   let address = options.peerAddress;
   const local: LocalPlacement = new LocalPlacement({
     engines: (service) => state.engines(service),
@@ -74,6 +81,7 @@
     address: () => address,
     leaseMs: PLACEMENT_LEASE_MS,
     patienceMs,
+    capacity: options.capacity,
     entriesHere: (service) => peers.entries(service),
     log,
     now,
--- a/src/gateway/schedulerDaemon.ts
+++ b/src/gateway/schedulerDaemon.ts
@@ -1,7 +1,7 @@
 /**
- * A scheduler: places the requests of all entries for one service while it
- * holds the service's lease, and stands by otherwise. It carries no traffic,
- * and keeps nothing that must last.
+ * A scheduler: places the requests of all entries for each service whose
+ * lease it holds, and stands by for the others. It carries no traffic, and
+ * keeps nothing that must last.
  */
 import type { Daemon } from "../daemon/types.js";
 import { Supervisor } from "../tasks/index.js";
@@ -14,10 +14,10 @@
 export interface SchedulerSettings {
   /** Name of this process, unique in the fleet. */
   id: string;
-  /** The service whose requests it places. */
-  service: string;
   /** Where entries reach it. */
   peerAddress: string;
+  /** Processor time of its VM, in cores. */
+  processorShare: number;
   /** Time that orders of two holders must lie apart, ms. */
   leaseMs: number;
   /** After a cut from the store has healed, it knows the news by then, ms. */
@@ -29,7 +29,7 @@
   parts: GatewayParts,
 ): Promise<Daemon> => {
   const { form, source, feed, log, now } = parts;
-  const { id, service } = settings;
+  const { id } = settings;
   const supervisor = new Supervisor(log);
   const client = new UpstreamClient();
   const state = new GatewayState(source, log, now, () => undefined);
@@ -37,8 +37,9 @@
     host: "scheduler",
     id,
     peerAddress: settings.peerAddress,
+    capacity: settings.processorShare,
     orderLeaseMs: settings.leaseMs,
-    services: () => [service],
+    services: () => state.engineServices(),
     state,
     feed,
     client,
@@ -46,15 +47,20 @@
     log,
     now,
   });
-  const isHolder = () => role.placement.isHolder(service);
-  watchStore(supervisor, parts, state, settings.catchUpMs, isHolder);
+  const isHolder = () =>
+    state.engineServices().some((name) => role.placement.isHolder(name));
+  // A standby needs to know no more than which services there are.
+  watchStore(supervisor, parts, state, settings.catchUpMs, {
+    config: () => state.routes === undefined || isHolder(),
+    replicas: isHolder,
+  });
   role.start(supervisor);
-  log.info("started", { service, peers: role.peerAddress });
+  log.info("started", { peers: role.peerAddress });
   const stop = async () => {
     supervisor.stop();
     role.stop();
     client.close();
-    log.info("stopped", { service });
+    log.info("stopped");
   };
   return { addresses: { peers: role.peerAddress }, stop };
 };
--- a/src/gateway/storeWatch.ts
+++ b/src/gateway/storeWatch.ts
@@ -4,20 +4,29 @@
 import type { GatewayParts } from "./parts.js";
 import type { GatewayState } from "./gatewayState.js";
 
-/** Follows the configuration and the replicas while `isActive`. */
+/** While false, a kind is not followed; afterwards its list is read anew. */
+export interface WatchActivity {
+  config: () => boolean;
+  replicas: () => boolean;
+}
+
+const ALWAYS: WatchActivity = { config: () => true, replicas: () => true };
+
+/** Follows the configuration and the replicas. */
 export const watchStore = (
   supervisor: Supervisor,
   { source, feed, log, rng, now }: GatewayParts,
   state: GatewayState,
   /** Time after a cut within which the process must know the news, ms. */
   catchUpMs: number,
-  isActive: () => boolean,
+  isActive: WatchActivity = ALWAYS,
 ): void => {
   const waitMs = watchWaitMs(catchUpMs);
-  const common = { feed, log, rng, now, waitMs, isActive };
+  const common = { feed, log, rng, now, waitMs };
   const configWatch = new FeedWatch({
     ...common,
     kind: source.configKind,
+    isActive: isActive.config,
     handlers: {
       onList: (items) => items.forEach((item) => state.onConfigItem(item)),
       onChange: ({ item, isRemoved }) => {
@@ -28,7 +37,9 @@
   const replicaWatch = new FeedWatch({
     ...common,
     kind: source.replicaKind,
+    isActive: isActive.replicas,
     handlers: {
+      onIdle: () => state.onReplicasStale(),
       onList: (items, inTrouble) => state.onReplicaList(items, inTrouble),
       onChange: (change, inTrouble) => state.onReplicaChange(change, inTrouble),
     },
--- a/src/placement/leaseKeeper.ts
+++ b/src/placement/leaseKeeper.ts
@@ -54,6 +54,8 @@
   leaseMs: number;
   /** How long it leaves a free lease to others, ms. */
   patienceMs: number;
+  /** The same for a lease that nobody has held before, ms. */
+  firstPatienceMs: number;
   /** What this process has learnt of its engines' pace. */
   pace(): ReadCost | undefined;
   /** What the last holder had learnt was read; also an own earlier life. */
@@ -143,11 +145,16 @@
       case "renew":
         return this.write(this.epoch, (this.stored?.beat ?? 0) + 1);
       case "take":
-        if (now() - this.lookingSince < this.options.patienceMs) return;
+        if (now() - this.lookingSince < this.patienceMs) return;
         return this.write(this.epoch + 1, 0);
     }
   }
 
+  private get patienceMs(): number {
+    const { patienceMs, firstPatienceMs } = this.options;
+    return this.stored === undefined ? firstPatienceMs : patienceMs;
+  }
+
   private async read(): Promise<void> {
     const { feed, service } = this.options;
     const { items } = await feed.list(LEASE_KIND);
--- a/src/placement/placementClient.ts
+++ b/src/placement/placementClient.ts
@@ -21,8 +21,13 @@
  * a request can wait and be in time.
  */
 const ANSWER_MS = 90;
-/** Events wait this long for an ask to go with, ms. */
-const EVENTS_MS = 6;
+/**
+ * Events wait this long for an ask or other events to go with, ms: the ends
+ * of reads, by which the holder gives out the next ones, …
+ */
+const READS_MS = 6;
+/** … and all others, which free room. */
+const EVENTS_MS = 30;
 /** A holder that has not accepted the stream by then is given up, ms. */
 const CONNECT_MS = 1000;
 /** A holder that has answered nothing for so long counts as lost, ms. */
@@ -62,6 +67,8 @@
   private queuedCount = 0;
   private events: PlaceEvent[] = [];
   private eventTimer: NodeJS.Timeout | undefined;
+  /** Whether the events go out soon: one of them is the end of a read. */
+  private isUrgent = false;
   /** When the first ask since the last answer was sent, ms. */
   private silentSince: number | undefined;
   /** States that a standby was told. */
@@ -127,7 +134,12 @@
   note(event: PlacementEvent): void {
     if (this.isLost) return;
     this.events.push(toPlaceEvent(event));
-    this.eventTimer ??= setTimeout(() => this.send({}), EVENTS_MS);
+    const isUrgent = event.kind === "read";
+    if (this.eventTimer !== undefined && (this.isUrgent || !isUrgent)) return;
+    clearTimeout(this.eventTimer);
+    this.isUrgent = isUrgent;
+    const waitMs = isUrgent ? READS_MS : EVENTS_MS;
+    this.eventTimer = setTimeout(() => this.send({}), waitMs);
   }
 
   /** Tells the holder of a grant that is in use already. */
--- a/src/placement/placementServer.ts
+++ b/src/placement/placementServer.ts
@@ -57,8 +57,12 @@
   private readonly streams = new Map<string, Set<PlaceStream>>();
   /** Standbys and what they were told last, by service. */
   private readonly standbys = new Map<string, Standbys>();
-  /** Ids of asks that wait for an engine, by stream. */
-  private readonly waiting = new Map<PlaceStream, Set<string>>();
+  /**
+   * Ids of asks that wait for an engine or are at one, by stream. Nobody else
+   * reports on them: where an entry goes, its connections to engines go too,
+   * and what it had there must not count as work that is under way.
+   */
+  private readonly open = new Map<PlaceStream, Set<string>>();
   /** What each stream was told of reading last. */
   private readonly toldPace = new WeakMap<PlaceStream, ReadCost | undefined>();
 
@@ -128,9 +132,9 @@
     const leave = () => {
       if (service === undefined) return;
       const { placement } = this.options;
-      const waiting = this.waiting.get(stream) ?? [];
-      this.waiting.delete(stream);
-      for (const id of waiting) placement.withdraw(service, id);
+      const open = this.open.get(stream) ?? [];
+      this.open.delete(stream);
+      for (const id of open) placement.withdraw(service, id);
       this.streams.get(service)?.delete(stream);
       this.standbys.get(service)?.delete(stream);
     };
@@ -167,10 +171,13 @@
     const { service, ask, held } = call;
     for (const told of call.events) {
       const event = fromPlaceEvent(told);
-      if (event !== undefined) placement.note(service, event);
+      if (event === undefined) continue;
+      placement.note(service, event);
+      if (event.kind === "ended") this.open.get(stream)?.delete(event.id);
     }
     if (held?.ask !== undefined) {
       const { reader, runner } = held;
+      this.noteOpen(stream, held.ask.id);
       placement.adopt(fromPlaceAsk(service, held.ask), {
         kind: "granted",
         reader: nameIn(reader),
@@ -182,10 +189,10 @@
     if (ask !== undefined) {
       const { id } = ask;
       const answer = placement.placeNow(fromPlaceAsk(service, ask), (later) => {
-        this.waiting.get(stream)?.delete(id);
+        if (later.kind === "refused") this.open.get(stream)?.delete(id);
         this.reply(service, stream, id, later);
       });
-      if (answer.kind === "queued") this.noteWaiting(stream, id);
+      if (answer.kind !== "refused") this.noteOpen(stream, id);
       this.reply(service, stream, id, answer);
     }
   }
@@ -216,10 +223,10 @@
     };
   }
 
-  private noteWaiting(stream: PlaceStream, id: string): void {
-    const known = this.waiting.get(stream) ?? new Set();
+  private noteOpen(stream: PlaceStream, id: string): void {
+    const known = this.open.get(stream) ?? new Set();
     known.add(id);
-    this.waiting.set(stream, known);
+    this.open.set(stream, known);
   }
 
   /** What was learnt of reading since that stream was told. */
--- a/src/placement/sharedPlacement.ts
+++ b/src/placement/sharedPlacement.ts
@@ -32,6 +32,19 @@
 /** Pause between two such groups, ms: as long as a takeover takes. */
 const STANDBY_PAUSE_MS = 2000;
 
+/**
+ * How long a process of one core leaves the first lease of a service to
+ * others, ms; one of half a core leaves it twice as long. Processes start
+ * within half a second of each other, and the strongest must be the holder:
+ * at 700 asks a second one of half a core answers half of them too late.
+ */
+const FIRST_PATIENCE_MS = 1500;
+/** No process leaves it for longer, ms. */
+const LONGEST_FIRST_PATIENCE_MS = 4000;
+
+const firstPatienceMs = (capacity: number): number =>
+  Math.min(LONGEST_FIRST_PATIENCE_MS, FIRST_PATIENCE_MS / capacity);
+
 export interface SharedPlacementOptions {
   local: LocalPlacement;
   feed: ObjectFeed;
@@ -42,6 +55,8 @@
   leaseMs: number;
   /** How long it leaves a free lease to others, ms. */
   patienceMs: number;
+  /** Processor time that it has for placing, in cores. */
+  capacity: number;
   /** Whether this process places nothing of its own. */
   isStandby: boolean;
   /** Entries that place through this process, itself included. */
@@ -178,6 +193,7 @@
   private addLink(service: string): HolderLink {
     const { local, feed, self, address, leaseMs, patienceMs, log, now } =
       this.options;
+    const { capacity } = this.options;
     const keeper = new LeaseKeeper({
       feed,
       service,
@@ -185,6 +201,7 @@
       address: address(),
       leaseMs,
       patienceMs,
+      firstPatienceMs: Math.max(patienceMs, firstPatienceMs(capacity)),
       pace: () => local.scheduler(service).pace.known,
       onPace: (cost) => this.restorePace(service, cost),
       log,
--- a/src/scheduling/engineState.ts
+++ b/src/scheduling/engineState.ts
@@ -28,6 +28,9 @@
 const CACHE_SHARE = 0.85;
 /** A grant nobody reported on is dropped after this, ms. */
 const GRANT_LOST_MS = 6000;
+/** Runs from which an engine is known to be slower, or quicker, than others. */
+const LEAST_RUN_RATIOS = 5;
+const KEPT_RUN_RATIOS = 15;
 /** A read that has not ended has at least this part of its time to go. */
 const LEAST_LEFT_PART = 0.05;
 /**
@@ -68,6 +71,8 @@
   private unmeasuredSince = 0;
   /** Times of the last reads over those of the service's engines. */
   private readonly ratios: number[] = [];
+  /** Times of the last long runs over those of the service's engines. */
+  private readonly runRatios: number[] = [];
   runTokens = 0;
   /** No work before this instant: it changes its stage. */
   changesUntil = 0;
@@ -174,6 +179,18 @@
     this.runTokens += tokens;
   }
 
+  /** A long run took so many times as long as others of its length. */
+  measureRun(ratio: number): void {
+    this.runRatios.push(ratio);
+    if (this.runRatios.length > KEPT_RUN_RATIOS) this.runRatios.shift();
+  }
+
+  /** Its time to make tokens over that of the other engines. */
+  get runFactor(): number {
+    const { runRatios } = this;
+    return runRatios.length < LEAST_RUN_RATIOS ? 1 : median(runRatios);
+  }
+
   endRun(id: string): void {
     const run = this.runs.get(id);
     if (run === undefined) return;
--- a/src/scheduling/runPlanner.ts
+++ b/src/scheduling/runPlanner.ts
@@ -3,7 +3,7 @@
 import type { PlacementAsk } from "./types.js";
 
 /** Runs of at least this many tokens are packed. */
-const LONG_OUTPUT_TOKENS = 512;
+export const LONG_OUTPUT_TOKENS = 512;
 /**
  * Packed engines are filled up to this share of slots or memory: beyond it
  * each step takes so much longer that the longest streams miss their time.
@@ -60,6 +60,12 @@
   return Math.max(runs / slots, memory);
 };
 
+/**
+ * An engine that makes tokens more slowly by a tenth counts as fuller by this
+ * share of a tenth for long answers: the longest need most of their time.
+ */
+const SLOW_WEIGHT = 1;
+
 /**
  * Short runs go to the least loaded engine. Long ones fill one engine after
  * the other, so that the rest can change their stage without a wait, and
@@ -75,5 +81,6 @@
   const reading = engine.backlogMs(now) / FULL_BACKLOG_MS;
   if (ask.outputTokens < LONG_OUTPUT_TOKENS) return load + away + reading;
   const packed = load <= PACK_LOAD ? 1 - load : 1 + load;
-  return packed + away + reading;
+  const slower = (engine.runFactor - 1) * SLOW_WEIGHT;
+  return packed + away + reading + slower;
 };
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -15,7 +15,7 @@
 import type { ReadPlan } from "./readPlanner.js";
 import { ReadPace, workOf } from "./readPace.js";
 import { refuse } from "./refusals.js";
-import { chooseRunner, hasRoom } from "./runPlanner.js";
+import { chooseRunner, hasRoom, LONG_OUTPUT_TOKENS } from "./runPlanner.js";
 import { SizeFairness } from "./sizeFairness.js";
 import { STAGES } from "./types.js";
 import type {
@@ -218,9 +218,7 @@
 
   private countAsked(ask: PlacementAsk, costMs: number, now: number): void {
     const { asked } = this;
-    const tokens = this.endedTokens.rate(now);
-    const msPerToken = tokens > 0 ? this.endedRunMs.rate(now) / tokens : 0;
-    const runMs = ask.outputTokens * msPerToken;
+    const runMs = ask.outputTokens * this.msPerToken(now);
     asked.readMs += costMs;
     asked.runMs += runMs;
     asked.runTokenMs += runMs * (ask.promptTokens + ask.outputTokens);
@@ -365,11 +363,22 @@
     }
   }
 
-  private measureRun({ grantedAt, outputTokens }: Placed, now: number): void {
+  private measureRun(placed: Placed, now: number): void {
+    const { runner, grantedAt, outputTokens } = placed;
+    const expectedMs = outputTokens * this.msPerToken(now);
+    if (outputTokens >= LONG_OUTPUT_TOKENS && expectedMs > 0) {
+      runner.measureRun((now - grantedAt) / expectedMs);
+    }
     this.endedRunMs.add(now - grantedAt, now);
     this.endedTokens.add(outputTokens, now);
   }
 
+  /** Time of a run by its tokens, ms; 0 while no run has ended. */
+  private msPerToken(now: number): number {
+    const tokens = this.endedTokens.rate(now);
+    return tokens > 0 ? this.endedRunMs.rate(now) / tokens : 0;
+  }
+
   /** Drops what was never reported on. */
   expire(now: number): void {
     this.engines.expire(now);
--- a/src/store/feed.ts
+++ b/src/store/feed.ts
@@ -74,8 +74,17 @@
 export const watchWaitMs = (catchUpMs: number): number =>
   Math.max(LEAST_WAIT_MS, catchUpMs - CATCH_UP_MARGIN_MS);
 
-/** Pause between two looks whether it is active, ms. */
-const IDLE_MS = 400;
+/**
+ * Pause between two looks whether it is active, ms: a standby that has become
+ * the holder can place once it has read the list.
+ */
+const IDLE_MS = 100;
+/**
+ * Pause after changes before the next call, ms: what changes close together
+ * comes in one answer. While 39 replicas register, each of 100 processes else
+ * makes a call for each of them. Bounds on news are two seconds and more.
+ */
+const GATHER_MS = 300;
 const FIRST_BACKOFF_MS = 80;
 const LONGEST_BACKOFF_MS = 700;
 /** The store counts as in trouble for this long after a failed call, ms. */
@@ -85,6 +94,8 @@
   /** The whole list; also after a gap in the history. */
   onList(items: FeedItem[], inTrouble: boolean): void;
   onChange(change: FeedChange, inTrouble: boolean): void;
+  /** From now on nothing is followed, until the next list. */
+  onIdle?(): void;
 }
 
 export interface FeedWatchOptions {
@@ -104,6 +115,8 @@
   private revision: number | undefined;
   private failures = 0;
   private isIdle = false;
+  /** The last call brought changes. */
+  private hasChanged = false;
   private lastTroubleAt = -Infinity;
   /** When the store last answered, ms. */
   lastAnswerAt = -Infinity;
@@ -125,11 +138,13 @@
   async step(): Promise<void> {
     const { kind, log, now, isActive } = this.options;
     if (isActive?.() === false) {
+      if (!this.isIdle) this.options.handlers.onIdle?.();
       this.revision = undefined;
       this.isIdle = true;
       return;
     }
     this.isIdle = false;
+    this.hasChanged = false;
     try {
       if (this.revision === undefined) await this.readList();
       else await this.readChanges(this.revision);
@@ -168,12 +183,13 @@
     for (const change of reply.changes) {
       handlers.onChange(change, this.inTrouble);
     }
+    this.hasChanged = reply.changes.length > 0;
     this.revision = reply.revision;
   }
 
   private pauseMs(): number {
     if (this.isIdle) return IDLE_MS;
-    if (this.failures === 0) return 0;
+    if (this.failures === 0) return this.hasChanged ? GATHER_MS : 0;
     const longest = Math.min(
       LONGEST_BACKOFF_MS,
       FIRST_BACKOFF_MS * 2 ** (this.failures - 1),
--- /dev/null
+++ b/tests/gateway/placement.test.ts
@@ -0,0 +1,141 @@
+/** Entries and the holder of a lease over their own protocol, on loopback. */
+import { expect } from "chai";
+
+import { PlacementClient } from "../../src/placement/placementClient.js";
+import { LocalPlacement, PlacementServer } from "../../src/placement/index.js";
+import type { EngineView, PlacementAsk } from "../../src/scheduling/index.js";
+import type { Log } from "../../src/telemetry/index.js";
+import { until } from "../support/until.js";
+
+const SILENT: Log = {
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+  debug: () => undefined,
+};
+const SERVICE = "model";
+const now = () => performance.now();
+
+const engine = (id: string, stage: EngineView["stage"]): EngineView => ({
+  id,
+  stage,
+  zone: "one",
+  slots: 1,
+  kvCapacityTokens: 100_000,
+});
+const ENGINES = [engine("reader", "prefill"), engine("runner", "decode")];
+
+const ask = (id: string): PlacementAsk => ({
+  id,
+  service: SERVICE,
+  route: "lookup",
+  zone: "one",
+  model: "m",
+  promptTokens: 100,
+  outputTokens: 10,
+  parts: [],
+  objectiveLeftMs: 20_000,
+  deadlineLeftMs: 20_000,
+  priority: 0,
+  isReturn: false,
+  avoid: [],
+});
+
+describe("placing through the holder", () => {
+  let local: LocalPlacement;
+  let server: PlacementServer;
+  let address: string;
+  let clients: PlacementClient[];
+
+  beforeEach(async () => {
+    clients = [];
+    local = new LocalPlacement({
+      engines: () => ENGINES,
+      share: () => 1,
+      now,
+    });
+    server = new PlacementServer({
+      placement: local,
+      isEntry: false,
+      isHolder: () => true,
+      isFresh: () => true,
+      leaseMark: () => undefined,
+      log: SILENT,
+    });
+    address = await server.listen("127.0.0.1:0");
+  });
+
+  afterEach(() => {
+    for (const client of clients) client.close();
+    server.close();
+    local.close();
+  });
+
+  const connect = async (): Promise<PlacementClient> => {
+    let isAccepted = false;
+    const client = new PlacementClient({
+      service: SERVICE,
+      address,
+      isStandby: false,
+      onAccepted: () => (isAccepted = true),
+      onLost: () => undefined,
+      onState: () => undefined,
+      log: SILENT,
+      now,
+    });
+    clients.push(client);
+    await until(() => isAccepted, "the holder accepts");
+    return client;
+  };
+
+  /** Runs one request to its end, so that the pace of ends is known. */
+  const runOne = async (entry: PlacementClient): Promise<void> => {
+    expect((await entry.ask(ask("one")))?.kind).to.equal("granted");
+    entry.note({ kind: "ended", id: "one", ok: true, firstEventMs: 5 });
+    await until(() => runs() === 0, "the run ends");
+  };
+
+  const runs = (): number =>
+    local
+      .scheduler(SERVICE)
+      .engineStates()
+      .reduce((sum, { runCount }) => sum + runCount, 0);
+
+  it("an ask that waits is answered when room comes", async () => {
+    const entry = await connect();
+    await runOne(entry);
+    const first = await entry.ask(ask("first"));
+    expect(first?.kind).to.equal("granted");
+    const second = entry.ask(ask("second"));
+    await until(() => local.scheduler(SERVICE).waiting === 1);
+    entry.note({ kind: "ended", id: "first", ok: true, firstEventMs: 5 });
+    expect((await second)?.kind).to.equal("granted");
+  });
+
+  it("what a lost entry had at engines takes no room any more", async () => {
+    const lost = await connect();
+    const other = await connect();
+    await runOne(other);
+    expect((await lost.ask(ask("first")))?.kind).to.equal("granted");
+    expect(runs()).to.equal(1);
+    const waiting = other.ask(ask("second"));
+    await until(() => local.scheduler(SERVICE).waiting === 1);
+    lost.close();
+    expect((await waiting)?.kind).to.equal("granted");
+    expect(runs()).to.equal(1);
+  });
+
+  it("grants that entries tell of count, until those entries go", async () => {
+    const entry = await connect();
+    entry.tellHeld(ask("held"), {
+      kind: "granted",
+      reader: undefined,
+      runner: "runner",
+      donor: undefined,
+      readMs: 0,
+    });
+    await until(() => runs() === 1);
+    entry.close();
+    await until(() => runs() === 0);
+  });
+});
--- a/tests/gateway/play.test.ts
+++ b/tests/gateway/play.test.ts
@@ -43,6 +43,12 @@
     inTime: { "long-prompt": 0.85, "long-answer": 0.85 },
     changes: 8,
   },
+  {
+    // Runners chosen without regard to their pace: 0.92 of the answers.
+    load: "longest-answers-in-a-rush",
+    inTime: { "long-prompt": 0.95, "long-answer": 0.93 },
+    changes: 8,
+  },
 ];
 
 describe("loads played on the decisions", () => {
--- a/tests/gateway/scheduling.test.ts
+++ b/tests/gateway/scheduling.test.ts
@@ -266,6 +266,29 @@
     });
   });
 
+  it("gives long answers to engines that make tokens quickly", () => {
+    const scheduler = newScheduler(1, [FLEET[0]!, FLEET[2]!, FLEET[3]!]);
+    const long = { parts: [], promptTokens: 100, outputTokens: 1000 };
+    const tookMs: Record<string, number> = { "dec-1": 900, "dec-2": 300 };
+    const runners: string[] = [];
+    for (let round = 0; round < 30; round += 1) {
+      const at = round * 5000;
+      // Two at once, so that both engines get some while nothing is known.
+      const asks = [ask(long), ask(long), ask(long), ask(long)];
+      for (const item of asks) {
+        const { runner } = granted(scheduler.place(item, at));
+        runners.push(runner);
+        const end = at + tookMs[runner]!;
+        scheduler.onEvent({ kind: "begun", id: item.id }, at + 10);
+        const event = { ...ended(item.id, true), firstEventMs: 10 };
+        scheduler.onEvent(event, end);
+      }
+    }
+    const last = runners.slice(-40);
+    const quick = last.filter((runner) => runner === "dec-2").length;
+    expect(quick).to.equal(last.length);
+  });
+
   it("leaves an engine out at once that answers nothing at all", () => {
     const scheduler = newScheduler();
     const one = ask({ promptTokens: 100 });
