--- a/bench/player/fleet.ts
+++ b/bench/player/fleet.ts
@@ -7,7 +7,11 @@
   planStages,
   StageDemand,
 } from "../../src/scheduling/index.js";
-import type { Stage, StageChange } from "../../src/scheduling/index.js";
+import type {
+  Settled,
+  Stage,
+  StageChange,
+} from "../../src/scheduling/index.js";
 import type { VirtualClock } from "./clock.js";
 import { EngineModel } from "./engineModel.js";
 import type { Fault, Load } from "./load.js";
@@ -45,7 +49,8 @@
   constructor(
     private readonly load: Load,
     private readonly clock: VirtualClock,
-    private readonly onSettled: (id: string) => (answer: never) => void,
+    /** Gets the answers of requests that waited. */
+    private readonly onSettled: (settled: Settled) => void,
   ) {
     const { count, prefillShare, slowness } = load.engines;
     const readers = Math.max(1, Math.round(count * prefillShare));
@@ -94,8 +99,8 @@
   }
 
   private settle(): void {
-    for (const { id, answer } of this.scheduler.settle(this.clock.now)) {
-      this.onSettled(id)(answer as never);
+    for (const settled of this.scheduler.settle(this.clock.now)) {
+      this.onSettled(settled);
     }
   }
 
--- a/bench/player/main.ts
+++ b/bench/player/main.ts
@@ -10,11 +10,14 @@
 import { percentiles, spread } from "../lib/figures.js";
 import { readLoad } from "./load.js";
 import { Play } from "./play.js";
+import { addTallies } from "./tally.js";
 import type { Played } from "./play.js";
 
 const EXIT_USAGE = 2;
 const DEFAULT_SEEDS = "1,2,3";
 const MS = 1000;
+/** Counts of stages that are shown: one of so many, 3 s apart. */
+const SHOWN_STEP = 10;
 
 interface Flags {
   seeds: string;
@@ -24,6 +27,17 @@
 const share = (part: number, all: number): string =>
   all === 0 ? "-" : ((100 * part) / all).toFixed(1);
 
+const kindRow = (name: string, plays: readonly Played[]): string[] => {
+  const all = plays.flatMap(({ tallies }) => tallies.get(name) ?? []);
+  const { asked, inTime, late, refused, failed, inVain, firstMs } =
+    addTallies(all);
+  const [p50, , p99] = percentiles(firstMs);
+  const shares = [inTime, late, refused, failed, inVain].map((part) =>
+    share(part, asked),
+  );
+  return [name, String(asked), ...shares, p50.toFixed(0), p99.toFixed(0)];
+};
+
 const kindTable = (plays: readonly Played[]): string => {
   const head = [
     ...["kind", "asked", "in time %", "late %", "refused %", "failed %"],
@@ -31,44 +45,14 @@
   ];
   const table = new Table({ head, style: { head: [] } });
   for (const name of plays[0]?.tallies.keys() ?? []) {
-    const tallies = plays.flatMap(({ tallies }) => tallies.get(name) ?? []);
-    const sum = (pick: (item: (typeof tallies)[number]) => number) =>
-      tallies.reduce((total, item) => total + pick(item), 0);
-    const asked = sum((item) => item.asked);
-    const [p50, , p99] = percentiles(tallies.flatMap((item) => item.firstMs));
-    table.push([
-      name,
-      asked,
-      share(
-        sum((item) => item.inTime),
-        asked,
-      ),
-      share(
-        sum((item) => item.late),
-        asked,
-      ),
-      share(
-        sum((item) => item.refused),
-        asked,
-      ),
-      share(
-        sum((item) => item.failed),
-        asked,
-      ),
-      share(
-        sum((item) => item.inVain),
-        asked,
-      ),
-      p50.toFixed(0),
-      p99.toFixed(0),
-    ]);
+    table.push(kindRow(name, plays));
   }
   return table.toString();
 };
 
 const stageLine = ({ stages }: Played): string =>
   stages
-    .filter((_, at) => at % 10 === 0)
+    .filter((_, at) => at % SHOWN_STEP === 0)
     .map(({ atMs, prefill, decode }) => {
       return `${(atMs / MS).toFixed(0)}s ${prefill}/${decode}`;
     })
--- a/bench/player/play.ts
+++ b/bench/player/play.ts
@@ -15,6 +15,8 @@
 import type { StageCount } from "./fleet.js";
 import { drawRequests } from "./load.js";
 import type { DrawnRequest, Load } from "./load.js";
+import { newTally } from "./tally.js";
+import type { Tally } from "./tally.js";
 
 const MS = 1000;
 /** Rounds of placement of one request at the most. */
@@ -26,32 +28,21 @@
 /** What a late answer is worth of one in time. */
 const LATE_WORTH = 0.3;
 
-/** What became of the requests of one kind. */
-export interface Tally {
-  asked: number;
-  inTime: number;
-  late: number;
-  refused: number;
-  /** Placed and not served: engines were lost, or the time was over. */
-  failed: number;
-  /** Ended with nothing after more than half of their deadline. */
-  inVain: number;
-  firstMs: number[];
-}
-
 export interface Played {
   tallies: Map<string, Tally>;
   stages: StageCount[];
   changes: number;
-  /** Tokens read, and how many of shared parts that some engine held. */
+  /** Mean over all requests: 1 in time, less if late, 0 without an answer. */
   worth: number;
 }
 
+/** One try of a request; a refused caller comes back once with another. */
 interface Try {
   drawn: DrawnRequest;
   id: string;
+  /** Of the first try: objective and deadline count from it. */
   begunAt: number;
-  /** Of this try; the objective counts from the first one. */
+  /** Of this one. */
   arrivedAt: number;
   isReturn: boolean;
   avoid: string[];
@@ -69,12 +60,11 @@
     private readonly load: Load,
     seed: number,
   ) {
-    const onSettled = (id: string) => (answer: PlacementAnswer) => {
+    this.fleet = new ModelFleet(load, this.clock, ({ id, answer }) => {
       const waiting = this.waiting.get(id);
       this.waiting.delete(id);
       if (waiting !== undefined) this.onAnswer(waiting, answer);
-    };
-    this.fleet = new ModelFleet(load, this.clock, onSettled);
+    });
     for (const { name } of load.kinds) this.tallies.set(name, newTally());
     for (const drawn of drawRequests(load, seededRng(seed))) {
       this.clock.after(drawn.at, () => this.begin(drawn));
@@ -292,16 +282,6 @@
   }
 }
 
-const newTally = (): Tally => ({
-  asked: 0,
-  inTime: 0,
-  late: 0,
-  refused: 0,
-  failed: 0,
-  inVain: 0,
-  firstMs: [],
-});
-
 /** How long callers wait for a first event, ms. */
 const silenceMs = ({ objectiveMs, gapMs }: DrawnRequest["kind"]): number =>
   Math.max(LEAST_SILENCE_MS, 4 * objectiveMs, 8 * gapMs);
