A new holder does not count reads that have ended

Entries tell it of all that they have at engines; it counted each prompt as still to be read, also those that were read long ago, whose end nobody reports twice.

Change: entries say whether a prompt was read; such a grant takes room at its runner and nothing else.

--- a/src/gen/snowgate.ts
+++ b/src/gen/snowgate.ts
@@ -118,6 +118,8 @@
   ask: PlaceAsk | undefined;
   reader: string;
   runner: string;
+  /** Its prompt is read: it takes room at the runner only. */
+  isRead: boolean;
 }
 
 export interface PlaceEvent {
@@ -1711,7 +1713,7 @@
 };
 
 function createBasePlaceHeld(): PlaceHeld {
-  return { ask: undefined, reader: "", runner: "" };
+  return { ask: undefined, reader: "", runner: "", isRead: false };
 }
 
 export const PlaceHeld: MessageFns<PlaceHeld> = {
@@ -1725,6 +1727,9 @@
     if (message.runner !== "") {
       writer.uint32(26).string(message.runner);
     }
+    if (message.isRead !== false) {
+      writer.uint32(32).bool(message.isRead);
+    }
     return writer;
   },
 
@@ -1765,6 +1770,14 @@
             message.runner = reader.string();
             continue;
           }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.isRead = reader.bool();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1782,6 +1795,11 @@
       ask: isSet(object.ask) ? PlaceAsk.fromJSON(object.ask) : undefined,
       reader: isSet(object.reader) ? globalThis.String(object.reader) : "",
       runner: isSet(object.runner) ? globalThis.String(object.runner) : "",
+      isRead: isSet(object.isRead)
+        ? globalThis.Boolean(object.isRead)
+        : isSet(object.is_read)
+        ? globalThis.Boolean(object.is_read)
+        : false,
     };
   },
 
@@ -1796,6 +1814,9 @@
     if (message.runner !== "") {
       obj.runner = message.runner;
     }
+    if (message.isRead !== false) {
+      obj.isRead = message.isRead;
+    }
     return obj;
   },
 
@@ -1807,6 +1828,7 @@
     message.ask = (object.ask !== undefined && object.ask !== null) ? PlaceAsk.fromPartial(object.ask) : undefined;
     message.reader = object.reader ?? "";
     message.runner = object.runner ?? "";
+    message.isRead = object.isRead ?? false;
     return message;
   },
 };
--- a/src/placement/localPlacement.ts
+++ b/src/placement/localPlacement.ts
@@ -56,11 +56,14 @@
     return answer;
   }
 
-  /** Takes over a grant that another scheduler has given. */
-  adopt(ask: PlacementAsk, grant: Grant): void {
+  /**
+   * Takes over a grant that another scheduler has given; `isRead`: an engine
+   * has read its prompt.
+   */
+  adopt(ask: PlacementAsk, grant: Grant, isRead = false): void {
     const scheduler = this.scheduler(ask.service);
     scheduler.setEngines(this.options.engines(ask.service));
-    scheduler.adopt(ask, grant, this.options.now());
+    scheduler.adopt(ask, grant, isRead, this.options.now());
   }
 
   note(service: string, event: PlacementEvent): void {
--- a/src/placement/placementClient.ts
+++ b/src/placement/placementClient.ts
@@ -143,9 +143,9 @@
   }
 
   /** Tells the holder of a grant that is in use already. */
-  tellHeld(ask: PlacementAsk, grant: Grant): void {
+  tellHeld(ask: PlacementAsk, grant: Grant, isRead: boolean): void {
     const { reader = "", runner } = grant;
-    this.send({ held: { ask: toPlaceAsk(ask), reader, runner } });
+    this.send({ held: { ask: toPlaceAsk(ask), reader, runner, isRead } });
   }
 
   close(): void {
--- a/src/placement/placementServer.ts
+++ b/src/placement/placementServer.ts
@@ -5,7 +5,12 @@
 import { SchedulingService } from "../gen/snowgate.js";
 import type { PlaceCall, PlaceReply } from "../gen/snowgate.js";
 import { splitAddress } from "../http/index.js";
-import type { PlacementAnswer, Queued, ReadCost } from "../scheduling/index.js";
+import type {
+  Grant,
+  PlacementAnswer,
+  Queued,
+  ReadCost,
+} from "../scheduling/index.js";
 import type { Log } from "../telemetry/index.js";
 import type { LeaseMark } from "./leaseKeeper.js";
 import type { LocalPlacement } from "./localPlacement.js";
@@ -176,15 +181,16 @@
       if (event.kind === "ended") this.open.get(stream)?.delete(event.id);
     }
     if (held?.ask !== undefined) {
-      const { reader, runner } = held;
+      const { reader, runner, isRead } = held;
       this.noteOpen(stream, held.ask.id);
-      placement.adopt(fromPlaceAsk(service, held.ask), {
+      const grant: Grant = {
         kind: "granted",
         reader: nameIn(reader),
         runner,
         donor: undefined,
         readMs: 0,
-      });
+      };
+      placement.adopt(fromPlaceAsk(service, held.ask), grant, isRead);
     }
     if (ask !== undefined) {
       const { id } = ask;
--- a/src/placement/sharedPlacement.ts
+++ b/src/placement/sharedPlacement.ts
@@ -81,6 +81,8 @@
 interface InUse {
   ask: PlacementAsk;
   grant: Grant;
+  /** An engine has read its prompt. */
+  isRead: boolean;
 }
 
 export class SharedPlacement implements Placement {
@@ -105,7 +107,7 @@
     }
     const own = await local.place(ask);
     const { client: newest } = this.links.get(ask.service) ?? {};
-    if (own.kind === "granted") newest?.tellHeld(ask, own);
+    if (own.kind === "granted") newest?.tellHeld(ask, own, false);
     return this.used(ask, own);
   }
 
@@ -116,11 +118,20 @@
   }
 
   note(service: string, event: PlacementEvent): void {
-    if (event.kind === "ended") this.inUse.delete(event.id);
+    this.follow(event);
     this.options.local.note(service, event);
     this.links.get(service)?.client?.note(event);
   }
 
+  /** What a new holder will have to know of the request. */
+  private follow(event: PlacementEvent): void {
+    if (event.kind === "ended") this.inUse.delete(event.id);
+    const isRead = event.kind === "read" || event.kind === "begun";
+    if (!isRead) return;
+    const item = this.inUse.get(event.id);
+    if (item !== undefined) item.isRead = true;
+  }
+
   /** How many processes place on a service's engines without talking. */
   share(service: string): number {
     const link = this.links.get(service);
@@ -251,8 +262,8 @@
     link.client = client;
     // Until it accepts, the lease has to be looked at: it may be gone.
     link.isFresh = false;
-    for (const { ask, grant } of this.inUse.values()) {
-      if (ask.service === service) client.tellHeld(ask, grant);
+    for (const { ask, grant, isRead } of this.inUse.values()) {
+      if (ask.service === service) client.tellHeld(ask, grant, isRead);
     }
   }
 
@@ -263,7 +274,7 @@
 
   private used(ask: PlacementAsk, answer: PlacementAnswer): PlacementAnswer {
     if (answer.kind === "granted") {
-      this.inUse.set(ask.id, { ask, grant: answer });
+      this.inUse.set(ask.id, { ask, grant: answer, isRead: false });
     }
     return answer;
   }
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -307,12 +307,18 @@
     return this.firstEventMs.value + HOPS_MS;
   }
 
-  /** Takes over a grant that another scheduler has given. */
-  adopt(ask: PlacementAsk, grant: Grant, now: number): void {
+  /**
+   * Takes over a grant that another scheduler has given; `isRead`: an engine
+   * has read its prompt, which nobody will report any more. Counted as under
+   * way, such reads kept the engines of a new holder from work for seconds:
+   * it gave out a third of what the one before did.
+   */
+  adopt(ask: PlacementAsk, grant: Grant, isRead: boolean, now: number): void {
     const runner = this.engines.get(grant.runner);
     if (runner === undefined || this.placed.has(ask.id)) return;
     const engine = grant.reader ? this.engines.get(grant.reader) : undefined;
     const cache = new PromptCache(ask);
+    if (isRead) return this.adoptRun(ask, cache, engine, runner, now);
     const choice = { ask, cache, open: [], now };
     if (engine === undefined) return void this.grant(choice, undefined, runner);
     const cached = cache.at(engine);
@@ -322,6 +328,17 @@
     this.grant(choice, plan, runner);
   }
 
+  private adoptRun(
+    ask: PlacementAsk,
+    { parts }: PromptCache,
+    reader: EngineState | undefined,
+    runner: EngineState,
+    now: number,
+  ): void {
+    reader?.remember(parts);
+    this.addPlaced(ask, parts, undefined, runner, now);
+  }
+
   onEvent(event: PlacementEvent, now: number): void {
     if (event.kind === "wrong-stage") {
       return this.engines.doubt(event.engine, now);
@@ -400,19 +417,8 @@
     const work = workOf(ask.promptTokens, cached);
     reader.addRead(ask.id, work, costMs * this.share(), now);
     reader.expect(parts);
-    const needed = ask.promptTokens + ask.outputTokens;
-    runner.addRun(ask.id, needed, now + ask.deadlineLeftMs, now);
     const apart = reader === runner ? undefined : reader;
-    const { deadlineLeftMs } = ask;
-    const lostAt = now + deadlineLeftMs + LONGEST_CLOSE_MS;
-    this.placed.set(ask.id, {
-      reader: apart,
-      runner,
-      parts,
-      grantedAt: now,
-      outputTokens: ask.outputTokens,
-      lostAt,
-    });
+    this.addPlaced(ask, parts, apart, runner, now);
     return {
       kind: "granted",
       reader: apart?.view.id,
@@ -421,4 +427,20 @@
       readMs: plan?.endMs ?? 0,
     };
   }
+
+  /** It takes room at the runner from now on. */
+  private addPlaced(
+    { id, promptTokens, outputTokens, deadlineLeftMs }: PlacementAsk,
+    parts: readonly KeyedPart[],
+    reader: EngineState | undefined,
+    runner: EngineState,
+    now: number,
+  ): void {
+    const tokens = promptTokens + outputTokens;
+    runner.addRun(id, tokens, now + deadlineLeftMs, now);
+    const lostAt = now + deadlineLeftMs + LONGEST_CLOSE_MS;
+    const grantedAt = now;
+    const placed = { reader, runner, parts, grantedAt, outputTokens, lostAt };
+    this.placed.set(id, placed);
+  }
 }
--- a/tests/gateway/placement.test.ts
+++ b/tests/gateway/placement.test.ts
@@ -3,7 +3,11 @@
 
 import { PlacementClient } from "../../src/placement/placementClient.js";
 import { LocalPlacement, PlacementServer } from "../../src/placement/index.js";
-import type { EngineView, PlacementAsk } from "../../src/scheduling/index.js";
+import type {
+  EngineView,
+  Grant,
+  PlacementAsk,
+} from "../../src/scheduling/index.js";
 import type { Log } from "../../src/telemetry/index.js";
 import { until } from "../support/until.js";
 
@@ -41,6 +45,14 @@
   avoid: [],
 });
 
+const HELD: Grant = {
+  kind: "granted",
+  reader: undefined,
+  runner: "runner",
+  donor: undefined,
+  readMs: 0,
+};
+
 describe("placing through the holder", () => {
   let local: LocalPlacement;
   let server: PlacementServer;
@@ -127,15 +139,24 @@
 
   it("grants that entries tell of count, until those entries go", async () => {
     const entry = await connect();
-    entry.tellHeld(ask("held"), {
-      kind: "granted",
-      reader: undefined,
-      runner: "runner",
-      donor: undefined,
-      readMs: 0,
-    });
+    entry.tellHeld(ask("held"), HELD, false);
     await until(() => runs() === 1);
     entry.close();
     await until(() => runs() === 0);
   });
+
+  it("a grant whose prompt was read takes no time of its reader", async () => {
+    const entry = await connect();
+    const backlogMs = (): number => {
+      const engines = local.scheduler(SERVICE).engineStates();
+      const reader = engines.find(({ view }) => view.id === "reader");
+      return reader?.backlogMs(now()) ?? 0;
+    };
+    entry.tellHeld(ask("read"), { ...HELD, reader: "reader" }, true);
+    await until(() => runs() === 1);
+    expect(backlogMs()).to.equal(0);
+    entry.tellHeld(ask("unread"), { ...HELD, reader: "reader" }, false);
+    await until(() => runs() === 2);
+    expect(backlogMs()).to.be.greaterThan(0);
+  });
 });
--- a/tests/gateway/scheduling.test.ts
+++ b/tests/gateway/scheduling.test.ts
@@ -353,11 +353,22 @@
       const held = ask({ promptTokens: 100 });
       const grant = { kind: "granted" as const, reader: undefined, runner };
       const rest = { donor: undefined, readMs: 0 };
-      scheduler.adopt(held, { ...grant, ...rest }, 0);
+      scheduler.adopt(held, { ...grant, ...rest }, false, 0);
     }
     const answer = scheduler.place(ask({ promptTokens: 100 }), 0);
     expect(answer.kind).to.equal("refused");
   });
+
+  it("has engines read at once whose reads ended before it took over", () => {
+    const scheduler = newScheduler();
+    for (const reader of ["pre-1", "pre-2"]) {
+      const rest = { donor: undefined, readMs: 0 };
+      const held = { kind: "granted" as const, reader, runner: "dec-1" };
+      scheduler.adopt(ask(), { ...held, ...rest }, true, 0);
+    }
+    const answer = granted(scheduler.place(ask({ parts: [] }), 2000));
+    expect(answer.reader).to.match(/^pre-/);
+  });
 });
 
 describe("fairness by size", () => {
