The scheduler parted: requests at engines, pace of runs, load

Change: `placedRequests.ts` holds what is at engines and takes in the reports, `runPace.ts` the time of runs by their tokens, `schedulerLoad.ts` the sums for the planner.

--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -1,5 +1,6 @@
 export { EngineScheduler } from "./scheduler.js";
-export type { SchedulerLoad, Settled } from "./scheduler.js";
+export type { Settled } from "./scheduler.js";
+export type { SchedulerLoad } from "./schedulerLoad.js";
 export type { ReadCost } from "./readPace.js";
 export { StageDemand } from "./stageDemand.js";
 export { planStages } from "./stagePlanner.js";
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -7,15 +7,16 @@
 import { FadingSum } from "../shared/fadingSum.js";
 import { RunningMean } from "../shared/runningMean.js";
 import { EnginePool } from "./enginePool.js";
-import { LONGEST_CLOSE_MS } from "./engineState.js";
 import type { EngineState } from "./engineState.js";
+import { PlacedRequests } from "./placedRequests.js";
 import { PromptCache } from "./promptCache.js";
-import type { KeyedPart } from "./promptCache.js";
 import { planOwnRead, planRead } from "./readPlanner.js";
 import type { ReadPlan } from "./readPlanner.js";
 import { ReadPace, workOf } from "./readPace.js";
 import { refuse } from "./refusals.js";
-import { chooseRunner, hasRoom, LONG_OUTPUT_TOKENS } from "./runPlanner.js";
+import { chooseRunner, hasRoom } from "./runPlanner.js";
+import { NO_LOAD } from "./schedulerLoad.js";
+import type { SchedulerLoad } from "./schedulerLoad.js";
 import { SizeFairness } from "./sizeFairness.js";
 import { STAGES } from "./types.js";
 import type {
@@ -35,7 +36,6 @@
  * the runner reads in less are not worth the hops to another engine.
  */
 const HOPS_MS = 16;
-const FIRST_EVENT_GAIN = 0.05;
 const MEAN_READ_GAIN = 0.02;
 /**
  * Part of the objective in which an answer is planned: those that begin last
@@ -53,41 +53,8 @@
 const START_AHEAD_MS = 4 * HOPS_MS;
 /** Requests that are looked at for engines that come free. */
 const LOOK_AHEAD = 16;
-/** Time constant of the rates of urgent reading and of runs that end, ms. */
+/** Time constant of the rate of urgent reading, ms. */
 const RATE_MEMORY_MS = 1000;
-/** Time constant of the pace of tokens, ms: longer than the longest runs. */
-const RUN_PACE_MEMORY_MS = 20_000;
-interface Placed {
-  reader: EngineState | undefined;
-  runner: EngineState;
-  parts: readonly KeyedPart[];
-  grantedAt: number;
-  outputTokens: number;
-  /** Instant after which its end will not be reported any more, ms. */
-  lostAt: number;
-}
-
-/** Work asked for since start, for the planner of stages. */
-export interface SchedulerLoad {
-  /** Reading time of one prefill engine, refused requests included, ms. */
-  readMs: number;
-  /** Reading of short rests by engines that make tokens, ms. */
-  restMs: number;
-  /**
-   * Time that runs take a slot, ms, and a place in memory, token x ms, as far
-   * as their lengths tell. Runs that are there now tell of it only when the
-   * longest have had the time to come together.
-   */
-  runMs: number;
-  runTokenMs: number;
-}
-
-export const NO_LOAD: Readonly<SchedulerLoad> = {
-  readMs: 0,
-  restMs: 0,
-  runMs: 0,
-  runTokenMs: 0,
-};
 
 /** The late answer to a request that was queued. */
 export interface Settled {
@@ -117,18 +84,13 @@
 });
 
 export class EngineScheduler {
-  private readonly placed = new Map<string, Placed>();
+  private readonly placed = new PlacedRequests();
   private readonly fairness = new SizeFairness();
   private readonly queue = new WaitQueue();
-  private readonly firstEventMs = new RunningMean(FIRST_EVENT_GAIN);
   /** Mean time to read the prompts that were asked for, ms. */
   private readonly meanReadMs = new RunningMean(MEAN_READ_GAIN);
   /** Urgent reading that was given out, ms. */
   private readonly urgentMs = new FadingSum(RATE_MEMORY_MS);
-  private readonly runEnds = new FadingSum(RATE_MEMORY_MS);
-  /** Time that ended runs took from grant to end, and their tokens. */
-  private readonly endedRunMs = new FadingSum(RUN_PACE_MEMORY_MS);
-  private readonly endedTokens = new FadingSum(RUN_PACE_MEMORY_MS);
   readonly asked: SchedulerLoad = { ...NO_LOAD };
   readonly pace = new ReadPace();
   private readonly engines = new EnginePool(this.pace);
@@ -218,7 +180,7 @@
 
   private countAsked(ask: PlacementAsk, costMs: number, now: number): void {
     const { asked } = this;
-    const runMs = ask.outputTokens * this.msPerToken(now);
+    const runMs = this.placed.runPace.expectMs(ask.outputTokens, now);
     asked.readMs += costMs;
     asked.runMs += runMs;
     asked.runTokenMs += runMs * (ask.promptTokens + ask.outputTokens);
@@ -298,13 +260,13 @@
       engines,
       backlogMs: backlog / Math.max(1, engines),
       urgentShare: this.urgentMs.rate(now) / Math.max(1, engines),
-      roomMs: hasRunner ? 0 : 1 / this.runEnds.rate(now),
+      roomMs: hasRunner ? 0 : 1 / this.placed.endRate(now),
     };
   }
 
   /** From the end of a read to the first event at the caller, ms. */
   private get afterReadMs(): number {
-    return this.firstEventMs.value + HOPS_MS;
+    return this.placed.firstEventMs + HOPS_MS;
   }
 
   /**
@@ -318,7 +280,11 @@
     if (runner === undefined || this.placed.has(ask.id)) return;
     const engine = grant.reader ? this.engines.get(grant.reader) : undefined;
     const cache = new PromptCache(ask);
-    if (isRead) return this.adoptRun(ask, cache, engine, runner, now);
+    if (isRead) {
+      const { parts } = cache;
+      engine?.remember(parts);
+      return this.placed.add(ask, { reader: undefined, runner, parts }, now);
+    }
     const choice = { ask, cache, open: [], now };
     if (engine === undefined) return void this.grant(choice, undefined, runner);
     const cached = cache.at(engine);
@@ -328,17 +294,6 @@
     this.grant(choice, plan, runner);
   }
 
-  private adoptRun(
-    ask: PlacementAsk,
-    { parts }: PromptCache,
-    reader: EngineState | undefined,
-    runner: EngineState,
-    now: number,
-  ): void {
-    reader?.remember(parts);
-    this.addPlaced(ask, parts, undefined, runner, now);
-  }
-
   onEvent(event: PlacementEvent, now: number): void {
     if (event.kind === "wrong-stage") {
       return this.engines.doubt(event.engine, now);
@@ -346,62 +301,16 @@
     if (event.kind === "silent") {
       return this.engines.get(event.engine)?.noteSilent(now);
     }
-    const placed = this.placed.get(event.id);
-    if (placed === undefined) {
-      if (event.kind === "ended") this.queue.drop(event.id);
-      return;
+    if (this.placed.has(event.id)) {
+      return this.placed.onEvent(event, this.share() === 1, now);
     }
-    const { reader, runner, parts } = placed;
-    switch (event.kind) {
-      case "read":
-        reader?.endRead(event.id, event.ok && this.share() === 1, now);
-        if (event.ok) reader?.remember(parts);
-        else reader?.forget(parts);
-        reader?.judge(event.ok, now);
-        return;
-      case "begun":
-        runner.endRead(event.id, false, now);
-        runner.remember(parts);
-        runner.judge(true, now);
-        return;
-      case "ended":
-        reader?.endRead(event.id, false, now);
-        runner.endRead(event.id, false, now);
-        runner.endRun(event.id);
-        this.runEnds.add(1, now);
-        if (event.firstEventMs > 0) this.measureRun(placed, now);
-        this.placed.delete(event.id);
-        if (reader !== undefined && event.firstEventMs > 0) {
-          this.firstEventMs.add(event.firstEventMs);
-        }
-        if (event.ok) runner.remember(parts);
-        runner.judge(event.ok, now);
-        return;
-    }
-  }
-
-  private measureRun(placed: Placed, now: number): void {
-    const { runner, grantedAt, outputTokens } = placed;
-    const expectedMs = outputTokens * this.msPerToken(now);
-    if (outputTokens >= LONG_OUTPUT_TOKENS && expectedMs > 0) {
-      runner.measureRun((now - grantedAt) / expectedMs);
-    }
-    this.endedRunMs.add(now - grantedAt, now);
-    this.endedTokens.add(outputTokens, now);
-  }
-
-  /** Time of a run by its tokens, ms; 0 while no run has ended. */
-  private msPerToken(now: number): number {
-    const tokens = this.endedTokens.rate(now);
-    return tokens > 0 ? this.endedRunMs.rate(now) / tokens : 0;
+    if (event.kind === "ended") this.queue.drop(event.id);
   }
 
   /** Drops what was never reported on. */
   expire(now: number): void {
     this.engines.expire(now);
-    for (const [id, { lostAt }] of this.placed) {
-      if (now > lostAt) this.placed.delete(id);
-    }
+    this.placed.expire(now);
   }
 
   /** `plan`: absent where the runner reads a short rest by the way. */
@@ -418,7 +327,7 @@
     reader.addRead(ask.id, work, costMs * this.share(), now);
     reader.expect(parts);
     const apart = reader === runner ? undefined : reader;
-    this.addPlaced(ask, parts, apart, runner, now);
+    this.placed.add(ask, { reader: apart, runner, parts }, now);
     return {
       kind: "granted",
       reader: apart?.view.id,
@@ -427,20 +336,4 @@
       readMs: plan?.endMs ?? 0,
     };
   }
-
-  /** It takes room at the runner from now on. */
-  private addPlaced(
-    { id, promptTokens, outputTokens, deadlineLeftMs }: PlacementAsk,
-    parts: readonly KeyedPart[],
-    reader: EngineState | undefined,
-    runner: EngineState,
-    now: number,
-  ): void {
-    const tokens = promptTokens + outputTokens;
-    runner.addRun(id, tokens, now + deadlineLeftMs, now);
-    const lostAt = now + deadlineLeftMs + LONGEST_CLOSE_MS;
-    const grantedAt = now;
-    const placed = { reader, runner, parts, grantedAt, outputTokens, lostAt };
-    this.placed.set(id, placed);
-  }
 }
--- a/src/scheduling/stageDemand.ts
+++ b/src/scheduling/stageDemand.ts
@@ -3,8 +3,8 @@
  * the planner of stages. Pure; times are ms.
  */
 import type { EngineState } from "./engineState.js";
-import { NO_LOAD } from "./scheduler.js";
-import type { SchedulerLoad } from "./scheduler.js";
+import { NO_LOAD } from "./schedulerLoad.js";
+import type { SchedulerLoad } from "./schedulerLoad.js";
 
 /** Time constant of the smoothed demand, ms. */
 const SMOOTHING_MS = 1200;
--- a/tests/gateway/stageDemand.test.ts
+++ b/tests/gateway/stageDemand.test.ts
@@ -3,7 +3,7 @@
 
 import { EngineState } from "../../src/scheduling/engineState.js";
 import { ReadPace } from "../../src/scheduling/readPace.js";
-import { NO_LOAD } from "../../src/scheduling/scheduler.js";
+import { NO_LOAD } from "../../src/scheduling/schedulerLoad.js";
 import { StageDemand } from "../../src/scheduling/stageDemand.js";
 
 const STEP_MS = 300;
