--- a/src/gateway/callerRequest.ts
+++ b/src/gateway/callerRequest.ts
@@ -6,6 +6,7 @@
 import type { Log, LogFields, Metrics } from "../telemetry/index.js";
 import type { RequestForm } from "./requestForm.js";
 import type { InboundHead, Route } from "./types.js";
+import type { KeyClaim, Workspace } from "../workspaces/index.js";
 
 /**
  * How long past its limit a request is held for an answer that is on its
@@ -18,8 +19,11 @@
   head: InboundHead;
   route: Route;
   service: string;
+  claim: KeyClaim;
   body: Buffer;
   arrivedAt: number;
+  /** A request of a workspace began to run `agoMs` ago. */
+  onBegun(workspace: string, agoMs: number): void;
   form: RequestForm;
   log: Log;
   metrics: Metrics;
@@ -34,6 +38,7 @@
   readonly head: InboundHead;
   readonly route: Route;
   readonly service: string;
+  readonly claim: KeyClaim;
   readonly body: Buffer;
   readonly arrivedAt: number;
   /** Instant at which the caller or the route gives up, ms. */
@@ -43,6 +48,7 @@
   private readonly timer: NodeJS.Timeout;
   private readonly fullDeadlineMs: number;
   private isAnswered = false;
+  private hasRun = false;
   /** When a stream began, ms after its arrival. */
   private firstMs: number | undefined;
   /** Whether the caller went before its answer was whole. */
@@ -56,6 +62,7 @@
     this.head = head;
     this.route = route;
     this.service = service;
+    this.claim = options.claim;
     this.body = body;
     this.arrivedAt = arrivedAt;
     this.fullDeadlineMs = options.fullDeadlineMs;
@@ -79,6 +86,23 @@
     return deadlineMs !== undefined && deadlineMs < this.fullDeadlineMs;
   }
 
+  /** 0 is the most urgent; a workspace's own goes before its route's. */
+  get priority(): number {
+    return this.workspace?.priority ?? this.route.priority;
+  }
+
+  private get workspace(): Workspace | undefined {
+    return this.claim.kind === "workspace" ? this.claim.workspace : undefined;
+  }
+
+  /** A replica began to run it so long ago; counted once. */
+  noteBegun(agoMs = 0): void {
+    if (this.hasRun) return;
+    this.hasRun = true;
+    const { workspace } = this;
+    if (workspace !== undefined) this.options.onBegun(workspace.name, agoMs);
+  }
+
   /** Time left, ms; never negative. */
   leftMs(): number {
     return Math.max(0, this.deadlineAt - this.options.now());
@@ -144,7 +168,8 @@
     const { metrics } = this.options;
     const className = this.route.name;
     metrics.count("request", { class: className, outcome });
-    metrics.latency(className, this.service, this.elapsedMs());
+    const owner = this.workspace?.name ?? this.service;
+    metrics.latency(className, owner, this.elapsedMs());
   }
 
   private log(outcome: string, fields: LogFields): void {
@@ -152,6 +177,7 @@
       requestId: this.head.id,
       route: this.route.name,
       service: this.service,
+      workspace: this.workspace?.name,
       outcome,
       elapsedMs: Math.round(this.elapsedMs()),
       deadlineLeftMs: Math.round(this.leftMs()),
--- a/src/gateway/engineCalls.ts
+++ b/src/gateway/engineCalls.ts
@@ -51,7 +51,7 @@
     caller: CallerRequest,
     id: string,
     cancellation: Cancellation,
-    send: UpstreamSend,
+    send: Omit<UpstreamSend, "claim">,
   ): Promise<EngineReply> {
     const { replicas, client, form } = this.options;
     const replica = replicas.get(id);
@@ -63,7 +63,7 @@
     if (caller.leftMs() <= 0 || cancellation.isCancelled) {
       return { kind: "failed", verdict: "not-run", why: "its time is over" };
     }
-    const { head, body } = caller;
+    const { head, body, claim } = caller;
     const { address } = replica;
     caller.sentTo.push(id);
     const outcome = await client.send({
@@ -71,7 +71,7 @@
       address,
       method: head.method,
       target: head.target,
-      headers: form.upstreamHeaders(head, send, body.length),
+      headers: form.upstreamHeaders(head, { ...send, claim }, body.length),
       body,
       cancellation,
     });
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -13,6 +13,7 @@
 import type { GatewayParts } from "./parts.js";
 import { RetryBudgets } from "./retryBudgets.js";
 import type { RetryLimits } from "./retryBudgets.js";
+import type { KeyBounds, UsageWindows } from "../workspaces/index.js";
 import { watchStore } from "./storeWatch.js";
 import { StreamFlow } from "./streamFlow.js";
 import { UpstreamClient } from "./upstreamClient.js";
@@ -51,6 +52,9 @@
   retry: RetryLimits;
   /** After a cut from the store has healed, it knows the news by then, ms. */
   catchUpMs: number;
+  keyBounds: KeyBounds;
+  /** Undefined where the platform wants no usage report. */
+  usage: UsageWindows | undefined;
   /** From the signal to stop until the process is ended, ms. */
   graceMs: number;
 }
@@ -72,6 +76,10 @@
     peerAddress: settings.peerAddress,
     capacity: settings.processorShare * PLACING_PART,
     orderLeaseMs: settings.leaseMs,
+    keyBounds: settings.keyBounds,
+    usage: settings.usage,
+    duties: parts.duties,
+    wallNow: parts.wallNow,
     services: () => state.engineServices(),
     state,
     feed,
@@ -88,6 +96,8 @@
     state,
     form,
     budgets,
+    keyBounds: settings.keyBounds,
+    onBegun: role.onBegun,
     plain: new PlainFlow(shared),
     stream: new StreamFlow({ ...shared, placement, log }, id),
     log,
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -14,6 +14,8 @@
 import type { RetryBudgets } from "./retryBudgets.js";
 import { drawService } from "./routeTable.js";
 import type { CallerLimits, InboundHead, Route } from "./types.js";
+import { checkKey } from "../workspaces/index.js";
+import type { KeyBounds, KeyClaim } from "../workspaces/index.js";
 
 /** Room for headers beyond what the configuration allows callers, bytes. */
 const MAX_HEADER_BYTES = 64 * 1024;
@@ -34,6 +36,9 @@
   state: GatewayState;
   form: RequestForm;
   budgets: RetryBudgets;
+  keyBounds: KeyBounds;
+  /** A request of a workspace began to run `agoMs` ago. */
+  onBegun(workspace: string, agoMs: number): void;
   plain: RequestRunner;
   stream: RequestRunner;
   log: Log;
@@ -42,6 +47,13 @@
   now: () => number;
 }
 
+/** What was found for a request before its body is read. */
+interface Way {
+  route: Route;
+  service: string;
+  claim: KeyClaim;
+}
+
 const failure = (
   status: number,
   code: RequestFailure["code"],
@@ -110,7 +122,7 @@
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
-    const { form, state, now, rng } = this.options;
+    const { form, state, now, rng, keyBounds } = this.options;
     const arrivedAt = now();
     const head = form.decode(req);
     if (isFailure(head)) return this.refuse(req, res, "", head);
@@ -122,13 +134,25 @@
       const unknown = failure(404, "unknown_route", "no route fits");
       return this.refuse(req, res, head.id, unknown);
     }
+    const verdict = checkKey({
+      keyring: table.keyring,
+      isPublic: route.isPublic,
+      digest: head.keyDigest,
+      proofAgeMs: state.proofAgeMs,
+      bounds: keyBounds,
+    });
+    if (verdict.kind === "refused") {
+      return this.refuse(req, res, head.id, verdict.failure);
+    }
     if (!this.mayTake(route, head)) {
       return this.refuse(req, res, head.id, LEAVING);
     }
     const limit = table.config.limits.maxBodyBytes;
     const body = await this.readBody(req, res, head, limit);
     if (body === undefined) return;
-    const caller = this.admit(res, head, route, service, body, arrivedAt);
+    const { claim } = verdict;
+    const way = { route, service, claim };
+    const caller = this.admit(res, head, way, body, arrivedAt);
     const isEngine = table.service(service)?.engine !== undefined;
     const flow = isEngine ? this.options.stream : this.options.plain;
     await flow.run(caller);
@@ -149,20 +173,21 @@
   private admit(
     res: ServerResponse,
     head: InboundHead,
-    route: Route,
-    service: string,
+    { route, service, claim }: Way,
     body: Buffer,
     arrivedAt: number,
   ): CallerRequest {
-    const { form, log, metrics, now, budgets } = this.options;
+    const { form, log, metrics, now, budgets, onBegun } = this.options;
     budgets.earn(service);
     return new CallerRequest({
       res,
       head,
       route,
       service,
+      claim,
       body,
       arrivedAt,
+      onBegun,
       form,
       log,
       metrics,
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -5,6 +5,8 @@
 import type { EngineView } from "../scheduling/index.js";
 import type { FeedChange, FeedItem } from "../store/index.js";
 import type { Log } from "../telemetry/index.js";
+import { ConfigFreshness } from "../workspaces/index.js";
+import type { ConfigNews } from "../workspaces/index.js";
 import { ReplicaSet } from "./replicaSet.js";
 import type { ReplicaChange } from "./replicaSet.js";
 import { RouteTable } from "./routeTable.js";
@@ -33,7 +35,12 @@
 
 export class GatewayState {
   readonly replicas = new ReplicaSet();
+  private readonly freshness = new ConfigFreshness();
   private table: RouteTable | undefined;
+  /** The stored object of the configuration in force. */
+  private configItem: FeedItem | undefined;
+  /** Whether the newest one could not be read: the one held is not proven. */
+  private isConfigBehind = false;
   private hasReplicas = false;
   private readonly engineLists = new Map<string, EngineList>();
 
@@ -58,20 +65,60 @@
     const config = this.decode("configuration", item, () =>
       this.source.decodeConfig(item.value),
     );
+    this.isConfigBehind = config === undefined;
     if (config === undefined) return;
     const known = this.table?.version;
     if (known !== undefined && config.version <= known) {
-      if (config.version === known) return;
+      if (config.version === known) {
+        this.configItem = item;
+        return;
+      }
       const fields = { known, offered: config.version };
       this.log.warn("older configuration ignored", fields);
       return;
     }
     this.table = new RouteTable(config);
+    this.configItem = item;
     const { version, routes } = config;
     this.log.info("configuration in force", { version, routes: routes.length });
     this.onConfig(config);
   }
 
+  /** What is held was the store's newest configuration at that instant. */
+  onConfigProven(asOf: number): void {
+    if (this.isConfigBehind || this.table === undefined) return;
+    this.freshness.prove(asOf);
+  }
+
+  /** Age of the proof that the configuration is the newest, ms. */
+  get proofAgeMs(): number {
+    return this.freshness.ageMs(this.now());
+  }
+
+  /** Revision of the configuration that is held; 0: none. */
+  get configRevision(): number {
+    return this.configItem?.revision ?? 0;
+  }
+
+  /** For a process that holds revision `known`; undefined: nothing proven. */
+  configNews(known: number): ConfigNews | undefined {
+    const ageMs = this.proofAgeMs;
+    if (this.configItem === undefined || !Number.isFinite(ageMs)) return;
+    const { revision, value } = this.configItem;
+    return { revision, ageMs, value: known === revision ? undefined : value };
+  }
+
+  /** Another process answered so to a question that was sent at `sentAt`. */
+  onConfigNews({ revision, ageMs, value }: ConfigNews, sentAt: number): void {
+    if (revision < this.configRevision) return;
+    const { configName: name } = this.source;
+    if (revision > this.configRevision) {
+      if (value === undefined) return;
+      this.onConfigItem({ name, revision, value });
+    }
+    this.onConfigProven(sentAt - ageMs);
+  }
+
   onReplicaList(items: readonly FeedItem[], inTrouble: boolean): void {
     const listed = items.flatMap((item) => {
       const replica = this.decodeReplica(item);
--- a/src/gateway/journey.ts
+++ b/src/gateway/journey.ts
@@ -100,7 +100,7 @@
     parts: prompt?.parts ?? [],
     objectiveLeftMs: Math.min(objectiveMs, caller.leftMs()),
     deadlineLeftMs: Math.min(silenceMs, caller.leftMs()),
-    priority: caller.route.priority,
+    priority: caller.priority,
     isReturn: caller.isReturn,
     avoid,
   };
--- a/src/gateway/parts.ts
+++ b/src/gateway/parts.ts
@@ -2,6 +2,7 @@
 import type { Rng } from "../shared/rng.js";
 import type { ObjectFeed } from "../store/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
+import type { DutyPort } from "../workspaces/index.js";
 import type { GatewaySource } from "./gatewayState.js";
 import type { RequestForm } from "./requestForm.js";
 
@@ -14,4 +15,8 @@
   metrics: Metrics;
   rng: Rng;
   now: () => number;
+  /** Time of day, ms since 1970; may step. */
+  wallNow: () => number;
+  /** Duties of the fleet; undefined where the platform asks for none. */
+  duties?: DutyPort;
 }
--- a/src/gateway/placementRole.ts
+++ b/src/gateway/placementRole.ts
@@ -11,6 +11,9 @@
 import type { ObjectFeed } from "../store/index.js";
 import type { Supervisor } from "../tasks/index.js";
 import type { Log } from "../telemetry/index.js";
+import { oldestProofMs } from "../workspaces/index.js";
+import type { DutyPort, KeyBounds, UsageWindows } from "../workspaces/index.js";
+import { FleetDuties } from "./fleetDuties.js";
 import type { GatewayState } from "./gatewayState.js";
 import type { RequestForm } from "./requestForm.js";
 import { StageKeeper } from "./stageKeeper.js";
@@ -31,6 +34,13 @@
  */
 const HOLDER_CORES = 0.6;
 
+/**
+ * Part of the age at which keyed requests are refused after which the holder
+ * is asked for proof: it leaves time for four questions, and the process's
+ * own watch has failed by then.
+ */
+const ASK_PART = 0.7;
+
 /** What a process does besides placing. */
 export type PlacementHost = "entry" | "scheduler";
 
@@ -43,6 +53,11 @@
   capacity: number;
   /** Time that orders of two holders must lie apart, ms. */
   orderLeaseMs: number;
+  keyBounds: KeyBounds;
+  /** Undefined where the platform wants no usage report. */
+  usage: UsageWindows | undefined;
+  duties: DutyPort | undefined;
+  wallNow: () => number;
   /** Services whose leases it keeps or seeks. */
   services(): string[];
   state: GatewayState;
@@ -57,6 +72,8 @@
   placement: SharedPlacement;
   /** Where others reach it. */
   peerAddress: string;
+  /** A request of a workspace began to run `agoMs` ago. */
+  onBegun(workspace: string, agoMs: number): void;
   start(supervisor: Supervisor): void;
   stop(): void;
 }
@@ -83,6 +100,8 @@
     patienceMs,
     capacity: options.capacity,
     entriesHere: (service) => peers.entries(service),
+    onHolder: (service) => duties?.onHolder(service),
+    onConfig: (news, sentAt) => state.onConfigNews(news, sentAt),
     log,
     now,
   });
@@ -92,8 +111,11 @@
     isHolder: (service) => placement.isHolder(service) && state.isReady,
     isFresh: (service) => placement.isFresh(service),
     leaseMark: (service) => placement.leaseMark(service),
+    configNews: (known) => state.configNews(known),
+    onUsage: (process, window) => duties?.onTold(process, window),
     log,
   });
+  const duties = newDuties(options, placement);
   address = await peers.listen(options.peerAddress);
   const keepers = new Map<string, StageKeeper>();
   const stepStages = async (): Promise<void> => {
@@ -115,13 +137,46 @@
     await placement.step(services());
     await stepStages();
   };
-  const start = (supervisor: Supervisor): void =>
+  const askAfterMs = oldestProofMs(options.keyBounds) * ASK_PART;
+  const proveKeys = async (): Promise<void> => {
+    const isNeeded = state.routes?.keyring !== undefined;
+    if (!isNeeded || state.proofAgeMs < askAfterMs) return;
+    placement.askConfig(state.configRevision);
+  };
+  const start = (supervisor: Supervisor): void => {
     supervisor.every("placement", STEP_MS, step);
+    duties?.start(supervisor);
+    if (host !== "entry" || !Number.isFinite(askAfterMs)) return;
+    supervisor.every("proof of keys", STEP_MS, proveKeys);
+  };
   const stop = (): void => {
     placement.close();
     peers.close();
   };
-  return { placement, peerAddress: address, start, stop };
+  const onBegun = (workspace: string, agoMs: number): void =>
+    duties?.onBegun(workspace, agoMs);
+  return { placement, peerAddress: address, onBegun, start, stop };
+};
+
+const newDuties = (
+  options: PlacementRoleOptions,
+  placement: SharedPlacement,
+): FleetDuties | undefined => {
+  const { id, usage, duties, orderLeaseMs, services, ...rest } = options;
+  if (usage === undefined || duties === undefined) return undefined;
+  const { feed, log, now, wallNow } = rest;
+  return new FleetDuties({
+    self: id,
+    windows: usage,
+    port: duties,
+    leaseMs: orderLeaseMs,
+    services,
+    placement,
+    feed,
+    log,
+    now,
+    wallNow,
+  });
 };
 
 const newStageKeeper = (
--- a/src/gateway/plainFlow.ts
+++ b/src/gateway/plainFlow.ts
@@ -125,7 +125,10 @@
     caller.sentTo.push(id);
     this.inFlight.set(id, (this.inFlight.get(id) ?? 0) + 1);
     try {
+      const sentAt = this.options.now();
       const attempt = await this.exchange(caller, replica);
+      const hasRun = attempt.kind === "answer" || attempt.verdict !== "not-run";
+      if (hasRun) caller.noteBegun(this.options.now() - sentAt);
       this.learn(id, attempt, caller);
       return attempt;
     } finally {
@@ -140,7 +143,7 @@
     replica: Replica,
   ): Promise<Attempt> {
     const { client, form } = this.options;
-    const { head, body, route } = caller;
+    const { head, body, route, claim } = caller;
     // A safe request that has missed its objective here tries elsewhere.
     const mayLeave = route.kind === "safe" && route.maxAttempts > 1;
     const cancellation = new BoundedCancellation(
@@ -149,6 +152,7 @@
     );
     const send = {
       replicaId: replica.id,
+      claim,
       deadlineMs: Math.round(caller.leftMs()),
       phase: "run" as const,
     };
--- a/src/gateway/routeTable.ts
+++ b/src/gateway/routeTable.ts
@@ -1,5 +1,6 @@
 /** Which route and service a request goes to. Pure. */
 import type { Rng } from "../shared/rng.js";
+import { Keyring } from "../workspaces/index.js";
 import type { GatewayConfig, GatewayService, Route } from "./types.js";
 
 /** The routes of one configuration, by host, longest prefix first. */
@@ -7,9 +8,13 @@
   readonly version: number;
   private readonly byHost = new Map<string, Route[]>();
   private readonly services: Map<string, GatewayService>;
+  /** Undefined where requests need no key. */
+  readonly keyring: Keyring | undefined;
 
   constructor(readonly config: GatewayConfig) {
     this.version = config.version;
+    const { workspaces } = config;
+    this.keyring = workspaces && new Keyring(workspaces);
     this.services = new Map(config.services.map((item) => [item.name, item]));
     for (const route of config.routes) {
       const known = this.byHost.get(route.host) ?? [];
--- a/src/gateway/schedulerDaemon.ts
+++ b/src/gateway/schedulerDaemon.ts
@@ -8,6 +8,7 @@
 import type { GatewayParts } from "./parts.js";
 import { GatewayState } from "./gatewayState.js";
 import { createPlacementRole } from "./placementRole.js";
+import type { KeyBounds, UsageWindows } from "../workspaces/index.js";
 import { watchStore } from "./storeWatch.js";
 import { UpstreamClient } from "./upstreamClient.js";
 
@@ -22,6 +23,9 @@
   leaseMs: number;
   /** After a cut from the store has healed, it knows the news by then, ms. */
   catchUpMs: number;
+  keyBounds: KeyBounds;
+  /** Undefined where the platform wants no usage report. */
+  usage: UsageWindows | undefined;
 }
 
 export const startScheduler = async (
@@ -39,6 +43,10 @@
     peerAddress: settings.peerAddress,
     capacity: settings.processorShare,
     orderLeaseMs: settings.leaseMs,
+    keyBounds: settings.keyBounds,
+    usage: settings.usage,
+    duties: parts.duties,
+    wallNow: parts.wallNow,
     services: () => state.engineServices(),
     state,
     feed,
--- a/src/gateway/stageKeeper.ts
+++ b/src/gateway/stageKeeper.ts
@@ -7,6 +7,8 @@
 import type { EngineScheduler, Stage } from "../scheduling/index.js";
 import { planStages, StageDemand } from "../scheduling/index.js";
 import type { StageChange } from "../scheduling/index.js";
+import { TakeoverGuard } from "../placement/index.js";
+import type { HolderAuthority } from "../placement/index.js";
 import { BoundedCancellation } from "../shared/cancellation.js";
 import type { Log } from "../telemetry/index.js";
 import type { ReplicaSet } from "./replicaSet.js";
@@ -19,9 +21,6 @@
 const ORDER_MS = 1500;
 /** A change that has not shown by then is given up, ms. */
 const CHANGE_LOST_MS = 15_000;
-/** Beyond the lease time, before a new holder's first order, ms. */
-const TAKEOVER_MARGIN_MS = 500;
-
 /** No order for this long after one was refused, ms. */
 const REFUSED_PAUSE_MS = 1000;
 /** Orders of one step at the most, each to another engine. */
@@ -35,19 +34,13 @@
   why: string;
 }
 
-/** The lease, as far as orders need it. */
-export interface OrderAuthority {
-  isFresh(service: string): boolean;
-  epoch(service: string): number;
-}
-
 export interface StageKeeperOptions {
   service: string;
   self: string;
   leaseMs: number;
   scheduler: EngineScheduler;
   replicas: ReplicaSet;
-  authority: OrderAuthority;
+  authority: HolderAuthority;
   client: UpstreamClient;
   form: RequestForm;
   log: Log;
@@ -63,17 +56,20 @@
   private readonly changing = new Map<string, Changing>();
   private readonly lastChange = { prefill: -Infinity, decode: -Infinity };
   private refusedUntil = 0;
-  private freshSince: number | undefined;
-  private lastEpoch = 0;
+  private readonly guard: TakeoverGuard;
   private readonly demand = new StageDemand();
 
-  constructor(private readonly options: StageKeeperOptions) {}
+  constructor(private readonly options: StageKeeperOptions) {
+    const { authority, service, leaseMs } = options;
+    this.guard = new TakeoverGuard(authority, service, leaseMs);
+  }
 
   async step(): Promise<void> {
     const { now, scheduler } = this.options;
     this.demand.measure(scheduler.asked, scheduler.engineStates(), now());
     this.settleChanges(now());
-    if (!this.mayOrder(now())) return;
+    const mayOrder = this.guard.fence(now()) !== undefined;
+    if (!mayOrder || now() < this.refusedUntil) return;
     const changes: StageChange[] = [];
     while (changes.length < ORDERS_AT_ONCE) {
       const change = this.plan(now());
@@ -93,19 +89,6 @@
     scheduler.close(id, since + CHANGE_LOST_MS);
   }
 
-  /** The holder before may have ordered until its lease ran out. */
-  private mayOrder(now: number): boolean {
-    const { service, authority, leaseMs } = this.options;
-    const epoch = authority.epoch(service);
-    if (!authority.isFresh(service) || epoch !== this.lastEpoch) {
-      this.freshSince = undefined;
-      this.lastEpoch = epoch;
-    }
-    if (!authority.isFresh(service) || now < this.refusedUntil) return false;
-    this.freshSince ??= now;
-    return now - this.freshSince >= leaseMs + TAKEOVER_MARGIN_MS;
-  }
-
   /** Forgets changes that have shown in the list, or never will. */
   private settleChanges(now: number): void {
     const { scheduler, replicas, log } = this.options;
--- a/src/gateway/storeWatch.ts
+++ b/src/gateway/storeWatch.ts
@@ -1,6 +1,7 @@
 /** Keeps what a process knows in step with the store. */
 import { FeedWatch, watchWaitMs } from "../store/index.js";
 import type { Supervisor } from "../tasks/index.js";
+import { provenAt } from "../workspaces/index.js";
 import type { GatewayParts } from "./parts.js";
 import type { GatewayState } from "./gatewayState.js";
 
@@ -32,6 +33,7 @@
       onChange: ({ item, isRemoved }) => {
         if (!isRemoved) state.onConfigItem(item);
       },
+      onAnswer: (answer) => state.onConfigProven(provenAt(answer)),
     },
   });
   const replicaWatch = new FeedWatch({
--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -171,6 +171,7 @@
 
   private noteBegun(journey: Journey): void {
     const { caller, grantId } = journey;
+    caller.noteBegun();
     journey.firstEventMs = this.options.now() - journey.runSentAt;
     if (!journey.readsAtRunner) return;
     const event = { kind: "begun" as const, id: grantId };
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -3,6 +3,7 @@
  * entry that reaches replicas without a side: see docs/PLATFORM.md.
  */
 import type { Stage } from "../scheduling/index.js";
+import type { KeyClaim, Workspace } from "../workspaces/index.js";
 
 export const ROUTE_KINDS = ["safe", "unsafe", "stream"] as const;
 
@@ -38,6 +39,8 @@
   maxAttempts: number;
   /** Whether a cut stream may go on at another replica. */
   isResumable: boolean;
+  /** Whether callers need no key of a workspace. */
+  isPublic: boolean;
   targets: RouteTarget[];
 }
 
@@ -73,6 +76,8 @@
   routes: Route[];
   services: GatewayService[];
   limits: CallerLimits;
+  /** Undefined: requests need no key, and heads pass as they are. */
+  workspaces: Workspace[] | undefined;
 }
 
 export const REPLICA_STATES = ["ready", "draining"] as const;
@@ -131,6 +136,8 @@
   /** Time that the caller waits, ms; undefined if it did not say. */
   deadlineMs: number | undefined;
   prompt: PromptShape | undefined;
+  /** Digest of the caller's key; undefined if it sent none. */
+  keyDigest: string | undefined;
   /** Names and values in turn, as sent. */
   rawHeaders: readonly string[];
 }
@@ -145,6 +152,8 @@
 /** What one send to a replica asks for. */
 export interface UpstreamSend {
   replicaId: string;
+  /** For whom it runs: replicas get a workspace's name, and no key. */
+  claim: KeyClaim;
   deadlineMs: number;
   /** `read`: the prompt alone; `run`: the answer. */
   phase: "read" | "run";
--- a/src/gen/snowgate.ts
+++ b/src/gen/snowgate.ts
@@ -142,6 +142,12 @@
     | undefined;
   /** The caller places nothing; it takes over if the holder is lost. */
   isStandby: boolean;
+  /** Asks for proof that the configuration is the newest. */
+  configAsk:
+    | ConfigAsk
+    | undefined;
+  /** Requests that began to run, as the sender has counted them so far. */
+  usage: UsageWindow[];
 }
 
 export interface PlaceReply {
@@ -171,6 +177,35 @@
   /** The holder's lease as it wrote it last. */
   leaseEpoch: number;
   leaseBeat: number;
+  config: ConfigAnswer | undefined;
+}
+
+export interface ConfigAsk {
+  /** The answer bears the same number. */
+  number: number;
+  /** Revision of the configuration that the caller holds; 0: none. */
+  known: number;
+}
+
+export interface ConfigAnswer {
+  number: number;
+  revision: number;
+  /** Age of the proof that this revision is the newest, ms. */
+  ageMs: number;
+  /** The configuration as stored, as JSON; empty where it is known. */
+  valueJson: Uint8Array;
+}
+
+/** One window of one life of a process; replaces what it told before. */
+export interface UsageWindow {
+  seq: number;
+  process: string;
+  counts: { [key: string]: number };
+}
+
+export interface UsageWindow_CountsEntry {
+  key: string;
+  value: number;
 }
 
 /** Time that engines of a service take to read, by part, ms. */
@@ -1971,7 +2006,15 @@
 };
 
 function createBasePlaceCall(): PlaceCall {
-  return { service: "", ask: undefined, events: [], held: undefined, isStandby: false };
+  return {
+    service: "",
+    ask: undefined,
+    events: [],
+    held: undefined,
+    isStandby: false,
+    configAsk: undefined,
+    usage: [],
+  };
 }
 
 export const PlaceCall: MessageFns<PlaceCall> = {
@@ -1991,6 +2034,12 @@
     if (message.isStandby !== false) {
       writer.uint32(40).bool(message.isStandby);
     }
+    if (message.configAsk !== undefined) {
+      ConfigAsk.encode(message.configAsk, writer.uint32(50).fork()).join();
+    }
+    for (const v of message.usage) {
+      UsageWindow.encode(v!, writer.uint32(58).fork()).join();
+    }
     return writer;
   },
 
@@ -2047,6 +2096,22 @@
             message.isStandby = reader.bool();
             continue;
           }
+          case 6: {
+            if (tag !== 50) {
+              break;
+            }
+
+            message.configAsk = ConfigAsk.decode(reader, reader.uint32());
+            continue;
+          }
+          case 7: {
+            if (tag !== 58) {
+              break;
+            }
+
+            message.usage.push(UsageWindow.decode(reader, reader.uint32()));
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2070,6 +2135,12 @@
         : isSet(object.is_standby)
         ? globalThis.Boolean(object.is_standby)
         : false,
+      configAsk: isSet(object.configAsk)
+        ? ConfigAsk.fromJSON(object.configAsk)
+        : isSet(object.config_ask)
+        ? ConfigAsk.fromJSON(object.config_ask)
+        : undefined,
+      usage: globalThis.Array.isArray(object?.usage) ? object.usage.map((e: any) => UsageWindow.fromJSON(e)) : [],
     };
   },
 
@@ -2090,6 +2161,12 @@
     if (message.isStandby !== false) {
       obj.isStandby = message.isStandby;
     }
+    if (message.configAsk !== undefined) {
+      obj.configAsk = ConfigAsk.toJSON(message.configAsk);
+    }
+    if (message.usage?.length) {
+      obj.usage = message.usage.map((e) => UsageWindow.toJSON(e));
+    }
     return obj;
   },
 
@@ -2103,6 +2180,10 @@
     message.events = object.events?.map((e) => PlaceEvent.fromPartial(e)) || [];
     message.held = (object.held !== undefined && object.held !== null) ? PlaceHeld.fromPartial(object.held) : undefined;
     message.isStandby = object.isStandby ?? false;
+    message.configAsk = (object.configAsk !== undefined && object.configAsk !== null)
+      ? ConfigAsk.fromPartial(object.configAsk)
+      : undefined;
+    message.usage = object.usage?.map((e) => UsageWindow.fromPartial(e)) || [];
     return message;
   },
 };
@@ -2123,6 +2204,7 @@
     readPace: undefined,
     leaseEpoch: 0,
     leaseBeat: 0,
+    config: undefined,
   };
 }
 
@@ -2170,6 +2252,9 @@
     if (message.leaseBeat !== 0) {
       writer.uint32(112).uint64(message.leaseBeat);
     }
+    if (message.config !== undefined) {
+      ConfigAnswer.encode(message.config, writer.uint32(122).fork()).join();
+    }
     return writer;
   },
 
@@ -2298,6 +2383,14 @@
             message.leaseBeat = longToNumber(reader.uint64());
             continue;
           }
+          case 15: {
+            if (tag !== 122) {
+              break;
+            }
+
+            message.config = ConfigAnswer.decode(reader, reader.uint32());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2358,6 +2451,7 @@
         : isSet(object.lease_beat)
         ? globalThis.Number(object.lease_beat)
         : 0,
+      config: isSet(object.config) ? ConfigAnswer.fromJSON(object.config) : undefined,
     };
   },
 
@@ -2405,6 +2499,9 @@
     if (message.leaseBeat !== 0) {
       obj.leaseBeat = Math.round(message.leaseBeat);
     }
+    if (message.config !== undefined) {
+      obj.config = ConfigAnswer.toJSON(message.config);
+    }
     return obj;
   },
 
@@ -2429,6 +2526,435 @@
       : undefined;
     message.leaseEpoch = object.leaseEpoch ?? 0;
     message.leaseBeat = object.leaseBeat ?? 0;
+    message.config = (object.config !== undefined && object.config !== null)
+      ? ConfigAnswer.fromPartial(object.config)
+      : undefined;
+    return message;
+  },
+};
+
+function createBaseConfigAsk(): ConfigAsk {
+  return { number: 0, known: 0 };
+}
+
+export const ConfigAsk: MessageFns<ConfigAsk> = {
+  encode(message: ConfigAsk, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.number !== 0) {
+      writer.uint32(8).uint64(message.number);
+    }
+    if (message.known !== 0) {
+      writer.uint32(16).uint64(message.known);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): ConfigAsk {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseConfigAsk();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 8) {
+              break;
+            }
+
+            message.number = longToNumber(reader.uint64());
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.known = longToNumber(reader.uint64());
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): ConfigAsk {
+    return {
+      number: isSet(object.number) ? globalThis.Number(object.number) : 0,
+      known: isSet(object.known) ? globalThis.Number(object.known) : 0,
+    };
+  },
+
+  toJSON(message: ConfigAsk): unknown {
+    const obj: any = {};
+    if (message.number !== 0) {
+      obj.number = Math.round(message.number);
+    }
+    if (message.known !== 0) {
+      obj.known = Math.round(message.known);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<ConfigAsk>, I>>(base?: I): ConfigAsk {
+    return ConfigAsk.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<ConfigAsk>, I>>(object: I): ConfigAsk {
+    const message = createBaseConfigAsk();
+    message.number = object.number ?? 0;
+    message.known = object.known ?? 0;
+    return message;
+  },
+};
+
+function createBaseConfigAnswer(): ConfigAnswer {
+  return { number: 0, revision: 0, ageMs: 0, valueJson: new Uint8Array(0) };
+}
+
+export const ConfigAnswer: MessageFns<ConfigAnswer> = {
+  encode(message: ConfigAnswer, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.number !== 0) {
+      writer.uint32(8).uint64(message.number);
+    }
+    if (message.revision !== 0) {
+      writer.uint32(16).uint64(message.revision);
+    }
+    if (message.ageMs !== 0) {
+      writer.uint32(24).uint64(message.ageMs);
+    }
+    if (message.valueJson.length !== 0) {
+      writer.uint32(34).bytes(message.valueJson);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): ConfigAnswer {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseConfigAnswer();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 8) {
+              break;
+            }
+
+            message.number = longToNumber(reader.uint64());
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.revision = longToNumber(reader.uint64());
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.ageMs = longToNumber(reader.uint64());
+            continue;
+          }
+          case 4: {
+            if (tag !== 34) {
+              break;
+            }
+
+            message.valueJson = reader.bytes();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): ConfigAnswer {
+    return {
+      number: isSet(object.number) ? globalThis.Number(object.number) : 0,
+      revision: isSet(object.revision) ? globalThis.Number(object.revision) : 0,
+      ageMs: isSet(object.ageMs)
+        ? globalThis.Number(object.ageMs)
+        : isSet(object.age_ms)
+        ? globalThis.Number(object.age_ms)
+        : 0,
+      valueJson: isSet(object.valueJson)
+        ? bytesFromBase64(object.valueJson)
+        : isSet(object.value_json)
+        ? bytesFromBase64(object.value_json)
+        : new Uint8Array(0),
+    };
+  },
+
+  toJSON(message: ConfigAnswer): unknown {
+    const obj: any = {};
+    if (message.number !== 0) {
+      obj.number = Math.round(message.number);
+    }
+    if (message.revision !== 0) {
+      obj.revision = Math.round(message.revision);
+    }
+    if (message.ageMs !== 0) {
+      obj.ageMs = Math.round(message.ageMs);
+    }
+    if (message.valueJson.length !== 0) {
+      obj.valueJson = base64FromBytes(message.valueJson);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<ConfigAnswer>, I>>(base?: I): ConfigAnswer {
+    return ConfigAnswer.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<ConfigAnswer>, I>>(object: I): ConfigAnswer {
+    const message = createBaseConfigAnswer();
+    message.number = object.number ?? 0;
+    message.revision = object.revision ?? 0;
+    message.ageMs = object.ageMs ?? 0;
+    message.valueJson = object.valueJson ?? new Uint8Array(0);
+    return message;
+  },
+};
+
+function createBaseUsageWindow(): UsageWindow {
+  return { seq: 0, process: "", counts: {} };
+}
+
+export const UsageWindow: MessageFns<UsageWindow> = {
+  encode(message: UsageWindow, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.seq !== 0) {
+      writer.uint32(8).uint64(message.seq);
+    }
+    if (message.process !== "") {
+      writer.uint32(18).string(message.process);
+    }
+    globalThis.Object.entries(message.counts).forEach(([key, value]: [string, number]) => {
+      UsageWindow_CountsEntry.encode({ key: key as any, value }, writer.uint32(26).fork()).join();
+    });
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): UsageWindow {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseUsageWindow();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 8) {
+              break;
+            }
+
+            message.seq = longToNumber(reader.uint64());
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.process = reader.string();
+            continue;
+          }
+          case 3: {
+            if (tag !== 26) {
+              break;
+            }
+
+            const entry3 = UsageWindow_CountsEntry.decode(reader, reader.uint32());
+            if (entry3.value !== undefined) {
+              message.counts[entry3.key] = entry3.value;
+            }
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): UsageWindow {
+    return {
+      seq: isSet(object.seq) ? globalThis.Number(object.seq) : 0,
+      process: isSet(object.process) ? globalThis.String(object.process) : "",
+      counts: isObject(object.counts)
+        ? (globalThis.Object.entries(object.counts) as [string, any][]).reduce(
+          (acc: { [key: string]: number }, [key, value]: [string, any]) => {
+            globalThis.Object.defineProperty(acc, key, {
+              value: globalThis.Number(value),
+              enumerable: true,
+              configurable: true,
+              writable: true,
+            });
+            return acc;
+          },
+          {},
+        )
+        : {},
+    };
+  },
+
+  toJSON(message: UsageWindow): unknown {
+    const obj: any = {};
+    if (message.seq !== 0) {
+      obj.seq = Math.round(message.seq);
+    }
+    if (message.process !== "") {
+      obj.process = message.process;
+    }
+    if (message.counts) {
+      const entries = globalThis.Object.entries(message.counts) as [string, number][];
+      if (entries.length > 0) {
+        obj.counts = {};
+        entries.forEach(([k, v]) => {
+          obj.counts[k] = Math.round(v);
+        });
+      }
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<UsageWindow>, I>>(base?: I): UsageWindow {
+    return UsageWindow.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<UsageWindow>, I>>(object: I): UsageWindow {
+    const message = createBaseUsageWindow();
+    message.seq = object.seq ?? 0;
+    message.process = object.process ?? "";
+    message.counts = (globalThis.Object.entries(object.counts ?? {}) as [string, number][]).reduce(
+      (acc: { [key: string]: number }, [key, value]: [string, number]) => {
+        if (value !== undefined) {
+          acc[key] = globalThis.Number(value);
+        }
+        return acc;
+      },
+      {},
+    );
+    return message;
+  },
+};
+
+function createBaseUsageWindow_CountsEntry(): UsageWindow_CountsEntry {
+  return { key: "", value: 0 };
+}
+
+export const UsageWindow_CountsEntry: MessageFns<UsageWindow_CountsEntry> = {
+  encode(message: UsageWindow_CountsEntry, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.key !== "") {
+      writer.uint32(10).string(message.key);
+    }
+    if (message.value !== 0) {
+      writer.uint32(16).uint32(message.value);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): UsageWindow_CountsEntry {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseUsageWindow_CountsEntry();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.key = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.value = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): UsageWindow_CountsEntry {
+    return {
+      key: isSet(object.key) ? globalThis.String(object.key) : "",
+      value: isSet(object.value) ? globalThis.Number(object.value) : 0,
+    };
+  },
+
+  toJSON(message: UsageWindow_CountsEntry): unknown {
+    const obj: any = {};
+    if (message.key !== "") {
+      obj.key = message.key;
+    }
+    if (message.value !== 0) {
+      obj.value = Math.round(message.value);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<UsageWindow_CountsEntry>, I>>(base?: I): UsageWindow_CountsEntry {
+    return UsageWindow_CountsEntry.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<UsageWindow_CountsEntry>, I>>(object: I): UsageWindow_CountsEntry {
+    const message = createBaseUsageWindow_CountsEntry();
+    message.key = object.key ?? "";
+    message.value = object.value ?? 0;
     return message;
   },
 };
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -1,5 +1,11 @@
 /** Placement asks and answers as messages between gateways, both ways. */
-import type { PlaceAsk, PlaceEvent, PlaceReply } from "../gen/snowgate.js";
+import type {
+  ConfigAnswer,
+  PlaceAsk,
+  PlaceEvent,
+  PlaceReply,
+  UsageWindow,
+} from "../gen/snowgate.js";
 import type {
   Grant,
   PlacementAnswer,
@@ -9,6 +15,7 @@
   ReadCost,
 } from "../scheduling/index.js";
 import { REFUSAL_CAUSES } from "../scheduling/index.js";
+import type { ConfigNews, WindowCounts } from "../workspaces/index.js";
 
 const whole = (value: number): number => Math.max(0, Math.round(value));
 
@@ -81,6 +88,7 @@
     refusal: isRefusal ? answer.why : "",
     retryAfterMs: isRefusal ? whole(answer.retryAfterMs) : 0,
     isQueued: answer?.kind === "queued",
+    config: undefined,
     ...state,
   };
 };
@@ -100,3 +108,24 @@
     REFUSAL_CAUSES.find((item) => item === reply.refusal) ?? "too-late";
   return { kind: "refused", why, retryAfterMs: reply.retryAfterMs };
 };
+
+export const toUsageWindow = (
+  process: string,
+  { seq, counts }: WindowCounts,
+): UsageWindow => ({ seq, process, counts });
+
+export const toConfigAnswer = (
+  number: number,
+  { revision, ageMs, value }: ConfigNews,
+): ConfigAnswer => {
+  const text = value === undefined ? "" : JSON.stringify(value);
+  const valueJson = Buffer.from(text);
+  return { number, revision, ageMs: Math.ceil(ageMs), valueJson };
+};
+
+export const fromConfigAnswer = (answer: ConfigAnswer): ConfigNews => {
+  const { revision, ageMs, valueJson } = answer;
+  const text = Buffer.from(valueJson).toString("utf8");
+  const value: unknown = text === "" ? undefined : JSON.parse(text);
+  return { revision, ageMs, value };
+};
--- a/src/placement/placementClient.ts
+++ b/src/placement/placementClient.ts
@@ -3,7 +3,12 @@
 import type { ClientDuplexStream } from "@grpc/grpc-js";
 
 import { SchedulingClient } from "../gen/snowgate.js";
-import type { PlaceCall, PlaceEvent, PlaceReply } from "../gen/snowgate.js";
+import type {
+  ConfigAnswer,
+  PlaceCall,
+  PlaceEvent,
+  PlaceReply,
+} from "../gen/snowgate.js";
 import type {
   Grant,
   PlacementAnswer,
@@ -11,7 +16,14 @@
   PlacementEvent,
 } from "../scheduling/index.js";
 import type { Log } from "../telemetry/index.js";
-import { fromPlaceReply, toPlaceAsk, toPlaceEvent } from "./messages.js";
+import type { ConfigNews, WindowCounts } from "../workspaces/index.js";
+import {
+  fromConfigAnswer,
+  fromPlaceReply,
+  toPlaceAsk,
+  toPlaceEvent,
+  toUsageWindow,
+} from "./messages.js";
 import type { HolderState } from "./messages.js";
 import { KEEPALIVE_OPTIONS, STANDBYS_AT_ONCE } from "./placementServer.js";
 
@@ -56,6 +68,8 @@
   /** The stream ended; the client is of no further use. */
   onLost(why: string): void;
   onState(state: HolderState): void;
+  /** The holder answered so to a question that was sent at `sentAt`. */
+  onConfig(news: ConfigNews, sentAt: number): void;
   log: Log;
   now: () => number;
 }
@@ -71,6 +85,8 @@
   private isUrgent = false;
   /** When the first ask since the last answer was sent, ms. */
   private silentSince: number | undefined;
+  /** The last question for the configuration, and when it was sent, ms. */
+  private configAsk = { number: 0, sentAt: 0 };
   /** States that a standby was told. */
   private beats = 0;
   private beatTimer: NodeJS.Timeout | undefined;
@@ -148,6 +164,24 @@
     this.send({ held: { ask: toPlaceAsk(ask), reader, runner, isRead } });
   }
 
+  /**
+   * Asks for the newest configuration by one that holds revision `known`.
+   * What the answer proves counts from when the question was sent.
+   */
+  askConfig(known: number): void {
+    if (this.isLost || !this.isReady) return;
+    const number = this.configAsk.number + 1;
+    this.configAsk = { number, sentAt: this.options.now() };
+    this.send({ configAsk: { number, known } });
+  }
+
+  /** Tells what this process has counted. */
+  tellUsage(process: string, windows: readonly WindowCounts[]): void {
+    if (this.isLost || windows.length === 0) return;
+    const usage = windows.map((window) => toUsageWindow(process, window));
+    this.send({ usage });
+  }
+
   close(): void {
     this.lose("closed");
   }
@@ -165,6 +199,8 @@
       events,
       held: undefined,
       isStandby: this.options.isStandby,
+      configAsk: undefined,
+      usage: [],
       ...call,
     });
   }
@@ -182,6 +218,7 @@
       ...lease,
     });
     this.watchBeats(standbyRank);
+    if (reply.config !== undefined) this.onConfig(reply.config);
     if (reply.isQueued) return this.onQueued(id);
     const waiting = this.take(id);
     if (waiting !== undefined) return waiting.resolve(fromPlaceReply(reply));
@@ -190,6 +227,13 @@
     this.note({ kind: "ended", id, ok: true, firstEventMs: 0 });
   }
 
+  /** Answers to earlier questions than the last prove no more. */
+  private onConfig(answer: ConfigAnswer): void {
+    const { number, sentAt } = this.configAsk;
+    if (answer.number !== number) return;
+    this.options.onConfig(fromConfigAnswer(answer), sentAt);
+  }
+
   /** The first standbys hear from the holder all the time. */
   private watchBeats(standbyRank: number): void {
     clearTimeout(this.beatTimer);
--- a/src/placement/placementServer.ts
+++ b/src/placement/placementServer.ts
@@ -3,7 +3,7 @@
 import type { ServerDuplexStream } from "@grpc/grpc-js";
 
 import { SchedulingService } from "../gen/snowgate.js";
-import type { PlaceCall, PlaceReply } from "../gen/snowgate.js";
+import type { ConfigAsk, PlaceCall, PlaceReply } from "../gen/snowgate.js";
 import { splitAddress } from "../http/index.js";
 import type {
   Grant,
@@ -18,9 +18,11 @@
   fromPlaceAsk,
   fromPlaceEvent,
   nameIn,
+  toConfigAnswer,
   toPlaceReply,
 } from "./messages.js";
 import type { HolderState } from "./messages.js";
+import type { ConfigNews, WindowCounts } from "../workspaces/index.js";
 
 /** Pings that find dead peers, ms; see `placementClient.ts`. */
 export const KEEPALIVE_OPTIONS = {
@@ -53,6 +55,10 @@
   isFresh(service: string): boolean;
   /** That lease as this process wrote it last. */
   leaseMark(service: string): LeaseMark | undefined;
+  /** The newest configuration, for one that holds revision `known`. */
+  configNews(known: number): ConfigNews | undefined;
+  /** What another process has counted. */
+  onUsage(process: string, window: WindowCounts): void;
   log: Log;
 }
 
@@ -173,7 +179,11 @@
 
   private onCall(stream: PlaceStream, call: PlaceCall): void {
     const { placement } = this.options;
-    const { service, ask, held } = call;
+    const { service, ask, held, configAsk } = call;
+    for (const { process, seq, counts } of call.usage) {
+      this.options.onUsage(process, { seq, counts });
+    }
+    if (configAsk !== undefined) this.tellConfig(service, stream, configAsk);
     for (const told of call.events) {
       const event = fromPlaceEvent(told);
       if (event === undefined) continue;
@@ -213,6 +223,18 @@
     stream.write(toPlaceReply(id, answer, state));
   }
 
+  /** Nothing is told while nothing is proven. */
+  private tellConfig(
+    service: string,
+    stream: PlaceStream,
+    { number, known }: ConfigAsk,
+  ): void {
+    const news = this.options.configNews(known);
+    if (news === undefined) return;
+    const reply = toPlaceReply("", undefined, this.state(service, stream, 0));
+    stream.write({ ...reply, config: toConfigAnswer(number, news) });
+  }
+
   private state(
     service: string,
     stream: PlaceStream,
--- a/src/placement/sharedPlacement.ts
+++ b/src/placement/sharedPlacement.ts
@@ -19,6 +19,7 @@
 import { PlacementClient } from "./placementClient.js";
 import { STANDBYS_AT_ONCE } from "./placementServer.js";
 import type { Placement } from "./types.js";
+import type { ConfigNews, WindowCounts } from "../workspaces/index.js";
 
 /** Entries assumed to share the engines while none was counted. */
 const UNKNOWN_ENTRIES = 4;
@@ -61,6 +62,10 @@
   isStandby: boolean;
   /** Entries that place through this process, itself included. */
   entriesHere(service: string): number;
+  /** Another process reads what is sent to it as the holder. */
+  onHolder(service: string): void;
+  /** The holder answered so to a question that was sent at `sentAt`. */
+  onConfig(news: ConfigNews, sentAt: number): void;
   log: Log;
   now: () => number;
 }
@@ -161,6 +166,20 @@
     return this.links.get(service)?.keeper.mark;
   }
 
+  /** Asks the holders for the configuration by one that holds `known`. */
+  askConfig(known: number): void {
+    for (const { client } of this.links.values()) client?.askConfig(known);
+  }
+
+  /** Tells the holder of a service what this process has counted. */
+  tellUsage(
+    service: string,
+    process: string,
+    windows: readonly WindowCounts[],
+  ): void {
+    this.links.get(service)?.client?.tellUsage(process, windows);
+  }
+
   /** Most entries that place on the engines of any of these services. */
   entries(services: readonly string[]): number {
     const counts = services.map((service) => {
@@ -238,6 +257,7 @@
       isStandby: this.options.isStandby,
       log,
       now: this.options.now,
+      onConfig: this.options.onConfig,
       onState: ({ entries, isFresh, standbyRank, readPace, ...lease }) => {
         const { leaseEpoch: epoch, leaseBeat: beat } = lease;
         link.keeper.hear({ epoch, beat });
@@ -249,6 +269,7 @@
       },
       onAccepted: () => {
         link.isFresh = true;
+        this.options.onHolder(service);
         const message = this.options.isStandby
           ? "standing by for the holder"
           : "placing through the holder";
--- a/src/shared/errors.ts
+++ b/src/shared/errors.ts
@@ -22,6 +22,7 @@
   | "unknown_route"
   | "unknown_model"
   | "unauthorized"
+  | "keys_unproven"
   | "no_configuration"
   | "no_upstream"
   | "overloaded"
--- a/src/store/feed.ts
+++ b/src/store/feed.ts
@@ -90,10 +90,21 @@
 /** The store counts as in trouble for this long after a failed call, ms. */
 const TROUBLE_MS = 3000;
 
+/** When an answer came, and what it was for; instants are ms. */
+export interface FeedAnswer {
+  sentAt: number;
+  answeredAt: number;
+  /** How long the call was to wait for a change; 0: a list, ms. */
+  waitMs: number;
+  hasChanges: boolean;
+}
+
 export interface FeedHandlers {
   /** The whole list; also after a gap in the history. */
   onList(items: FeedItem[], inTrouble: boolean): void;
   onChange(change: FeedChange, inTrouble: boolean): void;
+  /** All that the store says of the kind as of this answer was handled. */
+  onAnswer?(answer: FeedAnswer): void;
   /** From now on nothing is followed, until the next list. */
   onIdle?(): void;
 }
@@ -166,14 +177,18 @@
   }
 
   private async readList(): Promise<void> {
-    const { feed, kind, handlers } = this.options;
+    const { feed, kind, handlers, now } = this.options;
+    const sentAt = now();
     const list = await feed.list(kind);
     handlers.onList(list.items, this.inTrouble);
     this.revision = list.revision;
+    const answeredAt = now();
+    handlers.onAnswer?.({ sentAt, answeredAt, waitMs: 0, hasChanges: true });
   }
 
   private async readChanges(revision: number): Promise<void> {
-    const { feed, kind, handlers, log, waitMs } = this.options;
+    const { feed, kind, handlers, log, waitMs, now } = this.options;
+    const sentAt = now();
     const reply = await feed.changes(kind, revision, waitMs);
     if (reply.kind === "history-gone") {
       log.warn("history gone: the list is read again", { kind, revision });
@@ -183,8 +198,11 @@
     for (const change of reply.changes) {
       handlers.onChange(change, this.inTrouble);
     }
-    this.hasChanged = reply.changes.length > 0;
+    const hasChanges = reply.changes.length > 0;
+    this.hasChanged = hasChanges;
     this.revision = reply.revision;
+    const answeredAt = now();
+    handlers.onAnswer?.({ sentAt, answeredAt, waitMs, hasChanges });
   }
 
   private pauseMs(): number {
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -13,6 +13,7 @@
 export type {
   ConditionalWrite,
   FeedChange,
+  FeedAnswer,
   FeedChanges,
   FeedItem,
   FeedList,
--- /dev/null
+++ b/src/workspaces/index.ts
@@ -0,0 +1,10 @@
+export { ConfigFreshness, DEAF_WATCH_MS, provenAt } from "./configFreshness.js";
+export type { ConfigNews } from "./configFreshness.js";
+export { checkKey, oldestProofMs, UNBOUNDED_KEYS } from "./keyCheck.js";
+export type { KeyBounds, KeyClaim, KeyVerdict } from "./keyCheck.js";
+export { keyDigest, Keyring } from "./keyring.js";
+export type { Workspace } from "./keyring.js";
+export { UsageCounts, UsageLedger } from "./usageCounts.js";
+export type { UsageWindows, WindowCounts } from "./usageCounts.js";
+export { UsageReporter } from "./usageReporter.js";
+export type { DutyOutcome, DutyPort, UsageCall } from "./usageReporter.js";
--- a/tests/gateway/placement.test.ts
+++ b/tests/gateway/placement.test.ts
@@ -72,6 +72,8 @@
       isHolder: () => true,
       isFresh: () => true,
       leaseMark: () => undefined,
+      configNews: () => undefined,
+      onUsage: () => undefined,
       log: SILENT,
     });
     address = await server.listen("127.0.0.1:0");
@@ -92,6 +94,7 @@
       onAccepted: () => (isAccepted = true),
       onLost: () => undefined,
       onState: () => undefined,
+      onConfig: () => undefined,
       log: SILENT,
       now,
     });
--- a/tests/gateway/state.test.ts
+++ b/tests/gateway/state.test.ts
@@ -24,6 +24,7 @@
   priority: 0,
   maxAttempts: 1,
   isResumable: false,
+  isPublic: false,
   silenceMs: Infinity,
   targets: weights.map((weight, at) => ({ service: `s${at}`, weight })),
 });
@@ -34,6 +35,7 @@
     routes: [route("short", "/a/"), route("long", "/a/b/")],
     services: [],
     limits: { maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    workspaces: undefined,
   });
 
   const cases = [
@@ -254,6 +256,7 @@
       routes: [],
       services: [{ name: "model", maxConnections: 9, engine }],
       limits: { maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+      workspaces: undefined,
     };
     state.onConfigItem({ name: "main", revision: 1, value });
     return { state, clock };
