Stages: half of the engines each until seen, peaks remembered for a minute

Hypothesis: with needs forgotten in 1.5 s the planner follows swings; engines are on their way when the rush comes. A split that bears the peaks of both sides needs no change then.

Change: peaks halve in 60 s for 1.5 s; while needs say nothing, half of the engines of each stage (there is time for it before the first request), and a tenth of all counts as unseen need, half each.

--- a/bench/player/play.ts
+++ b/bench/player/play.ts
@@ -11,7 +11,7 @@
 import { seededRng } from "../../src/shared/rng.js";
 import { VirtualClock } from "./clock.js";
 import type { EngineModel } from "./engineModel.js";
-import { ModelFleet } from "./fleet.js";
+import { LEAD_MS, ModelFleet } from "./fleet.js";
 import type { StageCount } from "./fleet.js";
 import { drawRequests } from "./load.js";
 import type { DrawnRequest, Load } from "./load.js";
@@ -67,12 +67,12 @@
     });
     for (const { name } of load.kinds) this.tallies.set(name, newTally());
     for (const drawn of drawRequests(load, seededRng(seed))) {
-      this.clock.after(drawn.at, () => this.begin(drawn));
+      this.clock.after(LEAD_MS + drawn.at, () => this.begin(drawn));
     }
   }
 
   run(): Played {
-    this.clock.run(this.load.seconds * MS + TAIL_MS);
+    this.clock.run(LEAD_MS + this.load.seconds * MS + TAIL_MS);
     let earned = 0;
     let owed = 0;
     for (const { asked, inTime, late } of this.tallies.values()) {
--- a/src/scheduling/stageDemand.ts
+++ b/src/scheduling/stageDemand.ts
@@ -8,8 +8,14 @@
 
 /** Time constant of the smoothed demand, ms. */
 const SMOOTHING_MS = 1200;
-/** How long a peak is remembered: halves in this time, ms. */
-const PEAK_HALF_MS = 1500;
+/**
+ * How long a peak is remembered: halves in this time, ms. Engines have to
+ * stand ready for a rush of either kind before it comes back; what was needed
+ * a minute ago is likely to be. Halved in 1.5 s, swings of some seconds
+ * were followed, and ten of 37 engines were on their way when the rush that
+ * they were meant for came (the load `swings-on-many-engines`).
+ */
+const PEAK_HALF_MS = 60_000;
 
 /** A rate that follows what is asked for, and its fading peak. */
 class Demand {
--- a/src/scheduling/stagePlanner.ts
+++ b/src/scheduling/stagePlanner.ts
@@ -64,6 +64,16 @@
 const DWELL_MS = 8000;
 /** Engines by which a split must be off before nothing lacks, share of all. */
 const SPARE_OFF_SHARE = 0.1;
+/**
+ * Engines, share of all, that both stages together count as needing besides
+ * what was seen, half each. Until anything was seen, half of the engines of
+ * each stage bear the most; the first requests of one kind say nothing of
+ * the other. With twice as much the played loads earn the same, with six
+ * times as much 0.01 less.
+ */
+const UNSEEN_SHARE = 0.1;
+/** Readers, share of all, while nothing is known of the mix. */
+const HALF = 0.5;
 /** Needs below this, share of all engines, say nothing of the mix. */
 const LEAST_KNOWN_SHARE = 0.1;
 
@@ -95,7 +105,11 @@
  */
 const readersFor = ({ prefill, decode }: Needs, all: number): number => {
   const least = Math.max(1, Math.ceil(all * LEAST_SHARE));
-  const share = prefill / (prefill + decode);
+  const isKnown = prefill + decode >= all * LEAST_KNOWN_SHARE;
+  const unseen = all * UNSEEN_SHARE;
+  const share = isKnown
+    ? (prefill + unseen / 2) / (prefill + decode + unseen)
+    : HALF;
   return Math.min(all - least, Math.max(least, Math.round(all * share)));
 };
 
@@ -106,7 +120,6 @@
   const { engines } = question;
   const all = engines.length;
   const needs = needsOf(question);
-  if (needs.prefill + needs.decode < all * LEAST_KNOWN_SHARE) return undefined;
   const changing = engines.filter((item) => item.changingTo !== undefined);
   const mostChanging = Math.max(1, Math.floor(all * CHANGING_SHARE));
   if (changing.length >= mostChanging) return undefined;
