A new holder asks the engines what their caches hold

Change: once for each time that the lease is taken, all engines are asked for the list of what they hold; one probe an engine.

--- a/src/gateway/placementRole.ts
+++ b/src/gateway/placementRole.ts
@@ -13,6 +13,7 @@
 import type { Log } from "../telemetry/index.js";
 import { oldestProofMs } from "../workspaces/index.js";
 import type { DutyPort, KeyBounds, UsageWindows } from "../workspaces/index.js";
+import { CacheSurvey } from "./cacheSurvey.js";
 import { FleetDuties } from "./fleetDuties.js";
 import type { GatewayState } from "./gatewayState.js";
 import type { RequestForm } from "./requestForm.js";
@@ -128,6 +129,17 @@
       await keeper.step();
     }
   };
+  const survey = new CacheSurvey({
+    ...options,
+    replicas: state.replicas,
+    local,
+  });
+  const surveyCaches = async (): Promise<void> => {
+    for (const service of services()) {
+      if (!placement.isHolder(service) || !state.isReady) continue;
+      await survey.step(service, placement.epoch(service));
+    }
+  };
   const step = async (): Promise<void> => {
     state.expire();
     local.expire();
@@ -145,6 +157,7 @@
   };
   const start = (supervisor: Supervisor): void => {
     supervisor.every("placement", STEP_MS, step);
+    supervisor.every("caches of engines", STEP_MS, surveyCaches);
     duties?.start(supervisor);
     if (host !== "entry" || !Number.isFinite(askAfterMs)) return;
     supervisor.every("proof of keys", STEP_MS, proveKeys);
--- a/src/gateway/requestForm.ts
+++ b/src/gateway/requestForm.ts
@@ -2,7 +2,7 @@
 import type { IncomingHttpHeaders, IncomingMessage } from "node:http";
 
 import type { RequestFailure } from "../shared/errors.js";
-import type { Stage } from "../scheduling/index.js";
+import type { HeldPart, Stage } from "../scheduling/index.js";
 import type {
   EngineReport,
   InboundHead,
@@ -50,6 +50,10 @@
   reportCall(replica: Replica): ReplicaCall;
   /** Throws where the body is no report. */
   readReport(body: string): EngineReport;
+  /** Asks an engine which parts of prompts its cache holds. */
+  cacheListCall(replica: Replica): ReplicaCall;
+  /** Throws where the body is no such list. */
+  readCacheList(body: string): HeldPart[];
   /**
    * The order to change a replica's stage; `fence` grows with holders, and
    * the replica refuses if it has not taken just `expectedOrders` before.
--- a/src/placement/localPlacement.ts
+++ b/src/placement/localPlacement.ts
@@ -3,6 +3,7 @@
 import type {
   EngineView,
   Grant,
+  HeldPart,
   PlacementAnswer,
   PlacementAsk,
   PlacementEvent,
@@ -66,6 +67,13 @@
     scheduler.adopt(ask, grant, isRead, this.options.now());
   }
 
+  /** An engine says that it holds these parts. */
+  learnCache(service: string, engine: string, held: readonly HeldPart[]): void {
+    const scheduler = this.scheduler(service);
+    scheduler.setEngines(this.options.engines(service));
+    scheduler.learnCache(engine, held);
+  }
+
   note(service: string, event: PlacementEvent): void {
     const scheduler = this.scheduler(service);
     scheduler.onEvent(event, this.options.now());
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -10,6 +10,7 @@
   CachePart,
   EngineView,
   Grant,
+  HeldPart,
   PlacementAnswer,
   PlacementAsk,
   PlacementEvent,
--- a/src/scheduling/promptCache.ts
+++ b/src/scheduling/promptCache.ts
@@ -11,8 +11,10 @@
   tokens: number;
 }
 
-const keyed = (model: string, parts: readonly CachePart[]): KeyedPart[] =>
-  parts.map(({ id, tokens }) => ({ key: `${model}/${id}`, tokens }));
+export const keyedPart = (model: string, part: CachePart): KeyedPart => ({
+  key: `${model}/${part.id}`,
+  tokens: part.tokens,
+});
 
 /** The engine that holds most of a prompt, and how much. */
 export interface Donor {
@@ -25,7 +27,7 @@
   private readonly known = new Map<EngineState, number>();
 
   constructor(ask: Pick<PlacementAsk, "model" | "parts">) {
-    this.parts = keyed(ask.model, ask.parts);
+    this.parts = ask.parts.map((part) => keyedPart(ask.model, part));
   }
 
   /** Tokens at the start of the prompt that the engine holds. */
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -9,7 +9,7 @@
 import { EnginePool } from "./enginePool.js";
 import type { EngineState } from "./engineState.js";
 import { PlacedRequests } from "./placedRequests.js";
-import { PromptCache } from "./promptCache.js";
+import { keyedPart, PromptCache } from "./promptCache.js";
 import { planOwnRead, planRead } from "./readPlanner.js";
 import type { ReadPlan } from "./readPlanner.js";
 import { ReadPace, workOf } from "./readPace.js";
@@ -22,6 +22,7 @@
 import type {
   EngineView,
   Grant,
+  HeldPart,
   PlacementAnswer,
   PlacementAsk,
   PlacementEvent,
@@ -294,6 +295,12 @@
     this.grant(choice, plan, runner);
   }
 
+  /** An engine says that it holds these parts. */
+  learnCache(engine: string, held: readonly HeldPart[]): void {
+    const parts = held.map(({ model, ...part }) => keyedPart(model, part));
+    this.engines.get(engine)?.remember(parts);
+  }
+
   onEvent(event: PlacementEvent, now: number): void {
     if (event.kind === "wrong-stage") {
       return this.engines.doubt(event.engine, now);
--- a/src/scheduling/types.ts
+++ b/src/scheduling/types.ts
@@ -20,6 +20,11 @@
   tokens: number;
 }
 
+/** A part that an engine says it holds. */
+export interface HeldPart extends CachePart {
+  model: string;
+}
+
 /** One request that wants engines. Times are in ms. */
 export interface PlacementAsk {
   /** Unique among the requests of all entries. */
