The placement role parted: what a holder does, proof of keys

HolderWork asks engines for their caches and orders stages, KeyProof seeks proof of the configuration.

Stages are stepped by a task of their own: an order waits up to 1.5 s for a slow engine, as long as the lease of placing lasts, and held up its renewal meanwhile.

--- a/src/gateway/placementRole.ts
+++ b/src/gateway/placementRole.ts
@@ -11,13 +11,12 @@
 import type { ObjectFeed } from "../store/index.js";
 import type { Supervisor } from "../tasks/index.js";
 import type { Log } from "../telemetry/index.js";
-import { oldestProofMs } from "../workspaces/index.js";
 import type { DutyPort, KeyBounds, UsageWindows } from "../workspaces/index.js";
-import { CacheSurvey } from "./cacheSurvey.js";
 import { FleetDuties } from "./fleetDuties.js";
 import type { GatewayState } from "./gatewayState.js";
+import { HolderWork } from "./holderWork.js";
+import { KeyProof } from "./keyProof.js";
 import type { RequestForm } from "./requestForm.js";
-import { StageKeeper } from "./stageKeeper.js";
 import type { UpstreamClient } from "./upstreamClient.js";
 
 /**
@@ -35,13 +34,6 @@
  */
 const HOLDER_CORES = 0.6;
 
-/**
- * Part of the age at which keyed requests are refused after which the holder
- * is asked for proof: it leaves time for four questions, and the process's
- * own watch has failed by then.
- */
-const ASK_PART = 0.7;
-
 /** What a process does besides placing. */
 export type PlacementHost = "entry" | "scheduler";
 
@@ -118,28 +110,8 @@
   });
   const duties = newDuties(options, placement);
   address = await peers.listen(options.peerAddress);
-  const keepers = new Map<string, StageKeeper>();
-  const stepStages = async (): Promise<void> => {
-    for (const service of services()) {
-      if (!placement.isHolder(service)) continue;
-      const keeper =
-        keepers.get(service) ??
-        newStageKeeper(options, service, local, placement);
-      keepers.set(service, keeper);
-      await keeper.step();
-    }
-  };
-  const survey = new CacheSurvey({
-    ...options,
-    replicas: state.replicas,
-    local,
-  });
-  const surveyCaches = async (): Promise<void> => {
-    for (const service of services()) {
-      if (!placement.isHolder(service) || !state.isReady) continue;
-      await survey.step(service, placement.epoch(service));
-    }
-  };
+  const work = new HolderWork({ ...options, local, placement });
+  const keyProof = new KeyProof(state, placement, options.keyBounds);
   const step = async (): Promise<void> => {
     state.expire();
     local.expire();
@@ -147,20 +119,12 @@
       if (placement.isHolder(service)) peers.tellStandbys(service);
     }
     await placement.step(services());
-    await stepStages();
-  };
-  const askAfterMs = oldestProofMs(options.keyBounds) * ASK_PART;
-  const proveKeys = async (): Promise<void> => {
-    const isNeeded = state.routes?.keyring !== undefined;
-    if (!isNeeded || state.proofAgeMs < askAfterMs) return;
-    placement.askConfig(state.configRevision);
   };
   const start = (supervisor: Supervisor): void => {
     supervisor.every("placement", STEP_MS, step);
-    supervisor.every("caches of engines", STEP_MS, surveyCaches);
+    work.start(supervisor, STEP_MS);
     duties?.start(supervisor);
-    if (host !== "entry" || !Number.isFinite(askAfterMs)) return;
-    supervisor.every("proof of keys", STEP_MS, proveKeys);
+    if (host === "entry") keyProof.start(supervisor);
   };
   const stop = (): void => {
     placement.close();
@@ -191,24 +155,3 @@
     wallNow,
   });
 };
-
-const newStageKeeper = (
-  options: PlacementRoleOptions,
-  service: string,
-  local: LocalPlacement,
-  authority: SharedPlacement,
-): StageKeeper => {
-  const { id, orderLeaseMs, state, client, form, log, now } = options;
-  return new StageKeeper({
-    service,
-    self: id,
-    leaseMs: orderLeaseMs,
-    scheduler: local.scheduler(service),
-    replicas: state.replicas,
-    authority,
-    client,
-    form,
-    log,
-    now,
-  });
-};
