The planner of stages sees its own orders while nothing is asked for

Only asks brought the list of engines to the scheduler.

Change: the list is taken in before each look of the planner. Test: 11 orders where 2 are due, before; 2 now.

Ruled out: the list of replicas being late (entries had all 38).

--- a/src/gateway/holderWork.ts
+++ b/src/gateway/holderWork.ts
@@ -59,6 +59,9 @@
     for (const service of this.held()) {
       const keeper = this.keepers.get(service) ?? this.newKeeper(service);
       this.keepers.set(service, keeper);
+      // Asks bring the list as well; while there are none, the planner would
+      // go by the stages of before its own orders, and order on and on.
+      this.options.local.refresh(service);
       await keeper.step();
     }
   }
--- a/src/placement/localPlacement.ts
+++ b/src/placement/localPlacement.ts
@@ -47,8 +47,7 @@
 
   /** The same without waiting; `onAnswer` is called where it is queued. */
   placeNow(ask: PlacementAsk, onAnswer: OnAnswer): PlacementAnswer | Queued {
-    const scheduler = this.scheduler(ask.service);
-    scheduler.setEngines(this.options.engines(ask.service));
+    const scheduler = this.refresh(ask.service);
     const answer = scheduler.place(ask, this.options.now());
     if (answer.kind === "queued") {
       this.queued.set(ask.id, onAnswer);
@@ -62,16 +61,13 @@
    * has read its prompt.
    */
   adopt(ask: PlacementAsk, grant: Grant, isRead = false): void {
-    const scheduler = this.scheduler(ask.service);
-    scheduler.setEngines(this.options.engines(ask.service));
+    const scheduler = this.refresh(ask.service);
     scheduler.adopt(ask, grant, isRead, this.options.now());
   }
 
   /** An engine says that it holds these parts. */
   learnCache(service: string, engine: string, held: readonly HeldPart[]): void {
-    const scheduler = this.scheduler(service);
-    scheduler.setEngines(this.options.engines(service));
-    scheduler.learnCache(engine, held);
+    this.refresh(service).learnCache(engine, held);
   }
 
   note(service: string, event: PlacementEvent): void {
@@ -85,6 +81,13 @@
     this.note(service, { kind: "ended", id, ok: true, firstEventMs: 0 });
   }
 
+  /** The service's scheduler, with the engines that there are now. */
+  refresh(service: string): EngineScheduler {
+    const scheduler = this.scheduler(service);
+    scheduler.setEngines(this.options.engines(service));
+    return scheduler;
+  }
+
   scheduler(service: string): EngineScheduler {
     const known = this.schedulers.get(service);
     if (known !== undefined) return known;
@@ -106,9 +109,8 @@
 
   private onTime(): void {
     this.timer = undefined;
-    for (const [service, scheduler] of this.schedulers) {
-      scheduler.setEngines(this.options.engines(service));
-      this.settle(scheduler);
+    for (const service of this.schedulers.keys()) {
+      this.settle(this.refresh(service));
     }
     if (this.queued.size === 0) return;
     this.timer = setTimeout(() => this.onTime(), SETTLE_MS);
