--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -13,6 +13,7 @@
 import type { RequestForm } from "./requestForm.js";
 import type { RetryBudgets } from "./retryBudgets.js";
 import { drawService } from "./routeTable.js";
+import type { RouteTable } from "./routeTable.js";
 import type { CallerLimits, InboundHead, Route } from "./types.js";
 import { checkKey } from "../workspaces/index.js";
 import type { KeyBounds, KeyClaim } from "../workspaces/index.js";
@@ -122,17 +123,30 @@
     req: IncomingMessage,
     res: ServerResponse,
   ): Promise<void> {
-    const { form, state, now, rng, keyBounds } = this.options;
+    const { form, state, now } = this.options;
     const arrivedAt = now();
     const head = form.decode(req);
     if (isFailure(head)) return this.refuse(req, res, "", head);
     const table = state.routes;
     if (table === undefined) return this.refuse(req, res, head.id, NO_CONFIG);
+    const way = this.findWay(head, table);
+    if ("verdict" in way) return this.refuse(req, res, head.id, way);
+    const limit = table.config.limits.maxBodyBytes;
+    const body = await this.readBody(req, res, head, limit);
+    if (body === undefined) return;
+    const caller = this.admit(res, head, way, body, arrivedAt);
+    const isEngine = table.service(way.service)?.engine !== undefined;
+    const flow = isEngine ? this.options.stream : this.options.plain;
+    await flow.run(caller);
+  }
+
+  /** Where it goes and for whom it runs, or why it is refused. */
+  private findWay(head: InboundHead, table: RouteTable): Way | RequestFailure {
+    const { state, rng, keyBounds } = this.options;
     const route = table.match(head.host, head.target);
     const service = route && drawService(route, rng);
     if (route === undefined || service === undefined) {
-      const unknown = failure(404, "unknown_route", "no route fits");
-      return this.refuse(req, res, head.id, unknown);
+      return failure(404, "unknown_route", "no route fits");
     }
     const verdict = checkKey({
       keyring: table.keyring,
@@ -141,21 +155,9 @@
       proofAgeMs: state.proofAgeMs,
       bounds: keyBounds,
     });
-    if (verdict.kind === "refused") {
-      return this.refuse(req, res, head.id, verdict.failure);
-    }
-    if (!this.mayTake(route, head)) {
-      return this.refuse(req, res, head.id, LEAVING);
-    }
-    const limit = table.config.limits.maxBodyBytes;
-    const body = await this.readBody(req, res, head, limit);
-    if (body === undefined) return;
-    const { claim } = verdict;
-    const way = { route, service, claim };
-    const caller = this.admit(res, head, way, body, arrivedAt);
-    const isEngine = table.service(service)?.engine !== undefined;
-    const flow = isEngine ? this.options.stream : this.options.plain;
-    await flow.run(caller);
+    if (verdict.kind === "refused") return verdict.failure;
+    if (!this.mayTake(route, head)) return LEAVING;
+    return { route, service, claim: verdict.claim };
   }
 
   private mayTake(route: Route, head: InboundHead): boolean {
