--- a/bench/player/fleet.ts
+++ b/bench/player/fleet.ts
@@ -94,7 +94,7 @@
         .map(({ id, stage }) => ({
           id,
           stage,
-          zone: "one",
+          domain: "one",
           slots,
           kvCapacityTokens,
         })),
--- a/bench/player/play.ts
+++ b/bench/player/play.ts
@@ -111,7 +111,7 @@
       id,
       service: "model",
       route: kind.name,
-      zone: "one",
+      domain: "one",
       model: "m",
       promptTokens,
       outputTokens: Math.round(events * kind.tokensPerEvent),
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -38,7 +38,7 @@
 export interface GatewaySettings {
   /** Name of this process, unique in the fleet. */
   id: string;
-  zone: string;
+  domain: string;
   callerAddress: string;
   readyAddress: string;
   /** Where other gateways reach this one. */
@@ -64,7 +64,7 @@
   parts: GatewayParts,
 ): Promise<Daemon> => {
   const { form, source, feed, log, metrics, rng, now } = parts;
-  const { zone, id } = settings;
+  const { domain, id } = settings;
   const supervisor = new Supervisor(log);
   const client = new UpstreamClient();
   const state = new GatewayState(source, log, now, (config) => {
@@ -91,7 +91,7 @@
   const budgets = new RetryBudgets(settings.retry, now);
   const { replicas } = state;
   const { placement } = role;
-  const shared = { replicas, client, form, budgets, zone, now };
+  const shared = { replicas, client, form, budgets, domain, now };
   const server = new GatewayServer({
     state,
     form,
@@ -135,7 +135,7 @@
       return "";
     });
   }
-  log.info("started", { zone, ...addresses });
+  log.info("started", { domain, ...addresses });
   const stop = async () => {
     isStopping = true;
     log.info("stopping", { inFlight: server.inFlight });
@@ -156,7 +156,7 @@
 
 /**
  * Goes on until nothing is in flight and the balancer has noticed, or the
- * grace ends. The port stays open until then: where all entries of a zone
+ * grace ends. The port stays open until then: where all entries of a failure domain
  * stop in turn, there may be no other to turn to.
  */
 const drain = async (
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -189,7 +189,7 @@
     if (sizes === undefined) return [];
     return this.replicas.usable(service, now).map((replica) => ({
       id: replica.id,
-      zone: replica.zone,
+      domain: replica.domain,
       stage: replica.stage ?? "decode",
       slots: sizes.slots,
       kvCapacityTokens: sizes.kvCapacityTokens,
--- a/src/gateway/journey.ts
+++ b/src/gateway/journey.ts
@@ -78,8 +78,8 @@
   return { kind: "refused", failure: overdueFailure(worse) };
 };
 
-/** What the scheduler has to know of it; `zone`: of this process. */
-export const askOf = (journey: Journey, zone: string): PlacementAsk => {
+/** What the scheduler has to know of it; `domain`: of this process. */
+export const askOf = (journey: Journey, domain: string): PlacementAsk => {
   const { caller, avoid, grantId } = journey;
   const { prompt } = caller.head;
   const elapsedMs = caller.elapsedMs();
@@ -93,7 +93,7 @@
     id: grantId,
     service: caller.service,
     route: caller.route.name,
-    zone,
+    domain,
     model: prompt?.model ?? "",
     promptTokens: prompt?.promptTokens ?? 0,
     outputTokens: prompt?.outputTokens ?? 0,
--- a/src/gateway/plainFlow.ts
+++ b/src/gateway/plainFlow.ts
@@ -18,8 +18,8 @@
 
 /** Largest answer that is held whole, bytes. */
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
-/** A replica in another zone counts as this many requests busier. */
-const OTHER_ZONE_COST = 1;
+/** A replica in another failure domain counts as this many requests busier. */
+const OTHER_DOMAIN_COST = 1;
 /** Replicas whose health is remembered, the newest first. */
 const MAX_HEALTH = 4096;
 /** Sends of one request at the most, refusals included. */
@@ -31,7 +31,7 @@
   client: UpstreamClient;
   form: RequestForm;
   budgets: RetryBudgets;
-  zone: string;
+  domain: string;
   now: () => number;
 }
 
@@ -100,7 +100,7 @@
     caller: CallerRequest,
     tried: ReadonlySet<string>,
   ): Replica | undefined {
-    const { replicas, zone, now } = this.options;
+    const { replicas, domain, now } = this.options;
     const usable = replicas
       .usable(caller.service, now())
       .filter((item) => !tried.has(item.id));
@@ -111,7 +111,7 @@
     let best: { replica: Replica; cost: number } | undefined;
     for (const replica of candidates) {
       const busy = this.inFlight.get(replica.id) ?? 0;
-      const cost = busy + (replica.zone === zone ? 0 : OTHER_ZONE_COST);
+      const cost = busy + (replica.domain === domain ? 0 : OTHER_DOMAIN_COST);
       if (best === undefined || cost < best.cost) best = { replica, cost };
     }
     return best?.replica;
--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -27,7 +27,7 @@
 export interface StreamFlowOptions extends EngineCallsOptions {
   budgets: RetryBudgets;
   placement: Placement;
-  zone: string;
+  domain: string;
 }
 
 const endedUnused = (id: string): PlacementEvent => ({
@@ -122,7 +122,9 @@
         const isGranted = answer.kind === "granted";
         if (isGranted) placement.note(service, endedUnused(grantId));
       };
-      placement.place(askOf(journey, this.options.zone)).then(onAnswer, reject);
+      placement
+        .place(askOf(journey, this.options.domain))
+        .then(onAnswer, reject);
     });
   }
 
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -91,7 +91,7 @@
   service: string;
   /** IP and port. */
   address: string;
-  zone: string;
+  domain: string;
   slots: number;
   state: ReplicaState;
   /** Absent for plain services. */
--- a/src/gen/snowgate.ts
+++ b/src/gen/snowgate.ts
@@ -100,7 +100,7 @@
 /** One request that wants engines; times in ms. */
 export interface PlaceAsk {
   id: string;
-  zone: string;
+  domain: string;
   model: string;
   promptTokens: number;
   outputTokens: number;
@@ -1470,7 +1470,7 @@
 function createBasePlaceAsk(): PlaceAsk {
   return {
     id: "",
-    zone: "",
+    domain: "",
     model: "",
     promptTokens: 0,
     outputTokens: 0,
@@ -1489,8 +1489,8 @@
     if (message.id !== "") {
       writer.uint32(10).string(message.id);
     }
-    if (message.zone !== "") {
-      writer.uint32(18).string(message.zone);
+    if (message.domain !== "") {
+      writer.uint32(18).string(message.domain);
     }
     if (message.model !== "") {
       writer.uint32(26).string(message.model);
@@ -1551,7 +1551,7 @@
               break;
             }
 
-            message.zone = reader.string();
+            message.domain = reader.string();
             continue;
           }
           case 3: {
@@ -1649,7 +1649,7 @@
   fromJSON(object: any): PlaceAsk {
     return {
       id: isSet(object.id) ? globalThis.String(object.id) : "",
-      zone: isSet(object.zone) ? globalThis.String(object.zone) : "",
+      domain: isSet(object.domain) ? globalThis.String(object.domain) : "",
       model: isSet(object.model) ? globalThis.String(object.model) : "",
       promptTokens: isSet(object.promptTokens)
         ? globalThis.Number(object.promptTokens)
@@ -1690,8 +1690,8 @@
     if (message.id !== "") {
       obj.id = message.id;
     }
-    if (message.zone !== "") {
-      obj.zone = message.zone;
+    if (message.domain !== "") {
+      obj.domain = message.domain;
     }
     if (message.model !== "") {
       obj.model = message.model;
@@ -1732,7 +1732,7 @@
   fromPartial<I extends Exact<DeepPartial<PlaceAsk>, I>>(object: I): PlaceAsk {
     const message = createBasePlaceAsk();
     message.id = object.id ?? "";
-    message.zone = object.zone ?? "";
+    message.domain = object.domain ?? "";
     message.model = object.model ?? "";
     message.promptTokens = object.promptTokens ?? 0;
     message.outputTokens = object.outputTokens ?? 0;
--- a/src/placement/askLimit.ts
+++ b/src/placement/askLimit.ts
@@ -1,5 +1,5 @@
 /**
- * When an entry refuses a request without asking the holder. In a rush most
+ * When an entry refuses a request without asking the holder. In a burst most
  * asks are refused; with too many under way the holder answers late, entries
  * place by guess, and that makes more work for it. Pure.
  */
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -22,7 +22,7 @@
 export const toPlaceAsk = (ask: PlacementAsk): PlaceAsk => ({
   id: ask.id,
   route: ask.route,
-  zone: ask.zone,
+  domain: ask.domain,
   model: ask.model,
   promptTokens: whole(ask.promptTokens),
   outputTokens: whole(ask.outputTokens),
--- a/src/scheduling/runPlanner.ts
+++ b/src/scheduling/runPlanner.ts
@@ -9,8 +9,8 @@
  * each step takes so much longer that the longest streams miss their time.
  */
 const PACK_LOAD = 0.6;
-/** Engines in another zone count as this much busier, share of slots. */
-const OTHER_ZONE_COST = 0.02;
+/** Engines in another failure domain count as this much busier, share of slots. */
+const OTHER_DOMAIN_COST = 0.02;
 /** Share of the KV memory that running requests may take. */
 const RUN_MEMORY_SHARE = 0.92;
 /** Reading ahead of it counts as a full engine at this much, ms. */
@@ -77,7 +77,7 @@
   load: number,
   now: number,
 ): number => {
-  const away = engine.view.zone === ask.zone ? 0 : OTHER_ZONE_COST;
+  const away = engine.view.domain === ask.domain ? 0 : OTHER_DOMAIN_COST;
   const reading = engine.backlogMs(now) / FULL_BACKLOG_MS;
   if (ask.outputTokens < LONG_OUTPUT_TOKENS) return load + away + reading;
   const packed = load <= PACK_LOAD ? 1 - load : 1 + load;
--- a/src/scheduling/sizeFairness.ts
+++ b/src/scheduling/sizeFairness.ts
@@ -1,6 +1,6 @@
 /**
  * Whether the large requests of a route are served about as often as the
- * rest. Long prompts rarely fit the objective in a rush; without this they
+ * rest. Long prompts rarely fit the objective in a burst; without this they
  * would hardly be served at all. Pure.
  */
 import { build } from "hdr-histogram-js";
--- a/src/scheduling/stagePlanner.ts
+++ b/src/scheduling/stagePlanner.ts
@@ -3,7 +3,7 @@
  * tokens. Pure. The mix turns within seconds, and a change takes an engine
  * away for about as long, so that engines have to stand ready before they are
  * needed: what no stage needs now is divided in proportion to the needs.
- * Against changes only where a stage lacks an engine, the rush of long prompts
+ * Against changes only where a stage lacks an engine, the burst of long prompts
  * out of quiet (the load `rush-after-quiet`) is served in time to 93
  * in 100 for 87, on many engines to 91 for 82.
  */
@@ -101,7 +101,7 @@
 
 /**
  * Engines that should read: both stages get the same multiple of their need,
- * so that either can bear as large a rush, or the loss of as many engines.
+ * so that either can bear as large a burst, or the loss of as many engines.
  */
 const readersFor = ({ prefill, decode }: Needs, all: number): number => {
   const least = Math.max(1, Math.ceil(all * LEAST_SHARE));
--- a/src/scheduling/types.ts
+++ b/src/scheduling/types.ts
@@ -8,7 +8,8 @@
 /** One engine that may get work. */
 export interface EngineView {
   id: string;
-  zone: string;
+  /** Failure domain that it stands in. */
+  domain: string;
   stage: Stage;
   slots: number;
   kvCapacityTokens: number;
@@ -32,7 +33,7 @@
   service: string;
   /** Requests of one route are of one kind. */
   route: string;
-  zone: string;
+  domain: string;
   model: string;
   promptTokens: number;
   outputTokens: number;
--- a/tests/gateway/engineCalls.test.ts
+++ b/tests/gateway/engineCalls.test.ts
@@ -13,7 +13,7 @@
     id: "dec-1",
     service: "model",
     address: "10.0.0.1:1",
-    zone: "zone-1",
+    domain: "domain-1",
     slots: 1,
     state: "ready",
     stage: "decode",
--- a/tests/gateway/engineWatch.test.ts
+++ b/tests/gateway/engineWatch.test.ts
@@ -42,7 +42,7 @@
       id: "pre-1",
       service: "model",
       address,
-      zone: "zone-1",
+      domain: "domain-1",
       slots: 1,
       state: "ready",
       stage: "prefill",
--- a/tests/gateway/placement.test.ts
+++ b/tests/gateway/placement.test.ts
@@ -23,7 +23,7 @@
 const engine = (id: string, stage: EngineView["stage"]): EngineView => ({
   id,
   stage,
-  zone: "one",
+  domain: "one",
   slots: 1,
   kvCapacityTokens: 100_000,
 });
@@ -33,7 +33,7 @@
   id,
   service: SERVICE,
   route: "lookup",
-  zone: "one",
+  domain: "one",
   model: "m",
   promptTokens: 100,
   outputTokens: 10,
--- a/tests/gateway/readPace.test.ts
+++ b/tests/gateway/readPace.test.ts
@@ -104,7 +104,7 @@
     const view = (id: string) => ({
       id,
       stage: "prefill" as const,
-      zone: "z",
+      domain: "z",
       slots: 8,
       kvCapacityTokens: 100_000,
     });
--- a/tests/gateway/scheduling.test.ts
+++ b/tests/gateway/scheduling.test.ts
@@ -16,7 +16,7 @@
 const engine = (id: string, stage: Stage): EngineView => ({
   id,
   stage,
-  zone: "zone-1",
+  domain: "domain-1",
   slots: 4,
   kvCapacityTokens: 40_000,
 });
@@ -35,7 +35,7 @@
     id: `ask-${sequence}`,
     service: "model",
     route: "lookup",
-    zone: "zone-1",
+    domain: "domain-1",
     model: "m",
     promptTokens: 6000,
     outputTokens: 100,
--- a/tests/gateway/stageDemand.test.ts
+++ b/tests/gateway/stageDemand.test.ts
@@ -12,7 +12,7 @@
   new EngineState(
     {
       id: "e",
-      zone: "one",
+      domain: "one",
       stage: "decode",
       slots: 8,
       kvCapacityTokens: 10_000,
--- a/tests/gateway/state.test.ts
+++ b/tests/gateway/state.test.ts
@@ -68,7 +68,7 @@
     id,
     service: "plain",
     address: `${id}:1`,
-    zone: "zone-1",
+    domain: "domain-1",
     slots: 1,
     state: "ready",
     stage: undefined,
@@ -268,7 +268,7 @@
       value: {
         service: "model",
         state: "ready",
-        zone: "",
+        domain: "",
         address: `${name}:1`,
         stage,
       },
