--- a/tests/gateway/play.test.ts
+++ b/tests/gateway/play.test.ts
@@ -43,6 +43,22 @@
     inTime: { "long-prompt": 0.85, "long-answer": 0.85 },
     changes: 8,
   },
+  {
+    // Needs of the last 1.5 s: 0.83 of the prompts, 27 changes.
+    load: "swings-on-many-engines",
+    inTime: { "long-prompt": 0.85, "long-answer": 0.98 },
+    changes: 24,
+  },
+  {
+    // The same: 0.92, 0.96 and 0.94.
+    load: "cold-start-of-slow-readers",
+    inTime: {
+      "long-prompt": 0.95,
+      "middle-prompt": 0.97,
+      "short-prompt": 0.95,
+    },
+    changes: 6,
+  },
   {
     // Runners chosen without regard to their pace: 0.92 of the answers.
     load: "longest-answers-in-a-rush",
