--- a/src/placement/placementClient.ts
+++ b/src/placement/placementClient.ts
@@ -15,6 +15,7 @@
   PlacementAsk,
   PlacementEvent,
 } from "../scheduling/index.js";
+import { errText } from "../shared/utils.js";
 import type { Log } from "../telemetry/index.js";
 import type { ConfigNews, WindowCounts } from "../workspaces/index.js";
 import {
@@ -231,7 +232,17 @@
   private onConfig(answer: ConfigAnswer): void {
     const { number, sentAt } = this.configAsk;
     if (answer.number !== number) return;
-    this.options.onConfig(fromConfigAnswer(answer), sentAt);
+    try {
+      this.options.onConfig(fromConfigAnswer(answer), sentAt);
+    } catch (err) {
+      const { service, address, log } = this.options;
+      const why = errText(err);
+      log.warn("configuration of the holder not read", {
+        service,
+        address,
+        why,
+      });
+    }
   }
 
   /** The first standbys hear from the holder all the time. */
