The end of a replica is told from the loss of single answers, with the requests that were there

Change: an answer that breaks off has its replica's address looked at once (one connection); refused, or gone from the list within 5 s, is the replica's end. One line names the digests (host, path, caller, body; sha256) of the requests that were there, and a counter. No decision reads it yet.

A replica that was leaving ends as planned.

--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -19,6 +19,7 @@
 import { Membership, RankedView } from "../src/membership/index.js";
 import type { Member } from "../src/membership/index.js";
 import { packBodies } from "../src/peers/packedBodies.js";
+import { requestDigest } from "../src/quarantine/index.js";
 import { planRole } from "../src/roles/index.js";
 import { createPolicy, prefixChain, Router } from "../src/routing/index.js";
 import { seededRng } from "../src/shared/rng.js";
@@ -365,4 +366,13 @@
 for (const size of [8, 50, 200]) control(size);
 for (const size of [8, 50, 200]) roles(size);
 for (const size of [10, 64, 1000, 6000]) histograms(size);
+const DIGESTED_BYTES = [0, 2048, 16_384, 65_536];
+for (const bytes of DIGESTED_BYTES) {
+  const body = Buffer.alloc(bytes, 7);
+  const host = "parts.example";
+  const request = { host, target: "/a/7", workspace: "depot", body };
+  const micros = timeOf(() => requestDigest(request));
+  add("digest of a request, by body", bytes, micros);
+}
+
 console.log(table.toString());
--- a/src/gateway/callerRequest.ts
+++ b/src/gateway/callerRequest.ts
@@ -4,6 +4,7 @@
 import { Cancellation } from "../shared/cancellation.js";
 import type { RequestFailure } from "../shared/errors.js";
 import type { Log, LogFields, Metrics } from "../telemetry/index.js";
+import { requestDigest } from "../quarantine/index.js";
 import type { RequestForm } from "./requestForm.js";
 import type { InboundHead, Route } from "./types.js";
 import type { KeyClaim, Workspace } from "../workspaces/index.js";
@@ -47,6 +48,7 @@
   readonly cancellation = new Cancellation();
   private readonly timer: NodeJS.Timeout;
   private readonly fullDeadlineMs: number;
+  private knownDigest: string | undefined;
   private isAnswered = false;
   private hasRun = false;
   /** When a stream began, ms after its arrival. */
@@ -80,6 +82,19 @@
     return this.options.res;
   }
 
+  /** What tells whether it is the same as another request. */
+  get digest(): string {
+    const { host, target } = this.head;
+    const workspace = this.workspace?.name ?? "";
+    this.knownDigest ??= requestDigest({
+      host,
+      target,
+      workspace,
+      body: this.body,
+    });
+    return this.knownDigest;
+  }
+
   /** Whether it came back after a refusal: part of its time is gone. */
   get isReturn(): boolean {
     const { deadlineMs } = this.head;
@@ -183,6 +198,8 @@
       deadlineLeftMs: Math.round(this.leftMs()),
       configuration: this.options.configVersion,
       sentTo: this.sentTo.join(","),
+      // Known only of requests that were at a replica that ended.
+      digest: this.knownDigest,
       ...fields,
     });
   }
--- a/src/gateway/engineCalls.ts
+++ b/src/gateway/engineCalls.ts
@@ -5,6 +5,7 @@
 import type { Verdict } from "../shared/verdict.js";
 import type { Log } from "../telemetry/index.js";
 import type { CallerRequest } from "./callerRequest.js";
+import type { ReplicaEnds } from "./replicaEnds.js";
 import type { ReplicaSet } from "./replicaSet.js";
 import type { RequestForm } from "./requestForm.js";
 import type { ReadHandle, UpstreamSend } from "./types.js";
@@ -30,6 +31,7 @@
 
 export interface EngineCallsOptions {
   replicas: ReplicaSet;
+  ends: ReplicaEnds;
   client: UpstreamClient;
   form: RequestForm;
   log: Log;
@@ -75,6 +77,14 @@
       body,
       cancellation,
     });
+    this.options.ends.follow(
+      caller,
+      replica,
+      send.phase,
+      outcome,
+      cancellation,
+      (res) => form.readReply(res.statusCode ?? 0, res.headers).isNotRun,
+    );
     return outcome.kind === "failed" ? outcome : { ...outcome, address };
   }
 
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -11,6 +11,7 @@
 import { createPlacementRole } from "./placementRole.js";
 import { PlainFlow } from "./plainFlow.js";
 import type { GatewayParts } from "./parts.js";
+import { ReplicaEnds } from "./replicaEnds.js";
 import { RetryBudgets } from "./retryBudgets.js";
 import type { RetryLimits } from "./retryBudgets.js";
 import type { KeyBounds, UsageWindows } from "../workspaces/index.js";
@@ -91,7 +92,9 @@
   const budgets = new RetryBudgets(settings.retry, now);
   const { replicas } = state;
   const { placement } = role;
-  const shared = { replicas, client, form, budgets, domain, now };
+  const ends = new ReplicaEnds({ replicas, client, log, metrics, now });
+  state.onGone = (replica) => ends.onGone(replica);
+  const shared = { replicas, ends, client, form, budgets, domain, now };
   const server = new GatewayServer({
     state,
     form,
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -42,6 +42,8 @@
   /** Whether the newest one could not be read: the one held is not proven. */
   private isConfigBehind = false;
   private hasReplicas = false;
+  /** Told of each replica that the list has lost. */
+  onGone: (replica: Replica) => void = () => undefined;
   private readonly engineLists = new Map<string, EngineList>();
 
   constructor(
@@ -222,6 +224,7 @@
 
   private logChanges(changes: readonly ReplicaChange[]): void {
     for (const { kind, replica } of changes) {
+      if (kind === "gone") this.onGone(replica);
       this.log.info(`replica ${kind}`, {
         replica: replica.id,
         service: replica.service,
--- a/src/gateway/plainFlow.ts
+++ b/src/gateway/plainFlow.ts
@@ -8,6 +8,7 @@
 import type { Verdict } from "../shared/verdict.js";
 import { worseVerdict } from "../shared/verdict.js";
 import type { CallerRequest } from "./callerRequest.js";
+import type { ReplicaEnds } from "./replicaEnds.js";
 import type { ReplicaSet } from "./replicaSet.js";
 import type { RequestForm } from "./requestForm.js";
 import type { RetryBudgets } from "./retryBudgets.js";
@@ -28,6 +29,7 @@
 
 export interface PlainFlowOptions {
   replicas: ReplicaSet;
+  ends: ReplicaEnds;
   client: UpstreamClient;
   form: RequestForm;
   budgets: RetryBudgets;
@@ -166,6 +168,14 @@
         body,
         cancellation,
       });
+      this.options.ends.follow(
+        caller,
+        replica,
+        "run",
+        outcome,
+        cancellation,
+        (res) => form.readReply(res.statusCode ?? 0, res.headers).isNotRun,
+      );
       if (outcome.kind === "failed") {
         const isSent = outcome.verdict !== "not-run";
         return { ...outcome, fault: isSent ? "broken" : "unreachable" };
--- a/src/gateway/upstreamClient.ts
+++ b/src/gateway/upstreamClient.ts
@@ -3,6 +3,7 @@
  * proved when a send fails.
  */
 import http from "node:http";
+import net from "node:net";
 import type { Socket } from "node:net";
 
 import { splitAddress } from "../http/index.js";
@@ -45,6 +46,9 @@
 export type SendOutcome =
   UpstreamReply | { kind: "failed"; verdict: Verdict; why: string };
 
+/** What a look at an address found. */
+export type Listening = "listening" | "refused" | "unknown";
+
 /** Reuses a connection only well within the time its replica keeps it. */
 class CautiousAgent extends http.Agent {
   override keepSocketAlive(socket: Socket): boolean {
@@ -120,6 +124,23 @@
     });
   }
 
+  /** Whether anybody listens there, by a connection that is closed at once. */
+  probe(address: string): Promise<Listening> {
+    const { host, port } = splitAddress(address);
+    return new Promise((resolve) => {
+      const socket = net.connect({ host, port: Number(port) });
+      const end = (found: Listening) => {
+        socket.destroy();
+        resolve(found);
+      };
+      socket.setTimeout(CONNECT_MS, () => end("unknown"));
+      socket.once("connect", () => end("listening"));
+      socket.once("error", (err: NodeJS.ErrnoException) =>
+        end(err.code === "ECONNREFUSED" ? "refused" : "unknown"),
+      );
+    });
+  }
+
   /** Bounds the connections to each replica of a service. */
   limitConnections(service: string, most: number): void {
     this.agent(service).maxSockets = most;
--- /dev/null
+++ b/src/quarantine/index.ts
@@ -0,0 +1,2 @@
+export { requestDigest } from "./requestDigest.js";
+export type { RequestIdentity } from "./requestDigest.js";
--- a/tests/gateway/engineCalls.test.ts
+++ b/tests/gateway/engineCalls.test.ts
@@ -26,8 +26,10 @@
     },
   };
   const form = { upstreamHeaders: () => [] };
+  const ends = { follow: () => undefined };
   const calls = new EngineCalls({
     replicas,
+    ends,
     client,
     form,
   } as unknown as EngineCallsOptions);
