A request that ends its replicas is barred for the whole fleet

Cause: attempts were bounded for one try of a caller, retries for the sum over all requests; nothing looked at one request over its returns and all entries.

Ruled out: engines that end for a reason of their own (the stand-ins move no memory and change no stage, and the fault comes about), a retry budget that is too wide (it was never spent; narrower it takes service from others).

Change: each entry remembers which requests were at a replica that ended and writes that to an object of its own in the store; three lives over all entries bar a request. Bars lie in the status beside the configuration, which each entry follows anyway: while nothing ends no call is made, and a bar reaches all entries as a configuration does. A barred one gets a final 502 with its ends; bounded trials, agreed in the store, clear an innocent one.

--- a/src/gateway/callerRequest.ts
+++ b/src/gateway/callerRequest.ts
@@ -56,6 +56,8 @@
   /** Whether the caller went before its answer was whole. */
   isCallerGone = false;
   isOverdue = false;
+  /** A trial of a barred request: it is sent once, and not again. */
+  isTrial = false;
   /** Replicas that it was sent to, in order, for the log. */
   readonly sentTo: string[] = [];
 
--- a/src/gateway/engineCalls.ts
+++ b/src/gateway/engineCalls.ts
@@ -5,6 +5,7 @@
 import type { Verdict } from "../shared/verdict.js";
 import type { Log } from "../telemetry/index.js";
 import type { CallerRequest } from "./callerRequest.js";
+import type { QuarantineKeeper } from "./quarantineKeeper.js";
 import type { ReplicaEnds } from "./replicaEnds.js";
 import type { ReplicaSet } from "./replicaSet.js";
 import type { RequestForm } from "./requestForm.js";
@@ -32,6 +33,7 @@
 export interface EngineCallsOptions {
   replicas: ReplicaSet;
   ends: ReplicaEnds;
+  quarantine: Pick<QuarantineKeeper, "refusal">;
   client: UpstreamClient;
   form: RequestForm;
   log: Log;
@@ -65,6 +67,10 @@
     if (caller.leftMs() <= 0 || cancellation.isCancelled) {
       return { kind: "failed", verdict: "not-run", why: "its time is over" };
     }
+    const barred = this.options.quarantine.refusal(caller);
+    if (barred !== undefined) {
+      return { kind: "failed", verdict: "not-run", why: barred.message };
+    }
     const { head, body, claim } = caller;
     const { address } = replica;
     caller.sentTo.push(id);
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -11,6 +11,7 @@
 import { createPlacementRole } from "./placementRole.js";
 import { PlainFlow } from "./plainFlow.js";
 import type { GatewayParts } from "./parts.js";
+import { QuarantineKeeper } from "./quarantineKeeper.js";
 import { ReplicaEnds } from "./replicaEnds.js";
 import { RetryBudgets } from "./retryBudgets.js";
 import type { RetryLimits } from "./retryBudgets.js";
@@ -94,11 +95,34 @@
   const { placement } = role;
   const ends = new ReplicaEnds({ replicas, client, log, metrics, now });
   state.onGone = (replica) => ends.onGone(replica);
-  const shared = { replicas, ends, client, form, budgets, domain, now };
+  const quarantine = new QuarantineKeeper({
+    self: id,
+    state,
+    source,
+    feed,
+    log,
+    metrics,
+    now,
+    wallNow: parts.wallNow,
+  });
+  state.onStatus = (status) => quarantine.onStatus(status);
+  ends.onEnd = (end) => quarantine.onEnd(end);
+  ends.onSurvived = (caller) => quarantine.onSurvived(caller);
+  const shared = {
+    replicas,
+    ends,
+    quarantine,
+    client,
+    form,
+    budgets,
+    domain,
+    now,
+  };
   const server = new GatewayServer({
     state,
     form,
     budgets,
+    quarantine,
     keyBounds: settings.keyBounds,
     onBegun: role.onBegun,
     plain: new PlainFlow(shared),
@@ -110,6 +134,7 @@
   });
   watchStore(supervisor, parts, state, settings.catchUpMs);
   role.start(supervisor);
+  quarantine.start(supervisor);
   supervisor.every("connection limits", CONNECTION_LIMITS_MS, async () => {
     for (const { name, maxConnections } of state.services()) {
       const entries = placement.entries(state.engineServices());
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -9,6 +9,7 @@
 import type { Log, Metrics } from "../telemetry/index.js";
 import { CallerRequest, sendFailure } from "./callerRequest.js";
 import type { GatewayState } from "./gatewayState.js";
+import type { QuarantineKeeper } from "./quarantineKeeper.js";
 import { isFailure } from "./requestForm.js";
 import type { RequestForm } from "./requestForm.js";
 import type { RetryBudgets } from "./retryBudgets.js";
@@ -37,6 +38,7 @@
   state: GatewayState;
   form: RequestForm;
   budgets: RetryBudgets;
+  quarantine: Pick<QuarantineKeeper, "admit" | "settle">;
   keyBounds: KeyBounds;
   /** A request of a workspace began to run `agoMs` ago. */
   onBegun(workspace: string, agoMs: number): void;
@@ -137,7 +139,14 @@
     const caller = this.admit(res, head, way, body, arrivedAt);
     const isEngine = table.service(way.service)?.engine !== undefined;
     const flow = isEngine ? this.options.stream : this.options.plain;
-    await flow.run(caller);
+    const { quarantine } = this.options;
+    const barred = await quarantine.admit(caller);
+    if (barred !== undefined) return caller.fail(barred);
+    try {
+      await flow.run(caller);
+    } finally {
+      quarantine.settle(caller);
+    }
   }
 
   /** Where it goes and for whom it runs, or why it is refused. */
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -42,6 +42,8 @@
   /** Whether the newest one could not be read: the one held is not proven. */
   private isConfigBehind = false;
   private hasReplicas = false;
+  /** Told of what lies beside the configuration in the store. */
+  onStatus: (status: unknown) => void = () => undefined;
   /** Told of each replica that the list has lost. */
   onGone: (replica: Replica) => void = () => undefined;
   private readonly engineLists = new Map<string, EngineList>();
@@ -64,6 +66,9 @@
 
   onConfigItem(item: FeedItem): void {
     if (item.name !== this.source.configName) return;
+    if (item.status !== undefined && item.revision > this.configRevision) {
+      this.onStatus(item.status);
+    }
     const config = this.decode("configuration", item, () =>
       this.source.decodeConfig(item.value),
     );
@@ -72,7 +77,7 @@
     const known = this.table?.version;
     if (known !== undefined && config.version <= known) {
       if (config.version === known) {
-        this.configItem = item;
+        if (item.revision > this.configRevision) this.configItem = item;
         return;
       }
       const fields = { known, offered: config.version };
@@ -97,6 +102,11 @@
     return this.freshness.ageMs(this.now());
   }
 
+  /** The stored object of the configuration in force. */
+  get storedConfig(): FeedItem | undefined {
+    return this.configItem;
+  }
+
   /** Revision of the configuration that is held; 0: none. */
   get configRevision(): number {
     return this.configItem?.revision ?? 0;
--- a/src/gateway/journey.ts
+++ b/src/gateway/journey.ts
@@ -65,6 +65,7 @@
   const { caller, verdict, rounds, runs } = journey;
   if (caller.cancellation.isCancelled || rounds >= MAX_ROUNDS) return false;
   if (caller.leftMs() < LEAST_LEFT_MS) return false;
+  if (caller.isTrial && caller.sentTo.length > 0) return false;
   if (verdict === "not-run") return true;
   return caller.route.isResumable && runs < caller.route.maxAttempts;
 };
--- a/src/gateway/plainFlow.ts
+++ b/src/gateway/plainFlow.ts
@@ -8,6 +8,7 @@
 import type { Verdict } from "../shared/verdict.js";
 import { worseVerdict } from "../shared/verdict.js";
 import type { CallerRequest } from "./callerRequest.js";
+import type { QuarantineKeeper } from "./quarantineKeeper.js";
 import type { ReplicaEnds } from "./replicaEnds.js";
 import type { ReplicaSet } from "./replicaSet.js";
 import type { RequestForm } from "./requestForm.js";
@@ -30,6 +31,7 @@
 export interface PlainFlowOptions {
   replicas: ReplicaSet;
   ends: ReplicaEnds;
+  quarantine: Pick<QuarantineKeeper, "refusal">;
   client: UpstreamClient;
   form: RequestForm;
   budgets: RetryBudgets;
@@ -59,7 +61,10 @@
     let why = "no replica is known";
     let runs = 0;
     let answer: Attempt | undefined;
-    for (let sends = 0; sends < MAX_SENDS; sends += 1) {
+    const mostSends = caller.isTrial ? 1 : MAX_SENDS;
+    for (let sends = 0; sends < mostSends; sends += 1) {
+      const barred = this.options.quarantine.refusal(caller);
+      if (barred !== undefined) return caller.fail(barred);
       const replica = this.choose(caller, tried);
       if (replica === undefined) break;
       if (sends > 0 && !budgets.spend(caller.service)) break;
--- a/src/gateway/replicaSet.ts
+++ b/src/gateway/replicaSet.ts
@@ -47,6 +47,9 @@
   return left.revision > right.revision;
 };
 
+/** Names one life of a replica: an end is counted once. */
+export const replicaLife = ({ id }: Replica): string => id;
+
 export class ReplicaSet {
   private readonly known = new Map<string, Known>();
   /** Grows with each change. */
--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -76,6 +76,8 @@
   private async round(journey: Journey): Promise<Round> {
     const { placement } = this.options;
     const { caller } = journey;
+    const barred = this.options.quarantine.refusal(caller);
+    if (barred !== undefined) return { kind: "refused", failure: barred };
     journey.rounds += 1;
     this.sequence += 1;
     journey.grantId = `${this.entryId}/${this.sequence}`;
--- a/src/quarantine/requestDigest.ts
+++ b/src/quarantine/requestDigest.ts
@@ -1,11 +1,14 @@
 /**
  * Tells whether two requests are the same one sent again: same host, path,
- * caller and body. Only the digest is kept, logged or stored.
+ * caller and body. Only the digest is kept, logged or stored. It begins with
+ * the size of the body, so that most requests are told apart by that alone.
  */
 import { createHash } from "node:crypto";
 
 /** 16 of the 32 bytes: no two requests meet, and a record stays short. */
 const DIGEST_CHARS = 22;
+const SIZE_RADIX = 36;
+const SEPARATOR = ".";
 
 export interface RequestIdentity {
   host: string;
@@ -16,6 +19,12 @@
   body: Buffer;
 }
 
+/** What digests of requests with a body of so many bytes begin with. */
+export const sizeMark = (bytes: number): string => bytes.toString(SIZE_RADIX);
+
+export const sizeMarkOf = (digest: string): string =>
+  digest.slice(0, digest.indexOf(SEPARATOR));
+
 /**
  * Cryptographic, so that no caller can make a request that passes for
  * another's. It takes 4 µs of a core, and 89 µs where the body has 64 KB
@@ -25,5 +34,6 @@
   const { host, target, workspace, body } = request;
   const head = JSON.stringify([host, target, workspace]);
   const hash = createHash("sha256").update(head).update("\0").update(body);
-  return hash.digest("base64url").slice(0, DIGEST_CHARS);
+  const text = hash.digest("base64url").slice(0, DIGEST_CHARS);
+  return `${sizeMark(body.length)}${SEPARATOR}${text}`;
 };
--- a/src/shared/errors.ts
+++ b/src/shared/errors.ts
@@ -32,6 +32,8 @@
   | "wrong_upstream"
   | "unreachable"
   | "cut"
+  /** Replicas that ran it have ended. */
+  | "quarantined"
   | "crossed"
   | "upstream_error"
   | "store_unavailable"
--- a/src/store/feed.ts
+++ b/src/store/feed.ts
@@ -17,6 +17,8 @@
   /** Revision of its last change. */
   revision: number;
   value: unknown;
+  /** What the system has written beside it; absent where nothing was read. */
+  status?: unknown;
 }
 
 export interface FeedChange {
@@ -57,6 +59,13 @@
     value: unknown,
     expected: number,
   ): Promise<ConditionalWrite>;
+  /** Writes what lies beside an object's value, which stays as it is. */
+  writeStatus(
+    kind: string,
+    name: string,
+    status: unknown,
+    expected: number,
+  ): Promise<ConditionalWrite>;
 }
 
 /**
--- a/tests/gateway/engineCalls.test.ts
+++ b/tests/gateway/engineCalls.test.ts
@@ -30,6 +30,7 @@
   const calls = new EngineCalls({
     replicas,
     ends,
+    quarantine: { refusal: () => undefined },
     client,
     form,
   } as unknown as EngineCallsOptions);
--- a/tests/workspaces/usage.test.ts
+++ b/tests/workspaces/usage.test.ts
@@ -33,6 +33,10 @@
     throw new Error("not followed");
   }
 
+  async writeStatus(): Promise<never> {
+    throw new Error("not written");
+  }
+
   async write(
     _kind: string,
     name: string,
