--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -17,7 +17,22 @@
 import { REFUSAL_CAUSES } from "../scheduling/index.js";
 import type { ConfigNews, WindowCounts } from "../workspaces/index.js";
 
-const whole = (value: number): number => Math.max(0, Math.round(value));
+const MOST_UINT32 = 2 ** 32 - 1;
+const MOST_INT32 = 2 ** 31 - 1;
+
+/** NaN counts as the least. */
+const between = (least: number, value: number, most: number): number =>
+  Math.min(most, Math.max(least, Math.round(value) || 0));
+
+/**
+ * Callers name these numbers. One that a message can't hold ends the stream
+ * with the asks of all requests, and again at the next holder.
+ */
+const whole = (value: number): number => between(0, value, MOST_UINT32);
+
+/** May be negative: that time is over. */
+const signedMs = (value: number): number =>
+  between(-MOST_INT32, value, MOST_INT32);
 
 export const toPlaceAsk = (ask: PlacementAsk): PlaceAsk => ({
   id: ask.id,
@@ -27,8 +42,8 @@
   promptTokens: whole(ask.promptTokens),
   outputTokens: whole(ask.outputTokens),
   parts: ask.parts.map(({ id, tokens }) => ({ id, tokens: whole(tokens) })),
-  objectiveLeftMs: Math.round(ask.objectiveLeftMs),
-  deadlineLeftMs: Math.round(ask.deadlineLeftMs),
+  objectiveLeftMs: signedMs(ask.objectiveLeftMs),
+  deadlineLeftMs: signedMs(ask.deadlineLeftMs),
   priority: whole(ask.priority),
   isReturn: ask.isReturn,
   avoid: ask.avoid,
