--- a/src/cli/requestStory.ts
+++ b/src/cli/requestStory.ts
@@ -54,6 +54,13 @@
   "started",
   "stopping",
 ]);
+/** Messages on one request as such, over all its returns and entries. */
+const DIGEST_MESSAGES: ReadonlySet<string> = new Set([
+  "replica ended",
+  "request quarantined",
+  "quarantine changed",
+  "quarantine trial ended",
+]);
 /** Fields of lines that name replicas. */
 const REPLICA_FIELDS = ["replica", "reader", "runner", "donor"] as const;
 
@@ -99,6 +106,12 @@
   return found;
 };
 
+/** Digests that a line names, in one field or a list. */
+const digestsIn = ({ digest, digests }: LogLine): string[] =>
+  [digest, digests].flatMap((text) =>
+    typeof text === "string" ? text.split(",") : [],
+  );
+
 export const storyOf = (
   lines: readonly LogLine[],
   requestId: string,
@@ -111,7 +124,12 @@
   const until = Date.parse(last.time) + CONTEXT_AFTER_MS;
   const processes = new Set(own.map((line) => line.process));
   const replicas = replicasIn(own);
+  const digests = new Set(own.flatMap(digestsIn));
   const isContext = (line: LogLine): boolean => {
+    // Ends of replicas under the same request, however long ago.
+    if (DIGEST_MESSAGES.has(line.message)) {
+      return digestsIn(line).some((digest) => digests.has(digest));
+    }
     if (!CONTEXT_MESSAGES.has(line.message)) return false;
     const at = Date.parse(line.time);
     if (at < from || at > until) return false;
--- a/src/gateway/engineCalls.ts
+++ b/src/gateway/engineCalls.ts
@@ -88,12 +88,16 @@
       replica,
       send.phase,
       outcome,
-      cancellation,
       (res) => form.readReply(res.statusCode ?? 0, res.headers).isNotRun,
     );
     return outcome.kind === "failed" ? outcome : { ...outcome, address };
   }
 
+  /** An engine answers nothing at all while it has a request. */
+  noteSilent(caller: CallerRequest, engine: string): void {
+    this.options.ends.onSilent(caller, engine);
+  }
+
   /** Tells the replica that nobody will take the handle. */
   free(service: string, handle: ReadHandle): void {
     const { client, form, log, now } = this.options;
--- a/src/gateway/engineRun.ts
+++ b/src/gateway/engineRun.ts
@@ -39,7 +39,9 @@
     journey.firstEventMs = 0;
     journey.readsAtRunner = readsItself;
     const onNotWorking = (mood: EngineMood): void => {
-      if (mood === "silent") this.news.noteSilent(journey, runner);
+      if (mood !== "silent") return;
+      this.news.noteSilent(journey, runner);
+      this.calls.noteSilent(caller, runner);
     };
     const watch = this.watch.start(
       caller.service,
--- a/src/gateway/plainFlow.ts
+++ b/src/gateway/plainFlow.ts
@@ -178,7 +178,6 @@
         replica,
         "run",
         outcome,
-        cancellation,
         (res) => form.readReply(res.statusCode ?? 0, res.headers).isNotRun,
       );
       if (outcome.kind === "failed") {
--- a/src/gateway/replicaEnds.ts
+++ b/src/gateway/replicaEnds.ts
@@ -6,9 +6,9 @@
  */
 import type { IncomingMessage } from "node:http";
 
-import type { Cancellation } from "../shared/cancellation.js";
 import type { Log, Metrics } from "../telemetry/index.js";
 import type { CallerRequest } from "./callerRequest.js";
+import { replicaLife } from "./replicaSet.js";
 import type { ReplicaSet } from "./replicaSet.js";
 import type { Replica, UpstreamSend } from "./types.js";
 import type { SendOutcome, UpstreamClient } from "./upstreamClient.js";
@@ -18,6 +18,13 @@
  * then, ms: an entry lapses after three heartbeats of up to 1.5 s.
  */
 const CONFIRM_MS = 5000;
+/**
+ * A request whose caller left so shortly before the end of its replica may
+ * still have run there, ms; most replicas drop it at once.
+ */
+const LEFT_MS = 1000;
+/** Pause between two looks at one address, ms: answers break off in crowds. */
+const LOOK_PAUSE_MS = 100;
 /** Replicas whose broken answers are remembered at the most. */
 const MAX_REPLICAS = 256;
 /** Requests of one replica that are remembered; it has no more slots. */
@@ -43,14 +50,16 @@
   now: () => number;
 }
 
-/** Requests whose answers broke off at one replica. */
+/** What was at one replica when answers of it broke off. */
 interface BrokenAnswers {
   replica: Replica;
-  /** Of the last one, ms. */
-  at: number;
-  requests: Set<string>;
+  /** By digest: until when an end counts as its own, ms. */
+  requests: Map<string, number>;
   evidence: EndEvidence | undefined;
+  /** Its address is looked at, or was a moment ago. */
   isAsked: boolean;
+  /** An answer broke off after that look had begun. */
+  mustAskAgain: boolean;
 }
 
 export class ReplicaEnds {
@@ -68,58 +77,77 @@
     replica: Replica,
     phase: UpstreamSend["phase"],
     outcome: SendOutcome,
-    cancellation: Cancellation,
     isRefused: (res: IncomingMessage) => boolean,
   ): void {
-    const onBroken = (): void => {
-      if (!cancellation.isCancelled) this.noteBroken(caller, replica);
-    };
     if (outcome.kind === "failed") {
-      if (outcome.verdict !== "not-run") onBroken();
+      if (outcome.verdict !== "not-run") this.onBroken(caller, replica);
       return;
     }
     const { res, isWhole } = outcome;
     res.once("close", () => {
-      if (!isWhole()) return onBroken();
+      if (!isWhole()) return this.onBroken(caller, replica);
       if (phase === "run" && !isRefused(res)) this.onSurvived(caller);
     });
   }
 
+  /** It says nothing: an end that no connection tells of. */
+  onSilent(caller: CallerRequest, replicaId: string): void {
+    const replica = this.options.replicas.get(replicaId);
+    if (replica !== undefined) this.onBroken(caller, replica);
+  }
+
   /** The list has lost a replica. */
   onGone(replica: Replica): void {
-    const known = this.broken.get(replica.id);
+    const known = this.broken.get(replicaLife(replica));
     if (known === undefined || replica.state !== "ready") return;
-    if (this.options.now() - known.at > CONFIRM_MS) return;
     this.confirm(known, "left the list");
   }
 
-  private noteBroken(caller: CallerRequest, replica: Replica): void {
+  private onBroken(caller: CallerRequest, replica: Replica): void {
     // One that was leaving has ended as planned.
     const listed = this.options.replicas.get(replica.id);
     if (listed?.state !== "ready") return;
+    const now = this.options.now();
     const known = this.brokenAt(replica);
-    known.at = this.options.now();
-    if (known.requests.size < MAX_REQUESTS) known.requests.add(caller.digest);
+    // Where the caller left, the connection was broken from here.
+    const hasLeft = caller.cancellation.isCancelled;
+    const until = now + (hasLeft ? LEFT_MS : CONFIRM_MS);
+    this.remember(known, caller.digest, until);
     if (known.evidence !== undefined) {
-      this.tell(known, [caller.digest]);
+      if (!hasLeft) this.tell(known, [caller.digest]);
       return;
     }
-    if (known.isAsked) return;
-    known.isAsked = true;
-    void this.ask(known);
+    if (!hasLeft) this.look(known);
+  }
+
+  private remember(
+    { requests }: BrokenAnswers,
+    digest: string,
+    until: number,
+  ): void {
+    const now = this.options.now();
+    if (requests.size >= MAX_REQUESTS) {
+      for (const [known, limit] of requests) {
+        if (limit < now) requests.delete(known);
+      }
+    }
+    const isFull = requests.size >= MAX_REQUESTS;
+    if (isFull && !requests.has(digest)) return;
+    requests.set(digest, Math.max(until, requests.get(digest) ?? 0));
   }
 
   private brokenAt(replica: Replica): BrokenAnswers {
-    const known = this.broken.get(replica.id);
+    const life = replicaLife(replica);
+    const known = this.broken.get(life);
     if (known !== undefined) return known;
     const fresh: BrokenAnswers = {
       replica,
-      at: 0,
-      requests: new Set(),
+      requests: new Map(),
       evidence: undefined,
       isAsked: false,
+      mustAskAgain: false,
     };
-    this.broken.set(replica.id, fresh);
+    this.broken.set(life, fresh);
     const [oldest] = this.broken.keys();
     if (this.broken.size > MAX_REPLICAS && oldest !== undefined) {
       this.broken.delete(oldest);
@@ -127,29 +155,30 @@
     return fresh;
   }
 
-  private async ask(known: BrokenAnswers): Promise<void> {
-    const { client } = this.options;
-    const found = await client.probe(known.replica.address);
-    known.isAsked = false;
-    if (found === "refused") return this.confirm(known, "nobody listens");
-    // It lost single answers: they say nothing of what comes later.
-    if (found === "listening") this.forgetOld(known);
-  }
-
-  /** Answers that broke off long before an end had another cause. */
-  private forgetOld(known: BrokenAnswers): void {
-    const timer = setTimeout(() => {
-      const isOld = this.options.now() - known.at >= CONFIRM_MS;
-      if (isOld && known.evidence === undefined) known.requests.clear();
-    }, CONFIRM_MS);
-    timer.unref();
+  /** Where somebody listens still, the list may yet tell of its end. */
+  private look(known: BrokenAnswers): void {
+    known.mustAskAgain = known.isAsked;
+    if (known.isAsked) return;
+    known.isAsked = true;
+    void this.options.client.probe(known.replica.address).then((found) => {
+      if (found === "refused") return this.confirm(known, "nobody listens");
+      setTimeout(() => {
+        known.isAsked = false;
+        if (known.mustAskAgain) this.look(known);
+      }, LOOK_PAUSE_MS).unref();
+    });
   }
 
   private confirm(known: BrokenAnswers, evidence: EndEvidence): void {
     if (known.evidence !== undefined) return;
     known.evidence = evidence;
     this.options.metrics.count("replica_ended", { how: evidence });
-    this.tell(known, [...known.requests]);
+    const now = this.options.now();
+    const there = [...known.requests].filter(([, until]) => until >= now);
+    this.tell(
+      known,
+      there.map(([digest]) => digest),
+    );
   }
 
   private tell({ replica, evidence }: BrokenAnswers, requests: string[]): void {
--- /dev/null
+++ b/tests/quarantine/quarantine.test.ts
@@ -0,0 +1,245 @@
+/** Which requests are barred, and how an innocent one goes on. Pure. */
+import { expect } from "chai";
+
+import { Quarantine } from "../../src/quarantine/index.js";
+import { EndLedger, MAX_SUSPECTS } from "../../src/quarantine/endLedger.js";
+import {
+  MAX_BARS,
+  MOST_ENDS,
+  MOST_TRIAL_SENDS,
+  TRIAL_AFTER_MS,
+} from "../../src/quarantine/quarantine.js";
+
+const DEADLY = "4.deadly";
+const ENGINE_SENDS = 2;
+
+/** Processes with one clock, and the bars that they would store. */
+const fleet = () => {
+  const clock = { now: 0 };
+  const add = (name: string): Quarantine =>
+    new Quarantine(
+      name,
+      () => clock.now,
+      () => clock.now,
+    );
+  return { clock, add };
+};
+
+const lives = (count: number, from = 0): string[] =>
+  Array.from({ length: count }, (_item, at) => `life-${from + at}`);
+
+const endAll = (at: Quarantine, names: readonly string[]): void => {
+  for (const life of names) at.noteEnd([DEADLY], life);
+};
+
+describe("a request under which replicas ended", () => {
+  it("is barred after three lives, not before", () => {
+    const { add } = fleet();
+    const entry = add("a");
+    endAll(entry, lives(MOST_ENDS - 1));
+    expect(entry.verdict(DEADLY, 1).kind).to.equal("free");
+    endAll(entry, lives(1, MOST_ENDS - 1));
+    expect(entry.verdict(DEADLY, 1).kind).to.equal("refused");
+  });
+
+  it("is not barred by one life that is told many times", () => {
+    const { add } = fleet();
+    const entry = add("a");
+    for (let at = 0; at < 10; at += 1) entry.noteEnd([DEADLY], "life-0");
+    expect(entry.barOf(DEADLY)).to.equal(undefined);
+  });
+
+  it("is barred where each of three entries saw one end", () => {
+    const { add } = fleet();
+    const entries = lives(MOST_ENDS).map((life) => {
+      const entry = add(`entry of ${life}`);
+      entry.noteEnd([DEADLY, `4.beside-${life}`], life);
+      return entry;
+    });
+    const records = entries.map((entry) => entry.toRecord());
+    entries[0]!.learnEnds(records);
+    const bars = entries[0]!.allBars();
+    expect(bars.map(({ digest }) => digest)).to.deep.equal([DEADLY]);
+    expect(bars[0]?.lives).to.have.members(lives(MOST_ENDS));
+  });
+
+  it("counts what an earlier life of the entry had seen", () => {
+    const { add } = fleet();
+    const before = add("a");
+    endAll(before, lives(2));
+    const restarted = add("a");
+    restarted.restore(before.toRecord());
+    endAll(restarted, lives(1, 2));
+    expect(restarted.barOf(DEADLY)).to.not.equal(undefined);
+  });
+
+  it("is told to others by its bar alone", () => {
+    const { add } = fleet();
+    const [first, second] = [add("a"), add("b")];
+    endAll(first, lives(MOST_ENDS));
+    expect(second.learnBars(first.allBars())).to.have.length(1);
+    expect(second.verdict(DEADLY, 1).kind).to.equal("refused");
+    expect(second.learnBars(first.allBars())).to.have.length(0);
+  });
+});
+
+describe("a trial of a barred request", () => {
+  const barred = () => {
+    const { clock, add } = fleet();
+    const entry = add("a");
+    endAll(entry, lives(MOST_ENDS));
+    clock.now += TRIAL_AFTER_MS;
+    const verdict = entry.verdict(DEADLY, ENGINE_SENDS);
+    if (verdict.kind !== "may-try") throw new Error(verdict.kind);
+    return { clock, add, entry, bar: verdict.bar };
+  };
+
+  it("waits until the ends that barred it are over", () => {
+    const { clock, add } = fleet();
+    const entry = add("a");
+    endAll(entry, lives(MOST_ENDS));
+    clock.now += TRIAL_AFTER_MS - 1;
+    expect(entry.verdict(DEADLY, ENGINE_SENDS).kind).to.equal("refused");
+  });
+
+  it("is one at a time", () => {
+    const { entry, bar, add, clock } = barred();
+    const trial = entry.trialOf(bar, ENGINE_SENDS);
+    const other = add("b");
+    for (const each of [entry, other]) {
+      each.learnBars([bar, trial]);
+      clock.now += 60 * 60 * 1000;
+      expect(each.verdict(DEADLY, 1).kind).to.equal("refused");
+    }
+  });
+
+  it("lets one go on that survived it, and excuses the ends so far", () => {
+    const { entry, bar, add } = barred();
+    const trial = entry.trialOf(bar, ENGINE_SENDS);
+    entry.learnBars([trial]);
+    const after = { sends: 2, hasSurvived: true };
+    const cleared = entry.afterTrial(trial, ENGINE_SENDS, after);
+    entry.learnBars([cleared]);
+    const other = add("b");
+    endAll(other, lives(MOST_ENDS));
+    other.learnBars([cleared]);
+    for (const each of [entry, other]) {
+      each.learnEnds([{ [DEADLY]: lives(MOST_ENDS) }]);
+      expect(each.verdict(DEADLY, 1).kind).to.equal("free");
+      // New ends count from the start.
+      endAll(each, lives(MOST_ENDS, 10));
+      expect(each.barOf(DEADLY)).to.not.equal(undefined);
+    }
+  });
+
+  it("is the last one where its replica ended", () => {
+    const { entry, bar, clock } = barred();
+    const trial = entry.trialOf(bar, 1);
+    entry.learnBars([trial]);
+    entry.noteEnd([DEADLY], "life-of-trial");
+    const after = { sends: 1, hasSurvived: false };
+    entry.learnBars([entry.afterTrial(trial, 1, after)]);
+    clock.now += 60 * 60 * 1000;
+    expect(entry.verdict(DEADLY, 1).kind).to.equal("refused");
+  });
+
+  it("may come again where it was sent nowhere", () => {
+    const { entry, bar, clock } = barred();
+    const trial = entry.trialOf(bar, ENGINE_SENDS);
+    entry.learnBars([trial]);
+    const after = { sends: 0, hasSurvived: false };
+    entry.learnBars([entry.afterTrial(trial, ENGINE_SENDS, after)]);
+    clock.now += TRIAL_AFTER_MS;
+    expect(entry.verdict(DEADLY, ENGINE_SENDS).kind).to.equal("may-try");
+  });
+
+  it("does not end by what ended under runs from before the bar", () => {
+    const { entry, clock } = barred();
+    entry.noteEnd([DEADLY], "life-late");
+    clock.now += TRIAL_AFTER_MS;
+    expect(entry.verdict(DEADLY, ENGINE_SENDS).kind).to.equal("may-try");
+  });
+
+  it("never takes more sends than are allowed for good", () => {
+    const { entry, clock } = barred();
+    let sends = 0;
+    for (let at = 0; at < 100; at += 1) {
+      clock.now += TRIAL_AFTER_MS;
+      const verdict = entry.verdict(DEADLY, ENGINE_SENDS);
+      if (verdict.kind !== "may-try") break;
+      const trial = entry.trialOf(verdict.bar, ENGINE_SENDS);
+      entry.learnBars([trial]);
+      sends += 1;
+      const after = { sends: 1, hasSurvived: false };
+      entry.learnBars([entry.afterTrial(trial, ENGINE_SENDS, after)]);
+    }
+    expect(sends).to.be.within(1, MOST_TRIAL_SENDS);
+  });
+});
+
+describe("requests beside the cause", () => {
+  it("are cleared by a run that leaves its replica alive", () => {
+    const { add } = fleet();
+    const entry = add("a");
+    const popular = "4.popular";
+    for (const life of lives(20)) {
+      entry.noteEnd([popular], life);
+      expect(entry.noteSurvived(popular)).to.equal(true);
+    }
+    expect(entry.barOf(popular)).to.equal(undefined);
+    expect(entry.mightKnow(4)).to.equal(false);
+  });
+
+  it("are not barred, a thousand of them, where one is the cause", () => {
+    const { add } = fleet();
+    const entry = add("a");
+    for (const life of lives(25)) {
+      const beside = lives(40, 1000 + 40 * Number(life.slice(5)));
+      entry.noteEnd([...beside.map((name) => `9.${name}`), DEADLY], life);
+    }
+    const barred = entry.allBars().map(({ digest }) => digest);
+    expect(barred).to.deep.equal([DEADLY]);
+  });
+
+  it("are told apart by the size of their body, without a digest", () => {
+    const { add } = fleet();
+    const entry = add("a");
+    expect(entry.mightKnow(0)).to.equal(false);
+    entry.noteEnd(["z.x"], "life-0");
+    expect(entry.mightKnow(35)).to.equal(true);
+    expect(entry.mightKnow(34)).to.equal(false);
+  });
+});
+
+describe("what is remembered", () => {
+  it("stays bounded, and new bodies push out none that came again", () => {
+    const ledger = new EndLedger();
+    ledger.add([DEADLY], "life-0");
+    ledger.add([DEADLY], "life-1");
+    for (let at = 0; at < MAX_SUSPECTS * 4; at += 1) {
+      ledger.add([`9.${at}`], `life-${at}`);
+    }
+    expect(ledger.size).to.equal(MAX_SUSPECTS);
+    expect(ledger.lives(DEADLY).size).to.equal(2);
+  });
+
+  it("keeps a bounded number of bars, cleared ones least", () => {
+    const { add } = fleet();
+    const entry = add("a");
+    const bar = (digest: string, state: "barred" | "cleared") => ({
+      digest,
+      state,
+      step: 1,
+      lives: [],
+      sends: 0,
+      by: "b",
+      at: 0,
+    });
+    entry.learnBars([bar(DEADLY, "barred")]);
+    for (let at = 0; at < MAX_BARS * 3; at += 1) {
+      entry.learnBars([bar(`9.${at}`, "cleared")]);
+    }
+    expect(entry.allBars()).to.have.length(MAX_BARS);
+    expect(entry.barOf(DEADLY)).to.not.equal(undefined);
+  });
+});
--- a/tests/story.test.ts
+++ b/tests/story.test.ts
@@ -52,6 +52,19 @@
     ]);
   });
 
+  it("has the ends of replicas under the same request, however long ago", () => {
+    const ended = { replica: "r-9", digests: "4.other,4.same" };
+    const log = [
+      line(1, "entry-2", "replica ended", ended),
+      line(1, "entry-2", "replica ended", { replica: "r-8", digests: "4.x" }),
+      line(2, "entry-3", "request quarantined", { digest: "4.same" }),
+      line(50, "entry-1", "request", { requestId: "c", digest: "4.same" }),
+    ];
+    const { context } = storyOf(parseLog(log.join("\n")).lines, "c");
+    const seen = context.map((item) => item.message);
+    expect(seen).to.eql(["replica ended", "request quarantined"]);
+  });
+
   it("shows fields, and not those that say nothing", () => {
     const text = renderStory(storyOf(lines, "a"));
     expect(text).to.include("entry-1  request  outcome=cut");
