A replica's life is its name and start; entries of other writers name none

Change: the adapter decodes a life once (name and start); all that is kept by the id of a life ends with it, in one place (ReplicaSet.put). Late words of an older life are dropped; a report of another life says that the work is lost and is ordered nothing. Entries of a service that nobody names take no place at an address.

Ruled out: an entry without a start as a new life (it goes on as the known one).

--- a/src/gateway/engineCalls.ts
+++ b/src/gateway/engineCalls.ts
@@ -55,7 +55,7 @@
     caller: CallerRequest,
     id: string,
     cancellation: Cancellation,
-    send: Omit<UpstreamSend, "claim">,
+    send: Omit<UpstreamSend, "claim" | "replicaName">,
   ): Promise<EngineReply> {
     const { replicas, client, form } = this.options;
     const replica = replicas.get(id);
@@ -72,14 +72,15 @@
       return { kind: "failed", verdict: "not-run", why: barred.message };
     }
     const { head, body, claim } = caller;
-    const { address } = replica;
+    const { address, name: replicaName } = replica;
+    const whole = { ...send, claim, replicaName };
     caller.sentTo.push(id);
     const outcome = await client.send({
       service: caller.service,
       address,
       method: head.method,
       target: head.target,
-      headers: form.upstreamHeaders(head, { ...send, claim }, body.length),
+      headers: form.upstreamHeaders(head, whole, body.length),
       body,
       cancellation,
     });
--- a/src/gateway/engineRun.ts
+++ b/src/gateway/engineRun.ts
@@ -50,7 +50,6 @@
       onNotWorking,
     );
     const sent = await this.calls.send(caller, runner, caller.cancellation, {
-      replicaId: runner,
       deadlineMs: Math.round(caller.leftMs()),
       phase: "run",
       handle,
--- a/src/gateway/engineWatch.ts
+++ b/src/gateway/engineWatch.ts
@@ -6,6 +6,7 @@
 import { BoundedCancellation, Cancellation } from "../shared/cancellation.js";
 import { errText } from "../shared/utils.js";
 import { MAX_SHORT_ANSWER_BYTES } from "./engineCalls.js";
+import { isOtherLife } from "./replicaSet.js";
 import type { EngineCallsOptions } from "./engineCalls.js";
 import { readWholeBody } from "./upstreamClient.js";
 
@@ -60,7 +61,10 @@
       if (sent.kind === "failed") return "silent";
       const whole = await readWholeBody(sent, MAX_SHORT_ANSWER_BYTES);
       if (whole.kind === "cut") return "silent";
-      const { running, waiting } = form.readReport(whole.body.toString("utf8"));
+      const report = form.readReport(whole.body.toString("utf8"));
+      const { running, waiting } = report;
+      // What started again has lost what the one before worked on.
+      if (isOtherLife(replica, report)) return "idle";
       return running + waiting > 0 ? "working" : "idle";
     } finally {
       cancellation.dispose();
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -94,6 +94,7 @@
   const { replicas } = state;
   const { placement } = role;
   const ends = new ReplicaEnds({ replicas, client, log, metrics, now });
+  state.onUnreadable = (what) => metrics.count("unreadable", { what });
   state.onGone = (replica) => ends.onGone(replica);
   const quarantine = new QuarantineKeeper({
     self: id,
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -4,6 +4,7 @@
  */
 import type { EngineView } from "../scheduling/index.js";
 import type { FeedChange, FeedItem } from "../store/index.js";
+import { errText } from "../shared/utils.js";
 import type { Log } from "../telemetry/index.js";
 import { ConfigFreshness } from "../workspaces/index.js";
 import type { ConfigNews } from "../workspaces/index.js";
@@ -23,6 +24,9 @@
   decodeReplica(id: string, value: unknown): Replica;
 }
 
+/** Of a name or a cause in a log line; other writers may write 1 MB. */
+const MAX_LOGGED_CHARS = 200;
+
 /** A list of engines and what it was made from. */
 interface EngineList {
   table: RouteTable | undefined;
@@ -42,6 +46,8 @@
   /** Whether the newest one could not be read: the one held is not proven. */
   private isConfigBehind = false;
   private hasReplicas = false;
+  /** Told of each object that can't be read, by what it should be. */
+  onUnreadable: (what: string) => void = () => undefined;
   /** Told of what lies beside the configuration in the store. */
   onStatus: (status: unknown) => void = () => undefined;
   /** Told of each replica that the list has lost. */
@@ -86,7 +92,8 @@
     }
     this.table = new RouteTable(config);
     this.configItem = item;
-    const { version, routes } = config;
+    const { version, routes, services } = config;
+    this.replicas.setServices(services.map(({ name }) => name));
     this.log.info("configuration in force", { version, routes: routes.length });
     this.onConfig(config);
   }
@@ -133,7 +140,7 @@
 
   onReplicaList(items: readonly FeedItem[], inTrouble: boolean): void {
     const listed = items.flatMap((item) => {
-      const replica = this.decodeReplica(item);
+      const replica = this.readReplica(item);
       return replica === undefined
         ? []
         : [{ replica, revision: item.revision }];
@@ -155,9 +162,9 @@
       if (gone !== undefined) this.logChanges([gone]);
       return;
     }
-    const replica = this.decodeReplica(item);
+    const replica = this.readReplica(item);
     if (replica === undefined) return;
-    this.logChanges([this.replicas.put(replica, item.revision)]);
+    this.logChanges(this.replicas.put(replica, item.revision));
   }
 
   /** Gives up replicas that vanished and did not come back. */
@@ -199,7 +206,11 @@
   private listEngines(service: string, now: number): EngineView[] {
     const sizes = this.table?.service(service)?.engine;
     if (sizes === undefined) return [];
-    return this.replicas.usable(service, now).map((replica) => ({
+    const usable = this.replicas.usable(service, now);
+    // Where engines have stages, an entry without one is another writer's.
+    const hasStages = usable.some(({ stage }) => stage !== undefined);
+    const engines = usable.filter(({ stage }) => !hasStages || stage);
+    return engines.map((replica) => ({
       id: replica.id,
       domain: replica.domain,
       stage: replica.stage ?? "decode",
@@ -208,10 +219,15 @@
     }));
   }
 
-  private decodeReplica(item: FeedItem): Replica | undefined {
-    return this.decode("replica", item, () =>
+  /** An entry that can't be read names no replica, nor the one of before. */
+  private readReplica(item: FeedItem): Replica | undefined {
+    const replica = this.decode("replica", item, () =>
       this.source.decodeReplica(item.name, item.value),
     );
+    if (replica !== undefined) return replica;
+    const gone = this.replicas.drop(item.name);
+    if (gone !== undefined) this.logChanges([gone]);
+    return undefined;
   }
 
   /** What can't be decoded is logged, and the last good state kept. */
@@ -223,10 +239,11 @@
     try {
       return read();
     } catch (err) {
+      this.onUnreadable(what);
       this.log.error(`${what} can't be read`, {
-        name: item.name,
+        name: item.name.slice(0, MAX_LOGGED_CHARS),
         revision: item.revision,
-        why: err instanceof Error ? err.message : String(err),
+        why: errText(err).slice(0, MAX_LOGGED_CHARS),
       });
       return undefined;
     }
--- a/src/gateway/plainFlow.ts
+++ b/src/gateway/plainFlow.ts
@@ -158,7 +158,7 @@
       mayLeave ? route.objectiveMs : undefined,
     );
     const send = {
-      replicaId: replica.id,
+      replicaName: replica.name,
       claim,
       deadlineMs: Math.round(caller.leftMs()),
       phase: "run" as const,
--- a/src/gateway/promptReader.ts
+++ b/src/gateway/promptReader.ts
@@ -73,7 +73,6 @@
   ): Promise<ReadOutcome> {
     const { form } = this.options;
     const sent = await this.calls.send(caller, reader, stop, {
-      replicaId: reader,
       deadlineMs: Math.round(caller.leftMs()),
       phase: "read",
       cacheSource,
--- a/src/gateway/quarantineKeeper.ts
+++ b/src/gateway/quarantineKeeper.ts
@@ -16,7 +16,6 @@
 import type { CallerRequest } from "./callerRequest.js";
 import type { GatewaySource, GatewayState } from "./gatewayState.js";
 import type { ReplicaEnd } from "./replicaEnds.js";
-import { replicaLife } from "./replicaSet.js";
 
 /** Object kind of what processes have seen; named by the process. */
 const ENDS_KIND = "replica-ends";
@@ -107,7 +106,7 @@
   }
 
   onEnd({ replica, requests }: ReplicaEnd): void {
-    this.quarantine.noteEnd(requests, replicaLife(replica));
+    this.quarantine.noteEnd(requests, replica.id);
     this.newsSince ??= this.options.now();
     this.hasNewEnds = true;
     this.announce();
--- a/src/gateway/replicaEnds.ts
+++ b/src/gateway/replicaEnds.ts
@@ -8,7 +8,6 @@
 
 import type { Log, Metrics } from "../telemetry/index.js";
 import type { CallerRequest } from "./callerRequest.js";
-import { replicaLife } from "./replicaSet.js";
 import type { ReplicaSet } from "./replicaSet.js";
 import type { Replica, UpstreamSend } from "./types.js";
 import type { SendOutcome, UpstreamClient } from "./upstreamClient.js";
@@ -98,7 +97,7 @@
 
   /** The list has lost a replica. */
   onGone(replica: Replica): void {
-    const known = this.broken.get(replicaLife(replica));
+    const known = this.broken.get(replica.id);
     if (known === undefined || replica.state !== "ready") return;
     this.confirm(known, "left the list");
   }
@@ -137,7 +136,7 @@
   }
 
   private brokenAt(replica: Replica): BrokenAnswers {
-    const life = replicaLife(replica);
+    const life = replica.id;
     const known = this.broken.get(life);
     if (known !== undefined) return known;
     const fresh: BrokenAnswers = {
--- a/src/gateway/replicaSet.ts
+++ b/src/gateway/replicaSet.ts
@@ -1,9 +1,10 @@
 /**
- * The replicas that the store lists. Pure. An entry that vanishes while the
+ * The replicas that the store lists, life by life: one that has started again
+ * holds nothing of what it held, also where it keeps its name. Pure. An entry that vanishes while the
  * store is in trouble may have lapsed although its replica lives: it is kept
  * for a short time, and given up if it does not come back.
  */
-import type { Replica } from "./types.js";
+import type { EngineReport, Replica } from "./types.js";
 
 /**
  * How long a replica is used after its entry vanished in trouble, ms. Living
@@ -47,11 +48,27 @@
   return left.revision > right.revision;
 };
 
-/** Names one life of a replica: an end is counted once. */
-export const replicaLife = ({ id }: Replica): string => id;
+/** An entry that does not say when its life began goes on with the known one. */
+const inLifeOf = (entry: Replica, known: Replica | undefined): Replica => {
+  const isSilent = entry.bornAt === undefined && known !== undefined;
+  return isSilent ? { ...entry, id: known.id, bornAt: known.bornAt } : entry;
+};
+
+/** Whether a report comes from another life than the one that is known. */
+export const isOtherLife = (
+  replica: Replica,
+  report: Pick<EngineReport, "bornAt">,
+): boolean =>
+  replica.bornAt !== undefined &&
+  report.bornAt !== undefined &&
+  replica.bornAt !== report.bornAt;
 
 export class ReplicaSet {
+  /** By id of the life. */
   private readonly known = new Map<string, Known>();
+  /** Ids of the lives that names stand for. */
+  private readonly lives = new Map<string, string>();
+  private services: ReadonlySet<string> | undefined;
   /** Grows with each change. */
   revision = 0;
 
@@ -59,36 +76,53 @@
     return this.known.get(id)?.replica;
   }
 
-  /** A replica wrote its entry; `revision`: of that change in the store. */
-  put(replica: Replica, revision = 0): ReplicaChange {
-    const kind = this.known.has(replica.id) ? "changed" : "added";
+  /**
+   * A replica wrote its entry; `revision`: of that change in the store. A
+   * newer life ends the one before; words of an older one come too late.
+   */
+  put(entry: Replica, revision = 0): ReplicaChange[] {
+    const before = this.byName(entry.name);
+    const replica = inLifeOf(entry, before?.replica);
+    const known = this.known.get(replica.id);
+    const isOlderLife =
+      (replica.bornAt ?? 0) < (before?.replica.bornAt ?? 0) ||
+      (known !== undefined && revision < known.revision);
+    if (isOlderLife) return [];
+    const changes: ReplicaChange[] = [];
+    if (before !== undefined && before !== known) {
+      changes.push(this.delete(before.replica));
+    }
     this.revision += 1;
-    const deniedUntil = this.known.get(replica.id)?.deniedUntil ?? 0;
+    this.lives.set(replica.name, replica.id);
     this.known.set(replica.id, {
       replica,
       revision,
-      deniedUntil,
+      deniedUntil: known?.deniedUntil ?? 0,
       vanishedAt: undefined,
     });
-    return { kind, replica };
+    changes.push({ kind: known === undefined ? "added" : "changed", replica });
+    return changes;
   }
 
   /** An entry vanished; `inTrouble`: the store was not steady lately. */
   remove(
-    id: string,
+    name: string,
     now: number,
     inTrouble: boolean,
   ): ReplicaChange | undefined {
-    const known = this.known.get(id);
+    const known = this.byName(name);
     if (known === undefined) return undefined;
-    this.revision += 1;
     const { replica } = known;
-    if (inTrouble && replica.state === "ready") {
-      known.vanishedAt ??= now;
-      return { kind: "vanished", replica };
-    }
-    this.known.delete(id);
-    return { kind: "gone", replica };
+    if (!inTrouble || replica.state !== "ready") return this.delete(replica);
+    this.revision += 1;
+    known.vanishedAt ??= now;
+    return { kind: "vanished", replica };
+  }
+
+  /** Its entry can't be read any more: it names no replica. */
+  drop(name: string): ReplicaChange | undefined {
+    const known = this.byName(name);
+    return known && this.delete(known.replica);
   }
 
   /** The whole list was read: what it lacks has vanished. */
@@ -97,28 +131,48 @@
     now: number,
     inTrouble: boolean,
   ): ReplicaChange[] {
-    const ids = new Set(listed.map(({ replica }) => replica.id));
+    const names = new Set(listed.map(({ replica }) => replica.name));
     const changes: ReplicaChange[] = [];
-    for (const id of [...this.known.keys()]) {
-      if (ids.has(id)) continue;
-      const change = this.remove(id, now, inTrouble);
+    for (const name of [...this.lives.keys()]) {
+      if (names.has(name)) continue;
+      const change = this.remove(name, now, inTrouble);
       if (change !== undefined) changes.push(change);
     }
     for (const { replica, revision } of listed) {
-      changes.push(this.put(replica, revision));
+      changes.push(...this.put(replica, revision));
     }
     return changes;
   }
 
+  /** The services of the configuration; without one, all count. */
+  setServices(names: Iterable<string>): void {
+    this.services = new Set(names);
+    this.revision += 1;
+  }
+
+  private isService(name: string): boolean {
+    return this.services?.has(name) ?? true;
+  }
+
+  private byName(name: string): Known | undefined {
+    const id = this.lives.get(name);
+    return id === undefined ? undefined : this.known.get(id);
+  }
+
+  private delete(replica: Replica): ReplicaChange {
+    this.revision += 1;
+    this.known.delete(replica.id);
+    this.lives.delete(replica.name);
+    return { kind: "gone", replica };
+  }
+
   /** Gives up what vanished too long ago. */
   expire(now: number): ReplicaChange[] {
     const gone: ReplicaChange[] = [];
-    for (const [id, { replica, vanishedAt }] of this.known) {
+    for (const { replica, vanishedAt } of [...this.known.values()]) {
       if (vanishedAt === undefined) continue;
       if (now - vanishedAt < VANISHED_KEEP_MS) continue;
-      this.known.delete(id);
-      this.revision += 1;
-      gone.push({ kind: "gone", replica });
+      gone.push(this.delete(replica));
     }
     return gone;
   }
@@ -134,12 +188,14 @@
   /**
    * The replicas that may get new work. Of those that are listed at one
    * address only the newest lives: a replica that has crashed stays listed
-   * for three heartbeats beside the one that took its place.
+   * for three heartbeats beside the one that took its place. An entry of a
+   * service that the configuration does not name takes no place.
    */
   usable(service: string, now: number): Replica[] {
     const newest = new Map<string, Known>();
     for (const known of this.known.values()) {
       const { address } = known.replica;
+      if (!this.isService(known.replica.service)) continue;
       const other = newest.get(address);
       if (other === undefined || isNewer(known, other, now)) {
         newest.set(address, known);
--- a/src/gateway/stageKeeper.ts
+++ b/src/gateway/stageKeeper.ts
@@ -11,6 +11,7 @@
 import type { HolderAuthority } from "../placement/index.js";
 import { BoundedCancellation } from "../shared/cancellation.js";
 import type { Log } from "../telemetry/index.js";
+import { isOtherLife } from "./replicaSet.js";
 import type { ReplicaSet } from "./replicaSet.js";
 import type { ReplicaCall, RequestForm } from "./requestForm.js";
 import type { Replica } from "./types.js";
@@ -153,11 +154,15 @@
     stage: Stage,
     fence: number,
   ): Promise<OrderOutcome> {
-    const { form, self, service, authority } = this.options;
+    const { form, self, service, authority, replicas, now } = this.options;
     const asked = await this.call(replica, form.reportCall(replica));
     if (asked.kind !== "accepted") return { ...asked, kind: "refused" };
     const report = form.readReport(asked.why);
     if (report.isBusy) return { kind: "refused", why: "it is busy" };
+    if (isOtherLife(replica, report)) {
+      replicas.deny(replica.id, now());
+      return { kind: "refused", why: "it has started again" };
+    }
     const { orders } = report;
     const order = form.stageOrder(replica, stage, self, fence, orders);
     if (!authority.isFresh(service) || authority.epoch(service) !== fence) {
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -86,8 +86,12 @@
 
 /** One running replica of a service. */
 export interface Replica {
-  /** New at each start of the replica. */
+  /** Names one life: all that is known of a replica ends with it. */
   id: string;
+  /** Under which it answers; a replica may keep it over a restart. */
+  name: string;
+  /** Start of this life, ms since 1970; undefined where it does not say. */
+  bornAt: number | undefined;
   service: string;
   /** IP and port. */
   address: string;
@@ -100,6 +104,8 @@
 
 /** What an engine says of itself, some hundred ms late. */
 export interface EngineReport {
+  /** As in the list of replicas. */
+  bornAt: number | undefined;
   stage: Stage;
   /** An order is being carried out. */
   isBusy: boolean;
@@ -151,7 +157,8 @@
 
 /** What one send to a replica asks for. */
 export interface UpstreamSend {
-  replicaId: string;
+  /** Only the replica of this name may take it. */
+  replicaName: string;
   /** For whom it runs: replicas get a workspace's name, and no key. */
   claim: KeyClaim;
   deadlineMs: number;
--- a/tests/gateway/engineCalls.test.ts
+++ b/tests/gateway/engineCalls.test.ts
@@ -11,6 +11,8 @@
   const replicas = new ReplicaSet();
   replicas.put({
     id: "dec-1",
+    name: "dec-1",
+    bornAt: undefined,
     service: "model",
     address: "10.0.0.1:1",
     domain: "domain-1",
@@ -45,7 +47,6 @@
   } as unknown as CallerRequest;
   const run = () =>
     calls.send(caller, "dec-1", cancellation, {
-      replicaId: "dec-1",
       deadlineMs: leftMs,
       phase: "run",
     });
--- a/tests/gateway/engineWatch.test.ts
+++ b/tests/gateway/engineWatch.test.ts
@@ -40,6 +40,8 @@
     const replicas = new ReplicaSet();
     replicas.put({
       id: "pre-1",
+      name: "pre-1",
+      bornAt: undefined,
       service: "model",
       address,
       domain: "domain-1",
--- a/tests/gateway/state.test.ts
+++ b/tests/gateway/state.test.ts
@@ -66,6 +66,8 @@
 describe("replicas", () => {
   const replica = (id: string, more: Partial<Replica> = {}): Replica => ({
     id,
+    name: id,
+    bornAt: undefined,
     service: "plain",
     address: `${id}:1`,
     domain: "domain-1",
@@ -138,6 +140,78 @@
     });
   });
 
+  describe("that started again under their name", () => {
+    const life = (bornAt: number | undefined, more: Partial<Replica> = {}) =>
+      replica(bornAt === undefined ? "a" : `a@${bornAt}`, {
+        name: "a",
+        address: "a:1",
+        bornAt,
+        ...more,
+      });
+    const kinds = (changes: readonly { kind: string; replica: Replica }[]) =>
+      changes.map(({ kind, replica: { id } }) => `${kind} ${id}`);
+
+    it("end their former life, though its entry never lapsed", () => {
+      const set = new ReplicaSet();
+      set.put(life(10), 1);
+      set.deny("a@10", 0);
+      expect(kinds(set.put(life(20), 2))).to.eql(["gone a@10", "added a@20"]);
+      expect(set.get("a@10")).to.equal(undefined);
+      // What was held against the former life is not held against this one.
+      expect(ids(set, 1)).to.eql(["a@20"]);
+    });
+
+    it("end it also where only the whole list shows it, in trouble too", () => {
+      const set = new ReplicaSet();
+      set.put(life(10), 1);
+      const listed = [{ replica: life(20), revision: 2 }];
+      const changes = set.replace(listed, 0, true);
+      expect(kinds(changes)).to.eql(["gone a@10", "added a@20"]);
+    });
+
+    it("are not turned back by late words of it", () => {
+      const set = new ReplicaSet();
+      set.put(life(20), 5);
+      expect(set.put(life(10), 6)).to.eql([]);
+      expect(set.put(life(20, { state: "draining" }), 4)).to.eql([]);
+      expect(ids(set, 0)).to.eql(["a@20"]);
+    });
+
+    it("leave the list with their entry", () => {
+      const set = new ReplicaSet();
+      set.put(life(10), 1);
+      set.put(life(20), 2);
+      expect(set.remove("a", 0, false)?.replica.id).to.equal("a@20");
+      expect(set.size).to.equal(0);
+    });
+
+    it("go on as they are where an entry does not say", () => {
+      const set = new ReplicaSet();
+      set.put(life(10), 1);
+      const changes = set.put(life(undefined, { state: "draining" }), 2);
+      expect(kinds(changes)).to.eql(["changed a@10"]);
+      expect(ids(set, 0)).to.eql([]);
+    });
+  });
+
+  describe("beside entries of a service that nobody names", () => {
+    it("keep their place at their address", () => {
+      const set = new ReplicaSet();
+      set.setServices(["plain"]);
+      set.put(replica("a", { address: "x:1" }), 1);
+      set.put(replica("b", { address: "x:1", service: "odd" }), 2);
+      expect(ids(set, 0)).to.eql(["a"]);
+    });
+
+    it("lose it to the service that has the address now", () => {
+      const set = new ReplicaSet();
+      set.setServices(["plain", "other"]);
+      set.put(replica("a", { address: "x:1" }), 1);
+      set.put(replica("b", { address: "x:1", service: "other" }), 2);
+      expect(ids(set, 0)).to.eql([]);
+    });
+  });
+
   it("a second list in trouble does not prolong it", () => {
     const set = new ReplicaSet();
     set.put(replica("a"));
@@ -239,7 +313,8 @@
         configName: "main",
         replicaKind: KIND,
         decodeConfig: (value) => value as GatewayConfig,
-        decodeReplica: (id, value) => ({ id, ...(value as object) }) as Replica,
+        decodeReplica: (name, value) =>
+          ({ id: name, name, ...(value as object) }) as Replica,
       },
       { info: quiet, warn: quiet, error: quiet, debug: quiet },
       () => clock.now,
