--- a/src/quarantine/endLedger.ts
+++ b/src/quarantine/endLedger.ts
@@ -10,12 +10,26 @@
  * 96 slots. Kept small, since each process's record is read by all.
  */
 export const MAX_SUSPECTS = 512;
+/**
+ * How long a request is remembered after the last end under it, ms. A caller
+ * comes back within minutes; a bar, once set, has no end. Records of crashes
+ * long ago would make each list of a large fleet's records longer.
+ */
+export const SUSPECT_KEEP_MS = 600_000;
 /** Lives that are named of one request; more decide nothing. */
 const MAX_LIVES = 6;
 
+interface Suspect {
+  lives: Set<string>;
+  /** Of the last end, ms. */
+  at: number;
+}
+
 export class EndLedger {
   /** In order of the last end, the oldest first. */
-  private readonly suspects = new Map<string, Set<string>>();
+  private readonly suspects = new Map<string, Suspect>();
+
+  constructor(private readonly now: () => number) {}
 
   get size(): number {
     return this.suspects.size;
@@ -23,11 +37,13 @@
 
   /** A replica's life ended while these requests were there. */
   add(digests: readonly string[], life: string): void {
+    const at = this.now();
+    this.dropOld(at);
     for (const digest of digests) {
-      const lives = this.suspects.get(digest) ?? new Set();
+      const lives = this.suspects.get(digest)?.lives ?? new Set();
       if (lives.size < MAX_LIVES) lives.add(life);
       this.suspects.delete(digest);
-      this.suspects.set(digest, lives);
+      this.suspects.set(digest, { lives, at });
     }
     while (this.suspects.size > MAX_SUSPECTS) this.dropWeakest();
   }
@@ -38,7 +54,7 @@
   }
 
   lives(digest: string): ReadonlySet<string> {
-    return this.suspects.get(digest) ?? new Set();
+    return this.suspects.get(digest)?.lives ?? new Set();
   }
 
   digests(): Iterable<string> {
@@ -46,7 +62,7 @@
   }
 
   toRecord(): EndRecord {
-    const rows = [...this.suspects].map(([digest, lives]) => [
+    const rows = [...this.suspects].map(([digest, { lives }]) => [
       digest,
       [...lives],
     ]);
@@ -60,13 +76,21 @@
     }
   }
 
+  private dropOld(now: number): void {
+    for (const [digest, { at }] of this.suspects) {
+      if (now - at < SUSPECT_KEEP_MS) return;
+      this.suspects.delete(digest);
+    }
+  }
+
   /**
    * Of those with the least evidence the oldest goes: requests that are new
    * each time push out none that came again.
    */
   private dropWeakest(): void {
     let weakest: { digest: string; count: number } | undefined;
-    for (const [digest, { size: count }] of this.suspects) {
+    for (const [digest, { lives }] of this.suspects) {
+      const count = lives.size;
       if (weakest === undefined || count < weakest.count) {
         weakest = { digest, count };
       }
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -25,7 +25,10 @@
  * fall among the same ends.
  */
 export const TRIAL_AFTER_MS = 1000;
-/** Bars that are kept; the oldest goes first, cleared ones before others. */
+/**
+ * Bars that are kept; the oldest goes first, cleared ones before others. By
+ * the bars' own fields, so that all processes keep the same.
+ */
 export const MAX_BARS = 64;
 /** Lives that are excused of one request; older records name no more. */
 const MAX_EXCUSED = 24;
@@ -38,8 +41,11 @@
   since: number;
 }
 
+const byAge = (left: Bar, right: Bar): number =>
+  left.at - right.at || left.digest.localeCompare(right.digest);
+
 export class Quarantine {
-  private readonly ledger = new EndLedger();
+  private readonly ledger: EndLedger;
   private readonly bars = new Map<string, KnownBar>();
   /** Sizes of the requests that are known; undefined: to be made anew. */
   private sizes: Set<string> | undefined;
@@ -49,7 +55,9 @@
     private readonly self: string,
     private readonly now: () => number,
     private readonly wallNow: () => number,
-  ) {}
+  ) {
+    this.ledger = new EndLedger(now);
+  }
 
   /**
    * Whether a request with such a body can be a known one. Spares nearly all
@@ -202,8 +210,8 @@
 
   private dropOldest(): void {
     const all = this.allBars();
-    const cleared = all.find(({ state }) => state === "cleared");
-    const oldest = cleared ?? all[0];
+    const cleared = all.filter(({ state }) => state === "cleared");
+    const [oldest] = (cleared.length > 0 ? cleared : all).sort(byAge);
     if (oldest !== undefined) this.bars.delete(oldest.digest);
   }
 }
--- a/tests/quarantine/quarantine.test.ts
+++ b/tests/quarantine/quarantine.test.ts
@@ -2,7 +2,11 @@
 import { expect } from "chai";
 
 import { Quarantine } from "../../src/quarantine/index.js";
-import { EndLedger, MAX_SUSPECTS } from "../../src/quarantine/endLedger.js";
+import {
+  EndLedger,
+  MAX_SUSPECTS,
+  SUSPECT_KEEP_MS,
+} from "../../src/quarantine/endLedger.js";
 import {
   MAX_BARS,
   MOST_ENDS,
@@ -213,7 +217,7 @@
 
 describe("what is remembered", () => {
   it("stays bounded, and new bodies push out none that came again", () => {
-    const ledger = new EndLedger();
+    const ledger = new EndLedger(() => 0);
     ledger.add([DEADLY], "life-0");
     ledger.add([DEADLY], "life-1");
     for (let at = 0; at < MAX_SUSPECTS * 4; at += 1) {
@@ -223,6 +227,40 @@
     expect(ledger.lives(DEADLY).size).to.equal(2);
   });
 
+  it("is forgotten some time after the last end", () => {
+    const clock = { now: 0 };
+    const ledger = new EndLedger(() => clock.now);
+    ledger.add([DEADLY], "life-0");
+    clock.now = SUSPECT_KEEP_MS - 1;
+    ledger.add([DEADLY, "9.other"], "life-1");
+    clock.now = 2 * SUSPECT_KEEP_MS - 2;
+    ledger.add(["9.new"], "life-2");
+    expect(ledger.lives(DEADLY).size).to.equal(2);
+    clock.now = 2 * SUSPECT_KEEP_MS;
+    ledger.add(["9.new"], "life-3");
+    expect(ledger.lives(DEADLY).size).to.equal(0);
+    expect(ledger.lives("9.new").size).to.equal(2);
+  });
+
+  it("keeps the same bars at each process, in whatever order they came", () => {
+    const { add } = fleet();
+    const bars = Array.from({ length: MAX_BARS + 9 }, (_item, at) => ({
+      digest: `9.${at}`,
+      state: "barred" as const,
+      step: 1,
+      lives: [],
+      sends: 0,
+      by: "b",
+      at: at % 7,
+    }));
+    const [first, second] = [add("a"), add("b")];
+    first.learnBars(bars);
+    second.learnBars([...bars].reverse());
+    const kept = (entry: Quarantine) =>
+      entry.allBars().map(({ digest }) => digest);
+    expect(kept(first)).to.have.members(kept(second));
+  });
+
   it("keeps a bounded number of bars, cleared ones least", () => {
     const { add } = fleet();
     const entry = add("a");
