The quarantine parted by job: store, trials, gate; an end is not lost where the list fails

quarantineKeeper.ts (346 lines) held the form of the records, the trials and the gate; now three files and the composition of them.

Found while parting: where the write of a record succeeded and the list after it failed, the end was taken for shared, and nobody counted it. The test fails with the code as it was there ('never held'), passes now; the store's stand-in can refuse single calls.

--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -11,8 +11,7 @@
 import { createPlacementRole } from "./placementRole.js";
 import { PlainFlow } from "./plainFlow.js";
 import type { GatewayParts } from "./parts.js";
-import { QuarantineKeeper } from "./quarantineKeeper.js";
-import { ReplicaEnds } from "./replicaEnds.js";
+import { createQuarantineRole } from "./quarantineRole.js";
 import { RetryBudgets } from "./retryBudgets.js";
 import type { RetryLimits } from "./retryBudgets.js";
 import type { KeyBounds, UsageWindows } from "../workspaces/index.js";
@@ -94,22 +93,8 @@
   const budgets = new RetryBudgets(settings.retry, now);
   const { replicas } = state;
   const { placement } = role;
-  const ends = new ReplicaEnds({ replicas, client, log, metrics, now });
+  const { ends, quarantine } = createQuarantineRole(id, parts, state, client);
   state.onUnreadable = (what) => metrics.count("unreadable", { what });
-  state.onGone = (replica) => ends.onGone(replica);
-  const quarantine = new QuarantineKeeper({
-    self: id,
-    state,
-    source,
-    feed,
-    log,
-    metrics,
-    now,
-    wallNow: parts.wallNow,
-  });
-  state.onStatus = (status) => quarantine.onStatus(status);
-  ends.onEnd = (end) => quarantine.onEnd(end);
-  ends.onSurvived = (caller) => quarantine.onSurvived(caller);
   const shared = {
     replicas,
     ends,
