A bar is shared though the newest configuration can't be read

Cause: the status was written at the revision of the last configuration that could be read, so each write met a conflict, four a half second, for as long as an unreadable one was the newest. The object as a write has met it is used now. The test fails before ('never held') and passes after.

--- a/src/gateway/quarantineStore.ts
+++ b/src/gateway/quarantineStore.ts
@@ -47,6 +47,12 @@
   return read.success ? read.data : {};
 };
 
+const newerOf = (
+  left: FeedItem | undefined,
+  right: FeedItem | undefined,
+): FeedItem | undefined =>
+  (left?.revision ?? ABSENT) >= (right?.revision ?? ABSENT) ? left : right;
+
 /** What all processes have seen, and this one in an earlier life. */
 export interface SeenEnds {
   all: EndRecord[];
@@ -66,6 +72,8 @@
 export class QuarantineStore {
   /** Of this process's object. */
   private revision = ABSENT;
+  /** The configuration's object as a write has met it; it may be unreadable. */
+  private met: FeedItem | undefined;
 
   constructor(private readonly options: QuarantineStoreOptions) {}
 
@@ -96,7 +104,7 @@
   /** One conditional write; what another has written meanwhile is learnt. */
   async writeBars(bars: readonly Bar[]): Promise<BarsWrite> {
     const { state, feed, source } = this.options;
-    const item = state.storedConfig;
+    const item = newerOf(state.storedConfig, this.met);
     if (item === undefined) return "failed";
     const status = { ...fieldsOf(item.status), [BARS_FIELD]: bars };
     const { configKind: kind, configName: name } = source;
@@ -107,6 +115,7 @@
         return "written";
       case "conflict":
         if (result.current === undefined) return "failed";
+        this.met = result.current;
         state.onConfigItem(result.current);
         return "conflict";
       case "refused":
