A call that the holder's decisions throw on is refused alone

No input is known that makes the decisions throw; the test makes two of them throw, and failed in both cases before (the next ask got no answer), passes after.

--- a/src/placement/placementServer.ts
+++ b/src/placement/placementServer.ts
@@ -11,6 +11,7 @@
   Queued,
   ReadCost,
 } from "../scheduling/index.js";
+import { errText } from "../shared/utils.js";
 import type { Log } from "../telemetry/index.js";
 import type { LeaseMark } from "./leaseKeeper.js";
 import type { LocalPlacement } from "./localPlacement.js";
@@ -40,6 +41,14 @@
  */
 export const STANDBYS_AT_ONCE = 3;
 
+/** When a caller whose ask could not be judged may come back, ms. */
+const THREW_RETRY_MS = 1000;
+const THREW: PlacementAnswer = {
+  kind: "refused",
+  why: "no-engine",
+  retryAfterMs: THREW_RETRY_MS,
+};
+
 type PlaceStream = ServerDuplexStream<PlaceCall, PlaceReply>;
 
 /** Standbys of one service, in the order in which they came. */
@@ -138,7 +147,7 @@
         stream.sendMetadata(new Metadata());
         this.register(service, stream, call.isStandby);
       }
-      this.onCall(stream, call);
+      this.take(stream, call);
     });
     const leave = () => {
       if (service === undefined) return;
@@ -161,6 +170,25 @@
     });
   }
 
+  /**
+   * A call that the decisions throw on is refused alone: it would else end
+   * the stream with the asks of all others, here and at the next holder.
+   */
+  private take(stream: PlaceStream, call: PlaceCall): void {
+    const { service, ask, held } = call;
+    try {
+      this.onCall(stream, call);
+    } catch (err) {
+      const id = ask?.id ?? held?.ask?.id;
+      const fields = { service, id, why: errText(err) };
+      this.options.log.error("placement call threw", fields);
+      if (ask === undefined) return;
+      this.open.get(stream)?.delete(ask.id);
+      this.options.placement.withdraw(service, ask.id);
+      this.reply(service, stream, ask.id, THREW);
+    }
+  }
+
   private register(
     service: string,
     stream: PlaceStream,
--- a/tests/gateway/placement.test.ts
+++ b/tests/gateway/placement.test.ts
@@ -117,6 +117,31 @@
       .engineStates()
       .reduce((sum, { runCount }) => sum + runCount, 0);
 
+  /*
+   * A throw while a call is handled ends the stream, with the asks of all
+   * other requests; told again to the next holder, as entries do, the same
+   * ask ends that stream too.
+   */
+  for (const tell of ["ask", "held"] as const) {
+    it(`goes on after a call that its decisions throw on: ${tell}`, async () => {
+      const entry = await connect();
+      const scheduler = local.scheduler(SERVICE);
+      const { place, adopt } = scheduler;
+      scheduler.place = (given, at) => {
+        if (given.route === "bad") throw new Error("thrown on purpose");
+        return place.call(scheduler, given, at);
+      };
+      scheduler.adopt = (given, ...rest) => {
+        if (given.route === "bad") throw new Error("thrown on purpose");
+        return adopt.call(scheduler, given, ...rest);
+      };
+      const bad = { ...ask("bad"), route: "bad" };
+      if (tell === "held") entry.tellHeld(bad, HELD, false);
+      else expect((await entry.ask(bad))?.kind).to.equal("refused");
+      expect((await entry.ask(ask("good")))?.kind).to.equal("granted");
+    });
+  }
+
   it("an ask that waits is answered when room comes", async () => {
     const entry = await connect();
     await runOne(entry);
