--- a/tests/quarantine/quarantine.test.ts
+++ b/tests/quarantine/quarantine.test.ts
@@ -2,6 +2,7 @@
 import { expect } from "chai";
 
 import { Quarantine } from "../../src/quarantine/index.js";
+import type { Bar } from "../../src/quarantine/index.js";
 import {
   EndLedger,
   MAX_SUSPECTS,
@@ -215,6 +216,57 @@
   });
 });
 
+/*
+ * Both errors at once: how many of a popular request are refused though it
+ * is innocent, where all replicas end at the same moment.
+ */
+describe("a popular request beside a loss of all replicas", () => {
+  const ENTRIES = 5;
+  const REPLICAS = 8;
+  /** Arrivals over all entries: one each so many ms. */
+  const EACH_MS = 3;
+  const BACK_AT_MS = 2000;
+  const RUN_MS = 100;
+
+  it("is refused no longer than one rest and one trial after their return", () => {
+    const { clock, add } = fleet();
+    const entries = Array.from({ length: ENTRIES }, (_item, at) =>
+      add(`entry-${at}`),
+    );
+    const tell = (): void => {
+      const bars = entries.flatMap((entry) => entry.allBars());
+      entries.forEach((entry) => entry.learnBars(bars));
+    };
+    entries.forEach((entry) => endAll(entry, lives(REPLICAS)));
+    tell();
+    let refused = 0;
+    let trial: { entry: Quarantine; bar: Bar; endsAt: number } | undefined;
+    for (; clock.now < 2 * BACK_AT_MS; clock.now += EACH_MS) {
+      const isBack = clock.now >= BACK_AT_MS;
+      if (trial !== undefined && clock.now >= trial.endsAt) {
+        const { entry, bar } = trial;
+        const outcome = { sends: isBack ? 2 : 0, hasSurvived: isBack };
+        entry.learnBars([entry.afterTrial(bar, ENGINE_SENDS, outcome)]);
+        trial = undefined;
+        tell();
+      }
+      const entry = entries[Math.floor(clock.now / EACH_MS) % ENTRIES]!;
+      const verdict = entry.verdict(DEADLY, ENGINE_SENDS);
+      if (verdict.kind === "may-try") {
+        const bar = entry.trialOf(verdict.bar, ENGINE_SENDS);
+        entry.learnBars([bar]);
+        tell();
+        trial = { entry, bar, endsAt: clock.now + (isBack ? RUN_MS : 0) };
+      }
+      if (verdict.kind === "refused" && isBack) refused += 1;
+    }
+    const most = (TRIAL_AFTER_MS + 2 * RUN_MS) / EACH_MS;
+    expect(refused).to.be.within(1, most);
+    const kinds = entries.map((entry) => entry.verdict(DEADLY, 1).kind);
+    expect(new Set(kinds)).to.deep.equal(new Set(["free"]));
+  });
+});
+
 describe("what is remembered", () => {
   it("stays bounded, and new bodies push out none that came again", () => {
     const ledger = new EndLedger(() => 0);
