Bars of others are not written away; an end is taken back by an answer; ready answers go out

Found by reading the change: a configuration that another process told has no status, and the store's own answer of the same revision was taken for known, so that its bars were missed until the next change, and a write of this process's bars would have replaced the others'. A replica that answers after its end was found keeps no mark of it (each lost answer would count at once). A replica's failure that is ready is delivered though its request was barred meanwhile; an engine is not blamed for a send that a bar stopped.

--- a/src/gateway/engineCalls.ts
+++ b/src/gateway/engineCalls.ts
@@ -20,7 +20,13 @@
 /** The head of an answer and where it came from, or what is known instead. */
 export type EngineReply =
   | (UpstreamReply & { address: string })
-  | { kind: "failed"; verdict: Verdict; why: string };
+  | {
+      kind: "failed";
+      verdict: Verdict;
+      why: string;
+      /** The engine is not to blame. */
+      isBlameless?: boolean;
+    };
 
 /**
  * After a pause of this process callers' closes lie unread in the sockets,
@@ -69,7 +75,8 @@
     }
     const barred = this.options.quarantine.refusal(caller);
     if (barred !== undefined) {
-      return { kind: "failed", verdict: "not-run", why: barred.message };
+      const why = barred.message;
+      return { kind: "failed", verdict: "not-run", why, isBlameless: true };
     }
     const { head, body, claim } = caller;
     const { address, name: replicaName } = replica;
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -74,9 +74,9 @@
 
   onConfigItem(item: FeedItem): void {
     if (item.name !== this.source.configName) return;
-    if (item.status !== undefined && item.revision > this.configRevision) {
-      this.onStatus(item.status);
-    }
+    // The same revision may have come from a process that tells no status.
+    const isCurrent = item.revision >= this.configRevision;
+    if (item.status !== undefined && isCurrent) this.onStatus(item.status);
     const config = this.decode("configuration", item, () =>
       this.source.decodeConfig(item.value),
     );
@@ -85,7 +85,7 @@
     const known = this.table?.version;
     if (known !== undefined && config.version <= known) {
       if (config.version === known) {
-        if (item.revision > this.configRevision) this.configItem = item;
+        if (isCurrent) this.configItem = item;
         return;
       }
       const fields = { known, offered: config.version };
--- a/src/gateway/plainFlow.ts
+++ b/src/gateway/plainFlow.ts
@@ -64,7 +64,10 @@
     const mostSends = caller.isTrial ? 1 : MAX_SENDS;
     for (let sends = 0; sends < mostSends; sends += 1) {
       const barred = this.options.quarantine.refusal(caller);
-      if (barred !== undefined) return caller.fail(barred);
+      if (barred !== undefined && answer === undefined) {
+        return caller.fail(barred);
+      }
+      if (barred !== undefined) break;
       const replica = this.choose(caller, tried);
       if (replica === undefined) break;
       if (sends > 0 && !budgets.spend(caller.service)) break;
--- a/src/gateway/quarantineStore.ts
+++ b/src/gateway/quarantineStore.ts
@@ -105,7 +105,8 @@
   async writeBars(bars: readonly Bar[]): Promise<BarsWrite> {
     const { state, feed, source } = this.options;
     const item = newerOf(state.storedConfig, this.met);
-    if (item === undefined) return "failed";
+    // Written over a status that was not read, the others' bars would go.
+    if (item?.status === undefined) return "failed";
     const status = { ...fieldsOf(item.status), [BARS_FIELD]: bars };
     const { configKind: kind, configName: name } = source;
     const result = await feed.writeStatus(kind, name, status, item.revision);
--- a/src/gateway/replicaEnds.ts
+++ b/src/gateway/replicaEnds.ts
@@ -85,6 +85,7 @@
     const { res, isWhole } = outcome;
     res.once("close", () => {
       if (!isWhole()) return this.onBroken(caller, replica);
+      this.onWhole(replica);
       if (phase === "run" && !isRefused(res)) this.onSurvived(caller);
     });
   }
@@ -102,6 +103,12 @@
     this.confirm(known, "left the list");
   }
 
+  /** It answers: whatever spoke for its end was something else. */
+  private onWhole(replica: Replica): void {
+    if (this.broken.get(replica.id)?.evidence === undefined) return;
+    this.broken.delete(replica.id);
+  }
+
   private onBroken(caller: CallerRequest, replica: Replica): void {
     // One that was leaving has ended as planned.
     const listed = this.options.replicas.get(replica.id);
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -130,7 +130,7 @@
     for (const [digest, lives] of all) this.judge(digest, lives);
   }
 
-  /** Steps that others took; the digests of which are news. */
+  /** Steps that others took, or this process; those that are news. */
   learnBars(bars: readonly Bar[]): Bar[] {
     const news = bars.filter((bar) => this.isLater(bar));
     for (const bar of news) this.set(bar);
--- a/tests/gateway/state.test.ts
+++ b/tests/gateway/state.test.ts
@@ -335,7 +335,7 @@
       workspaces: undefined,
     };
     state.onConfigItem({ name: "main", revision: 1, value });
-    return { state, clock };
+    return { state, clock, value };
   };
   const listed = (name: string, stage: string) => ({
     item: {
@@ -354,6 +354,20 @@
   const ids = (state: GatewayState): string[] =>
     state.engines("model").map(({ id, stage }) => `${id} ${stage}`);
 
+  it("learns the status of a revision that another process told before", () => {
+    const { state, value } = newState();
+    const seen: unknown[] = [];
+    state.onStatus = (status) => seen.push(status);
+    state.onConfigNews({ revision: 5, ageMs: 1, value }, 0);
+    expect(state.storedConfig?.status).to.equal(undefined);
+    const status = { of: "the store" };
+    state.onConfigItem({ name: "main", revision: 5, value, status });
+    expect(seen).to.eql([status]);
+    expect(state.storedConfig?.status).to.equal(status);
+    state.onConfigItem({ name: "main", revision: 4, value, status: {} });
+    expect(seen).to.eql([status]);
+  });
+
   it("are the same list until something changes", () => {
     const { state } = newState();
     state.onReplicaChange(listed("a", "decode"), false);
