--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -171,8 +171,8 @@
 
 /**
  * Goes on until nothing is in flight and the balancer has noticed, or the
- * grace ends. The port stays open until then: where all entries of a failure domain
- * stop in turn, there may be no other to turn to.
+ * grace ends. The port stays open until then: where all entries of a failure
+ * domain stop in turn, there may be no other to turn to.
  */
 const drain = async (
   server: GatewayServer,
--- a/src/gateway/replicaSet.ts
+++ b/src/gateway/replicaSet.ts
@@ -1,8 +1,9 @@
 /**
  * The replicas that the store lists, life by life: one that has started again
- * holds nothing of what it held, also where it keeps its name. Pure. An entry that vanishes while the
- * store is in trouble may have lapsed although its replica lives: it is kept
- * for a short time, and given up if it does not come back.
+ * holds nothing of what it held, also where it keeps its name. Pure. An entry
+ * that vanishes while the store is in trouble may have lapsed although its
+ * replica lives: it is kept for a short time, and given up if it does not
+ * come back.
  */
 import type { EngineReport, Replica } from "./types.js";
 
