What replicas say of themselves is heard, logged and counted

All calls to replicas but the freeing of handles go through ReplicaClient, which hears the word of each answer, logs each change of it once ('replica is leaving', 'replica is resting', with status and length) and counts what is still sent to such a replica (sent_against_word). Willingness keeps the words by life. Nothing decides by them yet: the logic of choosing and sending is as before.

--- a/src/gateway/cacheSurvey.ts
+++ b/src/gateway/cacheSurvey.ts
@@ -7,10 +7,10 @@
 import { BoundedCancellation } from "../shared/cancellation.js";
 import { errText } from "../shared/utils.js";
 import type { Log } from "../telemetry/index.js";
+import type { ReplicaClient } from "./replicaClient.js";
 import type { ReplicaSet } from "./replicaSet.js";
 import type { RequestForm } from "./requestForm.js";
 import type { Replica } from "./types.js";
-import type { UpstreamClient } from "./upstreamClient.js";
 import { readWholeBody } from "./upstreamClient.js";
 
 /** An engine that has not answered by then is left out, ms. */
@@ -20,7 +20,7 @@
 
 export interface CacheSurveyOptions {
   replicas: ReplicaSet;
-  client: UpstreamClient;
+  client: ReplicaClient;
   form: RequestForm;
   local: LocalPlacement;
   log: Log;
@@ -52,12 +52,13 @@
   /** How many parts the engine told of. */
   private async learn(engine: Replica): Promise<number> {
     const { client, form, local, log } = this.options;
-    const { id, service, address } = engine;
+    const { id, service } = engine;
     const cancellation = new BoundedCancellation(undefined, LIST_MS);
     try {
       const call = form.cacheListCall(engine);
-      const order = { ...call, service, address, cancellation };
-      const sent = await client.send(order);
+      const purpose = "question";
+      const order = { ...call, purpose, cancellation } as const;
+      const sent = await client.send(engine, order);
       if (sent.kind === "failed") return 0;
       const whole = await readWholeBody(sent, MAX_LIST_BYTES);
       if (whole.kind === "cut" || sent.res.statusCode !== 200) return 0;
--- a/src/gateway/engineCalls.ts
+++ b/src/gateway/engineCalls.ts
@@ -10,6 +10,7 @@
 import type { ReplicaSet } from "./replicaSet.js";
 import type { RequestForm } from "./requestForm.js";
 import type { ReadHandle, UpstreamSend } from "./types.js";
+import type { ReplicaClient } from "./replicaClient.js";
 import type { UpstreamClient, UpstreamReply } from "./upstreamClient.js";
 
 /** A handle's answer, a report or a failure's body is short, bytes. */
@@ -40,7 +41,9 @@
   replicas: ReplicaSet;
   ends: ReplicaEnds;
   quarantine: Pick<QuarantineKeeper, "refusal">;
-  client: UpstreamClient;
+  client: ReplicaClient;
+  /** For calls to addresses whose replica is not known any more. */
+  upstream: UpstreamClient;
   form: RequestForm;
   log: Log;
   now: () => number;
@@ -82,9 +85,9 @@
     const { address, name: replicaName } = replica;
     const whole = { ...send, claim, replicaName };
     caller.sentTo.push(id);
-    const outcome = await client.send({
-      service: caller.service,
-      address,
+    const outcome = await client.send(replica, {
+      purpose: "work",
+      requestId: head.id,
       method: head.method,
       target: head.target,
       headers: form.upstreamHeaders(head, whole, body.length),
@@ -108,10 +111,10 @@
 
   /** Tells the replica that nobody will take the handle. */
   free(service: string, handle: ReadHandle): void {
-    const { client, form, log, now } = this.options;
+    const { upstream, form, log, now } = this.options;
     const begun = now();
     const cancellation = new BoundedCancellation(undefined, FREE_MS);
-    void client
+    void upstream
       .send({
         service,
         address: handle.address,
--- a/src/gateway/engineWatch.ts
+++ b/src/gateway/engineWatch.ts
@@ -48,14 +48,13 @@
     const { replicas, client, form } = this.options;
     const replica = replicas.get(id);
     if (replica === undefined) return "idle";
-    const { address } = replica;
     const cancellation = new BoundedCancellation(undefined, REPORT_MS);
     try {
       const call = form.reportCall(replica);
-      const sent = await client.send({
+      const purpose = "question";
+      const sent = await client.send(replica, {
         ...call,
-        service,
-        address,
+        purpose,
         cancellation,
       });
       if (sent.kind === "failed") return "silent";
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -12,6 +12,7 @@
 import { PlainFlow } from "./plainFlow.js";
 import type { GatewayParts } from "./parts.js";
 import { createQuarantineRole } from "./quarantineRole.js";
+import { ReplicaClient } from "./replicaClient.js";
 import { RetryBudgets } from "./retryBudgets.js";
 import type { RetryLimits } from "./retryBudgets.js";
 import type { KeyBounds, UsageWindows } from "../workspaces/index.js";
@@ -67,10 +68,19 @@
   const { form, source, feed, log, metrics, rng, now, leaseNow } = parts;
   const { domain, id } = settings;
   const supervisor = new Supervisor(log);
-  const client = new UpstreamClient();
+  const upstream = new UpstreamClient();
   const state = new GatewayState(source, log, now, leaseNow, (config) => {
     server.setLimits(config.limits);
   });
+  const { replicas } = state;
+  const client = new ReplicaClient({
+    client: upstream,
+    replicas,
+    form,
+    log,
+    metrics,
+    now,
+  });
   const role = await createPlacementRole({
     host: "entry",
     id,
@@ -91,15 +101,15 @@
     now,
   });
   const budgets = new RetryBudgets(settings.retry, now);
-  const { replicas } = state;
   const { placement } = role;
-  const { ends, quarantine } = createQuarantineRole(id, parts, state, client);
+  const { ends, quarantine } = createQuarantineRole(id, parts, state, upstream);
   state.onUnreadable = (what) => metrics.count("unreadable", { what });
   const shared = {
     replicas,
     ends,
     quarantine,
     client,
+    upstream,
     form,
     budgets,
     domain,
@@ -126,7 +136,7 @@
     for (const { name, maxConnections } of state.services()) {
       const entries = placement.entries(state.engineServices());
       const most = Math.floor((maxConnections * CONNECTION_PART) / entries);
-      client.limitConnections(name, Math.max(LEAST_CONNECTIONS, most));
+      upstream.limitConnections(name, Math.max(LEAST_CONNECTIONS, most));
     }
   });
   let isStopping = false;
@@ -157,7 +167,7 @@
     await drain(server, settings.graceMs, now);
     supervisor.stop();
     role.stop();
-    client.close();
+    upstream.close();
     metricsServer.close();
     ready.close();
     ready.closeAllConnections();
--- a/src/gateway/holderWork.ts
+++ b/src/gateway/holderWork.ts
@@ -7,9 +7,9 @@
 import type { Log } from "../telemetry/index.js";
 import { CacheSurvey } from "./cacheSurvey.js";
 import type { GatewayState } from "./gatewayState.js";
+import type { ReplicaClient } from "./replicaClient.js";
 import type { RequestForm } from "./requestForm.js";
 import { StageKeeper } from "./stageKeeper.js";
-import type { UpstreamClient } from "./upstreamClient.js";
 
 export interface HolderWorkOptions {
   /** Name of the process. */
@@ -21,7 +21,7 @@
   state: GatewayState;
   local: LocalPlacement;
   placement: SharedPlacement;
-  client: UpstreamClient;
+  client: ReplicaClient;
   form: RequestForm;
   log: Log;
   now: () => number;
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -13,6 +13,7 @@
   PromptShape,
   ReadHandle,
   Replica,
+  ReplicaWord,
   ReplyHead,
   Route,
   UpstreamSend,
--- a/src/gateway/placementRole.ts
+++ b/src/gateway/placementRole.ts
@@ -16,8 +16,8 @@
 import type { GatewayState } from "./gatewayState.js";
 import { HolderWork } from "./holderWork.js";
 import { KeyProof } from "./keyProof.js";
+import type { ReplicaClient } from "./replicaClient.js";
 import type { RequestForm } from "./requestForm.js";
-import type { UpstreamClient } from "./upstreamClient.js";
 
 /**
  * Lease of placing, ms. Shorter than that of orders: placing needs no
@@ -57,7 +57,7 @@
   services(): string[];
   state: GatewayState;
   feed: ObjectFeed;
-  client: UpstreamClient;
+  client: ReplicaClient;
   form: RequestForm;
   log: Log;
   now: () => number;
--- a/src/gateway/plainFlow.ts
+++ b/src/gateway/plainFlow.ts
@@ -10,11 +10,11 @@
 import type { CallerRequest } from "./callerRequest.js";
 import type { QuarantineKeeper } from "./quarantineKeeper.js";
 import type { ReplicaEnds } from "./replicaEnds.js";
+import type { ReplicaClient } from "./replicaClient.js";
 import type { ReplicaSet } from "./replicaSet.js";
 import type { RequestForm } from "./requestForm.js";
 import type { RetryBudgets } from "./retryBudgets.js";
 import type { Replica, ReplyHead } from "./types.js";
-import type { UpstreamClient } from "./upstreamClient.js";
 import { readWholeBody } from "./upstreamClient.js";
 import { failureOf, overdueFailure, replyFault } from "./verdicts.js";
 
@@ -32,7 +32,7 @@
   replicas: ReplicaSet;
   ends: ReplicaEnds;
   quarantine: Pick<QuarantineKeeper, "refusal">;
-  client: UpstreamClient;
+  client: ReplicaClient;
   form: RequestForm;
   budgets: RetryBudgets;
   domain: string;
@@ -167,9 +167,9 @@
       phase: "run" as const,
     };
     try {
-      const outcome = await client.send({
-        service: caller.service,
-        address: replica.address,
+      const outcome = await client.send(replica, {
+        purpose: "work",
+        requestId: head.id,
         method: head.method,
         target: head.target,
         headers: form.upstreamHeaders(head, send, body.length),
--- /dev/null
+++ b/src/gateway/replicaClient.ts
@@ -0,0 +1,102 @@
+/**
+ * The one way to replicas: what each answer says of its replica is heard
+ * here, whatever it was sent for.
+ */
+import type { IncomingMessage } from "node:http";
+
+import { LRUCache } from "lru-cache";
+
+import type { Log, Metrics } from "../telemetry/index.js";
+import type { ReplicaSet } from "./replicaSet.js";
+import type { RequestForm } from "./requestForm.js";
+import type { Replica } from "./types.js";
+import type {
+  SendOutcome,
+  UpstreamClient,
+  UpstreamRequest,
+} from "./upstreamClient.js";
+
+/** Of a header in a log line. */
+const MAX_LOGGED_CHARS = 80;
+/** Replicas whose unreadable words are remembered, to log each once. */
+const MAX_UNREAD = 1024;
+
+/**
+ * `work`: a request or an order. `question`: what the replica does or holds,
+ * which takes no slot there.
+ */
+export type SendPurpose = "work" | "question";
+
+/** One send to a replica. */
+export interface ReplicaSend extends Omit<
+  UpstreamRequest,
+  "service" | "address"
+> {
+  purpose: SendPurpose;
+  /** Of the request that the answer must belong to; absent: of none. */
+  requestId?: string;
+}
+
+export interface ReplicaClientOptions {
+  client: UpstreamClient;
+  replicas: ReplicaSet;
+  form: RequestForm;
+  log: Log;
+  metrics: Metrics;
+  now: () => number;
+}
+
+export class ReplicaClient {
+  private readonly unread = new LRUCache<string, string>({ max: MAX_UNREAD });
+  /** Told of each replica that is heard to leave. */
+  onLeaving: (replica: Replica) => void = () => undefined;
+
+  constructor(private readonly options: ReplicaClientOptions) {}
+
+  /** Resolves with the head of the answer, or with what is known instead. */
+  async send(replica: Replica, order: ReplicaSend): Promise<SendOutcome> {
+    const { client } = this.options;
+    const { service, address } = replica;
+    const { purpose, requestId, ...request } = order;
+    this.noteAgainstWord(replica, purpose);
+    const outcome = await client.send({ ...request, service, address });
+    if (outcome.kind === "reply") this.hear(replica, requestId, outcome.res);
+    return outcome;
+  }
+
+  private hear(
+    replica: Replica,
+    requestId: string | undefined,
+    res: IncomingMessage,
+  ): void {
+    const { replicas, form, log, metrics, now } = this.options;
+    const status = res.statusCode ?? 0;
+    const word = form.readWord(status, res.headers);
+    const { requestId: answered } = form.readReply(status, res.headers);
+    const isProven = requestId === undefined || answered === requestId;
+    const { id, service, address } = replica;
+    if (word.unreadRest !== undefined) this.logUnread(id, word.unreadRest);
+    const change = replicas.hear(id, word, isProven, now());
+    if (change === undefined) return;
+    metrics.count("replica_word", { says: change });
+    const { restMs } = word;
+    const fields = { replica: id, service, address, status, isProven, restMs };
+    log.info(`replica is ${change}`, fields);
+    if (change === "leaving" && isProven) this.onLeaving(replica);
+  }
+
+  private logUnread(replica: string, text: string): void {
+    if (this.unread.get(replica) === text) return;
+    this.unread.set(replica, text);
+    const said = text.slice(0, MAX_LOGGED_CHARS);
+    this.options.log.warn("rest can't be read", { replica, said });
+  }
+
+  /** Counts what goes to a replica that has said it wants nothing. */
+  private noteAgainstWord({ id }: Replica, purpose: SendPurpose): void {
+    const { replicas, metrics, now } = this.options;
+    const refusal = replicas.willingness.refusal(id, now());
+    if (purpose !== "work" || refusal === undefined) return;
+    metrics.count("sent_against_word", { while: refusal.kind });
+  }
+}
--- a/src/gateway/replicaSet.ts
+++ b/src/gateway/replicaSet.ts
@@ -5,7 +5,9 @@
  * replica lives: it is kept for a short time, and given up if it does not
  * come back.
  */
-import type { EngineReport, Replica } from "./types.js";
+import type { EngineReport, Replica, ReplicaWord } from "./types.js";
+import { Willingness } from "./willingness.js";
+import type { WordChange } from "./willingness.js";
 
 /**
  * How long a replica is used after its entry vanished in trouble, ms. Living
@@ -65,6 +67,7 @@
   replica.bornAt !== report.bornAt;
 
 export class ReplicaSet {
+  readonly willingness = new Willingness();
   /** By id of the life. */
   private readonly known = new Map<string, Known>();
   /** Ids of the lives that names stand for. */
@@ -178,6 +181,21 @@
     return gone;
   }
 
+  /**
+   * An answer of that life says this of it; `isProven`: the answer belongs to
+   * the request that was sent.
+   */
+  hear(
+    id: string,
+    word: ReplicaWord,
+    isProven: boolean,
+    now: number,
+  ): WordChange {
+    const change = this.willingness.hear(id, word, isProven, now);
+    if (change !== undefined) this.revision += 1;
+    return change;
+  }
+
   /** Another one answered at its address: it is not used for a while. */
   deny(id: string, now: number): void {
     const known = this.known.get(id);
--- a/src/gateway/requestForm.ts
+++ b/src/gateway/requestForm.ts
@@ -8,6 +8,7 @@
   InboundHead,
   ReadHandle,
   Replica,
+  ReplicaWord,
   ReplyHead,
   UpstreamSend,
 } from "./types.js";
@@ -39,6 +40,8 @@
     bodyBytes: number,
   ): string[];
   readReply(status: number, headers: IncomingHttpHeaders): ReplyHead;
+  /** What any answer at a replica's address says of that replica. */
+  readWord(status: number, headers: IncomingHttpHeaders): ReplicaWord;
   /** Headers of a replica's answer that callers get. */
   answerHeaders(rawHeaders: readonly string[]): string[];
   failureAnswer(failure: RequestFailure, requestId: string): FailureAnswer;
--- a/src/gateway/schedulerDaemon.ts
+++ b/src/gateway/schedulerDaemon.ts
@@ -9,6 +9,7 @@
 import { GatewayState } from "./gatewayState.js";
 import { createPlacementRole } from "./placementRole.js";
 import type { KeyBounds, UsageWindows } from "../workspaces/index.js";
+import { ReplicaClient } from "./replicaClient.js";
 import { watchStore } from "./storeWatch.js";
 import { UpstreamClient } from "./upstreamClient.js";
 
@@ -32,11 +33,20 @@
   settings: SchedulerSettings,
   parts: GatewayParts,
 ): Promise<Daemon> => {
-  const { form, source, feed, log, now, leaseNow } = parts;
+  const { form, source, feed, log, metrics, now, leaseNow } = parts;
   const { id } = settings;
   const supervisor = new Supervisor(log);
-  const client = new UpstreamClient();
+  const upstream = new UpstreamClient();
   const state = new GatewayState(source, log, now, leaseNow, () => undefined);
+  const { replicas } = state;
+  const client = new ReplicaClient({
+    client: upstream,
+    replicas,
+    form,
+    log,
+    metrics,
+    now,
+  });
   const role = await createPlacementRole({
     host: "scheduler",
     id,
@@ -68,7 +78,7 @@
   const stop = async () => {
     supervisor.stop();
     role.stop();
-    client.close();
+    upstream.close();
     log.info("stopped");
   };
   return { addresses: { peers: role.peerAddress }, stop };
--- a/src/gateway/stageKeeper.ts
+++ b/src/gateway/stageKeeper.ts
@@ -12,10 +12,10 @@
 import { BoundedCancellation } from "../shared/cancellation.js";
 import type { Log } from "../telemetry/index.js";
 import { isOtherLife } from "./replicaSet.js";
+import type { ReplicaClient, SendPurpose } from "./replicaClient.js";
 import type { ReplicaSet } from "./replicaSet.js";
 import type { ReplicaCall, RequestForm } from "./requestForm.js";
 import type { Replica } from "./types.js";
-import type { UpstreamClient } from "./upstreamClient.js";
 import { readWholeBody } from "./upstreamClient.js";
 
 /** An order without an answer by then may or may not be carried out, ms. */
@@ -42,7 +42,7 @@
   scheduler: EngineScheduler;
   replicas: ReplicaSet;
   authority: HolderAuthority;
-  client: UpstreamClient;
+  client: ReplicaClient;
   form: RequestForm;
   log: Log;
   now: () => number;
@@ -155,7 +155,11 @@
     fence: number,
   ): Promise<OrderOutcome> {
     const { form, self, service, authority, replicas, now } = this.options;
-    const asked = await this.call(replica, form.reportCall(replica));
+    const asked = await this.call(
+      replica,
+      form.reportCall(replica),
+      "question",
+    );
     if (asked.kind !== "accepted") return { ...asked, kind: "refused" };
     const report = form.readReport(asked.why);
     if (report.isBusy) return { kind: "refused", why: "it is busy" };
@@ -168,19 +172,18 @@
     if (!authority.isFresh(service) || authority.epoch(service) !== fence) {
       return { kind: "refused", why: "the lease is not fresh" };
     }
-    return this.call(replica, order);
+    return this.call(replica, order, "work");
   }
 
   /** `why` is the answer's text where it was accepted. */
   private async call(
     replica: Replica,
     call: ReplicaCall,
+    purpose: SendPurpose,
   ): Promise<OrderOutcome> {
-    const { address } = replica;
     const cancellation = new BoundedCancellation(undefined, ORDER_MS);
-    const { client, service } = this.options;
-    const request = { ...call, service, address, cancellation };
-    const sent = await client.send(request);
+    const request = { ...call, purpose, cancellation };
+    const sent = await this.options.client.send(replica, request);
     if (sent.kind === "failed") {
       const kind = sent.verdict === "not-run" ? "refused" : "unknown";
       return { kind, why: sent.why };
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -172,6 +172,16 @@
   afterEventId?: string;
 }
 
+/** What an answer of a replica says of the replica itself. */
+export interface ReplicaWord {
+  /** It is about to end. */
+  isLeaving: boolean;
+  /** It wants nothing from this process for so long, ms. */
+  restMs: number | undefined;
+  /** Text that asks for a rest and can't be read. */
+  unreadRest?: string;
+}
+
 /** What the head of a replica's answer says. */
 export interface ReplyHead {
   status: number;
--- /dev/null
+++ b/src/gateway/willingness.ts
@@ -0,0 +1,166 @@
+/**
+ * What replicas say of themselves in their answers: that they leave, or that
+ * they want nothing from this process for some time. Pure; by life, so that
+ * the next one under a name or at an address starts without a word. Such a
+ * word outlasts the replica's entry in the list, which may lapse and come
+ * back while the store is away. Times are ms of one clock.
+ */
+import { LRUCache } from "lru-cache";
+
+import type { ReplicaWord } from "./types.js";
+
+/** Lives whose words are remembered, the newest first; 3,400 are expected. */
+const MAX_LIVES = 8192;
+/**
+ * A longer rest counts as this, ms: a day that is meant for another unit must
+ * not outlast the day. All that a replica asks below it is kept to.
+ */
+export const LONGEST_REST_MS = 3_600_000;
+/**
+ * What an answer says that belongs to another request counts for so long, ms.
+ * Believed for good, one garbled answer would take a replica from service;
+ * not believed at all, the next send to one that leaves would come too late.
+ */
+export const UNPROVEN_MS = 2000;
+/** The first send after a rest has this long to be answered, ms. */
+const TRIAL_MS = 1000;
+
+/** Why a replica gets nothing at the moment. */
+export type Unwilling =
+  | { kind: "leaving" }
+  /** `untilMs`: instant at which the rest ends. */
+  | { kind: "resting"; untilMs: number };
+
+/** What an answer has changed; undefined: nothing. */
+export type WordChange = Unwilling["kind"] | undefined;
+
+interface Known {
+  /** First word that it leaves; undefined: none. */
+  leavingSince: number | undefined;
+  /** Until when the word that it leaves counts; Infinity: for good. */
+  leavingUntil: number;
+  restUntil: number;
+  /** Since the rest has ended no answer has come that asks for no further. */
+  needsTrial: boolean;
+  /** The first send after the rest is out until then. */
+  trialUntil: number;
+}
+
+const NOTHING: Known = {
+  leavingSince: undefined,
+  leavingUntil: -Infinity,
+  restUntil: -Infinity,
+  needsTrial: false,
+  trialUntil: -Infinity,
+};
+
+export class Willingness {
+  private readonly known = new LRUCache<string, Known>({ max: MAX_LIVES });
+  /** Lives that rest, or are tried after it: few at any time. */
+  private readonly rests = new Set<string>();
+
+  /** `isProven`: the answer belongs to the request that was sent. */
+  hear(
+    life: string,
+    word: ReplicaWord,
+    isProven: boolean,
+    now: number,
+  ): WordChange {
+    const before = this.known.get(life);
+    const { isLeaving, restMs = 0 } = word;
+    if (!isLeaving && restMs <= 0) {
+      if (before !== undefined) this.endTrial(life, before, now);
+      return undefined;
+    }
+    const known = { ...(before ?? NOTHING) };
+    const wasLeaving = known.leavingUntil > now;
+    const wasResting = known.restUntil > now;
+    if (isLeaving) this.noteLeaving(known, isProven, now);
+    if (restMs > 0) this.noteRest(life, known, restMs, isProven, now);
+    this.known.set(life, known);
+    if (isLeaving && !wasLeaving) return "leaving";
+    return restMs > 0 && !wasResting ? "resting" : undefined;
+  }
+
+  /** Another process heard it say that it leaves. */
+  leave(life: string, now: number): WordChange {
+    return this.hear(life, { isLeaving: true, restMs: undefined }, true, now);
+  }
+
+  /** Why nothing is to be sent to it; undefined: it may be. */
+  refusal(life: string, now: number): Unwilling | undefined {
+    const known = this.known.get(life);
+    if (known === undefined) return undefined;
+    if (known.leavingUntil > now) return { kind: "leaving" };
+    const untilMs = busyUntil(known, now);
+    return untilMs > now ? { kind: "resting", untilMs } : undefined;
+  }
+
+  /** The same for a send that leaves now, which is the first after a rest. */
+  take(life: string, now: number): Unwilling | undefined {
+    const refusal = this.refusal(life, now);
+    const known = this.known.get(life);
+    if (refusal === undefined && known?.needsTrial === true) {
+      known.trialUntil = now + TRIAL_MS;
+    }
+    return refusal;
+  }
+
+  /** When it was first heard to leave; undefined: it wasn't, or not proven. */
+  leavingSince(life: string): number | undefined {
+    return this.known.get(life)?.leavingSince;
+  }
+
+  /** When the doubtful word that it leaves ends; Infinity: it was no doubt. */
+  leavingUntil(life: string): number {
+    return this.known.get(life)?.leavingUntil ?? -Infinity;
+  }
+
+  /** Lives that get nothing now since they rest, and until when. */
+  resting(now: number): { life: string; untilMs: number }[] {
+    const found: { life: string; untilMs: number }[] = [];
+    for (const life of this.rests) {
+      const known = this.known.peek(life);
+      if (known === undefined || !known.needsTrial) {
+        this.rests.delete(life);
+        continue;
+      }
+      const untilMs = busyUntil(known, now);
+      if (untilMs > now) found.push({ life, untilMs });
+    }
+    return found;
+  }
+
+  private noteLeaving(known: Known, isProven: boolean, now: number): void {
+    const until = isProven ? Infinity : now + UNPROVEN_MS;
+    known.leavingSince ??= now;
+    known.leavingUntil = Math.max(known.leavingUntil, until);
+  }
+
+  /** An answer within the rest that asks for another prolongs it. */
+  private noteRest(
+    life: string,
+    known: Known,
+    restMs: number,
+    isProven: boolean,
+    now: number,
+  ): void {
+    const longest = isProven ? LONGEST_REST_MS : UNPROVEN_MS;
+    const until = now + Math.min(restMs, longest);
+    known.restUntil = Math.max(known.restUntil, until);
+    known.needsTrial = true;
+    known.trialUntil = -Infinity;
+    this.rests.add(life);
+  }
+
+  /** What was under way when the rest was asked for does not end it. */
+  private endTrial(life: string, known: Known, now: number): void {
+    if (!known.needsTrial || known.restUntil > now) return;
+    known.needsTrial = false;
+    this.rests.delete(life);
+  }
+}
+
+/** All entries may be sent away at once: after a rest one send goes first. */
+const busyUntil = ({ restUntil, trialUntil }: Known, now: number): number =>
+  restUntil > now ? restUntil : trialUntil;
--- a/tests/gateway/engineWatch.test.ts
+++ b/tests/gateway/engineWatch.test.ts
@@ -5,6 +5,8 @@
 import { EngineWatch } from "../../src/gateway/engineWatch.js";
 import type { EngineMood } from "../../src/gateway/engineWatch.js";
 import type { EngineCallsOptions } from "../../src/gateway/engineCalls.js";
+import { ReplicaClient } from "../../src/gateway/replicaClient.js";
+import type { ReplicaClientOptions } from "../../src/gateway/replicaClient.js";
 import { ReplicaSet } from "../../src/gateway/replicaSet.js";
 import { UpstreamClient } from "../../src/gateway/upstreamClient.js";
 import { listen } from "../../src/http/index.js";
@@ -57,10 +59,17 @@
         body: Buffer.alloc(0),
       }),
       readReport: (body: string) => JSON.parse(body) as Report,
+      readReply: () => ({ requestId: undefined }),
+      readWord: () => ({ isLeaving: false, restMs: undefined }),
     };
     const watch = new EngineWatch({
       replicas,
-      client,
+      client: new ReplicaClient({
+        client,
+        replicas,
+        form,
+        now: () => 0,
+      } as unknown as ReplicaClientOptions),
       form,
     } as unknown as EngineCallsOptions);
     return new Promise((resolve) => {
