What a replica says of itself decides at once where work goes

An entry learnt of leaving from the store's list alone, so that with the store away it went on sending for 12 s; a 503 counted as one failure, without the time for which its replica had asked. The class: a signal that one path reads (the list, the status) and that also comes another way.

The change: Willingness decides, by life. Entries choose no replica that leaves or rests; ReplicaClient looks again in the instant before work leaves, also where it waited for a connection or its prompt was read elsewhere meanwhile. Asks name the engines that rest for their entry, so that the holder grants others (rest is asked of one process, and counts for that one). A request turned away so is neither a failure of the engine nor a part held by it. Where all of a kind rest, callers are refused at once with the first end and a spread. After a rest one send goes first.

Found by a test of its own: the trial after a rest stayed open for a second after it had been answered.

--- a/bench/player/play.ts
+++ b/bench/player/play.ts
@@ -110,6 +110,7 @@
     return {
       id,
       service: "model",
+      resting: [],
       route: kind.name,
       domain: "one",
       model: "m",
--- a/src/gateway/engineCalls.ts
+++ b/src/gateway/engineCalls.ts
@@ -27,6 +27,8 @@
       why: string;
       /** The engine is not to blame. */
       isBlameless?: boolean;
+      /** Nothing was sent: the engine wants nothing now. */
+      isUnwilling?: boolean;
     };
 
 /**
@@ -37,6 +39,13 @@
 const settledSockets = (): Promise<void> =>
   new Promise((resolve) => setImmediate(resolve));
 
+const unwilling = (why: string): EngineReply => ({
+  kind: "failed",
+  verdict: "not-run",
+  why,
+  isUnwilling: true,
+});
+
 export interface EngineCallsOptions {
   replicas: ReplicaSet;
   ends: ReplicaEnds;
@@ -68,11 +77,13 @@
   ): Promise<EngineReply> {
     const { replicas, client, form } = this.options;
     const replica = replicas.get(id);
-    if (replica === undefined || replica.state !== "ready") {
-      const why = "the replica is leaving or gone";
+    if (replica === undefined) {
+      const why = "the replica is gone";
       return { kind: "failed", verdict: "not-run", why };
     }
     await settledSockets();
+    const refusal = client.refusal(replica);
+    if (refusal !== undefined) return unwilling(refusal);
     if (caller.leftMs() <= 0 || cancellation.isCancelled) {
       return { kind: "failed", verdict: "not-run", why: "its time is over" };
     }
--- a/src/gateway/engineNews.ts
+++ b/src/gateway/engineNews.ts
@@ -31,6 +31,26 @@
     this.options.placement.note(caller.service, news);
   }
 
+  /** The engine wants no work now: it is not at fault, and holds no part. */
+  turnedAway(
+    journey: Journey,
+    engine: string,
+    phase: string,
+    why: string,
+  ): Round {
+    const { caller, grantId } = journey;
+    const news = { kind: "turned-away" as const, id: grantId };
+    this.options.placement.note(caller.service, news);
+    this.logFault(caller, engine, phase, why);
+    return {
+      kind: "failed",
+      verdict: "not-run",
+      why,
+      avoid: engine,
+      isBlameless: true,
+    };
+  }
+
   /** The engine has changed its stage, or is gone: news, and no failure. */
   wrongStage(journey: Journey, engine: string): Round {
     const { caller, grantId } = journey;
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -113,6 +113,7 @@
     form,
     budgets,
     domain,
+    rng,
     now,
   };
   const server = new GatewayServer({
--- a/src/gateway/journey.ts
+++ b/src/gateway/journey.ts
@@ -79,8 +79,15 @@
   return { kind: "refused", failure: overdueFailure(worse) };
 };
 
-/** What the scheduler has to know of it; `domain`: of this process. */
-export const askOf = (journey: Journey, domain: string): PlacementAsk => {
+/**
+ * What the scheduler has to know of it. `domain`: of this process; `resting`:
+ * engines that want nothing from it for now.
+ */
+export const askOf = (
+  journey: Journey,
+  domain: string,
+  resting: string[],
+): PlacementAsk => {
   const { caller, avoid, grantId } = journey;
   const { prompt } = caller.head;
   const elapsedMs = caller.elapsedMs();
@@ -104,5 +111,6 @@
     priority: caller.priority,
     isReturn: caller.isReturn,
     avoid,
+    resting,
   };
 };
--- a/src/gateway/plainFlow.ts
+++ b/src/gateway/plainFlow.ts
@@ -4,6 +4,7 @@
 import { afterFailure, afterSuccess, HEALTHY } from "../routing/health.js";
 import { isEjected } from "../routing/health.js";
 import type { Health } from "../routing/health.js";
+import type { Rng } from "../shared/rng.js";
 import { BoundedCancellation } from "../shared/cancellation.js";
 import type { Verdict } from "../shared/verdict.js";
 import { worseVerdict } from "../shared/verdict.js";
@@ -16,7 +17,12 @@
 import type { RetryBudgets } from "./retryBudgets.js";
 import type { Replica, ReplyHead } from "./types.js";
 import { readWholeBody } from "./upstreamClient.js";
-import { failureOf, overdueFailure, replyFault } from "./verdicts.js";
+import {
+  afterRestMs,
+  failureOf,
+  overdueFailure,
+  replyFault,
+} from "./verdicts.js";
 
 /** Largest answer that is held whole, bytes. */
 const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
@@ -36,6 +42,7 @@
   form: RequestForm;
   budgets: RetryBudgets;
   domain: string;
+  rng: Rng;
   now: () => number;
 }
 
@@ -43,8 +50,18 @@
   | { kind: "answer"; head: ReplyHead; headers: string[]; body: Buffer }
   | { kind: "failed"; verdict: Verdict; why: string; fault: Fault };
 
-/** What a failed send says of the replica. */
-type Fault = "unreachable" | "gone" | "refused" | "broken";
+/**
+ * What a failed send says of the replica; `unwilling`: nothing, but that it
+ * wants no work now.
+ */
+type Fault = "unreachable" | "gone" | "refused" | "unwilling" | "broken";
+
+const unwilling = (why: string): Attempt => ({
+  kind: "failed",
+  verdict: "not-run",
+  why,
+  fault: "unwilling",
+});
 
 export class PlainFlow {
   private readonly inFlight = new Map<string, number>();
@@ -60,6 +77,7 @@
     let verdict: Verdict = "not-run";
     let why = "no replica is known";
     let runs = 0;
+    let arrivals = 0;
     let answer: Attempt | undefined;
     const mostSends = caller.isTrial ? 1 : MAX_SENDS;
     for (let sends = 0; sends < mostSends; sends += 1) {
@@ -70,9 +88,11 @@
       if (barred !== undefined) break;
       const replica = this.choose(caller, tried);
       if (replica === undefined) break;
-      if (sends > 0 && !budgets.spend(caller.service)) break;
+      if (arrivals > 0 && !budgets.spend(caller.service)) break;
       tried.add(replica.id);
+      const sentTo = caller.sentTo.length;
       const attempt = await this.attempt(caller, replica);
+      arrivals += caller.sentTo.length - sentTo;
       if (attempt.kind === "answer") {
         answer = attempt;
         runs += 1;
@@ -91,7 +111,14 @@
       return caller.answerWhole(head.status, headers, body);
     }
     if (caller.isOverdue) return caller.fail(overdueFailure(verdict));
-    caller.fail(failureOf(verdict, why));
+    caller.fail(failureOf(verdict, why, this.retryAfterMs(caller)));
+  }
+
+  /** Where all replicas rest, none of them takes it before the first end. */
+  private retryAfterMs({ service }: CallerRequest): number | undefined {
+    const { replicas, now, rng } = this.options;
+    const leftMs = replicas.allRestLeftMs(service, now());
+    return leftMs > 0 ? afterRestMs(leftMs, rng) : undefined;
   }
 
   /** A safe request that a replica failed may do better elsewhere. */
@@ -111,9 +138,10 @@
     tried: ReadonlySet<string>,
   ): Replica | undefined {
     const { replicas, domain, now } = this.options;
-    const usable = replicas
-      .usable(caller.service, now())
-      .filter((item) => !tried.has(item.id));
+    const usable = replicas.usable(caller.service, now()).filter(({ id }) => {
+      const isRefused = replicas.refusal(id, now()) !== undefined;
+      return !isRefused && !tried.has(id);
+    });
     const healthy = usable.filter(
       (item) => !isEjected(this.healthOf(item.id), now()),
     );
@@ -132,6 +160,8 @@
     replica: Replica,
   ): Promise<Attempt> {
     const { id } = replica;
+    const refusal = this.options.client.refusal(replica);
+    if (refusal !== undefined) return unwilling(refusal);
     caller.sentTo.push(id);
     this.inFlight.set(id, (this.inFlight.get(id) ?? 0) + 1);
     try {
@@ -184,6 +214,7 @@
         (res) => form.readReply(res.statusCode ?? 0, res.headers).isNotRun,
       );
       if (outcome.kind === "failed") {
+        if (outcome.isUnwilling === true) return unwilling(outcome.why);
         const isSent = outcome.verdict !== "not-run";
         return { ...outcome, fault: isSent ? "broken" : "unreachable" };
       }
@@ -202,7 +233,7 @@
       if (reply.isNotRun) {
         res.resume();
         const why = `replica refused with ${reply.status}`;
-        const fault = reply.isMisdirected ? "gone" : "refused";
+        const fault = this.faultOf(replica, reply);
         return { kind: "failed", verdict: "not-run", why, fault };
       }
       const whole = await readWholeBody(outcome, MAX_ANSWER_BYTES);
@@ -221,8 +252,15 @@
     }
   }
 
+  private faultOf({ id }: Replica, reply: ReplyHead): Fault {
+    if (reply.isMisdirected) return "gone";
+    const { replicas, now } = this.options;
+    return replicas.isUnwilling(id, now()) ? "unwilling" : "refused";
+  }
+
   private learn(id: string, attempt: Attempt, caller: CallerRequest): void {
     if (caller.isCallerGone) return;
+    if (attempt.kind === "failed" && attempt.fault === "unwilling") return;
     const now = this.options.now();
     const health = this.healthOf(id);
     if (attempt.kind === "answer") {
--- a/src/gateway/promptReader.ts
+++ b/src/gateway/promptReader.ts
@@ -18,6 +18,8 @@
 export type ReadOutcome =
   | { kind: "read"; handle: ReadHandle }
   | { kind: "wrong-stage" }
+  /** The engine wants no work now. */
+  | { kind: "unwilling"; why: string }
   /** The engine does not answer at all. */
   | { kind: "silent" }
   | { kind: "failed"; why: string };
@@ -77,13 +79,19 @@
       phase: "read",
       cacheSource,
     });
-    if (sent.kind === "failed") return { kind: "failed", why: sent.why };
+    if (sent.kind === "failed") {
+      const kind = sent.isUnwilling === true ? "unwilling" : "failed";
+      return { kind, why: sent.why };
+    }
     const { res, address } = sent;
     const reply = form.readReply(res.statusCode ?? 0, res.headers);
     const whole = await readWholeBody(sent, MAX_SHORT_ANSWER_BYTES);
     if (reply.isMisdirected) return { kind: "wrong-stage" };
     if (reply.isNotRun || reply.status !== 200) {
-      return { kind: "failed", why: `read refused with ${reply.status}` };
+      const why = `read refused with ${reply.status}`;
+      const { replicas, now } = this.options;
+      const isUnwilling = reply.isNotRun && replicas.isUnwilling(reader, now());
+      return { kind: isUnwilling ? "unwilling" : "failed", why };
     }
     if (reply.requestId !== undefined && reply.requestId !== caller.head.id) {
       return { kind: "failed", why: "the answer belongs to another request" };
--- a/src/gateway/replicaClient.ts
+++ b/src/gateway/replicaClient.ts
@@ -1,6 +1,9 @@
 /**
  * The one way to replicas: what each answer says of its replica is heard
- * here, whatever it was sent for.
+ * here, whatever it was sent for, and looked at in the instant before work
+ * leaves. Choices are made earlier, by others and on older words: a run is
+ * granted while its prompt is still read elsewhere, and a request may wait
+ * for a connection.
  */
 import type { IncomingMessage } from "node:http";
 
@@ -22,8 +25,8 @@
 const MAX_UNREAD = 1024;
 
 /**
- * `work`: a request or an order. `question`: what the replica does or holds,
- * which takes no slot there.
+ * `work`: a request, an order, or a question that holds up the replica.
+ * `question`: one that takes nothing of it.
  */
 export type SendPurpose = "work" | "question";
 
@@ -58,12 +61,36 @@
     const { client } = this.options;
     const { service, address } = replica;
     const { purpose, requestId, ...request } = order;
-    this.noteAgainstWord(replica, purpose);
-    const outcome = await client.send({ ...request, service, address });
+    const isWork = purpose === "work";
+    const why = isWork ? this.refusal(replica) : undefined;
+    if (why !== undefined) {
+      return { kind: "failed", verdict: "not-run", why, isUnwilling: true };
+    }
+    const refusal = isWork ? () => this.refusalNow(replica) : undefined;
+    const outcome = await client.send({
+      ...request,
+      service,
+      address,
+      refusal,
+    });
     if (outcome.kind === "reply") this.hear(replica, requestId, outcome.res);
     return outcome;
   }
 
+  /** Why it gets no work at the moment; undefined: it may. */
+  refusal({ id }: Replica): string | undefined {
+    const { replicas, now } = this.options;
+    return replicas.refusal(id, now());
+  }
+
+  /** The same for work that leaves now. */
+  private refusalNow({ id }: Replica): string | undefined {
+    const { replicas, metrics, now } = this.options;
+    const why = replicas.take(id, now());
+    if (why !== undefined) metrics.count("kept_from_unwilling", {});
+    return why;
+  }
+
   private hear(
     replica: Replica,
     requestId: string | undefined,
@@ -91,12 +118,4 @@
     const said = text.slice(0, MAX_LOGGED_CHARS);
     this.options.log.warn("rest can't be read", { replica, said });
   }
-
-  /** Counts what goes to a replica that has said it wants nothing. */
-  private noteAgainstWord({ id }: Replica, purpose: SendPurpose): void {
-    const { replicas, metrics, now } = this.options;
-    const refusal = replicas.willingness.refusal(id, now());
-    if (purpose !== "work" || refusal === undefined) return;
-    metrics.count("sent_against_word", { while: refusal.kind });
-  }
 }
--- a/src/gateway/replicaSet.ts
+++ b/src/gateway/replicaSet.ts
@@ -7,7 +7,7 @@
  */
 import type { EngineReport, Replica, ReplicaWord } from "./types.js";
 import { Willingness } from "./willingness.js";
-import type { WordChange } from "./willingness.js";
+import type { Unwilling, WordChange } from "./willingness.js";
 
 /**
  * How long a replica is used after its entry vanished in trouble, ms. Living
@@ -67,7 +67,7 @@
   replica.bornAt !== report.bornAt;
 
 export class ReplicaSet {
-  readonly willingness = new Willingness();
+  private readonly willingness = new Willingness();
   /** By id of the life. */
   private readonly known = new Map<string, Known>();
   /** Ids of the lives that names stand for. */
@@ -76,6 +76,12 @@
   /** Grows with each change. */
   revision = 0;
 
+  /**
+   * `lastResortMs`: how long after its first word a replica that leaves is
+   * used where its service has no other.
+   */
+  constructor(private readonly lastResortMs = 0) {}
+
   get(id: string): Replica | undefined {
     return this.known.get(id)?.replica;
   }
@@ -196,6 +202,69 @@
     return change;
   }
 
+  /** Another process heard it say that it leaves. */
+  leave(id: string, now: number): void {
+    if (this.willingness.leave(id, now) !== undefined) this.revision += 1;
+  }
+
+  /** Why no work goes to it; undefined: it may get some. */
+  refusal(id: string, now: number): string | undefined {
+    return this.refusalFor(id, now, this.willingness.refusal(id, now));
+  }
+
+  /** The same for work that leaves now. */
+  take(id: string, now: number): string | undefined {
+    return this.refusalFor(id, now, this.willingness.take(id, now));
+  }
+
+  /** Replicas of a service that rest, and when that ends. */
+  resting(service: string, now: number): { id: string; untilMs: number }[] {
+    return this.willingness.resting(now).flatMap(({ life: id, untilMs }) => {
+      const isOfService = this.get(id)?.service === service;
+      return isOfService ? [{ id, untilMs }] : [];
+    });
+  }
+
+  /** Whether it wants no work now. */
+  isUnwilling(id: string, now: number): boolean {
+    return this.willingness.refusal(id, now) !== undefined;
+  }
+
+  /** Where all that may be used rest: time until the first end, ms; else 0. */
+  allRestLeftMs(service: string, now: number): number {
+    const rests = new Map(
+      this.resting(service, now).map(({ id, untilMs }) => [id, untilMs]),
+    );
+    const ends = this.usable(service, now).map(
+      ({ id }) => rests.get(id) ?? now,
+    );
+    return ends.length === 0 ? 0 : Math.min(...ends) - now;
+  }
+
+  private refusalFor(
+    id: string,
+    now: number,
+    unwilling: Unwilling | undefined,
+  ): string | undefined {
+    const known = this.known.get(id);
+    if (known === undefined || known.replica.state !== "ready") {
+      return "the replica is leaving or gone";
+    }
+    if (unwilling?.kind === "resting") return "the replica wants a rest";
+    const isLeaving = unwilling?.kind === "leaving";
+    if (!isLeaving || this.isLastResort(id, now)) return undefined;
+    return "the replica says that it leaves";
+  }
+
+  private isLeaving(id: string, now: number): boolean {
+    return this.willingness.refusal(id, now)?.kind === "leaving";
+  }
+
+  private isLastResort(id: string, now: number): boolean {
+    const since = this.willingness.leavingSince(id);
+    return since !== undefined && now - since < this.lastResortMs;
+  }
+
   /** Another one answered at its address: it is not used for a while. */
   deny(id: string, now: number): void {
     const known = this.known.get(id);
@@ -227,20 +296,31 @@
         vanishedAt !== undefined && now - vanishedAt >= VANISHED_KEEP_MS;
       if (!isLost) found.push(replica);
     }
-    return found;
+    const staying = found.filter(({ id }) => !this.isLeaving(id, now));
+    if (staying.length > 0) return staying;
+    return found.filter(({ id }) => this.isLastResort(id, now));
   }
 
   /** Until when `usable` gives the same if nothing changes, ms. */
   usableUntil(now: number): number {
     let until = Infinity;
-    for (const { vanishedAt, deniedUntil } of this.known.values()) {
+    for (const { replica, vanishedAt, deniedUntil } of this.known.values()) {
       if (deniedUntil > now) until = Math.min(until, deniedUntil);
+      until = Math.min(until, this.wordUntil(replica.id, now));
       if (vanishedAt === undefined) continue;
       until = Math.min(until, vanishedAt + VANISHED_KEEP_MS);
     }
     return until;
   }
 
+  /** Until when its word that it leaves means the same, ms. */
+  private wordUntil(id: string, now: number): number {
+    const since = this.willingness.leavingSince(id);
+    if (since === undefined) return Infinity;
+    const ends = [since + this.lastResortMs, this.willingness.leavingUntil(id)];
+    return Math.min(...ends.filter((end) => end > now));
+  }
+
   get size(): number {
     return this.known.size;
   }
--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -7,9 +7,11 @@
   Grant,
   PlacementAnswer,
   PlacementEvent,
+  Refusal,
 } from "../scheduling/index.js";
 import type { Placement } from "../placement/index.js";
 import type { RequestFailure } from "../shared/errors.js";
+import type { Rng } from "../shared/rng.js";
 import { worseVerdict } from "../shared/verdict.js";
 import type { CallerRequest } from "./callerRequest.js";
 import { EngineCalls } from "./engineCalls.js";
@@ -22,12 +24,13 @@
 import { PromptReader } from "./promptReader.js";
 import type { RetryBudgets } from "./retryBudgets.js";
 import type { ReadHandle } from "./types.js";
-import { failureOf } from "./verdicts.js";
+import { afterRestMs, failureOf } from "./verdicts.js";
 
 export interface StreamFlowOptions extends EngineCallsOptions {
   budgets: RetryBudgets;
   placement: Placement;
   domain: string;
+  rng: Rng;
 }
 
 const endedUnused = (id: string): PlacementEvent => ({
@@ -61,7 +64,9 @@
     const onFirstEvent = () => this.noteBegun(journey);
     const journey: Journey = newJourney(caller, onFirstEvent, now);
     for (;;) {
+      const sends = caller.sentTo.length;
       const round = await this.round(journey);
+      const isUnsent = caller.sentTo.length === sends;
       if (round.kind === "done") return;
       if (round.kind === "refused") return this.giveUp(journey, round.failure);
       journey.verdict = worseVerdict(journey.verdict, round.verdict);
@@ -69,7 +74,8 @@
       if (caller.isCallerGone) return;
       const failure = failureOf(journey.verdict, round.why);
       if (!mayGoOn(journey)) return this.giveUp(journey, failure);
-      if (!budgets.spend(caller.service)) return this.giveUp(journey, failure);
+      if (!isUnsent && !budgets.spend(caller.service))
+        return this.giveUp(journey, failure);
     }
   }
 
@@ -85,7 +91,7 @@
     if (answer === undefined) return overdueRound(journey);
     if (answer.kind === "refused") {
       const failure = failureOf(journey.verdict, `no engine: ${answer.why}`);
-      const retryAfterMs = answer.retryAfterMs;
+      const retryAfterMs = this.retryAfterMs(caller, answer);
       const isNotRun = failure.verdict === "not-run";
       return {
         kind: "refused",
@@ -107,6 +113,16 @@
     }
   }
 
+  /** Where engines rest, none takes it before the first of them may. */
+  private retryAfterMs({ service }: CallerRequest, answer: Refusal): number {
+    const { replicas, now, rng } = this.options;
+    const ends = replicas.resting(service, now()).map((item) => item.untilMs);
+    if (answer.why !== "no-engine" || ends.length === 0) {
+      return answer.retryAfterMs;
+    }
+    return afterRestMs(Math.min(...ends) - now(), rng);
+  }
+
   /** Where it goes; undefined if it was cancelled before that was known. */
   private place(journey: Journey): Promise<PlacementAnswer | undefined> {
     const { placement } = this.options;
@@ -125,11 +141,17 @@
         if (isGranted) placement.note(service, endedUnused(grantId));
       };
       placement
-        .place(askOf(journey, this.options.domain))
+        .place(askOf(journey, this.options.domain, this.resting(service)))
         .then(onAnswer, reject);
     });
   }
 
+  /** Engines that want nothing from this entry for now. */
+  private resting(service: string): string[] {
+    const { replicas, now } = this.options;
+    return replicas.resting(service, now()).map(({ id }) => id);
+  }
+
   private async carryOut(journey: Journey, grant: Grant): Promise<Round> {
     const { caller } = journey;
     if (caller.cancellation.isCancelled) return overdueRound(journey);
@@ -161,6 +183,8 @@
     if (read.kind === "wrong-stage")
       return this.news.wrongStage(journey, reader);
     if (read.kind === "silent") return this.news.silentRead(journey, reader);
+    if (read.kind === "unwilling" && !caller.cancellation.isCancelled)
+      return this.news.turnedAway(journey, reader, "read", read.why);
     const ok = read.kind === "read";
     placement.note(caller.service, { kind: "read", id: grantId, ok });
     if (read.kind === "read") {
--- a/src/gateway/upstreamClient.ts
+++ b/src/gateway/upstreamClient.ts
@@ -30,6 +30,11 @@
   headers: readonly string[];
   body: Buffer;
   cancellation: Cancellation;
+  /**
+   * Asked when the request is about to leave, which may be long after the
+   * send where it waits for a connection; a reason keeps it from leaving.
+   */
+  refusal?: () => string | undefined;
 }
 
 /** The head of an answer, and its body as it comes. */
@@ -44,7 +49,14 @@
 }
 
 export type SendOutcome =
-  UpstreamReply | { kind: "failed"; verdict: Verdict; why: string };
+  | UpstreamReply
+  | {
+      kind: "failed";
+      verdict: Verdict;
+      why: string;
+      /** Nothing was sent: the replica wants nothing now. */
+      isUnwilling?: boolean;
+    };
 
 /** What a look at an address found. */
 export type Listening = "listening" | "refused" | "unknown";
@@ -74,6 +86,7 @@
   send(order: UpstreamRequest): Promise<SendOutcome> {
     return new Promise((resolve) => {
       const { host, port } = splitAddress(order.address);
+      const isUnwilling = true;
       let isConnected = false;
       let timer: NodeJS.Timeout | undefined;
       const fail = (why: string) => {
@@ -99,9 +112,15 @@
         if (!isConnected) fail("cancelled");
       });
       req.once("close", off);
+      // The head is written after these listeners have run.
       const onConnected = () => {
-        isConnected = true;
         clearTimeout(timer);
+        const why = order.refusal?.();
+        if (why !== undefined) {
+          resolve({ kind: "failed", verdict: "not-run", why, isUnwilling });
+          return void req.destroy();
+        }
+        isConnected = true;
       };
       req.once("socket", (socket) => {
         socket.setNoDelay(true);
--- a/src/gateway/verdicts.ts
+++ b/src/gateway/verdicts.ts
@@ -1,10 +1,13 @@
 /** What a reply or its absence proves, and the failure that callers get. */
 import type { RequestFailure } from "../shared/errors.js";
+import type { Rng } from "../shared/rng.js";
 import type { Verdict } from "../shared/verdict.js";
 import type { ReplyHead } from "./types.js";
 
 /** When a caller may come back where no replica took the request, ms. */
 const BUSY_RETRY_MS = 400;
+/** Callers who were refused in one rest come back spread over this, ms. */
+const AFTER_REST_SPREAD_MS = 500;
 /** When a caller may come back whose time ran out before it was sent, ms. */
 const OVERDUE_RETRY_MS = 1000;
 
@@ -25,15 +28,26 @@
   return undefined;
 };
 
+/**
+ * When a caller may come back who was refused since replicas rest, ms: past
+ * the end of the rest, where one send goes first, and not all at once.
+ */
+export const afterRestMs = (leftMs: number, rng: Rng): number =>
+  leftMs + rng() * AFTER_REST_SPREAD_MS;
+
 /** The failure of a request that no replica answered. */
-export const failureOf = (verdict: Verdict, why: string): RequestFailure => {
+export const failureOf = (
+  verdict: Verdict,
+  why: string,
+  retryAfterMs = BUSY_RETRY_MS,
+): RequestFailure => {
   if (verdict === "not-run") {
     return {
       status: 503,
       code: "overloaded",
       message: why,
       verdict,
-      retryAfterMs: BUSY_RETRY_MS,
+      retryAfterMs,
     };
   }
   return { status: 502, code: "cut", message: why, verdict };
--- a/src/gateway/willingness.ts
+++ b/src/gateway/willingness.ts
@@ -157,6 +157,7 @@
   private endTrial(life: string, known: Known, now: number): void {
     if (!known.needsTrial || known.restUntil > now) return;
     known.needsTrial = false;
+    known.trialUntil = -Infinity;
     this.rests.delete(life);
   }
 }
--- a/src/gen/snowgate.ts
+++ b/src/gen/snowgate.ts
@@ -111,6 +111,8 @@
   isReturn: boolean;
   avoid: string[];
   route: string;
+  /** Engines that want nothing from the process that asks, for now. */
+  resting: string[];
 }
 
 /** A grant that is in use already: told to a new holder. */
@@ -124,7 +126,7 @@
 
 export interface PlaceEvent {
   id: string;
-  /** "read", "wrong-stage", "silent", "begun" or "ended". */
+  /** "read", "wrong-stage", "turned-away", "silent", "begun" or "ended". */
   kind: string;
   ok: boolean;
   /** Of "ended": from the send to the runner to the first event; 0: none. */
@@ -1481,6 +1483,7 @@
     isReturn: false,
     avoid: [],
     route: "",
+    resting: [],
   };
 }
 
@@ -1522,6 +1525,9 @@
     if (message.route !== "") {
       writer.uint32(98).string(message.route);
     }
+    for (const v of message.resting) {
+      writer.uint32(106).string(v!);
+    }
     return writer;
   },
 
@@ -1634,6 +1640,14 @@
             message.route = reader.string();
             continue;
           }
+          case 13: {
+            if (tag !== 106) {
+              break;
+            }
+
+            message.resting.push(reader.string());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1682,6 +1696,9 @@
         ? object.avoid.map((e: any) => globalThis.String(e))
         : [],
       route: isSet(object.route) ? globalThis.String(object.route) : "",
+      resting: globalThis.Array.isArray(object?.resting)
+        ? object.resting.map((e: any) => globalThis.String(e))
+        : [],
     };
   },
 
@@ -1723,6 +1740,9 @@
     if (message.route !== "") {
       obj.route = message.route;
     }
+    if (message.resting?.length) {
+      obj.resting = message.resting;
+    }
     return obj;
   },
 
@@ -1743,6 +1763,7 @@
     message.isReturn = object.isReturn ?? false;
     message.avoid = object.avoid?.map((e) => e) || [];
     message.route = object.route ?? "";
+    message.resting = object.resting?.map((e) => e) || [];
     return message;
   },
 };
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -47,6 +47,7 @@
   priority: whole(ask.priority),
   isReturn: ask.isReturn,
   avoid: ask.avoid,
+  resting: ask.resting,
 });
 
 export const fromPlaceAsk = (service: string, ask: PlaceAsk): PlacementAsk => ({
@@ -67,7 +68,7 @@
   event: PlaceEvent,
 ): PlacementEvent | undefined => {
   const { id, kind, ok, tookMs, engine } = event;
-  if (kind === "begun") return { kind, id };
+  if (kind === "begun" || kind === "turned-away") return { kind, id };
   if (kind === "read") return { kind, id, ok };
   if (kind === "wrong-stage" || kind === "silent") return { kind, id, engine };
   if (kind === "ended") return { kind, id, ok, firstEventMs: tookMs };
--- a/src/scheduling/enginePool.ts
+++ b/src/scheduling/enginePool.ts
@@ -58,14 +58,17 @@
   }
 
   /**
-   * The engines that may get the request. Those that failed lately are left
+   * The engines that may get the request; those that rest never do. Those
+   * that failed lately are left
    * out, but for a stage that would have none: a failure is better than none
    * of them.
    */
   open(ask: PlacementAsk, now: number): EngineState[] {
-    const able = this.all().filter(
-      (item) => item.changesUntil <= now && !ask.avoid.includes(item.view.id),
-    );
+    const { avoid, resting } = ask;
+    const able = this.all().filter(({ view, changesUntil }) => {
+      const isLeftOut = avoid.includes(view.id) || resting.includes(view.id);
+      return changesUntil <= now && !isLeftOut;
+    });
     const open = able.filter((item) => !item.isClosed(now));
     const stages = new Set(open.map((item) => item.view.stage));
     const lastResort = able.filter((item) => !stages.has(item.view.stage));
--- a/src/scheduling/placedRequests.ts
+++ b/src/scheduling/placedRequests.ts
@@ -33,7 +33,7 @@
 /** Reports on one request. */
 type RequestEvent = Extract<
   PlacementEvent,
-  { kind: "read" | "begun" | "ended" }
+  { kind: "read" | "begun" | "turned-away" | "ended" }
 >;
 
 export class PlacedRequests {
@@ -85,6 +85,8 @@
         runner.remember(parts);
         runner.judge(true, now);
         return;
+      case "turned-away":
+        return this.giveBack(event.id, placed, now);
       case "ended":
         this.end(event.id, placed, event, now);
         return;
@@ -98,6 +100,20 @@
     }
   }
 
+  /**
+   * An engine wanted no work: nothing was read or run there, and that says
+   * nothing of its health or pace.
+   */
+  private giveBack(id: string, placed: Placed, now: number): void {
+    const { reader, runner, parts } = placed;
+    this.placed.delete(id);
+    reader?.endRead(id, false, now);
+    reader?.forget(parts);
+    runner.endRead(id, false, now);
+    runner.forget(parts);
+    runner.endRun(id);
+  }
+
   private end(
     id: string,
     placed: Placed,
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -84,6 +84,10 @@
   deadlineLeftMs: ask.deadlineLeftMs - (now - arrivedAt),
 });
 
+/** Whether none of these reads, or none makes tokens. */
+const lacksStage = (open: readonly EngineState[]): boolean =>
+  new Set(open.map((item) => item.view.stage)).size < STAGES.length;
+
 export class EngineScheduler {
   private readonly placed = new PlacedRequests();
   private readonly fairness = new SizeFairness();
@@ -165,6 +169,10 @@
       ? undefined
       : this.start(choice, plan);
     if (grant !== undefined) return grant;
+    // Waiting ends no rest: the caller hears at once when to come back.
+    if (ask.resting.length > 0 && lacksStage(open)) {
+      return refuse(ask, "no-engine");
+    }
     const hasRunner = open.some((item) => hasRoom(ask, item, this.share()));
     const load = this.readingLoad(hasRunner, now);
     if (!this.queue.mayWait(item, load, now)) {
@@ -213,8 +221,7 @@
 
   private whyNot(open: readonly EngineState[]): RefusalCause {
     const share = this.share();
-    const stages = new Set(open.map((item) => item.view.stage));
-    if (stages.size < STAGES.length) return "no-engine";
+    if (lacksStage(open)) return "no-engine";
     const runners = open.filter((item) => item.view.stage === "decode");
     const hasSlot = runners.some(
       (item) => item.runCount * share + 1 <= item.view.slots,
--- a/src/scheduling/types.ts
+++ b/src/scheduling/types.ts
@@ -48,6 +48,8 @@
   isReturn: boolean;
   /** Engines that refused or failed this request. */
   avoid: string[];
+  /** Engines that want nothing from the process that asks, for now. */
+  resting: string[];
 }
 
 /** Where a request goes. */
@@ -90,6 +92,8 @@
   | { kind: "read"; id: string; ok: boolean }
   /** An engine does not do what its stage says: known too late. */
   | { kind: "wrong-stage"; id: string; engine: string }
+  /** An engine wanted no work from the process that sent it. */
+  | { kind: "turned-away"; id: string }
   /** An engine answers nothing, not even what it does. */
   | { kind: "silent"; id: string; engine: string }
   /** The runner has read the prompt itself and sent the first event. */
--- a/tests/gateway/engineCalls.test.ts
+++ b/tests/gateway/engineCalls.test.ts
@@ -4,6 +4,8 @@
 import type { CallerRequest } from "../../src/gateway/callerRequest.js";
 import { EngineCalls } from "../../src/gateway/engineCalls.js";
 import type { EngineCallsOptions } from "../../src/gateway/engineCalls.js";
+import { ReplicaClient } from "../../src/gateway/replicaClient.js";
+import type { ReplicaClientOptions } from "../../src/gateway/replicaClient.js";
 import { ReplicaSet } from "../../src/gateway/replicaSet.js";
 import { Cancellation } from "../../src/shared/cancellation.js";
 
@@ -21,12 +23,18 @@
     stage: "decode",
   });
   const sent: unknown[] = [];
-  const client = {
+  const upstream = {
     send: async (order: unknown) => {
       sent.push(order);
       return { kind: "failed", verdict: "not-run", why: "test" };
     },
   };
+  const now = () => 0;
+  const client = new ReplicaClient({
+    client: upstream,
+    replicas,
+    now,
+  } as unknown as ReplicaClientOptions);
   const form = { upstreamHeaders: () => [] };
   const ends = { follow: () => undefined };
   const calls = new EngineCalls({
@@ -50,10 +58,24 @@
       deadlineMs: leftMs,
       phase: "run",
     });
-  return { run, sent, cancellation };
+  return { run, sent, cancellation, replicas };
 };
 
 describe("sends to engines", () => {
+  const words = {
+    leaves: { isLeaving: true, restMs: undefined },
+    "wants a rest": { isLeaving: false, restMs: 1 },
+  };
+  for (const [says, word] of Object.entries(words)) {
+    it(`do not to one that says that it ${says}`, async () => {
+      const { run, sent, replicas } = setUp(500);
+      replicas.hear("dec-1", word, true, 0);
+      const outcome = await run();
+      expect(sent).to.deep.equal([]);
+      expect(outcome).to.include({ verdict: "not-run", isUnwilling: true });
+    });
+  }
+
   it("go out while the caller waits", async () => {
     const { run, sent } = setUp(500);
     await run();
--- a/tests/gateway/placement.test.ts
+++ b/tests/gateway/placement.test.ts
@@ -43,6 +43,7 @@
   priority: 0,
   isReturn: false,
   avoid: [],
+  resting: [],
 });
 
 const HELD: Grant = {
--- a/tests/gateway/scheduling.test.ts
+++ b/tests/gateway/scheduling.test.ts
@@ -48,6 +48,7 @@
     priority: 0,
     isReturn: false,
     avoid: [],
+    resting: [],
     ...more,
   };
 };
@@ -71,6 +72,8 @@
   return answer;
 };
 
+const turnedAway = (id: string) => ({ kind: "turned-away" as const, id });
+
 /** Asks until one is not granted; gives the number of grants. */
 const fill = (scheduler: EngineScheduler, more: Partial<PlacementAsk>) => {
   for (let count = 0; ; count += 1) {
@@ -421,3 +424,45 @@
     expect(limit.refusal("lookup", 9, 1000)).to.equal(undefined);
   });
 });
+
+describe("engines that want nothing from the process that asks", () => {
+  it("get nothing of it, and everything of others", () => {
+    const scheduler = newScheduler();
+    const resting = ["pre-1", "dec-1"];
+    const short = { parts: [], promptTokens: 2000 };
+    for (let count = 0; count < 3; count += 1) {
+      const grant = granted(scheduler.place(ask({ ...short, resting }), 0));
+      expect(grant).to.include({ reader: "pre-2", runner: "dec-2" });
+    }
+    const other = granted(scheduler.place(ask(short), 0));
+    expect(other).to.include({ reader: "pre-1", runner: "dec-1" });
+  });
+
+  it("get nothing also where they are the last of their stage", () => {
+    const scheduler = newScheduler();
+    const resting = ["pre-1", "pre-2"];
+    const answer = scheduler.place(ask({ resting }), 0);
+    expect(answer).to.include({ kind: "refused", why: "no-engine" });
+    expect(scheduler.waiting).to.equal(0);
+  });
+
+  it("are not taken for ill, nor for holding what they did not read", () => {
+    const scheduler = newScheduler();
+    const resting = ["pre-2", "dec-2"];
+    for (let count = 0; count < 8; count += 1) {
+      const one = ask({ resting });
+      granted(scheduler.place(one, 0));
+      scheduler.onEvent(turnedAway(one.id), 0);
+      scheduler.onEvent(ended(one.id, true), 0);
+    }
+    const [reader, runner] = ["pre-1", "dec-1"].map((id) =>
+      scheduler.engineStates().find(({ view }) => view.id === id),
+    );
+    expect(reader).to.include({ readCount: 0, runCount: 0 });
+    expect(runner).to.include({ readCount: 0, runCount: 0, runTokens: 0 });
+    for (const state of [reader, runner]) {
+      expect(state?.isClosed(0)).to.equal(false);
+      expect(state?.cachedTokens([{ key: "m/manual", tokens: 1 }])).to.equal(0);
+    }
+  });
+});
--- a/tests/gateway/upstreamClient.test.ts
+++ b/tests/gateway/upstreamClient.test.ts
@@ -29,8 +29,13 @@
     server.close();
   });
 
-  const send = (cancellation = new Cancellation(), to = address) =>
+  const send = (
+    cancellation = new Cancellation(),
+    to = address,
+    refusal?: () => string | undefined,
+  ) =>
     client.send({
+      refusal,
       service: "plain",
       address: to,
       method: "GET",
@@ -83,6 +88,49 @@
     expect(waiting).to.have.length(1);
   });
 
+  const refusals = {
+    "on a kept connection": async () => {
+      const first = send();
+      await untilWaiting(1);
+      waiting[0]?.end();
+      const outcome = await first;
+      if (outcome.kind === "reply") outcome.res.resume();
+    },
+    "on a new connection": async () => undefined,
+  };
+  for (const [where, prepare] of Object.entries(refusals)) {
+    it(`nothing leaves that is refused then, ${where}`, async () => {
+      await prepare();
+      const before = waiting.length;
+      const outcome = await send(new Cancellation(), address, () => "later");
+      expect(outcome).to.deep.equal({
+        kind: "failed",
+        verdict: "not-run",
+        why: "later",
+        isUnwilling: true,
+      });
+      // The next one goes, and is the only one that arrives.
+      void send();
+      await untilWaiting(before + 1);
+      expect(waiting).to.have.length(before + 1);
+    });
+  }
+
+  it("what waited for a connection is looked at when it leaves", async () => {
+    client.limitConnections("plain", 1);
+    let isWilling = true;
+    const refusal = () => (isWilling ? undefined : "it rests by now");
+    const first = send(new Cancellation(), address, refusal);
+    const second = send(new Cancellation(), address, refusal);
+    await untilWaiting(1);
+    isWilling = false;
+    waiting[0]?.end();
+    const outcome = await first;
+    if (outcome.kind === "reply") outcome.res.resume();
+    expect(await second).to.include({ verdict: "not-run", isUnwilling: true });
+    expect(waiting).to.have.length(1);
+  });
+
   it("a port where nobody listens: has not run", async () => {
     const free = http.createServer();
     const nobody = await listen(free, "127.0.0.1:0");
--- /dev/null
+++ b/tests/gateway/willingness.test.ts
@@ -0,0 +1,199 @@
+/** What is made of words that replicas say of themselves. Times are ms. */
+import { expect } from "chai";
+
+import { ReplicaSet } from "../../src/gateway/replicaSet.js";
+import type { Replica } from "../../src/gateway/index.js";
+import {
+  LONGEST_REST_MS,
+  UNPROVEN_MS,
+  Willingness,
+} from "../../src/gateway/willingness.js";
+
+const NO_WORD = { isLeaving: false, restMs: undefined };
+const LEAVES = { isLeaving: true, restMs: undefined };
+const rest = (restMs: number) => ({ isLeaving: false, restMs });
+const FOREVER = 1e15;
+
+const replica = (name: string, more: Partial<Replica> = {}): Replica => ({
+  id: name,
+  name,
+  bornAt: undefined,
+  service: "plain",
+  address: `10.0.0.1:${name.length}${name.charCodeAt(0)}`,
+  domain: "domain-1",
+  slots: 1,
+  state: "ready",
+  stage: undefined,
+  ...more,
+});
+
+describe("a replica's word", () => {
+  describe("that it leaves", () => {
+    it("counts for the rest of its life", () => {
+      const words = new Willingness();
+      expect(words.hear("a", LEAVES, true, 5)).to.equal("leaving");
+      expect(words.hear("a", NO_WORD, true, 6)).to.equal(undefined);
+      expect(words.hear("a", LEAVES, true, 7)).to.equal(undefined);
+      expect(words.refusal("a", FOREVER)).to.deep.equal({ kind: "leaving" });
+    });
+
+    it("counts for a short time where the answer is another's", () => {
+      const words = new Willingness();
+      words.hear("a", LEAVES, false, 0);
+      expect(words.refusal("a", UNPROVEN_MS - 1)?.kind).to.equal("leaving");
+      expect(words.refusal("a", UNPROVEN_MS)).to.equal(undefined);
+    });
+
+    it("counts for good once an answer of its own has said it too", () => {
+      const words = new Willingness();
+      words.hear("a", LEAVES, false, 0);
+      words.hear("a", LEAVES, true, 1);
+      expect(words.refusal("a", FOREVER)?.kind).to.equal("leaving");
+    });
+  });
+
+  describe("that it wants a rest", () => {
+    const words = () => {
+      const fresh = new Willingness();
+      fresh.hear("a", rest(100), true, 0);
+      return fresh;
+    };
+
+    it("counts for that time", () => {
+      const resting = { kind: "resting", untilMs: 100 };
+      expect(words().refusal("a", 99.9)).to.deep.equal(resting);
+      expect(words().refusal("a", 100)).to.equal(undefined);
+    });
+
+    for (const [what, word] of [
+      ["another", rest(100)],
+      ["a shorter one", rest(1)],
+    ] as const) {
+      it(`is not shortened by ${what} within it`, () => {
+        const fresh = words();
+        expect(fresh.hear("a", word, true, 50)).to.equal(undefined);
+        expect(fresh.refusal("a", 99)?.kind).to.equal("resting");
+      });
+    }
+
+    it("is prolonged by another within it", () => {
+      const fresh = words();
+      fresh.hear("a", rest(100), true, 50);
+      expect(fresh.refusal("a", 149)?.kind).to.equal("resting");
+    });
+
+    it("is not ended by an answer to what was under way", () => {
+      const fresh = words();
+      fresh.hear("a", NO_WORD, true, 50);
+      expect(fresh.refusal("a", 51)?.kind).to.equal("resting");
+      expect(fresh.take("a", 100)).to.equal(undefined);
+      expect(fresh.take("a", 101)?.kind).to.equal("resting");
+    });
+
+    it("of no time is none", () => {
+      expect(new Willingness().hear("a", rest(0), true, 0)).to.equal(undefined);
+    });
+
+    it("lasts no longer than the longest that is believed", () => {
+      const fresh = new Willingness();
+      fresh.hear("a", rest(Infinity), true, 0);
+      expect(fresh.refusal("a", LONGEST_REST_MS - 1)?.kind).to.equal("resting");
+      expect(fresh.refusal("a", LONGEST_REST_MS)).to.equal(undefined);
+    });
+
+    it("counts for a short time where the answer is another's", () => {
+      const fresh = new Willingness();
+      fresh.hear("a", rest(60_000), false, 0);
+      expect(fresh.refusal("a", UNPROVEN_MS)).to.equal(undefined);
+    });
+
+    it("ends with one send, and all others once that is answered", () => {
+      const fresh = words();
+      expect(fresh.take("a", 100)).to.equal(undefined);
+      expect(fresh.take("a", 101)?.kind).to.equal("resting");
+      expect(fresh.resting(101)).to.have.length(1);
+      fresh.hear("a", NO_WORD, true, 110);
+      expect(fresh.take("a", 111)).to.equal(undefined);
+      expect(fresh.take("a", 111)).to.equal(undefined);
+      expect(fresh.resting(111)).to.deep.equal([]);
+    });
+
+    it("ends with one send after the other while none is answered", () => {
+      const fresh = words();
+      const taken: number[] = [];
+      for (let at = 0; at < 3000; at += 1) {
+        if (fresh.take("a", at) === undefined) taken.push(at);
+      }
+      expect(taken).to.deep.equal([100, 1100, 2100]);
+    });
+  });
+
+  it("is forgotten with the oldest of many lives", () => {
+    const words = new Willingness();
+    for (let life = 0; life < 20_000; life += 1) {
+      words.hear(`life-${life}`, rest(1e6), true, 0);
+    }
+    expect(words.resting(1).length).to.be.at.most(10_000);
+    expect(words.refusal("life-19999", 1)?.kind).to.equal("resting");
+  });
+});
+
+describe("replicas that have said something of themselves", () => {
+  const put = (replicas: ReplicaSet, ...items: Replica[]) => {
+    for (const item of items) replicas.put(item);
+  };
+  const names = (replicas: ReplicaSet, now: number) =>
+    replicas.usable("plain", now).map(({ name }) => name);
+
+  it("are left out, whatever the list says of them afterwards", () => {
+    const replicas = new ReplicaSet();
+    put(replicas, replica("a"), replica("b"));
+    replicas.hear("a", LEAVES, true, 0);
+    expect(names(replicas, 1)).to.deep.equal(["b"]);
+    replicas.put(replica("a"), 9);
+    expect(names(replicas, 2)).to.deep.equal(["b"]);
+    replicas.replace([{ replica: replica("b") }], 3, false);
+    put(replicas, replica("a"));
+    expect(names(replicas, 4)).to.deep.equal(["b"]);
+    expect(replicas.refusal("a", 4)).to.be.a("string");
+  });
+
+  it("are used in their next life, and others at their address", () => {
+    const replicas = new ReplicaSet();
+    put(replicas, replica("a", { id: "a@1", bornAt: 1 }));
+    replicas.hear("a@1", LEAVES, true, 0);
+    expect(names(replicas, 1)).to.deep.equal([]);
+    put(replicas, replica("a", { id: "a@2", bornAt: 2 }));
+    expect(names(replicas, 1)).to.deep.equal(["a"]);
+    const { address } = replica("a");
+    put(replicas, replica("next", { address }));
+    expect(replicas.refusal("next", 1)).to.equal(undefined);
+  });
+
+  it("that they leave are used for a short time where there is no other", () => {
+    const replicas = new ReplicaSet(1000);
+    put(replicas, replica("a"), replica("b"));
+    replicas.hear("a", LEAVES, true, 0);
+    expect(names(replicas, 10)).to.deep.equal(["b"]);
+    replicas.hear("b", LEAVES, true, 500);
+    expect(names(replicas, 999)).to.deep.equal(["a", "b"]);
+    expect(replicas.usableUntil(999)).to.equal(1000);
+    expect(names(replicas, 1000)).to.deep.equal(["b"]);
+    expect(names(replicas, 1500)).to.deep.equal([]);
+    expect(replicas.refusal("b", 1500)).to.be.a("string");
+  });
+
+  it("that they want a rest tell when the first may be used", () => {
+    const replicas = new ReplicaSet();
+    put(replicas, replica("a"), replica("b"), replica("c", { service: "s" }));
+    replicas.hear("a", rest(300), true, 0);
+    expect(replicas.allRestLeftMs("plain", 0)).to.equal(0);
+    replicas.hear("b", rest(200), true, 0);
+    expect(replicas.allRestLeftMs("plain", 50)).to.equal(150);
+    expect(replicas.allRestLeftMs("s", 50)).to.equal(0);
+    expect(replicas.resting("plain", 50).map(({ id }) => id)).to.deep.equal([
+      "a",
+      "b",
+    ]);
+  });
+});
