Words of replicas reach the holder, last an hour, and outlive the list's

The change: asks name all engines that want nothing of their entry, leaving ones too; entries tell the holder of an engine that leaves, so that it is granted to nobody and gets no order. 'draining' in the list is such a word as well and 'ready' does not take it back; a next life does, or an hour. Where all replicas of a service leave, they are used for half of the time for which they go on serving (drainMs), then callers are refused at once.

--- a/bench/player/play.ts
+++ b/bench/player/play.ts
@@ -110,7 +110,7 @@
     return {
       id,
       service: "model",
-      resting: [],
+      unwilling: [],
       route: kind.name,
       domain: "one",
       model: "m",
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -37,6 +37,12 @@
 /** Part of its VM's processor time that an entry may use to place for all. */
 const PLACING_PART = 0.5;
 
+/**
+ * Part of the time for which a leaving replica goes on serving in which it is
+ * used where there is no other; the rest covers callers' way to it.
+ */
+const LAST_RESORT_PART = 0.5;
+
 export interface GatewaySettings {
   /** Name of this process, unique in the fleet. */
   id: string;
@@ -57,6 +63,8 @@
   keyBounds: KeyBounds;
   /** Undefined where the platform wants no usage report. */
   usage: UsageWindows | undefined;
+  /** How long a replica goes on serving after its word that it leaves, ms. */
+  drainMs: number;
   /** From the signal to stop until the process is ended, ms. */
   graceMs: number;
 }
@@ -69,9 +77,14 @@
   const { domain, id } = settings;
   const supervisor = new Supervisor(log);
   const upstream = new UpstreamClient();
-  const state = new GatewayState(source, log, now, leaseNow, (config) => {
-    server.setLimits(config.limits);
-  });
+  const state = new GatewayState(
+    source,
+    log,
+    now,
+    leaseNow,
+    (config) => server.setLimits(config.limits),
+    settings.drainMs * LAST_RESORT_PART,
+  );
   const { replicas } = state;
   const client = new ReplicaClient({
     client: upstream,
@@ -102,6 +115,10 @@
   });
   const budgets = new RetryBudgets(settings.retry, now);
   const { placement } = role;
+  client.onLeaving = ({ id: engine, service }) => {
+    if (!state.engineServices().includes(service)) return;
+    placement.note(service, { kind: "leaving", id: "", engine });
+  };
   const { ends, quarantine } = createQuarantineRole(id, parts, state, upstream);
   state.onUnreadable = (what) => metrics.count("unreadable", { what });
   const shared = {
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -38,7 +38,7 @@
 }
 
 export class GatewayState {
-  readonly replicas = new ReplicaSet();
+  readonly replicas: ReplicaSet;
   private readonly freshness = new ConfigFreshness();
   private table: RouteTable | undefined;
   /** The stored object of the configuration in force. */
@@ -61,7 +61,11 @@
     /** For the age of proofs; see `newLeaseClock`. */
     private readonly leaseNow: () => number,
     private readonly onConfig: (config: GatewayConfig) => void,
-  ) {}
+    /** See `ReplicaSet`. */
+    lastResortMs = 0,
+  ) {
+    this.replicas = new ReplicaSet(lastResortMs);
+  }
 
   get routes(): RouteTable | undefined {
     return this.table;
@@ -166,7 +170,8 @@
     }
     const replica = this.readReplica(item);
     if (replica === undefined) return;
-    this.logChanges(this.replicas.put(replica, item.revision));
+    const changes = this.replicas.put(replica, item.revision, this.now());
+    this.logChanges(changes);
   }
 
   /** Gives up replicas that vanished and did not come back. */
--- a/src/gateway/replicaSet.ts
+++ b/src/gateway/replicaSet.ts
@@ -7,7 +7,7 @@
  */
 import type { EngineReport, Replica, ReplicaWord } from "./types.js";
 import { Willingness } from "./willingness.js";
-import type { Unwilling, WordChange } from "./willingness.js";
+import type { Unwilling, UnwillingLife, WordChange } from "./willingness.js";
 
 /**
  * How long a replica is used after its entry vanished in trouble, ms. Living
@@ -90,7 +90,7 @@
    * A replica wrote its entry; `revision`: of that change in the store. A
    * newer life ends the one before; words of an older one come too late.
    */
-  put(entry: Replica, revision = 0): ReplicaChange[] {
+  put(entry: Replica, revision = 0, now = 0): ReplicaChange[] {
     const before = this.byName(entry.name);
     const replica = inLifeOf(entry, before?.replica);
     const known = this.known.get(replica.id);
@@ -102,6 +102,8 @@
     if (before !== undefined && before !== known) {
       changes.push(this.delete(before.replica));
     }
+    // A store that comes back from a copy may say `ready` of it once more.
+    if (replica.state === "draining") this.willingness.leave(replica.id, now);
     this.revision += 1;
     this.lives.set(replica.name, replica.id);
     this.known.set(replica.id, {
@@ -149,7 +151,7 @@
       if (change !== undefined) changes.push(change);
     }
     for (const { replica, revision } of listed) {
-      changes.push(...this.put(replica, revision));
+      changes.push(...this.put(replica, revision, now));
     }
     return changes;
   }
@@ -217,12 +219,26 @@
     return this.refusalFor(id, now, this.willingness.take(id, now));
   }
 
-  /** Replicas of a service that rest, and when that ends. */
-  resting(service: string, now: number): { id: string; untilMs: number }[] {
-    return this.willingness.resting(now).flatMap(({ life: id, untilMs }) => {
-      const isOfService = this.get(id)?.service === service;
-      return isOfService ? [{ id, untilMs }] : [];
-    });
+  /** Replicas of a service that want no work of this process now. */
+  unwilling(service: string, now: number): string[] {
+    return this.spoken(service, now).flatMap(({ life }) =>
+      this.refusal(life, now) === undefined ? [] : [life],
+    );
+  }
+
+  /** Instants at which rests of a service's replicas end. */
+  restEnds(service: string, now: number): Map<string, number> {
+    const ends = new Map<string, number>();
+    for (const { life, why } of this.spoken(service, now)) {
+      if (why.kind === "resting") ends.set(life, why.untilMs);
+    }
+    return ends;
+  }
+
+  /** Replicas of a service that have said something that counts. */
+  private spoken(service: string, now: number): UnwillingLife[] {
+    const all = this.willingness.all(now);
+    return all.filter(({ life }) => this.get(life)?.service === service);
   }
 
   /** Whether it wants no work now. */
@@ -232,9 +248,7 @@
 
   /** Where all that may be used rest: time until the first end, ms; else 0. */
   allRestLeftMs(service: string, now: number): number {
-    const rests = new Map(
-      this.resting(service, now).map(({ id, untilMs }) => [id, untilMs]),
-    );
+    const rests = this.restEnds(service, now);
     const ends = this.usable(service, now).map(
       ({ id }) => rests.get(id) ?? now,
     );
--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -116,7 +116,7 @@
   /** Where engines rest, none takes it before the first of them may. */
   private retryAfterMs({ service }: CallerRequest, answer: Refusal): number {
     const { replicas, now, rng } = this.options;
-    const ends = replicas.resting(service, now()).map((item) => item.untilMs);
+    const ends = [...replicas.restEnds(service, now()).values()];
     if (answer.why !== "no-engine" || ends.length === 0) {
       return answer.retryAfterMs;
     }
@@ -125,9 +125,10 @@
 
   /** Where it goes; undefined if it was cancelled before that was known. */
   private place(journey: Journey): Promise<PlacementAnswer | undefined> {
-    const { placement } = this.options;
+    const { placement, replicas, domain, now } = this.options;
     const { caller, grantId } = journey;
     const { service } = caller;
+    const unwilling = replicas.unwilling(service, now());
     return new Promise((resolve, reject) => {
       const off = caller.cancellation.onCancel(() => {
         placement.withdraw(service, grantId);
@@ -140,18 +141,10 @@
         const isGranted = answer.kind === "granted";
         if (isGranted) placement.note(service, endedUnused(grantId));
       };
-      placement
-        .place(askOf(journey, this.options.domain, this.resting(service)))
-        .then(onAnswer, reject);
+      placement.place(askOf(journey, domain, unwilling)).then(onAnswer, reject);
     });
   }
 
-  /** Engines that want nothing from this entry for now. */
-  private resting(service: string): string[] {
-    const { replicas, now } = this.options;
-    return replicas.resting(service, now()).map(({ id }) => id);
-  }
-
   private async carryOut(journey: Journey, grant: Grant): Promise<Round> {
     const { caller } = journey;
     if (caller.cancellation.isCancelled) return overdueRound(journey);
--- a/src/gateway/willingness.ts
+++ b/src/gateway/willingness.ts
@@ -12,10 +12,11 @@
 /** Lives whose words are remembered, the newest first; 3,400 are expected. */
 const MAX_LIVES = 8192;
 /**
- * A longer rest counts as this, ms: a day that is meant for another unit must
- * not outlast the day. All that a replica asks below it is kept to.
+ * No word counts for longer, ms. A replica that leaves ends within seconds: one
+ * that answers after an hour without saying so did not. A rest of more was
+ * meant in another unit; all that is asked below it is kept to.
  */
-export const LONGEST_REST_MS = 3_600_000;
+export const LONGEST_WORD_MS = 3_600_000;
 /**
  * What an answer says that belongs to another request counts for so long, ms.
  * Believed for good, one garbled answer would take a replica from service;
@@ -31,13 +32,19 @@
   /** `untilMs`: instant at which the rest ends. */
   | { kind: "resting"; untilMs: number };
 
+/** A life that gets nothing at the moment. */
+export interface UnwillingLife {
+  life: string;
+  why: Unwilling;
+}
+
 /** What an answer has changed; undefined: nothing. */
 export type WordChange = Unwilling["kind"] | undefined;
 
 interface Known {
   /** First word that it leaves; undefined: none. */
   leavingSince: number | undefined;
-  /** Until when the word that it leaves counts; Infinity: for good. */
+  /** Until when the word that it leaves counts. */
   leavingUntil: number;
   restUntil: number;
   /** Since the rest has ended no answer has come that asks for no further. */
@@ -56,8 +63,8 @@
 
 export class Willingness {
   private readonly known = new LRUCache<string, Known>({ max: MAX_LIVES });
-  /** Lives that rest, or are tried after it: few at any time. */
-  private readonly rests = new Set<string>();
+  /** Lives that leave, rest or are tried after it: few at any time. */
+  private readonly unwilling = new Set<string>();
 
   /** `isProven`: the answer belongs to the request that was sent. */
   hear(
@@ -69,15 +76,16 @@
     const before = this.known.get(life);
     const { isLeaving, restMs = 0 } = word;
     if (!isLeaving && restMs <= 0) {
-      if (before !== undefined) this.endTrial(life, before, now);
+      if (before !== undefined) endTrial(before, now);
       return undefined;
     }
     const known = { ...(before ?? NOTHING) };
     const wasLeaving = known.leavingUntil > now;
     const wasResting = known.restUntil > now;
-    if (isLeaving) this.noteLeaving(known, isProven, now);
-    if (restMs > 0) this.noteRest(life, known, restMs, isProven, now);
+    if (isLeaving) noteLeaving(known, isProven, now);
+    if (restMs > 0) noteRest(known, restMs, isProven, now);
     this.known.set(life, known);
+    this.unwilling.add(life);
     if (isLeaving && !wasLeaving) return "leaving";
     return restMs > 0 && !wasResting ? "resting" : undefined;
   }
@@ -89,7 +97,7 @@
 
   /** Why nothing is to be sent to it; undefined: it may be. */
   refusal(life: string, now: number): Unwilling | undefined {
-    const known = this.known.get(life);
+    const known = this.known.peek(life);
     if (known === undefined) return undefined;
     if (known.leavingUntil > now) return { kind: "leaving" };
     const untilMs = busyUntil(known, now);
@@ -99,7 +107,7 @@
   /** The same for a send that leaves now, which is the first after a rest. */
   take(life: string, now: number): Unwilling | undefined {
     const refusal = this.refusal(life, now);
-    const known = this.known.get(life);
+    const known = this.known.peek(life);
     if (refusal === undefined && known?.needsTrial === true) {
       known.trialUntil = now + TRIAL_MS;
     }
@@ -111,56 +119,54 @@
     return this.known.get(life)?.leavingSince;
   }
 
-  /** When the doubtful word that it leaves ends; Infinity: it was no doubt. */
+  /** Until when the word that it leaves counts. */
   leavingUntil(life: string): number {
     return this.known.get(life)?.leavingUntil ?? -Infinity;
   }
 
-  /** Lives that get nothing now since they rest, and until when. */
-  resting(now: number): { life: string; untilMs: number }[] {
-    const found: { life: string; untilMs: number }[] = [];
-    for (const life of this.rests) {
-      const known = this.known.peek(life);
-      if (known === undefined || !known.needsTrial) {
-        this.rests.delete(life);
-        continue;
-      }
-      const untilMs = busyUntil(known, now);
-      if (untilMs > now) found.push({ life, untilMs });
+  /** Lives that are to get nothing now, and why. */
+  all(now: number): UnwillingLife[] {
+    const found: UnwillingLife[] = [];
+    for (const life of this.unwilling) {
+      const why = this.refusal(life, now);
+      if (why !== undefined) found.push({ life, why });
+      else if (!this.mayFollow(life)) this.unwilling.delete(life);
     }
     return found;
   }
 
-  private noteLeaving(known: Known, isProven: boolean, now: number): void {
-    const until = isProven ? Infinity : now + UNPROVEN_MS;
-    known.leavingSince ??= now;
-    known.leavingUntil = Math.max(known.leavingUntil, until);
+  /** Whether it is still to be tried after its rest. */
+  private mayFollow(life: string): boolean {
+    return this.known.peek(life)?.needsTrial ?? false;
   }
+}
 
-  /** An answer within the rest that asks for another prolongs it. */
-  private noteRest(
-    life: string,
-    known: Known,
-    restMs: number,
-    isProven: boolean,
-    now: number,
-  ): void {
-    const longest = isProven ? LONGEST_REST_MS : UNPROVEN_MS;
-    const until = now + Math.min(restMs, longest);
-    known.restUntil = Math.max(known.restUntil, until);
-    known.needsTrial = true;
-    known.trialUntil = -Infinity;
-    this.rests.add(life);
-  }
+const noteLeaving = (known: Known, isProven: boolean, now: number): void => {
+  const longest = isProven ? LONGEST_WORD_MS : UNPROVEN_MS;
+  known.leavingSince ??= now;
+  known.leavingUntil = Math.max(known.leavingUntil, now + longest);
+};
 
-  /** What was under way when the rest was asked for does not end it. */
-  private endTrial(life: string, known: Known, now: number): void {
-    if (!known.needsTrial || known.restUntil > now) return;
-    known.needsTrial = false;
-    known.trialUntil = -Infinity;
-    this.rests.delete(life);
-  }
-}
+/** An answer within the rest that asks for another prolongs it. */
+const noteRest = (
+  known: Known,
+  restMs: number,
+  isProven: boolean,
+  now: number,
+): void => {
+  const longest = isProven ? LONGEST_WORD_MS : UNPROVEN_MS;
+  const until = now + Math.min(restMs, longest);
+  known.restUntil = Math.max(known.restUntil, until);
+  known.needsTrial = true;
+  known.trialUntil = -Infinity;
+};
+
+/** What was under way when the rest was asked for does not end it. */
+const endTrial = (known: Known, now: number): void => {
+  if (!known.needsTrial || known.restUntil > now) return;
+  known.needsTrial = false;
+  known.trialUntil = -Infinity;
+};
 
 /** All entries may be sent away at once: after a rest one send goes first. */
 const busyUntil = ({ restUntil, trialUntil }: Known, now: number): number =>
--- a/src/gen/snowgate.ts
+++ b/src/gen/snowgate.ts
@@ -112,7 +112,7 @@
   avoid: string[];
   route: string;
   /** Engines that want nothing from the process that asks, for now. */
-  resting: string[];
+  unwilling: string[];
 }
 
 /** A grant that is in use already: told to a new holder. */
@@ -126,12 +126,15 @@
 
 export interface PlaceEvent {
   id: string;
-  /** "read", "wrong-stage", "turned-away", "silent", "begun" or "ended". */
+  /**
+   * "read", "wrong-stage", "turned-away", "silent", "leaving", "begun"
+   * or "ended".
+   */
   kind: string;
   ok: boolean;
   /** Of "ended": from the send to the runner to the first event; 0: none. */
   tookMs: number;
-  /** Of "wrong-stage" and "silent": the engine that is meant. */
+  /** Of "wrong-stage", "silent" and "leaving": the engine that is meant. */
   engine: string;
 }
 
@@ -1483,7 +1486,7 @@
     isReturn: false,
     avoid: [],
     route: "",
-    resting: [],
+    unwilling: [],
   };
 }
 
@@ -1525,7 +1528,7 @@
     if (message.route !== "") {
       writer.uint32(98).string(message.route);
     }
-    for (const v of message.resting) {
+    for (const v of message.unwilling) {
       writer.uint32(106).string(v!);
     }
     return writer;
@@ -1645,7 +1648,7 @@
               break;
             }
 
-            message.resting.push(reader.string());
+            message.unwilling.push(reader.string());
             continue;
           }
         }
@@ -1696,8 +1699,8 @@
         ? object.avoid.map((e: any) => globalThis.String(e))
         : [],
       route: isSet(object.route) ? globalThis.String(object.route) : "",
-      resting: globalThis.Array.isArray(object?.resting)
-        ? object.resting.map((e: any) => globalThis.String(e))
+      unwilling: globalThis.Array.isArray(object?.unwilling)
+        ? object.unwilling.map((e: any) => globalThis.String(e))
         : [],
     };
   },
@@ -1740,8 +1743,8 @@
     if (message.route !== "") {
       obj.route = message.route;
     }
-    if (message.resting?.length) {
-      obj.resting = message.resting;
+    if (message.unwilling?.length) {
+      obj.unwilling = message.unwilling;
     }
     return obj;
   },
@@ -1763,7 +1766,7 @@
     message.isReturn = object.isReturn ?? false;
     message.avoid = object.avoid?.map((e) => e) || [];
     message.route = object.route ?? "";
-    message.resting = object.resting?.map((e) => e) || [];
+    message.unwilling = object.unwilling?.map((e) => e) || [];
     return message;
   },
 };
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -47,7 +47,7 @@
   priority: whole(ask.priority),
   isReturn: ask.isReturn,
   avoid: ask.avoid,
-  resting: ask.resting,
+  unwilling: ask.unwilling,
 });
 
 export const fromPlaceAsk = (service: string, ask: PlaceAsk): PlacementAsk => ({
@@ -70,7 +70,9 @@
   const { id, kind, ok, tookMs, engine } = event;
   if (kind === "begun" || kind === "turned-away") return { kind, id };
   if (kind === "read") return { kind, id, ok };
-  if (kind === "wrong-stage" || kind === "silent") return { kind, id, engine };
+  const isOfEngine =
+    kind === "wrong-stage" || kind === "silent" || kind === "leaving";
+  if (isOfEngine) return { kind, id, engine };
   if (kind === "ended") return { kind, id, ok, firstEventMs: tookMs };
   return undefined;
 };
--- a/src/placement/placementServer.ts
+++ b/src/placement/placementServer.ts
@@ -66,6 +66,8 @@
   leaseMark(service: string): LeaseMark | undefined;
   /** The newest configuration, for one that holds revision `known`. */
   configNews(known: number): ConfigNews | undefined;
+  /** An engine has told another process that it leaves. */
+  onLeaving(engine: string): void;
   /** What another process has counted. */
   onUsage(process: string, window: WindowCounts): void;
   log: Log;
@@ -215,6 +217,7 @@
     for (const told of call.events) {
       const event = fromPlaceEvent(told);
       if (event === undefined) continue;
+      if (event.kind === "leaving") this.options.onLeaving(event.engine);
       placement.note(service, event);
       if (event.kind === "ended") this.open.get(stream)?.delete(event.id);
     }
--- a/src/scheduling/enginePool.ts
+++ b/src/scheduling/enginePool.ts
@@ -64,9 +64,9 @@
    * of them.
    */
   open(ask: PlacementAsk, now: number): EngineState[] {
-    const { avoid, resting } = ask;
+    const { avoid, unwilling } = ask;
     const able = this.all().filter(({ view, changesUntil }) => {
-      const isLeftOut = avoid.includes(view.id) || resting.includes(view.id);
+      const isLeftOut = avoid.includes(view.id) || unwilling.includes(view.id);
       return changesUntil <= now && !isLeftOut;
     });
     const open = able.filter((item) => !item.isClosed(now));
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -170,7 +170,7 @@
       : this.start(choice, plan);
     if (grant !== undefined) return grant;
     // Waiting ends no rest: the caller hears at once when to come back.
-    if (ask.resting.length > 0 && lacksStage(open)) {
+    if (ask.unwilling.length > 0 && lacksStage(open)) {
       return refuse(ask, "no-engine");
     }
     const hasRunner = open.some((item) => hasRoom(ask, item, this.share()));
@@ -309,6 +309,8 @@
   }
 
   onEvent(event: PlacementEvent, now: number): void {
+    // The list of engines lacks it from now on.
+    if (event.kind === "leaving") return;
     if (event.kind === "wrong-stage") {
       return this.engines.doubt(event.engine, now);
     }
--- a/src/scheduling/types.ts
+++ b/src/scheduling/types.ts
@@ -49,7 +49,7 @@
   /** Engines that refused or failed this request. */
   avoid: string[];
   /** Engines that want nothing from the process that asks, for now. */
-  resting: string[];
+  unwilling: string[];
 }
 
 /** Where a request goes. */
@@ -94,6 +94,8 @@
   | { kind: "wrong-stage"; id: string; engine: string }
   /** An engine wanted no work from the process that sent it. */
   | { kind: "turned-away"; id: string }
+  /** An engine says that it leaves. */
+  | { kind: "leaving"; id: string; engine: string }
   /** An engine answers nothing, not even what it does. */
   | { kind: "silent"; id: string; engine: string }
   /** The runner has read the prompt itself and sent the first event. */
