Nothing rests on a revision that went back: positions are era and revision

Hypothesis: a store that comes back from a copy gives revisions out again, and every comparison, watch and conditional write of ours rests on revisions that only grow.

The change: the adapter reads the era of each answer and makes positions of era and revision, compared by era first, so that every use of a revision goes through them unchanged. A watch from an earlier era begins anew without a call and counts as trouble (what the copy lacks may be written again); a write bound to an earlier era is not sent ('went-back'), and one that meets the change by its own answer is not sure; an answer of an earlier era counts for nothing. Fences of leases taken in a later era are the store's positions: above all of before, also where no live process knows those or a late write has hidden one. A holder whose lease the copy holds goes on; one whose lease it lacks takes it again at once. A configuration older than the one held proves nothing. A usage report that was taken is not sent anew by the one who sent it.

--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -43,7 +43,10 @@
   private table: RouteTable | undefined;
   /** The stored object of the configuration in force. */
   private configItem: FeedItem | undefined;
-  /** Whether the newest one could not be read: the one held is not proven. */
+  /**
+   * The store's newest one could not be read, or is older than the one held:
+   * the one held is not proven.
+   */
   private isConfigBehind = false;
   private hasReplicas = false;
   /** Told of each object that can't be read, by what it should be. */
@@ -92,6 +95,8 @@
         if (isCurrent) this.configItem = item;
         return;
       }
+      // A store that has come back from a copy can't prove what is newest.
+      this.isConfigBehind = true;
       const fields = { known, offered: config.version };
       this.log.warn("older configuration ignored", fields);
       return;
--- a/src/gateway/quarantineStore.ts
+++ b/src/gateway/quarantineStore.ts
@@ -98,6 +98,8 @@
     if (result.kind === "conflict") {
       this.revision = result.current?.revision ?? ABSENT;
     }
+    // The next write finds out whether the store's copy has the object.
+    if (result.kind === "went-back") this.revision = ABSENT;
     return result.kind === "written";
   }
 
@@ -121,6 +123,7 @@
         return "conflict";
       case "refused":
       case "unknown":
+      case "went-back":
         return "failed";
     }
   }
--- a/src/placement/leaseKeeper.ts
+++ b/src/placement/leaseKeeper.ts
@@ -13,7 +13,7 @@
   seeLease,
 } from "../control/leaseState.js";
 import type { LeaseState } from "../control/leaseState.js";
-import { ABSENT } from "../store/index.js";
+import { ABSENT, fromPosition } from "../store/index.js";
 import type { FeedItem, ObjectFeed } from "../store/index.js";
 import type { ReadCost } from "../scheduling/index.js";
 import type { Log } from "../telemetry/index.js";
@@ -74,6 +74,8 @@
   /** Of the leases seen: a fence never falls, also past an unreadable one. */
   private highestEpoch = 0;
   private mustRead = true;
+  /** Position of the store when the lease was read last. */
+  private readAt = 0;
   /** Whether this process has sought it in this life. */
   private hasHeld = false;
   /** Since when it has been looking for a holder, ms. */
@@ -151,10 +153,21 @@
         return this.write(this.epoch, (this.stored?.beat ?? 0) + 1);
       case "take":
         if (now() - this.lookingSince < this.patienceMs) return;
-        return this.write(this.highestEpoch + 1, 0);
+        return this.write(this.nextEpoch, 0);
     }
   }
 
+  /**
+   * A store that has come back from a copy forgets epochs that orders have
+   * borne, and so may every process that knew them. Its positions go on, and
+   * each lease is taken behind the one before: they are fences that no holder
+   * of an earlier era has had, nor one that a late write has hidden.
+   */
+  private get nextEpoch(): number {
+    const { era } = fromPosition(this.readAt);
+    return Math.max(this.highestEpoch + 1, era > 0 ? this.readAt : 0);
+  }
+
   private get patienceMs(): number {
     const { patienceMs, firstPatienceMs } = this.options;
     return this.stored === undefined ? firstPatienceMs : patienceMs;
@@ -162,7 +175,8 @@
 
   private async read(): Promise<void> {
     const { feed, service } = this.options;
-    const { items } = await feed.list(LEASE_KIND);
+    const { items, revision } = await feed.list(LEASE_KIND);
+    this.readAt = revision;
     this.see(items.find((item) => item.name === service));
     this.mustRead = false;
   }
@@ -186,6 +200,8 @@
       this.lookingSince = now();
       this.state = { ...this.state, sentAt: undefined };
     }
+    // Its lease was newer than the copy that the store came back from.
+    if (wasHolder && item === undefined) this.lookingSince = -Infinity;
     if (wasHolder && !this.isHolder) {
       log.warn("lease lost", { service, holder: parsed.data?.holder });
     }
@@ -197,7 +213,8 @@
     const lease: StoredLease = { holder: self, epoch, beat, address, pace };
     const sentAt = { now: now(), leaseNow: leaseNow() };
     const result = await feed.write(LEASE_KIND, service, lease, this.revision);
-    if (result.kind !== "refused") this.hasHeld = true;
+    const isSent = result.kind !== "refused" && result.kind !== "went-back";
+    if (isSent) this.hasHeld = true;
     switch (result.kind) {
       case "written": {
         const isNew = !this.isHolder;
@@ -213,13 +230,12 @@
         return;
       case "refused":
       case "unknown":
+      case "went-back": {
         this.mustRead = true;
-        log.warn("lease not written", {
-          service,
-          epoch,
-          outcome: result.kind,
-          why: result.why,
-        });
+        const why = result.kind === "went-back" ? undefined : result.why;
+        const fields = { service, epoch, outcome: result.kind, why };
+        return log.warn("lease not written", fields);
+      }
     }
   }
 }
--- /dev/null
+++ b/src/store/eraLog.ts
@@ -0,0 +1,35 @@
+/** Tells operators of each change of the store's era, once. */
+import type { Log, Metrics } from "../telemetry/index.js";
+import type { EraNews } from "./position.js";
+
+/** Of an era that can't be read, in a log line. */
+const MAX_LOGGED_CHARS = 80;
+
+export const newEraLog = (
+  log: Log,
+  metrics: Metrics,
+): ((news: EraNews) => void) => {
+  let unread: string | undefined;
+  return (news) => {
+    switch (news.kind) {
+      case "same":
+        return;
+      case "first":
+        return log.info("era of the store", { era: news.era });
+      case "risen":
+        metrics.count("store_went_back", {});
+        return log.warn("the store has come back from a copy", {
+          from: news.from,
+          to: news.to,
+        });
+      case "past":
+        return metrics.count("store_answer_past", {});
+      case "unreadable": {
+        if (news.text === unread) return;
+        unread = news.text;
+        const said = news.text.slice(0, MAX_LOGGED_CHARS);
+        return log.warn("era of the store can't be read", { said });
+      }
+    }
+  };
+};
--- a/src/store/feed.ts
+++ b/src/store/feed.ts
@@ -14,7 +14,7 @@
 /** One stored object. */
 export interface FeedItem {
   name: string;
-  /** Revision of its last change. */
+  /** Position of its last change; see `position.ts`. */
   revision: number;
   value: unknown;
   /** What the system has written beside it; absent where nothing was read. */
@@ -26,7 +26,7 @@
   isRemoved: boolean;
 }
 
-/** A whole list, as of one revision of the store. */
+/** A whole list, as of one position of the store. */
 export interface FeedList {
   items: FeedItem[];
   revision: number;
@@ -35,8 +35,10 @@
 /** What came after a revision. */
 export type FeedChanges =
   | { kind: "changes"; changes: FeedChange[]; revision: number }
-  /** The store has forgotten what came after that revision. */
-  | { kind: "history-gone" };
+  /** The store has forgotten what came after that position. */
+  | { kind: "history-gone" }
+  /** The store has come back from a copy: that position says nothing. */
+  | { kind: "went-back" };
 
 /** What a conditional write of an object came to. */
 export type ConditionalWrite =
@@ -44,6 +46,11 @@
   | { kind: "conflict"; current: FeedItem | undefined }
   /** Refused before any effect. */
   | { kind: "refused"; why: string }
+  /**
+   * The store has come back from a copy since `expected` was read, and may
+   * have given that revision to another change: nothing was written.
+   */
+  | { kind: "went-back" }
   /** The answer was lost: it may have taken effect, or may do so later. */
   | { kind: "unknown"; why: string };
 
@@ -216,6 +223,13 @@
       this.revision = undefined;
       return;
     }
+    if (reply.kind === "went-back") {
+      log.warn("store went back: the list is read again", { kind });
+      this.revision = undefined;
+      // What its copy lacks may be written again within two seconds.
+      this.lastTroubleAt = now();
+      return;
+    }
     for (const change of reply.changes) {
       handlers.onChange(change, this.inTrouble);
     }
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -9,6 +9,9 @@
   WatchReply,
   WriteResult,
 } from "./types.js";
+export { newEraLog } from "./eraLog.js";
+export { fromPosition, StoreEra, toPosition } from "./position.js";
+export type { EraNews, StorePosition } from "./position.js";
 export { FeedWatch, watchWaitMs } from "./feed.js";
 export type {
   ConditionalWrite,
--- a/src/workspaces/usageReporter.ts
+++ b/src/workspaces/usageReporter.ts
@@ -70,6 +70,8 @@
   private mustRead = true;
   /** Whether the platform has taken the record from this process. */
   private isTaken = false;
+  /** The newest report that the platform has taken from this process. */
+  private taken: UsageRecord | undefined;
   /** First window for which this process is answerable. */
   private first: number | undefined;
   private pausedUntil = 0;
@@ -124,17 +126,29 @@
     this.isTaken = false;
     if (item === undefined) {
       this.record = undefined;
-      return;
+      return this.recall();
     }
     const parsed = recordSchema.safeParse(item.value);
     if (parsed.success) {
       this.record = parsed.data;
-      return;
+      return this.recall();
     }
     const why = parsed.error.message;
     this.options.log.error("last usage report can't be read", { why });
   }
 
+  /**
+   * A store that has come back from a copy may lack what was sent since: no
+   * window is reported a second time, with other counts.
+   */
+  private recall(): void {
+    const { taken } = this;
+    if (taken === undefined) return;
+    if ((this.record?.windowSeq ?? -Infinity) >= taken.windowSeq) return;
+    this.record = taken;
+    this.isTaken = true;
+  }
+
   private async report(windowSeq: number): Promise<void> {
     const { feed, ledger, log } = this.options;
     const record = { windowSeq, counts: ledger.total(windowSeq) };
@@ -167,6 +181,7 @@
     const { windowSeq, counts } = record;
     if (outcome.kind === "taken") {
       this.isTaken = true;
+      this.taken = record;
       const requests = Object.values(counts).reduce((sum, n) => sum + n, 0);
       log.info("usage reported", { windowSeq, requests, fence: current });
       return;
--- a/tests/workspaces/usage.test.ts
+++ b/tests/workspaces/usage.test.ts
@@ -122,6 +122,22 @@
     });
   });
 
+  it("is not sent anew where the store has forgotten the last ones", async () => {
+    const { reporter, ledger } = world.reporter("a", () => 3);
+    ledger.tell("p-1", { seq: first, counts: { large: 4 } });
+    const before = world.store.item;
+    await world.run(reporter, 20_000);
+    const sent = world.reported;
+    world.store.item = before;
+    world.store.next = "refused";
+    await world.run(reporter, 300);
+    world.store.next = "written";
+    await world.run(reporter, 20_000);
+    const all = world.reported;
+    expect(all.slice(0, sent.length)).to.deep.equal(sent);
+    expect(new Set(all).size).to.equal(all.length);
+  });
+
   it("is sent again as it was until it is taken", async () => {
     const { reporter, ledger } = world.reporter("a", () => 3);
     ledger.tell("p-1", { seq: first, counts: { large: 4 } });
