What replicas have said stands in a module of its own; rests hold in full

Behaviour: a rest is believed also from an answer that came in place of another (it ends by itself, and the replica did say it); an answer without an id counts as the replica's own. Engines that rest or leave get no order of stage from a holder that knows it, and count as lost to the planner.

--- a/src/gateway/engineRun.ts
+++ b/src/gateway/engineRun.ts
@@ -75,7 +75,7 @@
     if (reply.isNotRun) {
       res.resume();
       const why = `engine refused with ${reply.status}`;
-      if (this.options.replicas.isUnwilling(runner, now()))
+      if (this.options.replicas.words.isUnwilling(runner, now()))
         return this.news.turnedAway(journey, runner, "run", why);
       this.news.logFault(caller, runner, "run", why);
       return { kind: "failed", verdict: "not-run", why, avoid: runner };
--- a/src/gateway/plainFlow.ts
+++ b/src/gateway/plainFlow.ts
@@ -117,7 +117,7 @@
   /** Where all replicas rest, none of them takes it before the first end. */
   private retryAfterMs({ service }: CallerRequest): number | undefined {
     const { replicas, now, rng } = this.options;
-    const leftMs = replicas.allRestLeftMs(service, now());
+    const leftMs = replicas.words.allRestLeftMs(service, now());
     return leftMs > 0 ? afterRestMs(leftMs, rng) : undefined;
   }
 
@@ -139,7 +139,7 @@
   ): Replica | undefined {
     const { replicas, domain, now } = this.options;
     const usable = replicas.usable(caller.service, now()).filter(({ id }) => {
-      const isRefused = replicas.refusal(id, now()) !== undefined;
+      const isRefused = replicas.words.refusal(id, now()) !== undefined;
       return !isRefused && !tried.has(id);
     });
     const healthy = usable.filter(
@@ -255,7 +255,7 @@
   private faultOf({ id }: Replica, reply: ReplyHead): Fault {
     if (reply.isMisdirected) return "gone";
     const { replicas, now } = this.options;
-    return replicas.isUnwilling(id, now()) ? "unwilling" : "refused";
+    return replicas.words.isUnwilling(id, now()) ? "unwilling" : "refused";
   }
 
   private learn(id: string, attempt: Attempt, caller: CallerRequest): void {
--- a/src/gateway/promptReader.ts
+++ b/src/gateway/promptReader.ts
@@ -90,7 +90,8 @@
     if (reply.isNotRun || reply.status !== 200) {
       const why = `read refused with ${reply.status}`;
       const { replicas, now } = this.options;
-      const isUnwilling = reply.isNotRun && replicas.isUnwilling(reader, now());
+      const isUnwilling =
+        reply.isNotRun && replicas.words.isUnwilling(reader, now());
       return { kind: isUnwilling ? "unwilling" : "failed", why };
     }
     if (reply.requestId !== undefined && reply.requestId !== caller.head.id) {
--- a/src/gateway/replicaClient.ts
+++ b/src/gateway/replicaClient.ts
@@ -80,13 +80,13 @@
   /** Why it gets no work at the moment; undefined: it may. */
   refusal({ id }: Replica): string | undefined {
     const { replicas, now } = this.options;
-    return replicas.refusal(id, now());
+    return replicas.words.refusal(id, now());
   }
 
   /** The same for work that leaves now. */
   private refusalNow({ id }: Replica): string | undefined {
     const { replicas, metrics, now } = this.options;
-    const why = replicas.take(id, now());
+    const why = replicas.words.take(id, now());
     if (why !== undefined) metrics.count("kept_from_unwilling", {});
     return why;
   }
@@ -100,10 +100,11 @@
     const status = res.statusCode ?? 0;
     const word = form.readWord(status, res.headers);
     const { requestId: answered } = form.readReply(status, res.headers);
-    const isProven = requestId === undefined || answered === requestId;
+    const isOther = answered !== undefined && answered !== requestId;
+    const isProven = requestId === undefined || !isOther;
     const { id, service, address } = replica;
     if (word.unreadRest !== undefined) this.logUnread(id, word.unreadRest);
-    const change = replicas.hear(id, word, isProven, now());
+    const change = replicas.words.hear(id, word, isProven, now());
     if (change === undefined) return;
     metrics.count("replica_word", { says: change });
     const { restMs } = word;
--- a/src/gateway/replicaSet.ts
+++ b/src/gateway/replicaSet.ts
@@ -5,9 +5,8 @@
  * replica lives: it is kept for a short time, and given up if it does not
  * come back.
  */
-import type { EngineReport, Replica, ReplicaWord } from "./types.js";
-import { Willingness } from "./willingness.js";
-import type { Unwilling, UnwillingLife, WordChange } from "./willingness.js";
+import { ReplicaWords } from "./replicaWords.js";
+import type { EngineReport, Replica } from "./types.js";
 
 /**
  * How long a replica is used after its entry vanished in trouble, ms. Living
@@ -67,7 +66,8 @@
   replica.bornAt !== report.bornAt;
 
 export class ReplicaSet {
-  private readonly willingness = new Willingness();
+  /** What they have said of themselves. */
+  readonly words: ReplicaWords;
   /** By id of the life. */
   private readonly known = new Map<string, Known>();
   /** Ids of the lives that names stand for. */
@@ -76,11 +76,10 @@
   /** Grows with each change. */
   revision = 0;
 
-  /**
-   * `lastResortMs`: how long after its first word a replica that leaves is
-   * used where its service has no other.
-   */
-  constructor(private readonly lastResortMs = 0) {}
+  /** `lastResortMs`: see `Willingness`. */
+  constructor(lastResortMs = 0) {
+    this.words = new ReplicaWords(this, lastResortMs);
+  }
 
   get(id: string): Replica | undefined {
     return this.known.get(id)?.replica;
@@ -103,7 +102,7 @@
       changes.push(this.delete(before.replica));
     }
     // A store that comes back from a copy may say `ready` of it once more.
-    if (replica.state === "draining") this.willingness.leave(replica.id, now);
+    if (replica.state === "draining") this.words.leave(replica.id, now);
     this.revision += 1;
     this.lives.set(replica.name, replica.id);
     this.known.set(replica.id, {
@@ -189,96 +188,6 @@
     return gone;
   }
 
-  /**
-   * An answer of that life says this of it; `isProven`: the answer belongs to
-   * the request that was sent.
-   */
-  hear(
-    id: string,
-    word: ReplicaWord,
-    isProven: boolean,
-    now: number,
-  ): WordChange {
-    const change = this.willingness.hear(id, word, isProven, now);
-    if (change !== undefined) this.revision += 1;
-    return change;
-  }
-
-  /** Another process heard it say that it leaves. */
-  leave(id: string, now: number): void {
-    if (this.willingness.leave(id, now) !== undefined) this.revision += 1;
-  }
-
-  /** Why no work goes to it; undefined: it may get some. */
-  refusal(id: string, now: number): string | undefined {
-    return this.refusalFor(id, now, this.willingness.refusal(id, now));
-  }
-
-  /** The same for work that leaves now. */
-  take(id: string, now: number): string | undefined {
-    return this.refusalFor(id, now, this.willingness.take(id, now));
-  }
-
-  /** Replicas of a service that want no work of this process now. */
-  unwilling(service: string, now: number): string[] {
-    return this.spoken(service, now).flatMap(({ life }) =>
-      this.refusal(life, now) === undefined ? [] : [life],
-    );
-  }
-
-  /** Instants at which rests of a service's replicas end. */
-  restEnds(service: string, now: number): Map<string, number> {
-    const ends = new Map<string, number>();
-    for (const { life, why } of this.spoken(service, now)) {
-      if (why.kind === "resting") ends.set(life, why.untilMs);
-    }
-    return ends;
-  }
-
-  /** Replicas of a service that have said something that counts. */
-  private spoken(service: string, now: number): UnwillingLife[] {
-    const all = this.willingness.all(now);
-    return all.filter(({ life }) => this.get(life)?.service === service);
-  }
-
-  /** Whether it wants no work now. */
-  isUnwilling(id: string, now: number): boolean {
-    return this.willingness.refusal(id, now) !== undefined;
-  }
-
-  /** Where all that may be used rest: time until the first end, ms; else 0. */
-  allRestLeftMs(service: string, now: number): number {
-    const rests = this.restEnds(service, now);
-    const ends = this.usable(service, now).map(
-      ({ id }) => rests.get(id) ?? now,
-    );
-    return ends.length === 0 ? 0 : Math.min(...ends) - now;
-  }
-
-  private refusalFor(
-    id: string,
-    now: number,
-    unwilling: Unwilling | undefined,
-  ): string | undefined {
-    const known = this.known.get(id);
-    if (known === undefined || known.replica.state !== "ready") {
-      return "the replica is leaving or gone";
-    }
-    if (unwilling?.kind === "resting") return "the replica wants a rest";
-    const isLeaving = unwilling?.kind === "leaving";
-    if (!isLeaving || this.isLastResort(id, now)) return undefined;
-    return "the replica says that it leaves";
-  }
-
-  private isLeaving(id: string, now: number): boolean {
-    return this.willingness.refusal(id, now)?.kind === "leaving";
-  }
-
-  private isLastResort(id: string, now: number): boolean {
-    const since = this.willingness.leavingSince(id);
-    return since !== undefined && now - since < this.lastResortMs;
-  }
-
   /** Another one answered at its address: it is not used for a while. */
   deny(id: string, now: number): void {
     const known = this.known.get(id);
@@ -310,31 +219,22 @@
         vanishedAt !== undefined && now - vanishedAt >= VANISHED_KEEP_MS;
       if (!isLost) found.push(replica);
     }
-    const staying = found.filter(({ id }) => !this.isLeaving(id, now));
-    if (staying.length > 0) return staying;
-    return found.filter(({ id }) => this.isLastResort(id, now));
+    return this.words.staying(found, now);
   }
 
   /** Until when `usable` gives the same if nothing changes, ms. */
   usableUntil(now: number): number {
+    const { words } = this;
     let until = Infinity;
     for (const { replica, vanishedAt, deniedUntil } of this.known.values()) {
       if (deniedUntil > now) until = Math.min(until, deniedUntil);
-      until = Math.min(until, this.wordUntil(replica.id, now));
+      until = Math.min(until, words.leavingUntil(replica.id, now));
       if (vanishedAt === undefined) continue;
       until = Math.min(until, vanishedAt + VANISHED_KEEP_MS);
     }
     return until;
   }
 
-  /** Until when its word that it leaves means the same, ms. */
-  private wordUntil(id: string, now: number): number {
-    const since = this.willingness.leavingSince(id);
-    if (since === undefined) return Infinity;
-    const ends = [since + this.lastResortMs, this.willingness.leavingUntil(id)];
-    return Math.min(...ends.filter((end) => end > now));
-  }
-
   get size(): number {
     return this.known.size;
   }
--- a/src/gateway/stageKeeper.ts
+++ b/src/gateway/stageKeeper.ts
@@ -110,10 +110,14 @@
   }
 
   private plan(now: number): StageChange | undefined {
-    const { scheduler } = this.options;
+    const { scheduler, replicas } = this.options;
     const { demand } = this;
+    // One that rests is as lost for the while, and takes no order.
+    const engines = scheduler
+      .engineStates()
+      .filter(({ view }) => replicas.words.refusal(view.id, now) === undefined);
     return planStages({
-      engines: scheduler.engineStates().map((engine) => ({
+      engines: engines.map((engine) => ({
         ...engine.view,
         runs: engine.runCount,
         runTokens: engine.runTokens,
--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -116,7 +116,7 @@
   /** Where engines rest, none takes it before the first of them may. */
   private retryAfterMs({ service }: CallerRequest, answer: Refusal): number {
     const { replicas, now, rng } = this.options;
-    const ends = [...replicas.restEnds(service, now()).values()];
+    const ends = [...replicas.words.restEnds(service, now()).values()];
     if (answer.why !== "no-engine" || ends.length === 0) {
       return answer.retryAfterMs;
     }
@@ -128,7 +128,7 @@
     const { placement, replicas, domain, now } = this.options;
     const { caller, grantId } = journey;
     const { service } = caller;
-    const unwilling = replicas.unwilling(service, now());
+    const unwilling = replicas.words.unwilling(service, now());
     return new Promise((resolve, reject) => {
       const off = caller.cancellation.onCancel(() => {
         placement.withdraw(service, grantId);
--- a/src/gateway/willingness.ts
+++ b/src/gateway/willingness.ts
@@ -18,9 +18,10 @@
  */
 export const LONGEST_WORD_MS = 3_600_000;
 /**
- * What an answer says that belongs to another request counts for so long, ms.
- * Believed for good, one garbled answer would take a replica from service;
- * not believed at all, the next send to one that leaves would come too late.
+ * An answer that belongs to another request says that its replica leaves: that
+ * counts for so long, ms. Believed for an hour, one garbled answer would take a
+ * replica from service; not believed at all, the next send to one that leaves
+ * would come too late. A rest ends by itself and is always believed.
  */
 export const UNPROVEN_MS = 2000;
 /** The first send after a rest has this long to be answered, ms. */
@@ -66,6 +67,12 @@
   /** Lives that leave, rest or are tried after it: few at any time. */
   private readonly unwilling = new Set<string>();
 
+  /**
+   * `lastResortMs`: how long after its first word a replica that leaves is
+   * used where its service has no other.
+   */
+  constructor(private readonly lastResortMs = 0) {}
+
   /** `isProven`: the answer belongs to the request that was sent. */
   hear(
     life: string,
@@ -83,7 +90,7 @@
     const wasLeaving = known.leavingUntil > now;
     const wasResting = known.restUntil > now;
     if (isLeaving) noteLeaving(known, isProven, now);
-    if (restMs > 0) noteRest(known, restMs, isProven, now);
+    if (restMs > 0) noteRest(known, restMs, now);
     this.known.set(life, known);
     this.unwilling.add(life);
     if (isLeaving && !wasLeaving) return "leaving";
@@ -114,14 +121,19 @@
     return refusal;
   }
 
-  /** When it was first heard to leave; undefined: it wasn't, or not proven. */
-  leavingSince(life: string): number | undefined {
-    return this.known.get(life)?.leavingSince;
+  /** Whether it was heard to leave so lately that it may do as the last one. */
+  isLastResort(life: string, now: number): boolean {
+    const since = this.known.peek(life)?.leavingSince;
+    return since !== undefined && now - since < this.lastResortMs;
   }
 
-  /** Until when the word that it leaves counts. */
-  leavingUntil(life: string): number {
-    return this.known.get(life)?.leavingUntil ?? -Infinity;
+  /** Until when its word that it leaves means the same, ms. */
+  leavingUntil(life: string, now: number): number {
+    const { leavingSince: since, leavingUntil } =
+      this.known.peek(life) ?? NOTHING;
+    if (since === undefined) return Infinity;
+    const ends = [since + this.lastResortMs, leavingUntil];
+    return Math.min(...ends.filter((end) => end > now));
   }
 
   /** Lives that are to get nothing now, and why. */
@@ -148,14 +160,8 @@
 };
 
 /** An answer within the rest that asks for another prolongs it. */
-const noteRest = (
-  known: Known,
-  restMs: number,
-  isProven: boolean,
-  now: number,
-): void => {
-  const longest = isProven ? LONGEST_WORD_MS : UNPROVEN_MS;
-  const until = now + Math.min(restMs, longest);
+const noteRest = (known: Known, restMs: number, now: number): void => {
+  const until = now + Math.min(restMs, LONGEST_WORD_MS);
   known.restUntil = Math.max(known.restUntil, until);
   known.needsTrial = true;
   known.trialUntil = -Infinity;
--- a/tests/gateway/engineCalls.test.ts
+++ b/tests/gateway/engineCalls.test.ts
@@ -69,7 +69,7 @@
   for (const [says, word] of Object.entries(words)) {
     it(`do not to one that says that it ${says}`, async () => {
       const { run, sent, replicas } = setUp(500);
-      replicas.hear("dec-1", word, true, 0);
+      replicas.words.hear("dec-1", word, true, 0);
       const outcome = await run();
       expect(sent).to.deep.equal([]);
       expect(outcome).to.include({ verdict: "not-run", isUnwilling: true });
--- a/tests/gateway/willingness.test.ts
+++ b/tests/gateway/willingness.test.ts
@@ -101,10 +101,10 @@
       expect(fresh.refusal("a", LONGEST_WORD_MS)).to.equal(undefined);
     });
 
-    it("counts for a short time where the answer is another's", () => {
+    it("counts in full where the answer is another's: it ends by itself", () => {
       const fresh = new Willingness();
       fresh.hear("a", rest(60_000), false, 0);
-      expect(fresh.refusal("a", UNPROVEN_MS)).to.equal(undefined);
+      expect(fresh.refusal("a", 59_999)?.kind).to.equal("resting");
     });
 
     it("ends with one send, and all others once that is answered", () => {
@@ -148,14 +148,14 @@
   it("are left out, whatever the list says of them afterwards", () => {
     const replicas = new ReplicaSet();
     put(replicas, replica("a"), replica("b"));
-    replicas.hear("a", LEAVES, true, 0);
+    replicas.words.hear("a", LEAVES, true, 0);
     expect(names(replicas, 1)).to.deep.equal(["b"]);
     replicas.put(replica("a"), 9);
     expect(names(replicas, 2)).to.deep.equal(["b"]);
     replicas.replace([{ replica: replica("b") }], 3, false);
     put(replicas, replica("a"));
     expect(names(replicas, 4)).to.deep.equal(["b"]);
-    expect(replicas.refusal("a", 4)).to.be.a("string");
+    expect(replicas.words.refusal("a", 4)).to.be.a("string");
   });
 
   it("are left out where the list has said it and takes it back", () => {
@@ -163,42 +163,42 @@
     put(replicas, replica("a", { state: "draining" }));
     put(replicas, replica("a"), replica("b"));
     expect(names(replicas, 1)).to.deep.equal(["b"]);
-    expect(replicas.unwilling("plain", 1)).to.deep.equal(["a"]);
+    expect(replicas.words.unwilling("plain", 1)).to.deep.equal(["a"]);
   });
 
   it("are used in their next life, and others at their address", () => {
     const replicas = new ReplicaSet();
     put(replicas, replica("a", { id: "a@1", bornAt: 1 }));
-    replicas.hear("a@1", LEAVES, true, 0);
+    replicas.words.hear("a@1", LEAVES, true, 0);
     expect(names(replicas, 1)).to.deep.equal([]);
     put(replicas, replica("a", { id: "a@2", bornAt: 2 }));
     expect(names(replicas, 1)).to.deep.equal(["a"]);
     const { address } = replica("a");
     put(replicas, replica("next", { address }));
-    expect(replicas.refusal("next", 1)).to.equal(undefined);
+    expect(replicas.words.refusal("next", 1)).to.equal(undefined);
   });
 
   it("that they leave are used for a short time where there is no other", () => {
     const replicas = new ReplicaSet(1000);
     put(replicas, replica("a"), replica("b"));
-    replicas.hear("a", LEAVES, true, 0);
+    replicas.words.hear("a", LEAVES, true, 0);
     expect(names(replicas, 10)).to.deep.equal(["b"]);
-    replicas.hear("b", LEAVES, true, 500);
+    replicas.words.hear("b", LEAVES, true, 500);
     expect(names(replicas, 999)).to.deep.equal(["a", "b"]);
     expect(replicas.usableUntil(999)).to.equal(1000);
     expect(names(replicas, 1000)).to.deep.equal(["b"]);
     expect(names(replicas, 1500)).to.deep.equal([]);
-    expect(replicas.refusal("b", 1500)).to.be.a("string");
+    expect(replicas.words.refusal("b", 1500)).to.be.a("string");
   });
 
   it("that they want a rest tell when the first may be used", () => {
     const replicas = new ReplicaSet();
     put(replicas, replica("a"), replica("b"), replica("c", { service: "s" }));
-    replicas.hear("a", rest(300), true, 0);
-    expect(replicas.allRestLeftMs("plain", 0)).to.equal(0);
-    replicas.hear("b", rest(200), true, 0);
-    expect(replicas.allRestLeftMs("plain", 50)).to.equal(150);
-    expect(replicas.allRestLeftMs("s", 50)).to.equal(0);
-    expect(replicas.unwilling("plain", 50)).to.deep.equal(["a", "b"]);
+    replicas.words.hear("a", rest(300), true, 0);
+    expect(replicas.words.allRestLeftMs("plain", 0)).to.equal(0);
+    replicas.words.hear("b", rest(200), true, 0);
+    expect(replicas.words.allRestLeftMs("plain", 50)).to.equal(150);
+    expect(replicas.words.allRestLeftMs("s", 50)).to.equal(0);
+    expect(replicas.words.unwilling("plain", 50)).to.deep.equal(["a", "b"]);
   });
 });
