--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -66,6 +66,8 @@
   "hang",
   "stall",
 ];
+/** Rests that replicas ask for, as written; the last can't be read. */
+const RESTS = ["0.3", "1", "2.5", "0", "later"] as const;
 const LINK_DELAY_MS = 200;
 const MISBEHAVING_SHARE = 0.4;
 /** A leaving replica serves on for this long, ms, and a little longer. */
@@ -122,6 +124,7 @@
       const { now, records } = fleet;
       const subject = ofReplica(target);
       await fleet.addReplica(target.place);
+      target.standin.isLeaving = true;
       fleet.relist(target, "draining");
       records.news.push({ kind: "leaving", subject, at: now() });
       await last(LEAVE_MS, LEAVE_MS);
@@ -224,11 +227,71 @@
   }),
 ];
 
-/** `planned`: nothing but planned work. */
-export type FaultProfile = "planned" | "all";
+/** What replicas say of themselves, and a store that forgets. */
+const WORDS: readonly AnyFault[] = [
+  fault({
+    name: "replica wants a rest",
+    isPlanned: false,
+    target: anyReplica,
+    nameOf: ofReplica,
+    run: async (target, { draw, last, note }) => {
+      const rest = draw(RESTS) ?? "1";
+      note(rest);
+      target.standin.rest = rest;
+      target.misbehaviour = { behaviour: "refuse", share: MISBEHAVING_SHARE };
+      await last(300, 3000);
+      target.misbehaviour = undefined;
+    },
+  }),
+  fault({
+    name: "replica leaves while the store is away",
+    isPlanned: false,
+    target: anyReplica,
+    nameOf: ofReplica,
+    run: async (target, { fleet, last }) => {
+      const subject = ofReplica(target);
+      await fleet.addReplica(target.place);
+      fleet.store.mode = "busy";
+      target.standin.isLeaving = true;
+      target.state = "draining";
+      await last(500, LEAVE_MS);
+      fleet.store.mode = "up";
+      fleet.relist(target, "draining");
+      fleet.records.news.push({ kind: "leaving", subject, at: fleet.now() });
+      await last(LEAVE_MS, LEAVE_MS);
+      fleet.unlist(target);
+      fleet.removeReplica(target);
+    },
+  }),
+  fault({
+    name: "store back from a copy",
+    isPlanned: false,
+    target: () => "store",
+    nameOf: (name) => name,
+    run: async (_target, { fleet, last }) => {
+      const copy = fleet.store.copy();
+      await last(500, 4000);
+      fleet.store.mode = "silent";
+      await last(100, 1000);
+      fleet.store.comeBackFrom(copy);
+      fleet.store.mode = "up";
+      await last(100, 1500);
+      fleet.writeAgain();
+    },
+  }),
+];
+
+/** `planned`: nothing but planned work; `words`: those faults besides all. */
+export type FaultProfile = "planned" | "all" | "words";
+
+const FAULTS: Readonly<Record<FaultProfile, readonly AnyFault[]>> = {
+  planned: PLANNED,
+  all: [...PLANNED, ...UNPLANNED],
+  words: [...PLANNED, ...UNPLANNED, ...WORDS, ...WORDS],
+};
 
 export const faultsOf = (profile: FaultProfile): readonly AnyFault[] =>
-  profile === "planned" ? PLANNED : [...PLANNED, ...UNPLANNED];
+  FAULTS[profile];
 
 /** Strikes at times drawn from the seed until it is over; faults overlap. */
 export class FaultInjector {
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -7,6 +7,7 @@
 import { tmpdir } from "node:os";
 import path from "node:path";
 
+import { KINDS } from "../platform/names.js";
 import { putConfig, unlist } from "../platform/standins/caller.js";
 import { StandinReplica } from "../platform/standins/replica.js";
 import type { Arrival, Behaviour } from "../platform/standins/replica.js";
@@ -31,6 +32,8 @@
   /** Place that incarnations take one after the other. */
   place: string;
   misbehaviour: { behaviour: Behaviour; share: number } | undefined;
+  /** As its entry in the store says, or would say. */
+  state: "ready" | "draining";
 }
 
 const GRACE_MS = 3000;
@@ -109,6 +112,18 @@
     this.records.news.push({ kind: "configuration", subject, at: this.now() });
   }
 
+  /** What the operator and the replicas wrote is written again. */
+  writeAgain(): void {
+    putConfig(this.store, this.version);
+    const living = new Set(
+      this.replicas.map(({ standin }) => standin.options.id),
+    );
+    for (const name of this.store.names(KINDS.replicas)) {
+      if (!living.has(name)) this.store.remove(KINDS.replicas, name);
+    }
+    for (const replica of this.replicas) this.relist(replica);
+  }
+
   /** A new incarnation at a place; `engine-…` are model engines. */
   async addReplica(place: string): Promise<SoakReplica> {
     this.incarnations += 1;
@@ -125,6 +140,7 @@
       link,
       place,
       misbehaviour: undefined,
+      state: "ready",
     };
     standin.behave = (arrival) => this.behave(replica, arrival);
     standin.onOrder = ({ stage, holder, fence }) => {
@@ -139,7 +155,8 @@
   }
 
   /** Writes a replica's entry, unless it is gone. */
-  relist(replica: SoakReplica, state: "ready" | "draining" = "ready"): void {
+  relist(replica: SoakReplica, state = replica.state): void {
+    replica.state = state;
     if (!this.replicas.includes(replica)) return;
     replica.standin.register(this.store, state, replica.link.address);
   }
