--- a/bench/player/play.ts
+++ b/bench/player/play.ts
@@ -110,7 +110,7 @@
     return {
       id,
       service: "model",
-      unwilling: [],
+      unavailable: [],
       route: kind.name,
       domain: "one",
       model: "m",
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -66,8 +66,8 @@
   "hang",
   "stall",
 ];
-/** Rests that replicas ask for, as written; the last can't be read. */
-const RESTS = ["0.3", "1", "2.5", "0", "later"] as const;
+/** Back-offs that replicas ask for, as written; the last can't be read. */
+const BACK_OFFS = ["0.3", "1", "2.5", "0", "later"] as const;
 const LINK_DELAY_MS = 200;
 const MISBEHAVING_SHARE = 0.4;
 /** A leaving replica serves on for this long, ms, and a little longer. */
@@ -228,16 +228,16 @@
 ];
 
 /** What replicas say of themselves, and a store that forgets. */
-const WORDS: readonly AnyFault[] = [
+const SIGNALS: readonly AnyFault[] = [
   fault({
-    name: "replica wants a rest",
+    name: "replica asks for back-off",
     isPlanned: false,
     target: anyReplica,
     nameOf: ofReplica,
     run: async (target, { draw, last, note }) => {
-      const rest = draw(RESTS) ?? "1";
-      note(rest);
-      target.standin.rest = rest;
+      const backOff = draw(BACK_OFFS) ?? "1";
+      note(backOff);
+      target.standin.backOff = backOff;
       target.misbehaviour = { behaviour: "refuse", share: MISBEHAVING_SHARE };
       await last(300, 3000);
       target.misbehaviour = undefined;
@@ -281,13 +281,13 @@
   }),
 ];
 
-/** `planned`: nothing but planned work; `words`: those faults besides all. */
-export type FaultProfile = "planned" | "all" | "words";
+/** `planned`: nothing but planned work; `signals`: those faults besides all. */
+export type FaultProfile = "planned" | "all" | "signals";
 
 const FAULTS: Readonly<Record<FaultProfile, readonly AnyFault[]>> = {
   planned: PLANNED,
   all: [...PLANNED, ...UNPLANNED],
-  words: [...PLANNED, ...UNPLANNED, ...WORDS, ...WORDS],
+  signals: [...PLANNED, ...UNPLANNED, ...SIGNALS, ...SIGNALS],
 };
 
 export const faultsOf = (profile: FaultProfile): readonly AnyFault[] =>
--- a/soak/profile.ts
+++ b/soak/profile.ts
@@ -3,11 +3,11 @@
 
 /** Every third seed has planned work only, so that its promise is tested. */
 const PLANNED_EACH = 3;
-/** Of the others, those with this remainder have words of replicas besides. */
-const WORDS_EACH = 5;
-const WORDS_REMAINDER = 4;
+/** Of the others, those with this remainder have signals of replicas besides. */
+const SIGNALS_EACH = 5;
+const SIGNALS_REMAINDER = 4;
 
 export const profileOf = (seed: number): FaultProfile => {
   if (seed % PLANNED_EACH === 0) return "planned";
-  return seed % WORDS_EACH === WORDS_REMAINDER ? "words" : "all";
+  return seed % SIGNALS_EACH === SIGNALS_REMAINDER ? "signals" : "all";
 };
--- a/src/gateway/engineCalls.ts
+++ b/src/gateway/engineCalls.ts
@@ -28,7 +28,7 @@
       /** The engine is not to blame. */
       isBlameless?: boolean;
       /** Nothing was sent: the engine wants nothing now. */
-      isUnwilling?: boolean;
+      isUnavailable?: boolean;
     };
 
 /**
@@ -39,11 +39,11 @@
 const settledSockets = (): Promise<void> =>
   new Promise((resolve) => setImmediate(resolve));
 
-const unwilling = (why: string): EngineReply => ({
+const unavailable = (why: string): EngineReply => ({
   kind: "failed",
   verdict: "not-run",
   why,
-  isUnwilling: true,
+  isUnavailable: true,
 });
 
 export interface EngineCallsOptions {
@@ -83,7 +83,7 @@
     }
     await settledSockets();
     const refusal = client.refusal(replica);
-    if (refusal !== undefined) return unwilling(refusal);
+    if (refusal !== undefined) return unavailable(refusal);
     if (caller.leftMs() <= 0 || cancellation.isCancelled) {
       return { kind: "failed", verdict: "not-run", why: "its time is over" };
     }
--- a/src/gateway/engineNews.ts
+++ b/src/gateway/engineNews.ts
@@ -32,14 +32,14 @@
   }
 
   /** The engine wants no work now: it is not at fault, and holds no part. */
-  turnedAway(
+  rejected(
     journey: Journey,
     engine: string,
     phase: string,
     why: string,
   ): Round {
     const { caller, grantId } = journey;
-    const news = { kind: "turned-away" as const, id: grantId };
+    const news = { kind: "rejected" as const, id: grantId };
     this.options.placement.note(caller.service, news);
     this.logFault(caller, engine, phase, why);
     return {
--- a/src/gateway/engineRun.ts
+++ b/src/gateway/engineRun.ts
@@ -61,8 +61,8 @@
       if (sent.verdict !== "not-run") journey.runs += 1;
       if (caller.cancellation.isCancelled)
         return overdueRound(journey, sent.verdict);
-      if (sent.isUnwilling === true)
-        return this.news.turnedAway(journey, runner, "run", sent.why);
+      if (sent.isUnavailable === true)
+        return this.news.rejected(journey, runner, "run", sent.why);
       this.news.logFault(caller, runner, "run", sent.why);
       return { ...sent, avoid: runner };
     }
@@ -75,8 +75,8 @@
     if (reply.isNotRun) {
       res.resume();
       const why = `engine refused with ${reply.status}`;
-      if (this.options.replicas.words.isUnwilling(runner, now()))
-        return this.news.turnedAway(journey, runner, "run", why);
+      if (this.options.replicas.signals.isUnavailable(runner, now()))
+        return this.news.rejected(journey, runner, "run", why);
       this.news.logFault(caller, runner, "run", why);
       return { kind: "failed", verdict: "not-run", why, avoid: runner };
     }
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -63,7 +63,7 @@
   keyBounds: KeyBounds;
   /** Undefined where the platform wants no usage report. */
   usage: UsageWindows | undefined;
-  /** How long a replica goes on serving after its word that it leaves, ms. */
+  /** How long a replica goes on serving after its signal that it leaves, ms. */
   drainMs: number;
   /** From the signal to stop until the process is ended, ms. */
   graceMs: number;
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -13,7 +13,7 @@
   PromptShape,
   ReadHandle,
   Replica,
-  ReplicaWord,
+  ReplicaSignal,
   ReplyHead,
   Route,
   UpstreamSend,
--- a/src/gateway/journey.ts
+++ b/src/gateway/journey.ts
@@ -80,13 +80,13 @@
 };
 
 /**
- * What the scheduler has to know of it. `domain`: of this process; `unwilling`:
+ * What the scheduler has to know of it. `domain`: of this process; `unavailable`:
  * engines that want nothing from it for now.
  */
 export const askOf = (
   journey: Journey,
   domain: string,
-  unwilling: string[],
+  unavailable: string[],
 ): PlacementAsk => {
   const { caller, avoid, grantId } = journey;
   const { prompt } = caller.head;
@@ -111,6 +111,6 @@
     priority: caller.priority,
     isReturn: caller.isReturn,
     avoid,
-    unwilling,
+    unavailable,
   };
 };
--- a/src/gateway/placementRole.ts
+++ b/src/gateway/placementRole.ts
@@ -108,7 +108,7 @@
     isFresh: (service) => placement.isFresh(service),
     leaseMark: (service) => placement.leaseMark(service),
     configNews: (known) => state.configNews(known),
-    onLeaving: (engine) => state.replicas.words.leave(engine, now()),
+    onLeaving: (engine) => state.replicas.signals.leave(engine, now()),
     onUsage: (process, window) => duties?.onTold(process, window),
     log,
   });
--- a/src/gateway/plainFlow.ts
+++ b/src/gateway/plainFlow.ts
@@ -18,7 +18,7 @@
 import type { Replica, ReplyHead } from "./types.js";
 import { readWholeBody } from "./upstreamClient.js";
 import {
-  afterRestMs,
+  afterBackOffMs,
   failureOf,
   overdueFailure,
   replyFault,
@@ -51,16 +51,16 @@
   | { kind: "failed"; verdict: Verdict; why: string; fault: Fault };
 
 /**
- * What a failed send says of the replica; `unwilling`: nothing, but that it
+ * What a failed send says of the replica; `unavailable`: nothing, but that it
  * wants no work now.
  */
-type Fault = "unreachable" | "gone" | "refused" | "unwilling" | "broken";
+type Fault = "unreachable" | "gone" | "refused" | "unavailable" | "broken";
 
-const unwilling = (why: string): Attempt => ({
+const unavailable = (why: string): Attempt => ({
   kind: "failed",
   verdict: "not-run",
   why,
-  fault: "unwilling",
+  fault: "unavailable",
 });
 
 export class PlainFlow {
@@ -114,11 +114,11 @@
     caller.fail(failureOf(verdict, why, this.retryAfterMs(caller)));
   }
 
-  /** Where all replicas rest, none of them takes it before the first end. */
+  /** Where all replicas back off, none of them takes it before the first end. */
   private retryAfterMs({ service }: CallerRequest): number | undefined {
     const { replicas, now, rng } = this.options;
-    const leftMs = replicas.words.allRestLeftMs(service, now());
-    return leftMs > 0 ? afterRestMs(leftMs, rng) : undefined;
+    const leftMs = replicas.signals.allBackOffLeftMs(service, now());
+    return leftMs > 0 ? afterBackOffMs(leftMs, rng) : undefined;
   }
 
   /** A safe request that a replica failed may do better elsewhere. */
@@ -139,7 +139,7 @@
   ): Replica | undefined {
     const { replicas, domain, now } = this.options;
     const usable = replicas.usable(caller.service, now()).filter(({ id }) => {
-      const isRefused = replicas.words.refusal(id, now()) !== undefined;
+      const isRefused = replicas.signals.refusal(id, now()) !== undefined;
       return !isRefused && !tried.has(id);
     });
     const healthy = usable.filter(
@@ -161,7 +161,7 @@
   ): Promise<Attempt> {
     const { id } = replica;
     const refusal = this.options.client.refusal(replica);
-    if (refusal !== undefined) return unwilling(refusal);
+    if (refusal !== undefined) return unavailable(refusal);
     caller.sentTo.push(id);
     this.inFlight.set(id, (this.inFlight.get(id) ?? 0) + 1);
     try {
@@ -214,7 +214,7 @@
         (res) => form.readReply(res.statusCode ?? 0, res.headers).isNotRun,
       );
       if (outcome.kind === "failed") {
-        if (outcome.isUnwilling === true) return unwilling(outcome.why);
+        if (outcome.isUnavailable === true) return unavailable(outcome.why);
         const isSent = outcome.verdict !== "not-run";
         return { ...outcome, fault: isSent ? "broken" : "unreachable" };
       }
@@ -255,12 +255,14 @@
   private faultOf({ id }: Replica, reply: ReplyHead): Fault {
     if (reply.isMisdirected) return "gone";
     const { replicas, now } = this.options;
-    return replicas.words.isUnwilling(id, now()) ? "unwilling" : "refused";
+    return replicas.signals.isUnavailable(id, now())
+      ? "unavailable"
+      : "refused";
   }
 
   private learn(id: string, attempt: Attempt, caller: CallerRequest): void {
     if (caller.isCallerGone) return;
-    if (attempt.kind === "failed" && attempt.fault === "unwilling") return;
+    if (attempt.kind === "failed" && attempt.fault === "unavailable") return;
     const now = this.options.now();
     const health = this.healthOf(id);
     if (attempt.kind === "answer") {
--- a/src/gateway/promptReader.ts
+++ b/src/gateway/promptReader.ts
@@ -19,7 +19,7 @@
   | { kind: "read"; handle: ReadHandle }
   | { kind: "wrong-stage" }
   /** The engine wants no work now. */
-  | { kind: "unwilling"; why: string }
+  | { kind: "unavailable"; why: string }
   /** The engine does not answer at all. */
   | { kind: "silent" }
   | { kind: "failed"; why: string };
@@ -80,7 +80,7 @@
       cacheSource,
     });
     if (sent.kind === "failed") {
-      const kind = sent.isUnwilling === true ? "unwilling" : "failed";
+      const kind = sent.isUnavailable === true ? "unavailable" : "failed";
       return { kind, why: sent.why };
     }
     const { res, address } = sent;
@@ -90,9 +90,9 @@
     if (reply.isNotRun || reply.status !== 200) {
       const why = `read refused with ${reply.status}`;
       const { replicas, now } = this.options;
-      const isUnwilling =
-        reply.isNotRun && replicas.words.isUnwilling(reader, now());
-      return { kind: isUnwilling ? "unwilling" : "failed", why };
+      const isUnavailable =
+        reply.isNotRun && replicas.signals.isUnavailable(reader, now());
+      return { kind: isUnavailable ? "unavailable" : "failed", why };
     }
     if (reply.requestId !== undefined && reply.requestId !== caller.head.id) {
       return { kind: "failed", why: "the answer belongs to another request" };
--- a/src/gateway/replicaClient.ts
+++ b/src/gateway/replicaClient.ts
@@ -1,7 +1,7 @@
 /**
  * The one way to replicas: what each answer says of its replica is heard
  * here, whatever it was sent for, and looked at in the instant before work
- * leaves. Choices are made earlier, by others and on older words: a run is
+ * leaves. Choices are made earlier, by others and on older signals: a run is
  * granted while its prompt is still read elsewhere, and a request may wait
  * for a connection.
  */
@@ -21,9 +21,15 @@
 
 /** Of a header in a log line. */
 const MAX_LOGGED_CHARS = 80;
-/** Replicas whose unreadable words are remembered, to log each once. */
+/** Replicas whose unreadable signals are remembered, to log each once. */
 const MAX_UNREAD = 1024;
 
+/** Log lines of what a replica has come to say. */
+const MESSAGES = {
+  leaving: "replica is leaving",
+  "backing-off": "replica asks for back-off",
+} as const;
+
 /**
  * `work`: a request, an order, or a question that holds up the replica.
  * `question`: one that takes nothing of it.
@@ -64,7 +70,7 @@
     const isWork = purpose === "work";
     const why = isWork ? this.refusal(replica) : undefined;
     if (why !== undefined) {
-      return { kind: "failed", verdict: "not-run", why, isUnwilling: true };
+      return { kind: "failed", verdict: "not-run", why, isUnavailable: true };
     }
     const refusal = isWork ? () => this.refusalNow(replica) : undefined;
     const outcome = await client.send({
@@ -73,43 +79,51 @@
       address,
       refusal,
     });
-    if (outcome.kind === "reply") this.hear(replica, requestId, outcome.res);
+    if (outcome.kind === "reply") this.note(replica, requestId, outcome.res);
     return outcome;
   }
 
   /** Why it gets no work at the moment; undefined: it may. */
   refusal({ id }: Replica): string | undefined {
     const { replicas, now } = this.options;
-    return replicas.words.refusal(id, now());
+    return replicas.signals.refusal(id, now());
   }
 
   /** The same for work that leaves now. */
   private refusalNow({ id }: Replica): string | undefined {
     const { replicas, metrics, now } = this.options;
-    const why = replicas.words.take(id, now());
-    if (why !== undefined) metrics.count("kept_from_unwilling", {});
+    const why = replicas.signals.take(id, now());
+    if (why !== undefined) metrics.count("kept_from_unavailable", {});
     return why;
   }
 
-  private hear(
+  private note(
     replica: Replica,
     requestId: string | undefined,
     res: IncomingMessage,
   ): void {
     const { replicas, form, log, metrics, now } = this.options;
     const status = res.statusCode ?? 0;
-    const word = form.readWord(status, res.headers);
+    const signal = form.readSignal(status, res.headers);
     const { requestId: answered } = form.readReply(status, res.headers);
     const isOther = answered !== undefined && answered !== requestId;
     const isProven = requestId === undefined || !isOther;
     const { id, service, address } = replica;
-    if (word.unreadRest !== undefined) this.logUnread(id, word.unreadRest);
-    const change = replicas.words.hear(id, word, isProven, now());
+    if (signal.unreadBackOff !== undefined)
+      this.logUnread(id, signal.unreadBackOff);
+    const change = replicas.signals.note(id, signal, isProven, now());
     if (change === undefined) return;
-    metrics.count("replica_word", { says: change });
-    const { restMs } = word;
-    const fields = { replica: id, service, address, status, isProven, restMs };
-    log.info(`replica is ${change}`, fields);
+    metrics.count("replica_signal", { kind: change });
+    const { backOffMs } = signal;
+    const fields = {
+      replica: id,
+      service,
+      address,
+      status,
+      isProven,
+      backOffMs,
+    };
+    log.info(MESSAGES[change], fields);
     if (change === "leaving" && isProven) this.onLeaving(replica);
   }
 
@@ -117,6 +131,6 @@
     if (this.unread.get(replica) === text) return;
     this.unread.set(replica, text);
     const said = text.slice(0, MAX_LOGGED_CHARS);
-    this.options.log.warn("rest can't be read", { replica, said });
+    this.options.log.warn("back-off can't be read", { replica, said });
   }
 }
--- a/src/gateway/replicaSet.ts
+++ b/src/gateway/replicaSet.ts
@@ -5,7 +5,7 @@
  * replica lives: it is kept for a short time, and given up if it does not
  * come back.
  */
-import { ReplicaWords } from "./replicaWords.js";
+import { ReplicaSignals } from "./replicaSignals.js";
 import type { EngineReport, Replica } from "./types.js";
 
 /**
@@ -67,7 +67,7 @@
 
 export class ReplicaSet {
   /** What they have said of themselves. */
-  readonly words: ReplicaWords;
+  readonly signals: ReplicaSignals;
   /** By id of the life. */
   private readonly known = new Map<string, Known>();
   /** Ids of the lives that names stand for. */
@@ -76,9 +76,9 @@
   /** Grows with each change. */
   revision = 0;
 
-  /** `lastResortMs`: see `Willingness`. */
+  /** `lastResortMs`: see `Availability`. */
   constructor(lastResortMs = 0) {
-    this.words = new ReplicaWords(this, lastResortMs);
+    this.signals = new ReplicaSignals(this, lastResortMs);
   }
 
   get(id: string): Replica | undefined {
@@ -87,7 +87,7 @@
 
   /**
    * A replica wrote its entry; `revision`: of that change in the store. A
-   * newer life ends the one before; words of an older one come too late.
+   * newer life ends the one before; what an older one wrote come too late.
    */
   put(entry: Replica, revision = 0, now = 0): ReplicaChange[] {
     const before = this.byName(entry.name);
@@ -102,7 +102,7 @@
       changes.push(this.delete(before.replica));
     }
     // A store that comes back from a copy may say `ready` of it once more.
-    if (replica.state === "draining") this.words.leave(replica.id, now);
+    if (replica.state === "draining") this.signals.leave(replica.id, now);
     this.revision += 1;
     this.lives.set(replica.name, replica.id);
     this.known.set(replica.id, {
@@ -219,16 +219,16 @@
         vanishedAt !== undefined && now - vanishedAt >= VANISHED_KEEP_MS;
       if (!isLost) found.push(replica);
     }
-    return this.words.staying(found, now);
+    return this.signals.staying(found, now);
   }
 
   /** Until when `usable` gives the same if nothing changes, ms. */
   usableUntil(now: number): number {
-    const { words } = this;
+    const { signals } = this;
     let until = Infinity;
     for (const { replica, vanishedAt, deniedUntil } of this.known.values()) {
       if (deniedUntil > now) until = Math.min(until, deniedUntil);
-      until = Math.min(until, words.leavingUntil(replica.id, now));
+      until = Math.min(until, signals.leavingUntil(replica.id, now));
       if (vanishedAt === undefined) continue;
       until = Math.min(until, vanishedAt + VANISHED_KEEP_MS);
     }
--- a/src/gateway/replicaWords.ts
+++ b/src/gateway/replicaSignals.ts
@@ -1,13 +1,17 @@
 /**
  * What the listed replicas have said of themselves, as those ask who choose
- * one, send to one, or tell a caller when to come back. The words themselves
- * are judged by `Willingness`.
+ * one, send to one, or tell a caller when to come back. The signals themselves
+ * are judged by `Availability`.
  */
-import type { Replica, ReplicaWord } from "./types.js";
-import { Willingness } from "./willingness.js";
-import type { Unwilling, UnwillingLife, WordChange } from "./willingness.js";
+import type { Replica, ReplicaSignal } from "./types.js";
+import { Availability } from "./availability.js";
+import type {
+  Unavailable,
+  UnavailableLife,
+  SignalChange,
+} from "./availability.js";
 
-/** The list that the words are of. */
+/** The list that the signals are of. */
 export interface ListedReplicas {
   /** Grows with each change of what may be used. */
   revision: number;
@@ -15,112 +19,113 @@
   usable(service: string, now: number): Replica[];
 }
 
-export class ReplicaWords {
-  private readonly willingness: Willingness;
+export class ReplicaSignals {
+  private readonly availability: Availability;
 
-  /** `lastResortMs`: see `Willingness`. */
+  /** `lastResortMs`: see `Availability`. */
   constructor(
     private readonly replicas: ListedReplicas,
     lastResortMs: number,
   ) {
-    this.willingness = new Willingness(lastResortMs);
+    this.availability = new Availability(lastResortMs);
   }
 
   /**
    * An answer of that life says this of it; `isProven`: the answer belongs to
    * the request that was sent.
    */
-  hear(
+  note(
     id: string,
-    word: ReplicaWord,
+    signal: ReplicaSignal,
     isProven: boolean,
     now: number,
-  ): WordChange {
-    const change = this.willingness.hear(id, word, isProven, now);
+  ): SignalChange {
+    const change = this.availability.note(id, signal, isProven, now);
     if (change !== undefined) this.replicas.revision += 1;
     return change;
   }
 
   /** Another process heard it say that it leaves. */
   leave(id: string, now: number): void {
-    const change = this.willingness.leave(id, now);
+    const change = this.availability.leave(id, now);
     if (change !== undefined) this.replicas.revision += 1;
   }
 
   /** Why no work goes to it; undefined: it may get some. */
   refusal(id: string, now: number): string | undefined {
-    return this.refusalFor(id, now, this.willingness.refusal(id, now));
+    return this.refusalFor(id, now, this.availability.refusal(id, now));
   }
 
   /** The same for work that leaves now. */
   take(id: string, now: number): string | undefined {
-    return this.refusalFor(id, now, this.willingness.take(id, now));
+    return this.refusalFor(id, now, this.availability.take(id, now));
   }
 
   /** Replicas of a service that want no work of this process now. */
-  unwilling(service: string, now: number): string[] {
+  unavailable(service: string, now: number): string[] {
     return this.spoken(service, now).flatMap(({ life }) =>
       this.refusal(life, now) === undefined ? [] : [life],
     );
   }
 
-  /** Instants at which rests of a service's replicas end. */
-  restEnds(service: string, now: number): Map<string, number> {
+  /** Instants at which back-offs of a service's replicas end. */
+  backOffEnds(service: string, now: number): Map<string, number> {
     const ends = new Map<string, number>();
     for (const { life, why } of this.spoken(service, now)) {
-      if (why.kind === "resting") ends.set(life, why.untilMs);
+      if (why.kind === "backing-off") ends.set(life, why.untilMs);
     }
     return ends;
   }
 
   /** Replicas of a service that have said something that counts. */
-  private spoken(service: string, now: number): UnwillingLife[] {
-    const all = this.willingness.all(now);
+  private spoken(service: string, now: number): UnavailableLife[] {
+    const all = this.availability.all(now);
     return all.filter(
       ({ life }) => this.replicas.get(life)?.service === service,
     );
   }
 
   /** Whether it wants no work now. */
-  isUnwilling(id: string, now: number): boolean {
-    return this.willingness.refusal(id, now) !== undefined;
+  isUnavailable(id: string, now: number): boolean {
+    return this.availability.refusal(id, now) !== undefined;
   }
 
-  /** Where all that may be used rest: time until the first end, ms; else 0. */
-  allRestLeftMs(service: string, now: number): number {
-    const rests = this.restEnds(service, now);
+  /** Where all that may be used back off: time until the first end, ms; else 0. */
+  allBackOffLeftMs(service: string, now: number): number {
+    const backOffs = this.backOffEnds(service, now);
     const ends = this.replicas
       .usable(service, now)
-      .map(({ id }) => rests.get(id) ?? now);
+      .map(({ id }) => backOffs.get(id) ?? now);
     return ends.length === 0 ? 0 : Math.min(...ends) - now;
   }
 
   private refusalFor(
     id: string,
     now: number,
-    unwilling: Unwilling | undefined,
+    unavailable: Unavailable | undefined,
   ): string | undefined {
     if (this.replicas.get(id)?.state !== "ready") {
       return "the replica is leaving or gone";
     }
-    if (unwilling?.kind === "resting") return "the replica wants a rest";
-    const isLeaving = unwilling?.kind === "leaving";
-    if (!isLeaving || this.willingness.isLastResort(id, now)) return undefined;
+    if (unavailable?.kind === "backing-off")
+      return "the replica asks for back-off";
+    const isLeaving = unavailable?.kind === "leaving";
+    if (!isLeaving || this.availability.isLastResort(id, now)) return undefined;
     return "the replica says that it leaves";
   }
 
   /** Those that leave only where there is no other, and for a short time. */
   staying(replicas: Replica[], now: number): Replica[] {
-    const { willingness } = this;
+    const { availability } = this;
     const staying = replicas.filter(
-      ({ id }) => willingness.refusal(id, now)?.kind !== "leaving",
+      ({ id }) => availability.refusal(id, now)?.kind !== "leaving",
     );
     if (staying.length > 0) return staying;
-    return replicas.filter(({ id }) => willingness.isLastResort(id, now));
+    return replicas.filter(({ id }) => availability.isLastResort(id, now));
   }
 
-  /** Until when its word that it leaves means the same, ms. */
+  /** Until when its signal that it leaves means the same, ms. */
   leavingUntil(id: string, now: number): number {
-    return this.willingness.leavingUntil(id, now);
+    return this.availability.leavingUntil(id, now);
   }
 }
--- a/src/gateway/requestForm.ts
+++ b/src/gateway/requestForm.ts
@@ -8,7 +8,7 @@
   InboundHead,
   ReadHandle,
   Replica,
-  ReplicaWord,
+  ReplicaSignal,
   ReplyHead,
   UpstreamSend,
 } from "./types.js";
@@ -41,7 +41,7 @@
   ): string[];
   readReply(status: number, headers: IncomingHttpHeaders): ReplyHead;
   /** What any answer at a replica's address says of that replica. */
-  readWord(status: number, headers: IncomingHttpHeaders): ReplicaWord;
+  readSignal(status: number, headers: IncomingHttpHeaders): ReplicaSignal;
   /** Headers of a replica's answer that callers get. */
   answerHeaders(rawHeaders: readonly string[]): string[];
   failureAnswer(failure: RequestFailure, requestId: string): FailureAnswer;
--- a/src/gateway/stageKeeper.ts
+++ b/src/gateway/stageKeeper.ts
@@ -112,10 +112,12 @@
   private plan(now: number): StageChange | undefined {
     const { scheduler, replicas } = this.options;
     const { demand } = this;
-    // One that rests is as lost for the while, and takes no order.
+    // One that backs off is lost for the while, and takes no order.
     const engines = scheduler
       .engineStates()
-      .filter(({ view }) => replicas.words.refusal(view.id, now) === undefined);
+      .filter(
+        ({ view }) => replicas.signals.refusal(view.id, now) === undefined,
+      );
     return planStages({
       engines: engines.map((engine) => ({
         ...engine.view,
--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -24,7 +24,7 @@
 import { PromptReader } from "./promptReader.js";
 import type { RetryBudgets } from "./retryBudgets.js";
 import type { ReadHandle } from "./types.js";
-import { afterRestMs, failureOf } from "./verdicts.js";
+import { afterBackOffMs, failureOf } from "./verdicts.js";
 
 export interface StreamFlowOptions extends EngineCallsOptions {
   budgets: RetryBudgets;
@@ -113,14 +113,14 @@
     }
   }
 
-  /** Where engines rest, none takes it before the first of them may. */
+  /** Where engines back off, none takes it before the first of them may. */
   private retryAfterMs({ service }: CallerRequest, answer: Refusal): number {
     const { replicas, now, rng } = this.options;
-    const ends = [...replicas.words.restEnds(service, now()).values()];
+    const ends = [...replicas.signals.backOffEnds(service, now()).values()];
     if (answer.why !== "no-engine" || ends.length === 0) {
       return answer.retryAfterMs;
     }
-    return afterRestMs(Math.min(...ends) - now(), rng);
+    return afterBackOffMs(Math.min(...ends) - now(), rng);
   }
 
   /** Where it goes; undefined if it was cancelled before that was known. */
@@ -128,7 +128,7 @@
     const { placement, replicas, domain, now } = this.options;
     const { caller, grantId } = journey;
     const { service } = caller;
-    const unwilling = replicas.words.unwilling(service, now());
+    const unavailable = replicas.signals.unavailable(service, now());
     return new Promise((resolve, reject) => {
       const off = caller.cancellation.onCancel(() => {
         placement.withdraw(service, grantId);
@@ -141,7 +141,9 @@
         const isGranted = answer.kind === "granted";
         if (isGranted) placement.note(service, endedUnused(grantId));
       };
-      placement.place(askOf(journey, domain, unwilling)).then(onAnswer, reject);
+      placement
+        .place(askOf(journey, domain, unavailable))
+        .then(onAnswer, reject);
     });
   }
 
@@ -176,8 +178,8 @@
     if (read.kind === "wrong-stage")
       return this.news.wrongStage(journey, reader);
     if (read.kind === "silent") return this.news.silentRead(journey, reader);
-    if (read.kind === "unwilling" && !caller.cancellation.isCancelled)
-      return this.news.turnedAway(journey, reader, "read", read.why);
+    if (read.kind === "unavailable" && !caller.cancellation.isCancelled)
+      return this.news.rejected(journey, reader, "read", read.why);
     const ok = read.kind === "read";
     placement.note(caller.service, { kind: "read", id: grantId, ok });
     if (read.kind === "read") {
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -173,13 +173,13 @@
 }
 
 /** What an answer of a replica says of the replica itself. */
-export interface ReplicaWord {
+export interface ReplicaSignal {
   /** It is about to end. */
   isLeaving: boolean;
   /** It wants nothing from this process for so long, ms. */
-  restMs: number | undefined;
-  /** Text that asks for a rest and can't be read. */
-  unreadRest?: string;
+  backOffMs: number | undefined;
+  /** Text that asks for back-off and can't be read. */
+  unreadBackOff?: string;
 }
 
 /** What the head of a replica's answer says. */
--- a/src/gateway/upstreamClient.ts
+++ b/src/gateway/upstreamClient.ts
@@ -55,7 +55,7 @@
       verdict: Verdict;
       why: string;
       /** Nothing was sent: the replica wants nothing now. */
-      isUnwilling?: boolean;
+      isUnavailable?: boolean;
     };
 
 /** What a look at an address found. */
@@ -86,7 +86,7 @@
   send(order: UpstreamRequest): Promise<SendOutcome> {
     return new Promise((resolve) => {
       const { host, port } = splitAddress(order.address);
-      const isUnwilling = true;
+      const isUnavailable = true;
       let isConnected = false;
       let timer: NodeJS.Timeout | undefined;
       const fail = (why: string) => {
@@ -117,7 +117,7 @@
         clearTimeout(timer);
         const why = order.refusal?.();
         if (why !== undefined) {
-          resolve({ kind: "failed", verdict: "not-run", why, isUnwilling });
+          resolve({ kind: "failed", verdict: "not-run", why, isUnavailable });
           return void req.destroy();
         }
         isConnected = true;
--- a/src/gateway/verdicts.ts
+++ b/src/gateway/verdicts.ts
@@ -6,8 +6,8 @@
 
 /** When a caller may come back where no replica took the request, ms. */
 const BUSY_RETRY_MS = 400;
-/** Callers who were refused in one rest come back spread over this, ms. */
-const AFTER_REST_SPREAD_MS = 500;
+/** Callers who were refused in one back-off come back spread over this, ms. */
+const AFTER_BACK_OFF_SPREAD_MS = 500;
 /** When a caller may come back whose time ran out before it was sent, ms. */
 const OVERDUE_RETRY_MS = 1000;
 
@@ -29,11 +29,11 @@
 };
 
 /**
- * When a caller may come back who was refused since replicas rest, ms: past
- * the end of the rest, where one send goes first, and not all at once.
+ * When a caller may come back who was refused since replicas back off, ms: past
+ * the end of the back-off, where one send goes first, and not all at once.
  */
-export const afterRestMs = (leftMs: number, rng: Rng): number =>
-  leftMs + rng() * AFTER_REST_SPREAD_MS;
+export const afterBackOffMs = (leftMs: number, rng: Rng): number =>
+  leftMs + rng() * AFTER_BACK_OFF_SPREAD_MS;
 
 /** The failure of a request that no replica answered. */
 export const failureOf = (
--- a/src/gen/snowgate.ts
+++ b/src/gen/snowgate.ts
@@ -112,7 +112,7 @@
   avoid: string[];
   route: string;
   /** Engines that want nothing from the process that asks, for now. */
-  unwilling: string[];
+  unavailable: string[];
 }
 
 /** A grant that is in use already: told to a new holder. */
@@ -127,7 +127,7 @@
 export interface PlaceEvent {
   id: string;
   /**
-   * "read", "wrong-stage", "turned-away", "silent", "leaving", "begun"
+   * "read", "wrong-stage", "rejected", "silent", "leaving", "begun"
    * or "ended".
    */
   kind: string;
@@ -1486,7 +1486,7 @@
     isReturn: false,
     avoid: [],
     route: "",
-    unwilling: [],
+    unavailable: [],
   };
 }
 
@@ -1528,7 +1528,7 @@
     if (message.route !== "") {
       writer.uint32(98).string(message.route);
     }
-    for (const v of message.unwilling) {
+    for (const v of message.unavailable) {
       writer.uint32(106).string(v!);
     }
     return writer;
@@ -1648,7 +1648,7 @@
               break;
             }
 
-            message.unwilling.push(reader.string());
+            message.unavailable.push(reader.string());
             continue;
           }
         }
@@ -1699,8 +1699,8 @@
         ? object.avoid.map((e: any) => globalThis.String(e))
         : [],
       route: isSet(object.route) ? globalThis.String(object.route) : "",
-      unwilling: globalThis.Array.isArray(object?.unwilling)
-        ? object.unwilling.map((e: any) => globalThis.String(e))
+      unavailable: globalThis.Array.isArray(object?.unavailable)
+        ? object.unavailable.map((e: any) => globalThis.String(e))
         : [],
     };
   },
@@ -1743,8 +1743,8 @@
     if (message.route !== "") {
       obj.route = message.route;
     }
-    if (message.unwilling?.length) {
-      obj.unwilling = message.unwilling;
+    if (message.unavailable?.length) {
+      obj.unavailable = message.unavailable;
     }
     return obj;
   },
@@ -1766,7 +1766,7 @@
     message.isReturn = object.isReturn ?? false;
     message.avoid = object.avoid?.map((e) => e) || [];
     message.route = object.route ?? "";
-    message.unwilling = object.unwilling?.map((e) => e) || [];
+    message.unavailable = object.unavailable?.map((e) => e) || [];
     return message;
   },
 };
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -47,7 +47,7 @@
   priority: whole(ask.priority),
   isReturn: ask.isReturn,
   avoid: ask.avoid,
-  unwilling: ask.unwilling,
+  unavailable: ask.unavailable,
 });
 
 export const fromPlaceAsk = (service: string, ask: PlaceAsk): PlacementAsk => ({
@@ -68,7 +68,7 @@
   event: PlaceEvent,
 ): PlacementEvent | undefined => {
   const { id, kind, ok, tookMs, engine } = event;
-  if (kind === "begun" || kind === "turned-away") return { kind, id };
+  if (kind === "begun" || kind === "rejected") return { kind, id };
   if (kind === "read") return { kind, id, ok };
   const isOfEngine =
     kind === "wrong-stage" || kind === "silent" || kind === "leaving";
--- a/src/scheduling/enginePool.ts
+++ b/src/scheduling/enginePool.ts
@@ -58,15 +58,17 @@
   }
 
   /**
-   * The engines that may get the request; those that rest never do. Those
+   * The engines that may get the request; those that are unavailable to
+   * its process never do. Those
    * that failed lately are left
    * out, but for a stage that would have none: a failure is better than none
    * of them.
    */
   open(ask: PlacementAsk, now: number): EngineState[] {
-    const { avoid, unwilling } = ask;
+    const { avoid, unavailable } = ask;
     const able = this.all().filter(({ view, changesUntil }) => {
-      const isLeftOut = avoid.includes(view.id) || unwilling.includes(view.id);
+      const isLeftOut =
+        avoid.includes(view.id) || unavailable.includes(view.id);
       return changesUntil <= now && !isLeftOut;
     });
     const open = able.filter((item) => !item.isClosed(now));
--- a/src/scheduling/placedRequests.ts
+++ b/src/scheduling/placedRequests.ts
@@ -33,7 +33,7 @@
 /** Reports on one request. */
 type RequestEvent = Extract<
   PlacementEvent,
-  { kind: "read" | "begun" | "turned-away" | "ended" }
+  { kind: "read" | "begun" | "rejected" | "ended" }
 >;
 
 export class PlacedRequests {
@@ -85,7 +85,7 @@
         runner.remember(parts);
         runner.judge(true, now);
         return;
-      case "turned-away":
+      case "rejected":
         return this.giveBack(event.id, placed, now);
       case "ended":
         this.end(event.id, placed, event, now);
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -170,7 +170,7 @@
       : this.start(choice, plan);
     if (grant !== undefined) return grant;
     // Waiting ends no rest: the caller hears at once when to come back.
-    if (ask.unwilling.length > 0 && lacksStage(open)) {
+    if (ask.unavailable.length > 0 && lacksStage(open)) {
       return refuse(ask, "no-engine");
     }
     const hasRunner = open.some((item) => hasRoom(ask, item, this.share()));
@@ -262,13 +262,13 @@
 
   /** Of the engines that may read it: what the others do shortens no wait. */
   private readingLoad(
-    { unwilling }: PlacementAsk,
+    { unavailable }: PlacementAsk,
     hasRunner: boolean,
     now: number,
   ): ReadingLoad {
     const readers = this.engines
       .readers(now)
-      .filter(({ view }) => !unwilling.includes(view.id));
+      .filter(({ view }) => !unavailable.includes(view.id));
     const engines = readers.length;
     const backlog = readers.reduce((sum, item) => sum + item.backlogMs(now), 0);
     return {
--- a/src/scheduling/types.ts
+++ b/src/scheduling/types.ts
@@ -49,7 +49,7 @@
   /** Engines that refused or failed this request. */
   avoid: string[];
   /** Engines that want nothing from the process that asks, for now. */
-  unwilling: string[];
+  unavailable: string[];
 }
 
 /** Where a request goes. */
@@ -93,7 +93,7 @@
   /** An engine does not do what its stage says: known too late. */
   | { kind: "wrong-stage"; id: string; engine: string }
   /** An engine wanted no work from the process that sent it. */
-  | { kind: "turned-away"; id: string }
+  | { kind: "rejected"; id: string }
   /** An engine says that it leaves. */
   | { kind: "leaving"; id: string; engine: string }
   /** An engine answers nothing, not even what it does. */
--- a/tests/gateway/willingness.test.ts
+++ b/tests/gateway/availability.test.ts
@@ -1,17 +1,17 @@
-/** What is made of words that replicas say of themselves. Times are ms. */
+/** What is made of signals of replicas. Times are ms. */
 import { expect } from "chai";
 
 import { ReplicaSet } from "../../src/gateway/replicaSet.js";
 import type { Replica } from "../../src/gateway/index.js";
 import {
-  LONGEST_WORD_MS,
+  LONGEST_SIGNAL_MS,
   UNPROVEN_MS,
-  Willingness,
-} from "../../src/gateway/willingness.js";
+  Availability,
+} from "../../src/gateway/availability.js";
 
-const NO_WORD = { isLeaving: false, restMs: undefined };
-const LEAVES = { isLeaving: true, restMs: undefined };
-const rest = (restMs: number) => ({ isLeaving: false, restMs });
+const NO_SIGNAL = { isLeaving: false, backOffMs: undefined };
+const LEAVES = { isLeaving: true, backOffMs: undefined };
+const backOff = (backOffMs: number) => ({ isLeaving: false, backOffMs });
 
 const replica = (name: string, more: Partial<Replica> = {}): Replica => ({
   id: name,
@@ -26,100 +26,104 @@
   ...more,
 });
 
-describe("a replica's word", () => {
+describe("a replica's signal", () => {
   describe("that it leaves", () => {
     it("counts on, also where an answer lacks it, for an hour", () => {
-      const words = new Willingness();
-      expect(words.hear("a", LEAVES, true, 5)).to.equal("leaving");
-      expect(words.hear("a", NO_WORD, true, 6)).to.equal(undefined);
-      expect(words.hear("a", LEAVES, true, 7)).to.equal(undefined);
-      const last = LONGEST_WORD_MS + 6;
-      expect(words.refusal("a", last)).to.deep.equal({ kind: "leaving" });
+      const signals = new Availability();
+      expect(signals.note("a", LEAVES, true, 5)).to.equal("leaving");
+      expect(signals.note("a", NO_SIGNAL, true, 6)).to.equal(undefined);
+      expect(signals.note("a", LEAVES, true, 7)).to.equal(undefined);
+      const last = LONGEST_SIGNAL_MS + 6;
+      expect(signals.refusal("a", last)).to.deep.equal({ kind: "leaving" });
     });
 
     it("counts for a short time where the answer is another's", () => {
-      const words = new Willingness();
-      words.hear("a", LEAVES, false, 0);
-      expect(words.refusal("a", UNPROVEN_MS - 1)?.kind).to.equal("leaving");
-      expect(words.refusal("a", UNPROVEN_MS)).to.equal(undefined);
+      const signals = new Availability();
+      signals.note("a", LEAVES, false, 0);
+      expect(signals.refusal("a", UNPROVEN_MS - 1)?.kind).to.equal("leaving");
+      expect(signals.refusal("a", UNPROVEN_MS)).to.equal(undefined);
     });
 
     it("counts as long as any once an answer of its own has said it too", () => {
-      const words = new Willingness();
-      words.hear("a", LEAVES, false, 0);
-      words.hear("a", LEAVES, true, 1);
-      expect(words.refusal("a", LONGEST_WORD_MS)?.kind).to.equal("leaving");
+      const signals = new Availability();
+      signals.note("a", LEAVES, false, 0);
+      signals.note("a", LEAVES, true, 1);
+      expect(signals.refusal("a", LONGEST_SIGNAL_MS)?.kind).to.equal("leaving");
     });
   });
 
-  describe("that it wants a rest", () => {
-    const words = () => {
-      const fresh = new Willingness();
-      fresh.hear("a", rest(100), true, 0);
+  describe("that it wants callers to back off", () => {
+    const signals = () => {
+      const fresh = new Availability();
+      fresh.note("a", backOff(100), true, 0);
       return fresh;
     };
 
     it("counts for that time", () => {
-      const resting = { kind: "resting", untilMs: 100 };
-      expect(words().refusal("a", 99.9)).to.deep.equal(resting);
-      expect(words().refusal("a", 100)).to.equal(undefined);
+      const busy = { kind: "backing-off", untilMs: 100 };
+      expect(signals().refusal("a", 99.9)).to.deep.equal(busy);
+      expect(signals().refusal("a", 100)).to.equal(undefined);
     });
 
-    for (const [what, word] of [
-      ["another", rest(100)],
-      ["a shorter one", rest(1)],
+    for (const [what, signal] of [
+      ["another", backOff(100)],
+      ["a shorter one", backOff(1)],
     ] as const) {
       it(`is not shortened by ${what} within it`, () => {
-        const fresh = words();
-        expect(fresh.hear("a", word, true, 50)).to.equal(undefined);
-        expect(fresh.refusal("a", 99)?.kind).to.equal("resting");
+        const fresh = signals();
+        expect(fresh.note("a", signal, true, 50)).to.equal(undefined);
+        expect(fresh.refusal("a", 99)?.kind).to.equal("backing-off");
       });
     }
 
     it("is prolonged by another within it", () => {
-      const fresh = words();
-      fresh.hear("a", rest(100), true, 50);
-      expect(fresh.refusal("a", 149)?.kind).to.equal("resting");
+      const fresh = signals();
+      fresh.note("a", backOff(100), true, 50);
+      expect(fresh.refusal("a", 149)?.kind).to.equal("backing-off");
     });
 
     it("is not ended by an answer to what was under way", () => {
-      const fresh = words();
-      fresh.hear("a", NO_WORD, true, 50);
-      expect(fresh.refusal("a", 51)?.kind).to.equal("resting");
+      const fresh = signals();
+      fresh.note("a", NO_SIGNAL, true, 50);
+      expect(fresh.refusal("a", 51)?.kind).to.equal("backing-off");
       expect(fresh.take("a", 100)).to.equal(undefined);
-      expect(fresh.take("a", 101)?.kind).to.equal("resting");
+      expect(fresh.take("a", 101)?.kind).to.equal("backing-off");
     });
 
     it("of no time is none", () => {
-      expect(new Willingness().hear("a", rest(0), true, 0)).to.equal(undefined);
+      expect(new Availability().note("a", backOff(0), true, 0)).to.equal(
+        undefined,
+      );
     });
 
     it("lasts no longer than the longest that is believed", () => {
-      const fresh = new Willingness();
-      fresh.hear("a", rest(Infinity), true, 0);
-      expect(fresh.refusal("a", LONGEST_WORD_MS - 1)?.kind).to.equal("resting");
-      expect(fresh.refusal("a", LONGEST_WORD_MS)).to.equal(undefined);
+      const fresh = new Availability();
+      fresh.note("a", backOff(Infinity), true, 0);
+      expect(fresh.refusal("a", LONGEST_SIGNAL_MS - 1)?.kind).to.equal(
+        "backing-off",
+      );
+      expect(fresh.refusal("a", LONGEST_SIGNAL_MS)).to.equal(undefined);
     });
 
     it("counts in full where the answer is another's: it ends by itself", () => {
-      const fresh = new Willingness();
-      fresh.hear("a", rest(60_000), false, 0);
-      expect(fresh.refusal("a", 59_999)?.kind).to.equal("resting");
+      const fresh = new Availability();
+      fresh.note("a", backOff(60_000), false, 0);
+      expect(fresh.refusal("a", 59_999)?.kind).to.equal("backing-off");
     });
 
     it("ends with one send, and all others once that is answered", () => {
-      const fresh = words();
+      const fresh = signals();
       expect(fresh.take("a", 100)).to.equal(undefined);
-      expect(fresh.take("a", 101)?.kind).to.equal("resting");
+      expect(fresh.take("a", 101)?.kind).to.equal("backing-off");
       expect(fresh.all(101)).to.have.length(1);
-      fresh.hear("a", NO_WORD, true, 110);
+      fresh.note("a", NO_SIGNAL, true, 110);
       expect(fresh.take("a", 111)).to.equal(undefined);
       expect(fresh.take("a", 111)).to.equal(undefined);
       expect(fresh.all(111)).to.deep.equal([]);
     });
 
     it("ends with one send after the other while none is answered", () => {
-      const fresh = words();
+      const fresh = signals();
       const taken: number[] = [];
       for (let at = 0; at < 3000; at += 1) {
         if (fresh.take("a", at) === undefined) taken.push(at);
@@ -129,16 +133,16 @@
   });
 
   it("is forgotten with the oldest of many lives", () => {
-    const words = new Willingness();
+    const signals = new Availability();
     for (let life = 0; life < 20_000; life += 1) {
-      words.hear(`life-${life}`, rest(1e6), true, 0);
+      signals.note(`life-${life}`, backOff(1e6), true, 0);
     }
-    expect(words.all(1).length).to.be.at.most(10_000);
-    expect(words.refusal("life-19999", 1)?.kind).to.equal("resting");
+    expect(signals.all(1).length).to.be.at.most(10_000);
+    expect(signals.refusal("life-19999", 1)?.kind).to.equal("backing-off");
   });
 });
 
-describe("replicas that have said something of themselves", () => {
+describe("replicas that have sent signals", () => {
   const put = (replicas: ReplicaSet, ...items: Replica[]) => {
     for (const item of items) replicas.put(item);
   };
@@ -148,14 +152,14 @@
   it("are left out, whatever the list says of them afterwards", () => {
     const replicas = new ReplicaSet();
     put(replicas, replica("a"), replica("b"));
-    replicas.words.hear("a", LEAVES, true, 0);
+    replicas.signals.note("a", LEAVES, true, 0);
     expect(names(replicas, 1)).to.deep.equal(["b"]);
     replicas.put(replica("a"), 9);
     expect(names(replicas, 2)).to.deep.equal(["b"]);
     replicas.replace([{ replica: replica("b") }], 3, false);
     put(replicas, replica("a"));
     expect(names(replicas, 4)).to.deep.equal(["b"]);
-    expect(replicas.words.refusal("a", 4)).to.be.a("string");
+    expect(replicas.signals.refusal("a", 4)).to.be.a("string");
   });
 
   it("are left out where the list has said it and takes it back", () => {
@@ -163,42 +167,42 @@
     put(replicas, replica("a", { state: "draining" }));
     put(replicas, replica("a"), replica("b"));
     expect(names(replicas, 1)).to.deep.equal(["b"]);
-    expect(replicas.words.unwilling("plain", 1)).to.deep.equal(["a"]);
+    expect(replicas.signals.unavailable("plain", 1)).to.deep.equal(["a"]);
   });
 
   it("are used in their next life, and others at their address", () => {
     const replicas = new ReplicaSet();
     put(replicas, replica("a", { id: "a@1", bornAt: 1 }));
-    replicas.words.hear("a@1", LEAVES, true, 0);
+    replicas.signals.note("a@1", LEAVES, true, 0);
     expect(names(replicas, 1)).to.deep.equal([]);
     put(replicas, replica("a", { id: "a@2", bornAt: 2 }));
     expect(names(replicas, 1)).to.deep.equal(["a"]);
     const { address } = replica("a");
     put(replicas, replica("next", { address }));
-    expect(replicas.words.refusal("next", 1)).to.equal(undefined);
+    expect(replicas.signals.refusal("next", 1)).to.equal(undefined);
   });
 
   it("that they leave are used for a short time where there is no other", () => {
     const replicas = new ReplicaSet(1000);
     put(replicas, replica("a"), replica("b"));
-    replicas.words.hear("a", LEAVES, true, 0);
+    replicas.signals.note("a", LEAVES, true, 0);
     expect(names(replicas, 10)).to.deep.equal(["b"]);
-    replicas.words.hear("b", LEAVES, true, 500);
+    replicas.signals.note("b", LEAVES, true, 500);
     expect(names(replicas, 999)).to.deep.equal(["a", "b"]);
     expect(replicas.usableUntil(999)).to.equal(1000);
     expect(names(replicas, 1000)).to.deep.equal(["b"]);
     expect(names(replicas, 1500)).to.deep.equal([]);
-    expect(replicas.words.refusal("b", 1500)).to.be.a("string");
+    expect(replicas.signals.refusal("b", 1500)).to.be.a("string");
   });
 
-  it("that they want a rest tell when the first may be used", () => {
+  it("that they want callers to back off tell when the first may be used", () => {
     const replicas = new ReplicaSet();
     put(replicas, replica("a"), replica("b"), replica("c", { service: "s" }));
-    replicas.words.hear("a", rest(300), true, 0);
-    expect(replicas.words.allRestLeftMs("plain", 0)).to.equal(0);
-    replicas.words.hear("b", rest(200), true, 0);
-    expect(replicas.words.allRestLeftMs("plain", 50)).to.equal(150);
-    expect(replicas.words.allRestLeftMs("s", 50)).to.equal(0);
-    expect(replicas.words.unwilling("plain", 50)).to.deep.equal(["a", "b"]);
+    replicas.signals.note("a", backOff(300), true, 0);
+    expect(replicas.signals.allBackOffLeftMs("plain", 0)).to.equal(0);
+    replicas.signals.note("b", backOff(200), true, 0);
+    expect(replicas.signals.allBackOffLeftMs("plain", 50)).to.equal(150);
+    expect(replicas.signals.allBackOffLeftMs("s", 50)).to.equal(0);
+    expect(replicas.signals.unavailable("plain", 50)).to.deep.equal(["a", "b"]);
   });
 });
--- a/tests/gateway/engineCalls.test.ts
+++ b/tests/gateway/engineCalls.test.ts
@@ -62,17 +62,17 @@
 };
 
 describe("sends to engines", () => {
-  const words = {
-    leaves: { isLeaving: true, restMs: undefined },
-    "wants a rest": { isLeaving: false, restMs: 1 },
+  const signals = {
+    leaves: { isLeaving: true, backOffMs: undefined },
+    "wants callers to back off": { isLeaving: false, backOffMs: 1 },
   };
-  for (const [says, word] of Object.entries(words)) {
+  for (const [says, signal] of Object.entries(signals)) {
     it(`do not to one that says that it ${says}`, async () => {
       const { run, sent, replicas } = setUp(500);
-      replicas.words.hear("dec-1", word, true, 0);
+      replicas.signals.note("dec-1", signal, true, 0);
       const outcome = await run();
       expect(sent).to.deep.equal([]);
-      expect(outcome).to.include({ verdict: "not-run", isUnwilling: true });
+      expect(outcome).to.include({ verdict: "not-run", isUnavailable: true });
     });
   }
 
--- a/tests/gateway/engineWatch.test.ts
+++ b/tests/gateway/engineWatch.test.ts
@@ -60,7 +60,7 @@
       }),
       readReport: (body: string) => JSON.parse(body) as Report,
       readReply: () => ({ requestId: undefined }),
-      readWord: () => ({ isLeaving: false, restMs: undefined }),
+      readSignal: () => ({ isLeaving: false, backOffMs: undefined }),
     };
     const watch = new EngineWatch({
       replicas,
--- a/tests/gateway/placement.test.ts
+++ b/tests/gateway/placement.test.ts
@@ -43,7 +43,7 @@
   priority: 0,
   isReturn: false,
   avoid: [],
-  unwilling: [],
+  unavailable: [],
 });
 
 const HELD: Grant = {
--- a/tests/gateway/placementMessages.test.ts
+++ b/tests/gateway/placementMessages.test.ts
@@ -19,7 +19,7 @@
   priority: 0,
   isReturn: false,
   avoid: [],
-  unwilling: [],
+  unavailable: [],
 };
 
 /*
--- a/tests/gateway/scheduling.test.ts
+++ b/tests/gateway/scheduling.test.ts
@@ -48,7 +48,7 @@
     priority: 0,
     isReturn: false,
     avoid: [],
-    unwilling: [],
+    unavailable: [],
     ...more,
   };
 };
@@ -72,7 +72,7 @@
   return answer;
 };
 
-const turnedAway = (id: string) => ({ kind: "turned-away" as const, id });
+const rejected = (id: string) => ({ kind: "rejected" as const, id });
 
 /** Asks until one is not granted; gives the number of grants. */
 const fill = (scheduler: EngineScheduler, more: Partial<PlacementAsk>) => {
@@ -428,10 +428,10 @@
 describe("engines that want nothing from the process that asks", () => {
   it("get nothing of it, and everything of others", () => {
     const scheduler = newScheduler();
-    const unwilling = ["pre-1", "dec-1"];
+    const unavailable = ["pre-1", "dec-1"];
     const short = { parts: [], promptTokens: 2000 };
     for (let count = 0; count < 3; count += 1) {
-      const grant = granted(scheduler.place(ask({ ...short, unwilling }), 0));
+      const grant = granted(scheduler.place(ask({ ...short, unavailable }), 0));
       expect(grant).to.include({ reader: "pre-2", runner: "dec-2" });
     }
     const other = granted(scheduler.place(ask(short), 0));
@@ -444,9 +444,9 @@
    */
   it("let nobody wait for the time that others of them have", () => {
     const scheduler = newScheduler();
-    const busy = { parts: [], unwilling: ["pre-2"] };
+    const busy = { parts: [], unavailable: ["pre-2"] };
     while (scheduler.place(ask(busy), 0).kind !== "refused");
-    const others = { parts: [], unwilling: ["pre-1"] };
+    const others = { parts: [], unavailable: ["pre-1"] };
     expect(scheduler.place(ask(others), 0).kind).to.equal("granted");
     const allowedMs = 2000 * 0.5;
     const readMs = 60;
@@ -455,19 +455,19 @@
 
   it("get nothing also where they are the last of their stage", () => {
     const scheduler = newScheduler();
-    const unwilling = ["pre-1", "pre-2"];
-    const answer = scheduler.place(ask({ unwilling }), 0);
+    const unavailable = ["pre-1", "pre-2"];
+    const answer = scheduler.place(ask({ unavailable }), 0);
     expect(answer).to.include({ kind: "refused", why: "no-engine" });
     expect(scheduler.waiting).to.equal(0);
   });
 
   it("are not taken for ill, nor for holding what they did not read", () => {
     const scheduler = newScheduler();
-    const unwilling = ["pre-2", "dec-2"];
+    const unavailable = ["pre-2", "dec-2"];
     for (let count = 0; count < 8; count += 1) {
-      const one = ask({ unwilling });
+      const one = ask({ unavailable });
       granted(scheduler.place(one, 0));
-      scheduler.onEvent(turnedAway(one.id), 0);
+      scheduler.onEvent(rejected(one.id), 0);
       scheduler.onEvent(ended(one.id, true), 0);
     }
     const [reader, runner] = ["pre-1", "dec-1"].map((id) =>
--- a/tests/gateway/upstreamClient.test.ts
+++ b/tests/gateway/upstreamClient.test.ts
@@ -107,7 +107,7 @@
         kind: "failed",
         verdict: "not-run",
         why: "later",
-        isUnwilling: true,
+        isUnavailable: true,
       });
       // The next one goes, and is the only one that arrives.
       void send();
@@ -119,7 +119,7 @@
   it("what waited for a connection is looked at when it leaves", async () => {
     client.limitConnections("plain", 1);
     let isWilling = true;
-    const refusal = () => (isWilling ? undefined : "it rests by now");
+    const refusal = () => (isWilling ? undefined : "it backs off by now");
     const first = send(new Cancellation(), address, refusal);
     const second = send(new Cancellation(), address, refusal);
     await untilWaiting(1);
@@ -127,7 +127,10 @@
     waiting[0]?.end();
     const outcome = await first;
     if (outcome.kind === "reply") outcome.res.resume();
-    expect(await second).to.include({ verdict: "not-run", isUnwilling: true });
+    expect(await second).to.include({
+      verdict: "not-run",
+      isUnavailable: true,
+    });
     expect(waiting).to.have.length(1);
   });
 
--- a/tests/soak/seeds.test.ts
+++ b/tests/soak/seeds.test.ts
@@ -15,7 +15,7 @@
     seed: 2,
     why: "failed once: the link turned a reset behind a body into a regular end",
   },
-  { seed: 4, why: "words of replicas, and a store back from a copy" },
+  { seed: 4, why: "signals of replicas, and a store back from a copy" },
 ];
 
 describe("soak", () => {
