A replica that refuses connections is left out for a second, then probed

Where such an engine is the last of its stage it is never left out, so that each request tries it, spends the retry budget, and is refused.

The change: a refused connection counts as a back-off of a second, by entry and life, which asks carry to the holder; after it one send goes first.

Ruled out: the bar itself (two copies went before it).

--- a/src/gateway/replicaClient.ts
+++ b/src/gateway/replicaClient.ts
@@ -19,6 +19,11 @@
   UpstreamRequest,
 } from "./upstreamClient.js";
 
+/**
+ * A replica at whose address nobody listens is left out for this, ms, and then
+ * probed by one send: a restart takes seconds.
+ */
+const REFUSED_MS = 1000;
 /** Of a header in a log line. */
 const MAX_LOGGED_CHARS = 80;
 /** Replicas whose unreadable signals are remembered, to log each once. */
@@ -80,6 +85,7 @@
       refusal,
     });
     if (outcome.kind === "reply") this.note(replica, requestId, outcome.res);
+    else if (outcome.isRefused === true) this.noteRefused(replica);
     return outcome;
   }
 
@@ -127,6 +133,19 @@
     if (change === "leaving" && isProven) this.onLeaving(replica);
   }
 
+  /**
+   * Nobody listens there. Its entry stays listed for seconds, and where it is
+   * the last of its stage every request would try it: on a day with three of
+   * eight engines ended under one request, 467 of some 640 requests that were
+   * not served ended so.
+   */
+  private noteRefused({ id }: Replica): void {
+    const { replicas, metrics, now } = this.options;
+    const signal = { isLeaving: false, backOffMs: REFUSED_MS };
+    const change = replicas.signals.note(id, signal, true, now());
+    if (change !== undefined) metrics.count("replica_refused", {});
+  }
+
   private logUnread(replica: string, text: string): void {
     if (this.unread.get(replica) === text) return;
     this.unread.set(replica, text);
--- a/src/gateway/upstreamClient.ts
+++ b/src/gateway/upstreamClient.ts
@@ -16,6 +16,7 @@
 const IDLE_MS = 5000;
 /** Part of a replica's own idle time for which a connection is reused. */
 const IDLE_PART = 0.6;
+const REFUSED_CODE = "ECONNREFUSED";
 const KEEP_ALIVE_HINT = /timeout=(\d+)/;
 const MAX_IDLE_SOCKETS = 128;
 
@@ -56,6 +57,8 @@
       why: string;
       /** Nothing was sent: the replica wants nothing now. */
       isUnavailable?: boolean;
+      /** Nobody listens at the address. */
+      isRefused?: boolean;
     };
 
 /** What a look at an address found. */
@@ -89,10 +92,10 @@
       const isUnavailable = true;
       let isConnected = false;
       let timer: NodeJS.Timeout | undefined;
-      const fail = (why: string) => {
+      const fail = (why: string, isRefused = false) => {
         clearTimeout(timer);
         const verdict = isConnected ? "may-have-run" : "not-run";
-        resolve({ kind: "failed", verdict, why });
+        resolve({ kind: "failed", verdict, why, isRefused });
       };
       const req = http.request({
         host,
@@ -135,9 +138,9 @@
         const isWhole = () => res.complete && !hasFailed;
         resolve({ kind: "reply", res, isWhole });
       });
-      req.on("error", (err) => {
+      req.on("error", (err: NodeJS.ErrnoException) => {
         hasFailed = true;
-        fail(err.message);
+        fail(err.message, err.code === REFUSED_CODE);
       });
       req.end(order.body);
     });
@@ -155,7 +158,7 @@
       socket.setTimeout(CONNECT_MS, () => end("unknown"));
       socket.once("connect", () => end("listening"));
       socket.once("error", (err: NodeJS.ErrnoException) =>
-        end(err.code === "ECONNREFUSED" ? "refused" : "unknown"),
+        end(err.code === REFUSED_CODE ? "refused" : "unknown"),
       );
     });
   }
