The soak's link keeps the order of bytes where a delay ends

The record: the link of that replica healed from a delay 9 ms before the stream ended; the entry passed on what it got. By reading, what is delayed left by a timer each, and what came after the delay went at once.

The change: delayed bytes wait in the order in which they came. Product code is not touched.

--- a/standins/faultLink.ts
+++ b/standins/faultLink.ts
@@ -70,6 +70,11 @@
     this.server.close();
   }
 
+  /** Pieces that are delayed or held back. */
+  get heldBack(): number {
+    return [...this.pairs].reduce((sum, { held }) => sum + held.length, 0);
+  }
+
   get connections(): number {
     return this.pairs.size;
   }
@@ -90,6 +95,13 @@
     }
   }
 
+  /** Bytes keep their order: what is delayed goes before what comes later. */
+  private releaseFirst(pair: Pair): void {
+    if (this.mode === "freeze") return;
+    const first = pair.held.shift();
+    if (first?.to.destroyed === false) first.to.write(first.data);
+  }
+
   private accept(client: net.Socket): void {
     if (this.mode === "refuse") {
       client.resetAndDestroy();
@@ -128,10 +140,8 @@
       case "refuse":
         return void to.write(data);
       case "delay":
-        return void setTimeout(
-          () => to.destroyed || to.write(data),
-          this.delayMs,
-        );
+        pair.held.push({ to, data });
+        return void setTimeout(() => this.releaseFirst(pair), this.delayMs);
       case "freeze":
         return void pair.held.push({ to, data });
       case "cut":
--- a/tests/soak/seeds.test.ts
+++ b/tests/soak/seeds.test.ts
@@ -15,6 +15,10 @@
     seed: 2,
     why: "failed once: the link turned a reset behind a body into a regular end",
   },
+  {
+    seed: 313,
+    why: "failed once: where a link's delay ended, later bytes overtook",
+  },
   { seed: 4, why: "signals of replicas, and a store back from a copy" },
 ];
 
