--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -176,7 +176,7 @@
 export interface ReplicaSignal {
   /** It is about to end. */
   isLeaving: boolean;
-  /** It wants nothing from this process for so long, ms. */
+  /** It wants nothing from this process for so long, ms; 0 and less: none. */
   backOffMs: number | undefined;
   /** Text that asks for back-off and can't be read. */
   unreadBackOff?: string;
--- a/src/scheduling/enginePool.ts
+++ b/src/scheduling/enginePool.ts
@@ -58,11 +58,9 @@
   }
 
   /**
-   * The engines that may get the request; those that are unavailable to
-   * its process never do. Those
-   * that failed lately are left
-   * out, but for a stage that would have none: a failure is better than none
-   * of them.
+   * The engines that may get the request; those that are unavailable to its
+   * process never do. Those that failed lately are left out, but for a stage
+   * that would have none: a failure is better than none of them.
    */
   open(ask: PlacementAsk, now: number): EngineState[] {
     const { avoid, unavailable } = ask;
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -169,7 +169,7 @@
       ? undefined
       : this.start(choice, plan);
     if (grant !== undefined) return grant;
-    // Waiting ends no rest: the caller hears at once when to come back.
+    // Waiting ends no back-off: the caller hears at once when to come back.
     if (ask.unavailable.length > 0 && lacksStage(open)) {
       return refuse(ask, "no-engine");
     }
