--- a/src/gateway/replicaSet.ts
+++ b/src/gateway/replicaSet.ts
@@ -87,7 +87,7 @@
 
   /**
    * A replica wrote its entry; `revision`: of that change in the store. A
-   * newer life ends the one before; what an older one wrote come too late.
+   * newer life ends the one before; what an older one wrote comes too late.
    */
   put(entry: Replica, revision = 0, now = 0): ReplicaChange[] {
     const before = this.byName(entry.name);
