Sight: what replicas say of their rate, and headers nobody knows

The hypotheses of the incident can't be told apart by the logs: no line says whether an answer named a limit, nor that work left for a replica that had. Now a change of it is logged once, with its value; work that leaves for a limited replica is counted (sent_to_limited). A header that this version does not know is logged once and counted: the class of the fault is a signal that nothing reads. No decision changes.

--- a/src/gateway/replicaClient.ts
+++ b/src/gateway/replicaClient.ts
@@ -12,7 +12,8 @@
 import type { Log, Metrics } from "../telemetry/index.js";
 import type { ReplicaSet } from "./replicaSet.js";
 import type { RequestForm } from "./requestForm.js";
-import type { Replica } from "./types.js";
+import type { Replica, ReplicaSignal } from "./types.js";
+import { UnknownHeaders } from "./unknownHeaders.js";
 import type {
   SendOutcome,
   UpstreamClient,
@@ -28,6 +29,8 @@
 const MAX_LOGGED_CHARS = 80;
 /** Replicas whose unreadable signals are remembered, to log each once. */
 const MAX_UNREAD = 1024;
+/** Replicas whose limits are remembered. */
+const MAX_LIMITS = 8192;
 
 /** Log lines of what a replica has come to say. */
 const MESSAGES = {
@@ -62,10 +65,16 @@
 
 export class ReplicaClient {
   private readonly unread = new LRUCache<string, string>({ max: MAX_UNREAD });
+  /** Limits that replicas name, a second, to log each change. */
+  private readonly limits = new LRUCache<string, number>({ max: MAX_LIMITS });
+  private readonly unknownHeaders: UnknownHeaders;
   /** Told of each replica that is heard to leave. */
   onLeaving: (replica: Replica) => void = () => undefined;
 
-  constructor(private readonly options: ReplicaClientOptions) {}
+  constructor(private readonly options: ReplicaClientOptions) {
+    const { log, metrics } = options;
+    this.unknownHeaders = new UnknownHeaders(log, metrics);
+  }
 
   /** Resolves with the head of the answer, or with what is known instead. */
   async send(replica: Replica, order: ReplicaSend): Promise<SendOutcome> {
@@ -100,6 +109,7 @@
     const { replicas, metrics, now } = this.options;
     const why = replicas.signals.take(id, now());
     if (why !== undefined) metrics.count("kept_from_unavailable", {});
+    else if (this.limits.has(id)) metrics.count("sent_to_limited", {});
     return why;
   }
 
@@ -116,7 +126,11 @@
     const isProven = requestId === undefined || !isOther;
     const { id, service, address } = replica;
     if (signal.unreadBackOff !== undefined)
-      this.logUnread(id, signal.unreadBackOff);
+      this.logUnread(id, "back-off can't be read", signal.unreadBackOff);
+    if (signal.unreadLimit !== undefined)
+      this.logUnread(id, "rate limit can't be read", signal.unreadLimit);
+    this.unknownHeaders.note(form.unknownHeaders(res.headers), id);
+    this.noteLimit(replica, signal, status, isProven);
     const change = replicas.signals.note(id, signal, isProven, now());
     if (change === undefined) return;
     metrics.count("replica_signal", { kind: change });
@@ -146,10 +160,30 @@
     if (change !== undefined) metrics.count("replica_refused", {});
   }
 
-  private logUnread(replica: string, text: string): void {
+  /** Logs each change of what it takes; no word of it on work ends a limit. */
+  private noteLimit(
+    { id, service, address }: Replica,
+    { limitPerS }: ReplicaSignal,
+    status: number,
+    isProven: boolean,
+  ): void {
+    const { log, metrics } = this.options;
+    const known = this.limits.get(id);
+    if (limitPerS === known) return;
+    const fields = { replica: id, service, address, status, isProven };
+    if (limitPerS === undefined) {
+      this.limits.delete(id);
+      return log.info("replica names no rate limit any more", fields);
+    }
+    this.limits.set(id, limitPerS);
+    metrics.count("replica_signal", { kind: "limited" });
+    log.info("replica names a rate limit", { ...fields, limitPerS });
+  }
+
+  private logUnread(replica: string, message: string, text: string): void {
     if (this.unread.get(replica) === text) return;
     this.unread.set(replica, text);
     const said = text.slice(0, MAX_LOGGED_CHARS);
-    this.options.log.warn("back-off can't be read", { replica, said });
+    this.options.log.warn(message, { replica, said });
   }
 }
--- a/src/gateway/requestForm.ts
+++ b/src/gateway/requestForm.ts
@@ -42,6 +42,8 @@
   readReply(status: number, headers: IncomingHttpHeaders): ReplyHead;
   /** What any answer at a replica's address says of that replica. */
   readSignal(status: number, headers: IncomingHttpHeaders): ReplicaSignal;
+  /** Names of headers of a replica's answer that this version does not know. */
+  unknownHeaders(headers: IncomingHttpHeaders): string[];
   /** Headers of a replica's answer that callers get. */
   answerHeaders(rawHeaders: readonly string[]): string[];
   failureAnswer(failure: RequestFailure, requestId: string): FailureAnswer;
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -180,6 +180,10 @@
   backOffMs: number | undefined;
   /** Text that asks for back-off and can't be read. */
   unreadBackOff?: string;
+  /** Requests a second that it takes from all processes together. */
+  limitPerS?: number;
+  /** Text that names such a limit and can't be read. */
+  unreadLimit?: string;
 }
 
 /** What the head of a replica's answer says. */
