--- a/src/gateway/engineCalls.ts
+++ b/src/gateway/engineCalls.ts
@@ -46,6 +46,15 @@
   isUnavailable: true,
 });
 
+/** One phase of a request at an engine. */
+export interface EngineSend extends Omit<
+  UpstreamSend,
+  "claim" | "replicaName"
+> {
+  /** When it was granted, with a permit of the engine. */
+  grantedAt: number;
+}
+
 export interface EngineCallsOptions {
   replicas: ReplicaSet;
   ends: ReplicaEnds;
@@ -73,7 +82,7 @@
     caller: CallerRequest,
     id: string,
     cancellation: Cancellation,
-    send: Omit<UpstreamSend, "claim" | "replicaName">,
+    send: EngineSend,
   ): Promise<EngineReply> {
     const { replicas, client, form } = this.options;
     const replica = replicas.get(id);
@@ -94,11 +103,13 @@
     }
     const { head, body, claim } = caller;
     const { address, name: replicaName } = replica;
-    const whole = { ...send, claim, replicaName };
+    const { grantedAt, ...phase } = send;
+    const whole = { ...phase, claim, replicaName };
     caller.sentTo.push(id);
     const outcome = await client.send(replica, {
       purpose: "work",
       requestId: head.id,
+      permitAt: grantedAt,
       method: head.method,
       target: head.target,
       headers: form.upstreamHeaders(head, whole, body.length),
--- a/src/gateway/engineRun.ts
+++ b/src/gateway/engineRun.ts
@@ -52,6 +52,7 @@
     const sent = await this.calls.send(caller, runner, caller.cancellation, {
       deadlineMs: Math.round(caller.leftMs()),
       phase: "run",
+      grantedAt: journey.grantedAt,
       handle,
       cacheSource: readsItself ? this.calls.addressOf(grant.donor) : undefined,
       afterEventId: relay.lastEventId,
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -12,6 +12,7 @@
 import { PlainFlow } from "./plainFlow.js";
 import type { GatewayParts } from "./parts.js";
 import { createQuarantineRole } from "./quarantineRole.js";
+import { RateLimits } from "../rateLimits/index.js";
 import { ReplicaClient } from "./replicaClient.js";
 import { RetryBudgets } from "./retryBudgets.js";
 import type { RetryLimits } from "./retryBudgets.js";
@@ -86,9 +87,11 @@
     settings.drainMs * LAST_RESORT_PART,
   );
   const { replicas } = state;
+  const rates = new RateLimits(rng);
   const client = new ReplicaClient({
     client: upstream,
     replicas,
+    rates,
     form,
     log,
     metrics,
@@ -109,6 +112,7 @@
     state,
     feed,
     client,
+    rates,
     form,
     log,
     now,
@@ -140,7 +144,7 @@
     quarantine,
     keyBounds: settings.keyBounds,
     onBegun: role.onBegun,
-    plain: new PlainFlow(shared),
+    plain: new PlainFlow({ ...shared, rates, permits: placement }),
     stream: new StreamFlow({ ...shared, placement, log }, id),
     log,
     metrics,
--- a/src/gateway/holderWork.ts
+++ b/src/gateway/holderWork.ts
@@ -3,6 +3,7 @@
  * placing: it asks engines what their caches hold, and orders stages.
  */
 import type { LocalPlacement, SharedPlacement } from "../placement/index.js";
+import type { RateLimits } from "../rateLimits/index.js";
 import type { Supervisor } from "../tasks/index.js";
 import type { Log } from "../telemetry/index.js";
 import { CacheSurvey } from "./cacheSurvey.js";
@@ -22,6 +23,7 @@
   local: LocalPlacement;
   placement: SharedPlacement;
   client: ReplicaClient;
+  rates: RateLimits;
   form: RequestForm;
   log: Log;
   now: () => number;
@@ -68,7 +70,7 @@
 
   private newKeeper(service: string): StageKeeper {
     const { id, orderLeaseMs, state, local, placement, ...rest } = this.options;
-    const { client, form, log, now } = rest;
+    const { client, rates, form, log, now } = rest;
     return new StageKeeper({
       service,
       self: id,
@@ -77,6 +79,7 @@
       replicas: state.replicas,
       authority: placement,
       client,
+      rates,
       form,
       log,
       now,
--- a/src/gateway/journey.ts
+++ b/src/gateway/journey.ts
@@ -36,6 +36,8 @@
   /** Replicas that ran it, or may have. */
   runs: number;
   grantId: string;
+  /** When the engines of the round were granted. */
+  grantedAt: number;
   runSentAt: number;
   /** From the send to the first event of the round, ms; 0: none yet. */
   firstEventMs: number;
@@ -55,6 +57,7 @@
   rounds: 0,
   runs: 0,
   grantId: "",
+  grantedAt: 0,
   runSentAt: 0,
   firstEventMs: 0,
   readsAtRunner: false,
--- a/src/gateway/placementRole.ts
+++ b/src/gateway/placementRole.ts
@@ -8,6 +8,7 @@
   PlacementServer,
   SharedPlacement,
 } from "../placement/index.js";
+import type { PermitAnswer, RateLimits } from "../rateLimits/index.js";
 import type { ObjectFeed } from "../store/index.js";
 import type { Supervisor } from "../tasks/index.js";
 import type { Log } from "../telemetry/index.js";
@@ -58,6 +59,7 @@
   state: GatewayState;
   feed: ObjectFeed;
   client: ReplicaClient;
+  rates: RateLimits;
   form: RequestForm;
   log: Log;
   now: () => number;
@@ -76,17 +78,19 @@
 export const createPlacementRole = async (
   options: PlacementRoleOptions,
 ): Promise<PlacementRole> => {
-  const { host, id, services, state, feed, log, now } = options;
+  const { host, id, services, state, feed, client, rates, log, now } = options;
   const isPatient = host === "entry" && options.capacity < HOLDER_CORES;
   const patienceMs = isPatient ? PLACEMENT_LEASE_MS * ENTRY_PATIENCE_LEASES : 0;
   let address = options.peerAddress;
   const local: LocalPlacement = new LocalPlacement({
     engines: (service) => state.engines(service),
     share: (service) => placement.share(service),
+    permits: rates,
     now,
   });
   const placement: SharedPlacement = new SharedPlacement({
     local,
+    rates,
     feed,
     self: id,
     isStandby: host === "scheduler",
@@ -110,8 +114,15 @@
     configNews: (known) => state.configNews(known),
     onLeaving: (engine) => state.replicas.signals.leave(engine, now()),
     onUsage: (process, window) => duties?.onTold(process, window),
+    rates: () => rates.all(now()),
+    onRate: (news) => void rates.learn(news, now()),
+    permit: (replica) => permitAt(rates, replica, now()),
     log,
   });
+  const serviceOf = (replica: string): string =>
+    state.replicas.get(replica)?.service ?? "";
+  rates.shareOf = (replica) => placement.permitShare(serviceOf(replica));
+  client.onRate = (news) => placement.tellRate(serviceOf(news.replica), news);
   const duties = newDuties(options, placement);
   address = await peers.listen(options.peerAddress);
   const work = new HolderWork({ ...options, local, placement });
@@ -120,7 +131,9 @@
     state.expire();
     local.expire();
     for (const service of services()) {
-      if (placement.isHolder(service)) peers.tellStandbys(service);
+      if (!placement.isHolder(service)) continue;
+      peers.tellStandbys(service);
+      peers.tellRates(service);
     }
     await placement.step(services());
   };
@@ -139,6 +152,15 @@
   return { placement, peerAddress: address, onBegun, start, stop };
 };
 
+const permitAt = (
+  rates: RateLimits,
+  replica: string,
+  now: number,
+): PermitAnswer =>
+  rates.acquire(replica, now)
+    ? { kind: "acquired" }
+    : { kind: "held-back", waitMs: rates.waitMs(replica, now) };
+
 const newDuties = (
   options: PlacementRoleOptions,
   placement: SharedPlacement,
--- a/src/gateway/plainFlow.ts
+++ b/src/gateway/plainFlow.ts
@@ -4,6 +4,7 @@
 import { afterFailure, afterSuccess, HEALTHY } from "../routing/health.js";
 import { isEjected } from "../routing/health.js";
 import type { Health } from "../routing/health.js";
+import type { PermitAnswer, RateLimits } from "../rateLimits/index.js";
 import type { Rng } from "../shared/rng.js";
 import { BoundedCancellation } from "../shared/cancellation.js";
 import type { Verdict } from "../shared/verdict.js";
@@ -33,6 +34,12 @@
 /** Sends of one request at the most, refusals included. */
 const MAX_SENDS = 4;
 const HTTP_SERVER_ERROR = 500;
+/** Bounds of the time until a limited replica is asked for again, ms. */
+const LEAST_HELD_MS = 20;
+const MOST_HELD_MS = 1000;
+/** Less than a permit of one's own can be used for, ms. */
+const MOST_SPREAD_MS = 250;
+const AT_LIMIT = "all replicas take no more for the moment";
 
 export interface PlainFlowOptions {
   replicas: ReplicaSet;
@@ -41,11 +48,18 @@
   client: ReplicaClient;
   form: RequestForm;
   budgets: RetryBudgets;
+  rates: RateLimits;
+  permits: PermitSource;
   domain: string;
   rng: Rng;
   now: () => number;
 }
 
+/** Who says whether one request may go to a limited replica. */
+export interface PermitSource {
+  permit(service: string, replica: string): Promise<PermitAnswer>;
+}
+
 type Attempt =
   | { kind: "answer"; head: ReplyHead; headers: string[]; body: Buffer }
   | { kind: "failed"; verdict: Verdict; why: string; fault: Fault };
@@ -68,6 +82,8 @@
   private readonly health = new LRUCache<string, Health>({
     max: MAX_HEALTH,
   });
+  /** Until when limited replicas take no more, ms. */
+  private readonly heldBack = new LRUCache<string, number>({ max: MAX_HEALTH });
 
   constructor(private readonly options: PlainFlowOptions) {}
 
@@ -80,7 +96,7 @@
     let arrivals = 0;
     let answer: Attempt | undefined;
     const mostSends = caller.isTrial ? 1 : MAX_SENDS;
-    for (let sends = 0; sends < mostSends; sends += 1) {
+    for (let sends = 0; sends < mostSends;) {
       const barred = this.options.quarantine.refusal(caller);
       if (barred !== undefined && answer === undefined) {
         return caller.fail(barred);
@@ -88,10 +104,17 @@
       if (barred !== undefined) break;
       const replica = this.choose(caller, tried);
       if (replica === undefined) break;
+      const permitAt = await this.permitFor(caller, replica);
+      if (caller.cancellation.isCancelled) break;
+      if (permitAt === "held-back") {
+        why = AT_LIMIT;
+        continue;
+      }
+      sends += 1;
       if (arrivals > 0 && !budgets.spend(caller.service)) break;
       tried.add(replica.id);
       const sentTo = caller.sentTo.length;
-      const attempt = await this.attempt(caller, replica);
+      const attempt = await this.attempt(caller, replica, permitAt);
       arrivals += caller.sentTo.length - sentTo;
       if (attempt.kind === "answer") {
         answer = attempt;
@@ -114,13 +137,42 @@
     caller.fail(failureOf(verdict, why, this.retryAfterMs(caller)));
   }
 
-  /** Where all replicas back off, none of them takes it before the first end. */
+  /**
+   * A limited replica takes the request if there is a permit for it: the
+   * instant at which there was; undefined where none is needed.
+   */
+  private async permitFor(
+    { service }: CallerRequest,
+    { id }: Replica,
+  ): Promise<number | "held-back" | undefined> {
+    const { rates, permits, rng, now } = this.options;
+    if (!rates.isLimited(id, now())) return undefined;
+    const answer = await permits.permit(service, id);
+    if (answer.kind === "acquired") return now();
+    // Entries that were held back together do not ask again together.
+    const spreadMs = rng() * Math.min(answer.waitMs, MOST_SPREAD_MS);
+    const waitMs = answer.waitMs + spreadMs;
+    const heldMs = Math.min(MOST_HELD_MS, Math.max(LEAST_HELD_MS, waitMs));
+    this.heldBack.set(id, now() + heldMs);
+    return "held-back";
+  }
+
+  /**
+   * Where all replicas back off or take no more, none of them takes it before
+   * the first that does again.
+   */
   private retryAfterMs({ service }: CallerRequest): number | undefined {
     const { replicas, now, rng } = this.options;
-    const leftMs = replicas.signals.allBackOffLeftMs(service, now());
+    const { signals } = replicas;
+    const heldUntil = (id: string): number => this.heldUntil(id);
+    const leftMs = signals.allBackOffLeftMs(service, now(), heldUntil);
     return leftMs > 0 ? afterBackOffMs(leftMs, rng) : undefined;
   }
 
+  private heldUntil(id: string): number {
+    return this.heldBack.get(id) ?? 0;
+  }
+
   /** A safe request that a replica failed may do better elsewhere. */
   private isWorthAnother(
     caller: CallerRequest,
@@ -140,7 +192,8 @@
     const { replicas, domain, now } = this.options;
     const usable = replicas.usable(caller.service, now()).filter(({ id }) => {
       const isRefused = replicas.signals.refusal(id, now()) !== undefined;
-      return !isRefused && !tried.has(id);
+      const isHeldBack = this.heldUntil(id) > now();
+      return !isRefused && !isHeldBack && !tried.has(id);
     });
     const healthy = usable.filter(
       (item) => !isEjected(this.healthOf(item.id), now()),
@@ -158,6 +211,7 @@
   private async attempt(
     caller: CallerRequest,
     replica: Replica,
+    permitAt: number | undefined,
   ): Promise<Attempt> {
     const { id } = replica;
     const refusal = this.options.client.refusal(replica);
@@ -166,7 +220,7 @@
     this.inFlight.set(id, (this.inFlight.get(id) ?? 0) + 1);
     try {
       const sentAt = this.options.now();
-      const attempt = await this.exchange(caller, replica);
+      const attempt = await this.exchange(caller, replica, permitAt);
       const hasRun = attempt.kind === "answer" || attempt.verdict !== "not-run";
       if (hasRun) caller.noteBegun(this.options.now() - sentAt);
       this.learn(id, attempt, caller);
@@ -181,6 +235,7 @@
   private async exchange(
     caller: CallerRequest,
     replica: Replica,
+    permitAt: number | undefined,
   ): Promise<Attempt> {
     const { client, form } = this.options;
     const { head, body, route, claim } = caller;
@@ -200,6 +255,7 @@
       const outcome = await client.send(replica, {
         purpose: "work",
         requestId: head.id,
+        permitAt,
         method: head.method,
         target: head.target,
         headers: form.upstreamHeaders(head, send, body.length),
--- a/src/gateway/promptReader.ts
+++ b/src/gateway/promptReader.ts
@@ -29,6 +29,7 @@
   reader: string;
   /** Expected time until it is read, ms. */
   expectedMs: number;
+  grantedAt: number;
   /** Address of an engine whose cached parts are taken first. */
   cacheSource: string | undefined;
 }
@@ -70,13 +71,14 @@
 
   private async exchange(
     caller: CallerRequest,
-    { reader, cacheSource }: ReadOrder,
+    { reader, cacheSource, grantedAt }: ReadOrder,
     stop: Cancellation,
   ): Promise<ReadOutcome> {
     const { form } = this.options;
     const sent = await this.calls.send(caller, reader, stop, {
       deadlineMs: Math.round(caller.leftMs()),
       phase: "read",
+      grantedAt,
       cacheSource,
     });
     if (sent.kind === "failed") {
--- a/src/gateway/replicaClient.ts
+++ b/src/gateway/replicaClient.ts
@@ -9,7 +9,8 @@
 
 import { LRUCache } from "lru-cache";
 
-import type { Log, Metrics } from "../telemetry/index.js";
+import type { RateLimits, RateNews } from "../rateLimits/index.js";
+import type { Log, LogFields, Metrics } from "../telemetry/index.js";
 import type { ReplicaSet } from "./replicaSet.js";
 import type { RequestForm } from "./requestForm.js";
 import type { Replica, ReplicaSignal } from "./types.js";
@@ -29,8 +30,14 @@
 const MAX_LOGGED_CHARS = 80;
 /** Replicas whose unreadable signals are remembered, to log each once. */
 const MAX_UNREAD = 1024;
-/** Replicas whose limits are remembered. */
-const MAX_LIMITS = 8192;
+/**
+ * A permit is good for so long, ms. A send that is held up on its way, by a
+ * read elsewhere or a wait for a connection, must not add to those that follow
+ * it: with this and the stock of permits, what reaches a replica in any four
+ * seconds stays below one and a half times its limit.
+ */
+const PERMIT_HOLDS_MS = 1500;
+const AT_LIMIT = "the replica takes no more for the moment";
 
 /** Log lines of what a replica has come to say. */
 const MESSAGES = {
@@ -52,11 +59,25 @@
   purpose: SendPurpose;
   /** Of the request that the answer must belong to; absent: of none. */
   requestId?: string;
+  /**
+   * When whoever chose the replica had a permit for it; absent: nobody had,
+   * and this process needs one of its own where the replica is limited.
+   */
+  permitAt?: number;
+}
+
+/** What was sent, as far as its answer is judged by it. */
+interface Sent {
+  purpose: SendPurpose;
+  requestId: string | undefined;
+  /** When it left. */
+  leftAt: number;
 }
 
 export interface ReplicaClientOptions {
   client: UpstreamClient;
   replicas: ReplicaSet;
+  rates: RateLimits;
   form: RequestForm;
   log: Log;
   metrics: Metrics;
@@ -65,11 +86,11 @@
 
 export class ReplicaClient {
   private readonly unread = new LRUCache<string, string>({ max: MAX_UNREAD });
-  /** Limits that replicas name, a second, to log each change. */
-  private readonly limits = new LRUCache<string, number>({ max: MAX_LIMITS });
   private readonly unknownHeaders: UnknownHeaders;
   /** Told of each replica that is heard to leave. */
   onLeaving: (replica: Replica) => void = () => undefined;
+  /** Told of each change of the rate that a replica says it takes. */
+  onRate: (news: RateNews) => void = () => undefined;
 
   constructor(private readonly options: ReplicaClientOptions) {
     const { log, metrics } = options;
@@ -78,22 +99,27 @@
 
   /** Resolves with the head of the answer, or with what is known instead. */
   async send(replica: Replica, order: ReplicaSend): Promise<SendOutcome> {
-    const { client } = this.options;
+    const { client, now } = this.options;
     const { service, address } = replica;
-    const { purpose, requestId, ...request } = order;
+    const { purpose, requestId, permitAt, ...request } = order;
     const isWork = purpose === "work";
     const why = isWork ? this.refusal(replica) : undefined;
     if (why !== undefined) {
       return { kind: "failed", verdict: "not-run", why, isUnavailable: true };
     }
-    const refusal = isWork ? () => this.refusalNow(replica) : undefined;
+    let leftAt = now();
+    const refusal = (): string | undefined => {
+      leftAt = now();
+      return isWork ? this.refusalNow(replica, permitAt) : undefined;
+    };
     const outcome = await client.send({
       ...request,
       service,
       address,
       refusal,
     });
-    if (outcome.kind === "reply") this.note(replica, requestId, outcome.res);
+    if (outcome.kind === "reply")
+      this.note(replica, { purpose, requestId, leftAt }, outcome.res);
     else if (outcome.isRefused === true) this.noteRefused(replica);
     return outcome;
   }
@@ -105,45 +131,46 @@
   }
 
   /** The same for work that leaves now. */
-  private refusalNow({ id }: Replica): string | undefined {
-    const { replicas, metrics, now } = this.options;
+  private refusalNow(
+    { id }: Replica,
+    permitAt = -Infinity,
+  ): string | undefined {
+    const { replicas, rates, metrics, now } = this.options;
     const why = replicas.signals.take(id, now());
-    if (why !== undefined) metrics.count("kept_from_unavailable", {});
-    else if (this.limits.has(id)) metrics.count("sent_to_limited", {});
-    return why;
+    if (why !== undefined) {
+      metrics.count("kept_from_unavailable", {});
+      return why;
+    }
+    if (!rates.isLimited(id, now())) return undefined;
+    const isPermitted = now() - permitAt <= PERMIT_HOLDS_MS;
+    if (!isPermitted && !rates.acquire(id, now())) {
+      metrics.count("kept_from_limited", {});
+      return AT_LIMIT;
+    }
+    metrics.count("sent_to_limited", {});
+    return undefined;
   }
 
-  private note(
-    replica: Replica,
-    requestId: string | undefined,
-    res: IncomingMessage,
-  ): void {
+  private note(replica: Replica, sent: Sent, res: IncomingMessage): void {
     const { replicas, form, log, metrics, now } = this.options;
     const status = res.statusCode ?? 0;
     const signal = form.readSignal(status, res.headers);
-    const { requestId: answered } = form.readReply(status, res.headers);
-    const isOther = answered !== undefined && answered !== requestId;
+    const reply = form.readReply(status, res.headers);
+    const { requestId } = sent;
+    const isOther =
+      reply.requestId !== undefined && reply.requestId !== requestId;
     const isProven = requestId === undefined || !isOther;
     const { id, service, address } = replica;
-    if (signal.unreadBackOff !== undefined)
-      this.logUnread(id, "back-off can't be read", signal.unreadBackOff);
-    if (signal.unreadLimit !== undefined)
-      this.logUnread(id, "rate limit can't be read", signal.unreadLimit);
+    this.logUnread(id, signal);
     this.unknownHeaders.note(form.unknownHeaders(res.headers), id);
-    this.noteLimit(replica, signal, status, isProven);
+    const fields = { replica: id, service, address, status, isProven };
+    const isGood = isProven && status >= 200 && status < 300;
+    this.noteRate(id, sent, signal, isGood, fields);
     const change = replicas.signals.note(id, signal, isProven, now());
     if (change === undefined) return;
     metrics.count("replica_signal", { kind: change });
     const { backOffMs } = signal;
-    const fields = {
-      replica: id,
-      service,
-      address,
-      status,
-      isProven,
-      backOffMs,
-    };
-    log.info(MESSAGES[change], fields);
+    log.info(MESSAGES[change], { ...fields, backOffMs });
     if (change === "leaving" && isProven) this.onLeaving(replica);
   }
 
@@ -160,27 +187,35 @@
     if (change !== undefined) metrics.count("replica_refused", {});
   }
 
-  /** Logs each change of what it takes; no word of it on work ends a limit. */
-  private noteLimit(
-    { id, service, address }: Replica,
-    { limitPerS }: ReplicaSignal,
-    status: number,
-    isProven: boolean,
+  /** `isGood`: it is the request's own answer, and a success. */
+  private noteRate(
+    id: string,
+    { purpose, leftAt }: Sent,
+    { limitPerS, unreadLimit }: ReplicaSignal,
+    isGood: boolean,
+    fields: LogFields,
   ): void {
-    const { log, metrics } = this.options;
-    const known = this.limits.get(id);
-    if (limitPerS === known) return;
-    const fields = { replica: id, service, address, status, isProven };
-    if (limitPerS === undefined) {
-      this.limits.delete(id);
-      return log.info("replica names no rate limit any more", fields);
-    }
-    this.limits.set(id, limitPerS);
-    metrics.count("replica_signal", { kind: "limited" });
-    log.info("replica names a rate limit", { ...fields, limitPerS });
+    const { rates, log, metrics, now } = this.options;
+    const mayEnd = purpose === "work" && isGood && unreadLimit === undefined;
+    const word = { perS: limitPerS, mayEnd, sentAt: leftAt };
+    const news = rates.hear(id, word, now());
+    if (news === undefined) return;
+    const isEnd = news.endedAgoMs !== undefined;
+    metrics.count("replica_signal", { kind: isEnd ? "unlimited" : "limited" });
+    if (isEnd) log.info("replica names no rate limit any more", fields);
+    else log.info("replica names a rate limit", { ...fields, limitPerS });
+    this.onRate(news);
+  }
+
+  private logUnread(replica: string, signal: ReplicaSignal): void {
+    const { unreadBackOff, unreadLimit } = signal;
+    if (unreadBackOff !== undefined)
+      this.logUnreadText(replica, "back-off can't be read", unreadBackOff);
+    if (unreadLimit !== undefined)
+      this.logUnreadText(replica, "rate limit can't be read", unreadLimit);
   }
 
-  private logUnread(replica: string, message: string, text: string): void {
+  private logUnreadText(replica: string, message: string, text: string): void {
     if (this.unread.get(replica) === text) return;
     this.unread.set(replica, text);
     const said = text.slice(0, MAX_LOGGED_CHARS);
--- a/src/gateway/replicaSignals.ts
+++ b/src/gateway/replicaSignals.ts
@@ -90,12 +90,19 @@
     return this.availability.refusal(id, now) !== undefined;
   }
 
-  /** Where all that may be used back off: time until the first end, ms; else 0. */
-  allBackOffLeftMs(service: string, now: number): number {
+  /**
+   * Where all that may be used back off: time until the first end, ms; else 0.
+   * `heldUntil`: until when a replica is left out for another reason.
+   */
+  allBackOffLeftMs(
+    service: string,
+    now: number,
+    heldUntil: (id: string) => number = () => now,
+  ): number {
     const backOffs = this.backOffEnds(service, now);
     const ends = this.replicas
       .usable(service, now)
-      .map(({ id }) => backOffs.get(id) ?? now);
+      .map(({ id }) => Math.max(backOffs.get(id) ?? now, heldUntil(id)));
     return ends.length === 0 ? 0 : Math.min(...ends) - now;
   }
 
--- a/src/gateway/schedulerDaemon.ts
+++ b/src/gateway/schedulerDaemon.ts
@@ -9,6 +9,7 @@
 import { GatewayState } from "./gatewayState.js";
 import { createPlacementRole } from "./placementRole.js";
 import type { KeyBounds, UsageWindows } from "../workspaces/index.js";
+import { RateLimits } from "../rateLimits/index.js";
 import { ReplicaClient } from "./replicaClient.js";
 import { watchStore } from "./storeWatch.js";
 import { UpstreamClient } from "./upstreamClient.js";
@@ -33,15 +34,17 @@
   settings: SchedulerSettings,
   parts: GatewayParts,
 ): Promise<Daemon> => {
-  const { form, source, feed, log, metrics, now, leaseNow } = parts;
+  const { form, source, feed, log, metrics, rng, now, leaseNow } = parts;
   const { id } = settings;
   const supervisor = new Supervisor(log);
   const upstream = new UpstreamClient();
   const state = new GatewayState(source, log, now, leaseNow, () => undefined);
   const { replicas } = state;
+  const rates = new RateLimits(rng);
   const client = new ReplicaClient({
     client: upstream,
     replicas,
+    rates,
     form,
     log,
     metrics,
@@ -62,6 +65,7 @@
     state,
     feed,
     client,
+    rates,
     form,
     log,
     now,
--- a/src/gateway/stageKeeper.ts
+++ b/src/gateway/stageKeeper.ts
@@ -9,6 +9,7 @@
 import type { StageChange } from "../scheduling/index.js";
 import { TakeoverGuard } from "../placement/index.js";
 import type { HolderAuthority } from "../placement/index.js";
+import type { RateLimits } from "../rateLimits/index.js";
 import { BoundedCancellation } from "../shared/cancellation.js";
 import type { Log } from "../telemetry/index.js";
 import { isOtherLife } from "./replicaSet.js";
@@ -43,6 +44,7 @@
   replicas: ReplicaSet;
   authority: HolderAuthority;
   client: ReplicaClient;
+  rates: Pick<RateLimits, "binds">;
   form: RequestForm;
   log: Log;
   now: () => number;
@@ -110,13 +112,16 @@
   }
 
   private plan(now: number): StageChange | undefined {
-    const { scheduler, replicas } = this.options;
+    const { scheduler, replicas, rates } = this.options;
     const { demand } = this;
-    // One that backs off is lost for the while, and takes no order.
+    // One that backs off, or takes fewer than it would get, is lost for the
+    // while, and takes no order.
     const engines = scheduler
       .engineStates()
       .filter(
-        ({ view }) => replicas.signals.refusal(view.id, now) === undefined,
+        ({ view }) =>
+          replicas.signals.refusal(view.id, now) === undefined &&
+          !rates.binds(view.id, now),
       );
     return planStages({
       engines: engines.map((engine) => ({
--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -98,6 +98,7 @@
         failure: isNotRun ? { ...failure, retryAfterMs } : failure,
       };
     }
+    journey.grantedAt = this.options.now();
     this.logGrant(journey, answer);
     let isGood = false;
     try {
@@ -113,9 +114,14 @@
     }
   }
 
-  /** Where engines back off, none takes it before the first of them may. */
+  /**
+   * Where engines back off, none takes it before the first of them may; those
+   * who come back to limited ones are spread as well.
+   */
   private retryAfterMs({ service }: CallerRequest, answer: Refusal): number {
     const { replicas, now, rng } = this.options;
+    if (answer.why === "limited")
+      return afterBackOffMs(answer.retryAfterMs, rng);
     const ends = [...replicas.signals.backOffEnds(service, now()).values()];
     if (answer.why !== "no-engine" || ends.length === 0) {
       return answer.retryAfterMs;
@@ -172,6 +178,7 @@
     const order = {
       reader,
       expectedMs: grant.readMs,
+      grantedAt: journey.grantedAt,
       cacheSource: this.calls.addressOf(grant.donor),
     };
     const read = await this.reader.read(caller, order);
--- a/src/gen/snowgate.ts
+++ b/src/gen/snowgate.ts
@@ -153,6 +153,10 @@
     | undefined;
   /** Requests that began to run, as the sender has counted them so far. */
   usage: UsageWindow[];
+  /** What replicas have come to say of the rate that they take. */
+  rates: RateNews[];
+  /** Asks to send one request to a replica that nobody places on. */
+  permitAsk: PermitAsk | undefined;
 }
 
 export interface PlaceReply {
@@ -183,6 +187,29 @@
   leaseEpoch: number;
   leaseBeat: number;
   config: ConfigAnswer | undefined;
+  rates: RateNews[];
+  permit: PermitReply | undefined;
+}
+
+/** A replica takes so many requests a second from all processes together. */
+export interface RateNews {
+  replica: string;
+  perS: number;
+  /** Since it says so no more, ms; absent: it does. */
+  endedAgoMs?: number | undefined;
+}
+
+export interface PermitAsk {
+  /** The answer bears the same number. */
+  number: number;
+  replica: string;
+}
+
+export interface PermitReply {
+  number: number;
+  isAcquired: boolean;
+  /** When to ask again, ms from now. */
+  waitMs: number;
 }
 
 export interface ConfigAsk {
@@ -2038,6 +2065,8 @@
     isStandby: false,
     configAsk: undefined,
     usage: [],
+    rates: [],
+    permitAsk: undefined,
   };
 }
 
@@ -2064,6 +2093,12 @@
     for (const v of message.usage) {
       UsageWindow.encode(v!, writer.uint32(58).fork()).join();
     }
+    for (const v of message.rates) {
+      RateNews.encode(v!, writer.uint32(66).fork()).join();
+    }
+    if (message.permitAsk !== undefined) {
+      PermitAsk.encode(message.permitAsk, writer.uint32(74).fork()).join();
+    }
     return writer;
   },
 
@@ -2136,6 +2171,22 @@
             message.usage.push(UsageWindow.decode(reader, reader.uint32()));
             continue;
           }
+          case 8: {
+            if (tag !== 66) {
+              break;
+            }
+
+            message.rates.push(RateNews.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 9: {
+            if (tag !== 74) {
+              break;
+            }
+
+            message.permitAsk = PermitAsk.decode(reader, reader.uint32());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2165,6 +2216,12 @@
         ? ConfigAsk.fromJSON(object.config_ask)
         : undefined,
       usage: globalThis.Array.isArray(object?.usage) ? object.usage.map((e: any) => UsageWindow.fromJSON(e)) : [],
+      rates: globalThis.Array.isArray(object?.rates) ? object.rates.map((e: any) => RateNews.fromJSON(e)) : [],
+      permitAsk: isSet(object.permitAsk)
+        ? PermitAsk.fromJSON(object.permitAsk)
+        : isSet(object.permit_ask)
+        ? PermitAsk.fromJSON(object.permit_ask)
+        : undefined,
     };
   },
 
@@ -2191,6 +2248,12 @@
     if (message.usage?.length) {
       obj.usage = message.usage.map((e) => UsageWindow.toJSON(e));
     }
+    if (message.rates?.length) {
+      obj.rates = message.rates.map((e) => RateNews.toJSON(e));
+    }
+    if (message.permitAsk !== undefined) {
+      obj.permitAsk = PermitAsk.toJSON(message.permitAsk);
+    }
     return obj;
   },
 
@@ -2208,6 +2271,10 @@
       ? ConfigAsk.fromPartial(object.configAsk)
       : undefined;
     message.usage = object.usage?.map((e) => UsageWindow.fromPartial(e)) || [];
+    message.rates = object.rates?.map((e) => RateNews.fromPartial(e)) || [];
+    message.permitAsk = (object.permitAsk !== undefined && object.permitAsk !== null)
+      ? PermitAsk.fromPartial(object.permitAsk)
+      : undefined;
     return message;
   },
 };
@@ -2229,6 +2296,8 @@
     leaseEpoch: 0,
     leaseBeat: 0,
     config: undefined,
+    rates: [],
+    permit: undefined,
   };
 }
 
@@ -2279,6 +2348,12 @@
     if (message.config !== undefined) {
       ConfigAnswer.encode(message.config, writer.uint32(122).fork()).join();
     }
+    for (const v of message.rates) {
+      RateNews.encode(v!, writer.uint32(130).fork()).join();
+    }
+    if (message.permit !== undefined) {
+      PermitReply.encode(message.permit, writer.uint32(138).fork()).join();
+    }
     return writer;
   },
 
@@ -2415,6 +2490,22 @@
             message.config = ConfigAnswer.decode(reader, reader.uint32());
             continue;
           }
+          case 16: {
+            if (tag !== 130) {
+              break;
+            }
+
+            message.rates.push(RateNews.decode(reader, reader.uint32()));
+            continue;
+          }
+          case 17: {
+            if (tag !== 138) {
+              break;
+            }
+
+            message.permit = PermitReply.decode(reader, reader.uint32());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2476,6 +2567,10 @@
         ? globalThis.Number(object.lease_beat)
         : 0,
       config: isSet(object.config) ? ConfigAnswer.fromJSON(object.config) : undefined,
+      rates: globalThis.Array.isArray(object?.rates)
+        ? object.rates.map((e: any) => RateNews.fromJSON(e))
+        : [],
+      permit: isSet(object.permit) ? PermitReply.fromJSON(object.permit) : undefined,
     };
   },
 
@@ -2526,6 +2621,12 @@
     if (message.config !== undefined) {
       obj.config = ConfigAnswer.toJSON(message.config);
     }
+    if (message.rates?.length) {
+      obj.rates = message.rates.map((e) => RateNews.toJSON(e));
+    }
+    if (message.permit !== undefined) {
+      obj.permit = PermitReply.toJSON(message.permit);
+    }
     return obj;
   },
 
@@ -2553,6 +2654,313 @@
     message.config = (object.config !== undefined && object.config !== null)
       ? ConfigAnswer.fromPartial(object.config)
       : undefined;
+    message.rates = object.rates?.map((e) => RateNews.fromPartial(e)) || [];
+    message.permit = (object.permit !== undefined && object.permit !== null)
+      ? PermitReply.fromPartial(object.permit)
+      : undefined;
+    return message;
+  },
+};
+
+function createBaseRateNews(): RateNews {
+  return { replica: "", perS: 0, endedAgoMs: undefined };
+}
+
+export const RateNews: MessageFns<RateNews> = {
+  encode(message: RateNews, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.replica !== "") {
+      writer.uint32(10).string(message.replica);
+    }
+    if (message.perS !== 0) {
+      writer.uint32(17).double(message.perS);
+    }
+    if (message.endedAgoMs !== undefined) {
+      writer.uint32(24).uint32(message.endedAgoMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): RateNews {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseRateNews();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 10) {
+              break;
+            }
+
+            message.replica = reader.string();
+            continue;
+          }
+          case 2: {
+            if (tag !== 17) {
+              break;
+            }
+
+            message.perS = reader.double();
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.endedAgoMs = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): RateNews {
+    return {
+      replica: isSet(object.replica) ? globalThis.String(object.replica) : "",
+      perS: isSet(object.perS)
+        ? globalThis.Number(object.perS)
+        : isSet(object.per_s)
+        ? globalThis.Number(object.per_s)
+        : 0,
+      endedAgoMs: isSet(object.endedAgoMs)
+        ? globalThis.Number(object.endedAgoMs)
+        : isSet(object.ended_ago_ms)
+        ? globalThis.Number(object.ended_ago_ms)
+        : undefined,
+    };
+  },
+
+  toJSON(message: RateNews): unknown {
+    const obj: any = {};
+    if (message.replica !== "") {
+      obj.replica = message.replica;
+    }
+    if (message.perS !== 0) {
+      obj.perS = floatToJson(message.perS);
+    }
+    if (message.endedAgoMs !== undefined) {
+      obj.endedAgoMs = Math.round(message.endedAgoMs);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<RateNews>, I>>(base?: I): RateNews {
+    return RateNews.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<RateNews>, I>>(object: I): RateNews {
+    const message = createBaseRateNews();
+    message.replica = object.replica ?? "";
+    message.perS = object.perS ?? 0;
+    message.endedAgoMs = object.endedAgoMs ?? undefined;
+    return message;
+  },
+};
+
+function createBasePermitAsk(): PermitAsk {
+  return { number: 0, replica: "" };
+}
+
+export const PermitAsk: MessageFns<PermitAsk> = {
+  encode(message: PermitAsk, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.number !== 0) {
+      writer.uint32(8).uint32(message.number);
+    }
+    if (message.replica !== "") {
+      writer.uint32(18).string(message.replica);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): PermitAsk {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBasePermitAsk();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 8) {
+              break;
+            }
+
+            message.number = reader.uint32();
+            continue;
+          }
+          case 2: {
+            if (tag !== 18) {
+              break;
+            }
+
+            message.replica = reader.string();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): PermitAsk {
+    return {
+      number: isSet(object.number) ? globalThis.Number(object.number) : 0,
+      replica: isSet(object.replica) ? globalThis.String(object.replica) : "",
+    };
+  },
+
+  toJSON(message: PermitAsk): unknown {
+    const obj: any = {};
+    if (message.number !== 0) {
+      obj.number = Math.round(message.number);
+    }
+    if (message.replica !== "") {
+      obj.replica = message.replica;
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<PermitAsk>, I>>(base?: I): PermitAsk {
+    return PermitAsk.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<PermitAsk>, I>>(object: I): PermitAsk {
+    const message = createBasePermitAsk();
+    message.number = object.number ?? 0;
+    message.replica = object.replica ?? "";
+    return message;
+  },
+};
+
+function createBasePermitReply(): PermitReply {
+  return { number: 0, isAcquired: false, waitMs: 0 };
+}
+
+export const PermitReply: MessageFns<PermitReply> = {
+  encode(message: PermitReply, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.number !== 0) {
+      writer.uint32(8).uint32(message.number);
+    }
+    if (message.isAcquired !== false) {
+      writer.uint32(16).bool(message.isAcquired);
+    }
+    if (message.waitMs !== 0) {
+      writer.uint32(24).uint32(message.waitMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): PermitReply {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBasePermitReply();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 8) {
+              break;
+            }
+
+            message.number = reader.uint32();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.isAcquired = reader.bool();
+            continue;
+          }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.waitMs = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): PermitReply {
+    return {
+      number: isSet(object.number) ? globalThis.Number(object.number) : 0,
+      isAcquired: isSet(object.isAcquired)
+        ? globalThis.Boolean(object.isAcquired)
+        : isSet(object.is_acquired)
+        ? globalThis.Boolean(object.is_acquired)
+        : false,
+      waitMs: isSet(object.waitMs)
+        ? globalThis.Number(object.waitMs)
+        : isSet(object.wait_ms)
+        ? globalThis.Number(object.wait_ms)
+        : 0,
+    };
+  },
+
+  toJSON(message: PermitReply): unknown {
+    const obj: any = {};
+    if (message.number !== 0) {
+      obj.number = Math.round(message.number);
+    }
+    if (message.isAcquired !== false) {
+      obj.isAcquired = message.isAcquired;
+    }
+    if (message.waitMs !== 0) {
+      obj.waitMs = Math.round(message.waitMs);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<PermitReply>, I>>(base?: I): PermitReply {
+    return PermitReply.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<PermitReply>, I>>(object: I): PermitReply {
+    const message = createBasePermitReply();
+    message.number = object.number ?? 0;
+    message.isAcquired = object.isAcquired ?? false;
+    message.waitMs = object.waitMs ?? 0;
     return message;
   },
 };
--- a/src/placement/localPlacement.ts
+++ b/src/placement/localPlacement.ts
@@ -9,6 +9,7 @@
   PlacementEvent,
   Queued,
 } from "../scheduling/index.js";
+import type { EnginePermits } from "../rateLimits/index.js";
 import type { Placement } from "./types.js";
 
 export interface LocalPlacementOptions {
@@ -16,6 +17,7 @@
   engines(service: string): readonly EngineView[];
   /** How many processes place on the same engines without talking. */
   share(service: string): number;
+  permits: EnginePermits;
   now: () => number;
 }
 
@@ -91,7 +93,8 @@
   scheduler(service: string): EngineScheduler {
     const known = this.schedulers.get(service);
     if (known !== undefined) return known;
-    const fresh = new EngineScheduler(() => this.options.share(service));
+    const share = () => this.options.share(service);
+    const fresh = new EngineScheduler(share, this.options.permits);
     this.schedulers.set(service, fresh);
     return fresh;
   }
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -107,6 +107,8 @@
     retryAfterMs: isRefusal ? whole(answer.retryAfterMs) : 0,
     isQueued: answer?.kind === "queued",
     config: undefined,
+    rates: [],
+    permit: undefined,
     ...state,
   };
 };
--- a/src/placement/placementClient.ts
+++ b/src/placement/placementClient.ts
@@ -15,6 +15,7 @@
   PlacementAsk,
   PlacementEvent,
 } from "../scheduling/index.js";
+import type { PermitAnswer, RateNews } from "../rateLimits/index.js";
 import { errText } from "../shared/utils.js";
 import type { Log } from "../telemetry/index.js";
 import type { ConfigNews, WindowCounts } from "../workspaces/index.js";
@@ -26,6 +27,8 @@
   toUsageWindow,
 } from "./messages.js";
 import type { HolderState } from "./messages.js";
+import { PermitAsks } from "./permitAsks.js";
+import { fromRateNews, toRateNews } from "./rateMessages.js";
 import { KEEPALIVE_OPTIONS, STANDBYS_AT_ONCE } from "./placementServer.js";
 
 /**
@@ -73,6 +76,8 @@
   leaseNow: () => number;
   /** The holder answered so to a question that was sent at `sentAt`. */
   onConfig(news: ConfigNews, sentAt: number): void;
+  /** What replicas have said to other processes of the rate they take. */
+  onRates(news: readonly RateNews[]): void;
   log: Log;
   now: () => number;
 }
@@ -81,6 +86,7 @@
   private readonly client: SchedulingClient;
   private readonly stream: ClientDuplexStream<PlaceCall, PlaceReply>;
   private readonly waiting = new Map<string, Waiting>();
+  private readonly permitAsks = new PermitAsks();
   private queuedCount = 0;
   private events: PlaceEvent[] = [];
   private eventTimer: NodeJS.Timeout | undefined;
@@ -178,6 +184,19 @@
     this.send({ configAsk: { number, known } });
   }
 
+  /** The holder's word on one send; undefined if it can't be had. */
+  askPermit(replica: string): Promise<PermitAnswer | undefined> {
+    if (this.isLost || !this.isReady) return Promise.resolve(undefined);
+    const { number, answer } = this.permitAsks.open();
+    this.send({ permitAsk: { number, replica } });
+    return answer;
+  }
+
+  /** Tells what replicas have come to say of the rate they take. */
+  tellRates(news: readonly RateNews[]): void {
+    if (news.length > 0) this.send({ rates: news.map(toRateNews) });
+  }
+
   /** Tells what this process has counted. */
   tellUsage(process: string, windows: readonly WindowCounts[]): void {
     if (this.isLost || windows.length === 0) return;
@@ -204,6 +223,8 @@
       isStandby: this.options.isStandby,
       configAsk: undefined,
       usage: [],
+      rates: [],
+      permitAsk: undefined,
       ...call,
     });
   }
@@ -222,6 +243,11 @@
     });
     this.watchBeats(standbyRank);
     if (reply.config !== undefined) this.onConfig(reply.config);
+    if (reply.rates.length > 0) {
+      const told = reply.rates.map(fromRateNews);
+      this.options.onRates(told.filter((news) => news !== undefined));
+    }
+    if (reply.permit !== undefined) this.permitAsks.settle(reply.permit);
     if (reply.isQueued) return this.onQueued(id);
     const waiting = this.take(id);
     if (waiting !== undefined) return waiting.resolve(fromPlaceReply(reply));
@@ -302,6 +328,7 @@
       resolve(undefined);
     }
     this.waiting.clear();
+    this.permitAsks.close();
     this.stream.cancel();
     this.client.close();
     this.options.onLost(why);
--- a/src/placement/placementServer.ts
+++ b/src/placement/placementServer.ts
@@ -11,6 +11,8 @@
   Queued,
   ReadCost,
 } from "../scheduling/index.js";
+import { RateNewsFilter } from "../rateLimits/index.js";
+import type { PermitAnswer, RateNews } from "../rateLimits/index.js";
 import { errText } from "../shared/utils.js";
 import type { Log } from "../telemetry/index.js";
 import type { LeaseMark } from "./leaseKeeper.js";
@@ -23,6 +25,7 @@
   toPlaceReply,
 } from "./messages.js";
 import type { HolderState } from "./messages.js";
+import { fromRateNews, toPermitReply, toRateNews } from "./rateMessages.js";
 import type { ConfigNews, WindowCounts } from "../workspaces/index.js";
 
 /** Pings that find dead peers, ms; see `placementClient.ts`. */
@@ -70,6 +73,12 @@
   onLeaving(engine: string): void;
   /** What another process has counted. */
   onUsage(process: string, window: WindowCounts): void;
+  /** The rates that replicas say they take, as far as they are limited. */
+  rates(): RateNews[];
+  /** A replica has said to another process which rate it takes. */
+  onRate(news: RateNews): void;
+  /** Whether another process may send one request to that replica. */
+  permit(replica: string): PermitAnswer;
   log: Log;
 }
 
@@ -87,6 +96,8 @@
   private readonly open = new Map<PlaceStream, Set<string>>();
   /** What each stream was told of reading last. */
   private readonly toldPace = new WeakMap<PlaceStream, ReadCost | undefined>();
+  /** What each stream was told of the rates of replicas. */
+  private readonly toldRates = new WeakMap<PlaceStream, RateNewsFilter>();
 
   constructor(private readonly options: PlacementServerOptions) {
     this.server.addService(SchedulingService, {
@@ -122,19 +133,34 @@
     let standbyRank = 0;
     for (const [stream, told] of standbys) {
       const state = this.state(service, stream, standbyRank);
+      const rates = this.rateNews(stream);
       const isNews =
         standbyRank < STANDBYS_AT_ONCE ||
         told?.isFresh !== state.isFresh ||
         told.standbyRank !== standbyRank ||
-        state.readPace !== undefined;
+        state.readPace !== undefined ||
+        rates.length > 0;
       if (isNews) {
         standbys.set(stream, state);
-        stream.write(toPlaceReply("", undefined, state));
+        stream.write({ ...toPlaceReply("", undefined, state), rates });
       }
       standbyRank += 1;
     }
   }
 
+  /**
+   * Tells entries which rates replicas take: one that has not heard it itself
+   * would send on, and use up room that others are held back for.
+   */
+  tellRates(service: string): void {
+    for (const stream of this.streams.get(service) ?? []) {
+      const rates = this.rateNews(stream);
+      if (rates.length === 0) continue;
+      const state = this.state(service, stream, 0);
+      stream.write({ ...toPlaceReply("", undefined, state), rates });
+    }
+  }
+
   close(): void {
     this.server.forceShutdown();
   }
@@ -214,6 +240,16 @@
       this.options.onUsage(process, { seq, counts });
     }
     if (configAsk !== undefined) this.tellConfig(service, stream, configAsk);
+    for (const told of call.rates) {
+      const news = fromRateNews(told);
+      if (news !== undefined) this.options.onRate(news);
+    }
+    if (call.permitAsk !== undefined) {
+      const { number, replica } = call.permitAsk;
+      const permit = toPermitReply(number, this.options.permit(replica));
+      const state = this.state(service, stream, 0);
+      stream.write({ ...toPlaceReply("", undefined, state), permit });
+    }
     for (const told of call.events) {
       const event = fromPlaceEvent(told);
       if (event === undefined) continue;
@@ -282,6 +318,13 @@
     };
   }
 
+  /** What that stream has not been told of the rates of replicas. */
+  private rateNews(stream: PlaceStream): PlaceReply["rates"] {
+    const known = this.toldRates.get(stream) ?? new RateNewsFilter();
+    this.toldRates.set(stream, known);
+    return known.pick(this.options.rates()).map(toRateNews);
+  }
+
   private noteOpen(stream: PlaceStream, id: string): void {
     const known = this.open.get(stream) ?? new Set();
     known.add(id);
--- a/src/placement/sharedPlacement.ts
+++ b/src/placement/sharedPlacement.ts
@@ -10,6 +10,12 @@
   PlacementEvent,
   ReadCost,
 } from "../scheduling/index.js";
+import type {
+  PermitAnswer,
+  PermitShare,
+  RateLimits,
+  RateNews,
+} from "../rateLimits/index.js";
 import type { ObjectFeed } from "../store/index.js";
 import type { Log } from "../telemetry/index.js";
 import { AskLimit } from "./askLimit.js";
@@ -29,6 +35,17 @@
  * by itself.
  */
 const GUESSED_PART = 0.5;
+/**
+ * Part of the rate of a limited replica that is used by processes which can't
+ * reach the one that spends it. Others may still reach it and use the whole;
+ * the two together must stay below one and a half times the rate.
+ */
+const UNLED_PART = 0.5;
+/**
+ * The largest number of entries that was counted counts for this long, ms: a
+ * new holder counts from one on while they come to it.
+ */
+const ENTRIES_HOLD_MS = 30_000;
 
 /** Pause between two such groups, ms: as long as a takeover takes. */
 const STANDBY_PAUSE_MS = 2000;
@@ -48,6 +65,7 @@
 
 export interface SharedPlacementOptions {
   local: LocalPlacement;
+  rates: RateLimits;
   feed: ObjectFeed;
   /** Name of this process. */
   self: string;
@@ -74,9 +92,12 @@
 
 /** What is known of the holder of one service. */
 interface HolderLink {
+  service: string;
   keeper: LeaseKeeper;
   client: PlacementClient | undefined;
   entries: number;
+  /** The most entries that were counted lately, and when, ms. */
+  mostEntries: { count: number; at: number } | undefined;
   /** Whether the holder says that its lease is fresh. */
   isFresh: boolean;
   /** Since when there is no holder with a fresh lease, ms. */
@@ -150,6 +171,57 @@
     return isAlone && !link.keeper.isFresh ? guess : 1;
   }
 
+  /** How much of what a replica of a service takes this process may use. */
+  permitShare(service: string): PermitShare {
+    const link = this.permitLink(service);
+    const unled = { part: UNLED_PART / UNKNOWN_ENTRIES, isSole: false };
+    if (link === undefined) return unled;
+    const { keeper } = link;
+    const entries = this.entriesLately(link);
+    if (!keeper.isHolder) return { part: UNLED_PART / entries, isSole: false };
+    if (keeper.isFresh) return { part: 1, isSole: true };
+    // Others may have found another holder: only those that are left count.
+    const here = this.options.entriesHere(link.service);
+    return { part: Math.min(1, here / entries), isSole: true };
+  }
+
+  /** Whether one request may go to a replica on which nobody places. */
+  async permit(service: string, replica: string): Promise<PermitAnswer> {
+    const { rates, now } = this.options;
+    const answer = await this.permitLink(service)?.client?.askPermit(replica);
+    if (answer !== undefined) return answer;
+    if (rates.acquire(replica, now())) return { kind: "acquired" };
+    return { kind: "held-back", waitMs: rates.waitMs(replica, now()) };
+  }
+
+  /** Tells whoever spends the rate of a service's replicas. */
+  tellRate(service: string, news: RateNews): void {
+    this.permitLink(service)?.client?.tellRates([news]);
+  }
+
+  /**
+   * To the holder that spends the rates of a service's replicas: that of the
+   * service itself, or of the first one that has a holder.
+   */
+  private permitLink(service: string): HolderLink | undefined {
+    const [first] = [...this.links.keys()].sort();
+    return this.links.get(service) ?? this.links.get(first ?? "");
+  }
+
+  /** The most that were counted in the last time, one at least. */
+  private entriesLately(link: HolderLink): number {
+    const { keeper, entries, mostEntries } = link;
+    const now = this.options.now();
+    const { entriesHere } = this.options;
+    const count = keeper.isHolder ? entriesHere(link.service) : entries;
+    const isOld =
+      mostEntries === undefined || now - mostEntries.at > ENTRIES_HOLD_MS;
+    if (isOld || count >= mostEntries.count) {
+      link.mostEntries = { count, at: now };
+    }
+    return Math.max(1, link.mostEntries?.count ?? count);
+  }
+
   isHolder(service: string): boolean {
     return this.links.get(service)?.keeper.isHolder ?? false;
   }
@@ -241,9 +313,11 @@
       leaseNow,
     });
     const link: HolderLink = {
+      service,
       keeper,
       client: undefined,
       entries: UNKNOWN_ENTRIES,
+      mostEntries: undefined,
       isFresh: true,
       unsureSince: undefined,
       leaveMs: 0,
@@ -262,6 +336,7 @@
       now: this.options.now,
       leaseNow: this.options.leaseNow,
       onConfig: this.options.onConfig,
+      onRates: (news) => this.learnRates(news),
       onState: ({ entries, isFresh, standbyRank, readPace, ...lease }) => {
         const { leaseEpoch: epoch, leaseBeat: beat } = lease;
         link.keeper.hear({ epoch, beat });
@@ -290,6 +365,12 @@
     for (const { ask, grant, isRead } of this.inUse.values()) {
       if (ask.service === service) client.tellHeld(ask, grant, isRead);
     }
+    client.tellRates(this.options.rates.all(this.options.now()));
+  }
+
+  private learnRates(news: readonly RateNews[]): void {
+    const { rates, now } = this.options;
+    for (const item of news) rates.learn(item, now());
   }
 
   /** What another process has learnt of the engines' pace. */
--- /dev/null
+++ b/src/rateLimits/index.ts
@@ -0,0 +1,11 @@
+/** The rates that replicas say they take, and who may use them. */
+export { RateLimits } from "./rateLimits.js";
+export { RateNewsFilter } from "./newsFilter.js";
+export { NO_LIMITS } from "./types.js";
+export type {
+  EnginePermits,
+  PermitAnswer,
+  PermitShare,
+  RateNews,
+} from "./types.js";
+export type { RateWord } from "./rateLimits.js";
--- a/src/scheduling/enginePool.ts
+++ b/src/scheduling/enginePool.ts
@@ -1,5 +1,6 @@
 /** The engines of one service as the scheduler sees them. Pure. */
 import { EngineState } from "./engineState.js";
+import type { EnginePermits } from "../rateLimits/index.js";
 import type { ReadPace } from "./readPace.js";
 import type { EngineView, PlacementAsk } from "./types.js";
 
@@ -11,7 +12,10 @@
   /** The list that was set last. */
   private views: readonly EngineView[] | undefined;
 
-  constructor(private readonly pace: ReadPace) {}
+  constructor(
+    private readonly pace: ReadPace,
+    private readonly permits: EnginePermits,
+  ) {}
 
   /**
    * The engines that may get work; others keep what they run. The same list
@@ -57,22 +61,28 @@
     this.close(id, now + STAGE_DOUBT_MS);
   }
 
+  /** Those of `fit` that take one more request now. */
+  open(ask: PlacementAsk, now: number): EngineState[] {
+    return this.fit(ask, now).filter(({ view }) =>
+      this.permits.mayAcquire(view.id, now),
+    );
+  }
+
   /**
    * The engines that may get the request; those that are unavailable to its
    * process never do. Those that failed lately are left out, but for a stage
    * that would have none: a failure is better than none of them.
    */
-  open(ask: PlacementAsk, now: number): EngineState[] {
-    const { avoid, unavailable } = ask;
+  fit({ avoid, unavailable }: PlacementAsk, now: number): EngineState[] {
     const able = this.all().filter(({ view, changesUntil }) => {
       const isLeftOut =
         avoid.includes(view.id) || unavailable.includes(view.id);
       return changesUntil <= now && !isLeftOut;
     });
-    const open = able.filter((item) => !item.isClosed(now));
-    const stages = new Set(open.map((item) => item.view.stage));
+    const fit = able.filter((item) => !item.isClosed(now));
+    const stages = new Set(fit.map((item) => item.view.stage));
     const lastResort = able.filter((item) => !stages.has(item.view.stage));
-    return [...open, ...lastResort];
+    return [...fit, ...lastResort];
   }
 
   /** Drops work that was never reported on. */
--- a/src/scheduling/refusals.ts
+++ b/src/scheduling/refusals.ts
@@ -12,7 +12,19 @@
 /** A long answer needs the rest of its time: no pause is longer, ms. */
 const LONGEST_RETRY_MS = 1000;
 
-export const refuse = (ask: PlacementAsk, why: RefusalCause): Refusal => {
+/** `waitMs`: expected until it could begin, where engines are limited. */
+export const refuse = (
+  ask: PlacementAsk,
+  why: RefusalCause,
+  waitMs = 0,
+): Refusal => {
+  if (why === "limited") {
+    return {
+      kind: "refused",
+      why,
+      retryAfterMs: Math.max(LEAST_RETRY_MS, waitMs),
+    };
+  }
   const pauseMs = Math.max(LEAST_RETRY_MS, ask.deadlineLeftMs * RETRY_PART);
   const retryAfterMs = Math.min(LONGEST_RETRY_MS, pauseMs);
   return { kind: "refused", why, retryAfterMs };
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -4,6 +4,8 @@
  * all entries of a service while it can be reached; each entry has one of
  * its own for the time when it can't.
  */
+import { NO_LIMITS } from "../rateLimits/index.js";
+import type { EnginePermits } from "../rateLimits/index.js";
 import { FadingSum } from "../shared/fadingSum.js";
 import { RunningMean } from "../shared/runningMean.js";
 import { EnginePool } from "./enginePool.js";
@@ -56,6 +58,7 @@
 const LOOK_AHEAD = 16;
 /** Time constant of the rate of urgent reading, ms. */
 const RATE_MEMORY_MS = 1000;
+const MS_PER_SECOND = 1000;
 
 /** The late answer to a request that was queued. */
 export interface Settled {
@@ -98,10 +101,15 @@
   private readonly urgentMs = new FadingSum(RATE_MEMORY_MS);
   readonly asked: SchedulerLoad = { ...NO_LOAD };
   readonly pace = new ReadPace();
-  private readonly engines = new EnginePool(this.pace);
+  private readonly engines: EnginePool;
 
   /** `share`: how many schedulers place on these engines without talking. */
-  constructor(private share: () => number) {}
+  constructor(
+    private share: () => number,
+    private readonly permits: EnginePermits = NO_LIMITS,
+  ) {
+    this.engines = new EnginePool(this.pace, permits);
+  }
 
   /** The engines that may get work; others keep what they run. */
   setEngines(views: readonly EngineView[]): void {
@@ -170,13 +178,14 @@
       : this.start(choice, plan);
     if (grant !== undefined) return grant;
     // Waiting ends no back-off: the caller hears at once when to come back.
-    if (ask.unavailable.length > 0 && lacksStage(open)) {
+    const fit = this.engines.fit(ask, now);
+    if (ask.unavailable.length > 0 && lacksStage(fit)) {
       return refuse(ask, "no-engine");
     }
-    const hasRunner = open.some((item) => hasRoom(ask, item, this.share()));
-    const load = this.readingLoad(ask, hasRunner, now);
+    const load = this.readingLoad(ask, fit, now);
     if (!this.queue.mayWait(item, load, now)) {
-      return refuse(ask, this.whyNot(open));
+      const waitMs = load.roomMs * (this.queue.size + 1);
+      return refuse(ask, this.whyNot(open, fit), waitMs);
     }
     this.queue.add(item, now);
     return { kind: "queued" };
@@ -219,9 +228,13 @@
     };
   }
 
-  private whyNot(open: readonly EngineState[]): RefusalCause {
+  private whyNot(
+    open: readonly EngineState[],
+    fit: readonly EngineState[],
+  ): RefusalCause {
     const share = this.share();
-    if (lacksStage(open)) return "no-engine";
+    if (lacksStage(fit)) return "no-engine";
+    if (lacksStage(open)) return "limited";
     const runners = open.filter((item) => item.view.stage === "decode");
     const hasSlot = runners.some(
       (item) => item.runCount * share + 1 <= item.view.slots,
@@ -242,16 +255,27 @@
     const restMs = runner.readCostMs(ask.promptTokens, cache.at(runner));
     if (restMs <= HOPS_MS && runner.backlogMs(now) <= START_AHEAD_MS) {
       this.asked.restMs += restMs;
-      return this.grant(choice, undefined, runner);
+      return this.give(choice, undefined, runner);
     }
     const limitMs = ask.objectiveLeftMs - this.afterReadMs;
     if (plan !== undefined && plan.endMs - plan.costMs <= START_AHEAD_MS) {
       if (plan.endMs <= limitMs) this.urgentMs.add(plan.costMs, now);
-      return this.grant(choice, plan, runner);
+      return this.give(choice, plan, runner);
     }
     const roomy = open.filter((other) => hasRoom(ask, other, share));
     const own = planOwnRead(ask, cache, roomy, open, limitMs, now);
-    return own && this.grant(choice, own, own.engine);
+    return own && this.give(choice, own, own.engine);
+  }
+
+  /** Grants it, and uses a permit of each engine that gets a request. */
+  private give(
+    choice: Choice,
+    plan: ReadPlan | undefined,
+    runner: EngineState,
+  ): Grant {
+    const engines = new Set([plan?.engine ?? runner, runner]);
+    for (const { view } of engines) this.permits.acquire(view.id, choice.now);
+    return this.grant(choice, plan, runner);
   }
 
   private hasIdleReader(now: number): boolean {
@@ -260,25 +284,54 @@
       .some((engine) => engine.backlogMs(now) <= START_AHEAD_MS);
   }
 
-  /** Of the engines that may read it: what the others do shortens no wait. */
+  /**
+   * Of the engines that may read it: what the others do shortens no wait.
+   * `fit`: those that may get it, also where they take no more for a moment.
+   */
   private readingLoad(
-    { unavailable }: PlacementAsk,
-    hasRunner: boolean,
+    ask: PlacementAsk,
+    fit: readonly EngineState[],
     now: number,
   ): ReadingLoad {
     const readers = this.engines
       .readers(now)
-      .filter(({ view }) => !unavailable.includes(view.id));
-    const engines = readers.length;
+      .filter(({ view }) => !ask.unavailable.includes(view.id));
+    const engines = readers.reduce(
+      (sum, item) => sum + this.readingPart(item, now),
+      0,
+    );
     const backlog = readers.reduce((sum, item) => sum + item.backlogMs(now), 0);
+    const roomy = fit.filter((item) => hasRoom(ask, item, this.share()));
+    const fullMs = roomy.length > 0 ? 0 : 1 / this.placed.endRate(now);
+    const permitMs = Math.max(
+      this.permitGapMs(readers, now),
+      this.permitGapMs(roomy, now),
+    );
     return {
       engines,
-      backlogMs: backlog / Math.max(1, engines),
+      backlogMs: backlog / Math.max(1, readers.length),
       urgentShare: this.urgentMs.rate(now) / Math.max(1, engines),
-      roomMs: hasRunner ? 0 : 1 / this.placed.endRate(now),
+      roomMs: Math.max(fullMs, permitMs),
     };
   }
 
+  /** Part of its time for which an engine may be given prompts to read. */
+  private readingPart({ view }: EngineState, now: number): number {
+    const perS = this.permits.ratePerS(view.id, now);
+    if (perS === Infinity) return 1;
+    return Math.min(1, (perS * this.meanReadMs.value) / MS_PER_SECOND);
+  }
+
+  /** Between two requests to any of these; 0 where one takes all, ms. */
+  private permitGapMs(engines: readonly EngineState[], now: number): number {
+    if (engines.length === 0) return 0;
+    const perS = engines.reduce(
+      (sum, { view }) => sum + this.permits.ratePerS(view.id, now),
+      0,
+    );
+    return MS_PER_SECOND / perS;
+  }
+
   /** From the end of a read to the first event at the caller, ms. */
   private get afterReadMs(): number {
     return this.placed.firstEventMs + HOPS_MS;
--- a/src/scheduling/types.ts
+++ b/src/scheduling/types.ts
@@ -64,11 +64,17 @@
   readMs: number;
 }
 
-export const REFUSAL_CAUSES = ["no-engine", "slots", "too-late"] as const;
+export const REFUSAL_CAUSES = [
+  "no-engine",
+  "limited",
+  "slots",
+  "too-late",
+] as const;
 
 /**
- * `no-engine`: none of a stage may get work; `slots`: all that make tokens
- * are full; `too-late`: its turn would not come soon enough.
+ * `no-engine`: none of a stage may get work; `limited`: all of a stage take
+ * no more for a moment; `slots`: all that make tokens are full; `too-late`:
+ * its turn would not come soon enough.
  */
 export type RefusalCause = (typeof REFUSAL_CAUSES)[number];
 
--- a/tests/gateway/engineCalls.test.ts
+++ b/tests/gateway/engineCalls.test.ts
@@ -1,6 +1,8 @@
 /** What is sent to engines for callers whose time is over, or who left. */
 import { expect } from "chai";
 
+import { seededRng } from "../../src/shared/rng.js";
+import { RateLimits } from "../../src/rateLimits/index.js";
 import type { CallerRequest } from "../../src/gateway/callerRequest.js";
 import { EngineCalls } from "../../src/gateway/engineCalls.js";
 import type { EngineCallsOptions } from "../../src/gateway/engineCalls.js";
@@ -33,6 +35,7 @@
   const client = new ReplicaClient({
     client: upstream,
     replicas,
+    rates: new RateLimits(seededRng(1)),
     now,
   } as unknown as ReplicaClientOptions);
   const form = { upstreamHeaders: () => [] };
@@ -57,6 +60,7 @@
     calls.send(caller, "dec-1", cancellation, {
       deadlineMs: leftMs,
       phase: "run",
+      grantedAt: 0,
     });
   return { run, sent, cancellation, replicas };
 };
--- a/tests/gateway/engineWatch.test.ts
+++ b/tests/gateway/engineWatch.test.ts
@@ -2,6 +2,8 @@
 import http from "node:http";
 import { expect } from "chai";
 
+import { RateLimits } from "../../src/rateLimits/index.js";
+import { seededRng } from "../../src/shared/rng.js";
 import { EngineWatch } from "../../src/gateway/engineWatch.js";
 import type { EngineMood } from "../../src/gateway/engineWatch.js";
 import type { EngineCallsOptions } from "../../src/gateway/engineCalls.js";
@@ -61,12 +63,14 @@
       readReport: (body: string) => JSON.parse(body) as Report,
       readReply: () => ({ requestId: undefined }),
       readSignal: () => ({ isLeaving: false, backOffMs: undefined }),
+      unknownHeaders: () => [],
     };
     const watch = new EngineWatch({
       replicas,
       client: new ReplicaClient({
         client,
         replicas,
+        rates: new RateLimits(seededRng(1)),
         form,
         now: () => 0,
       } as unknown as ReplicaClientOptions),
--- a/tests/gateway/placement.test.ts
+++ b/tests/gateway/placement.test.ts
@@ -1,6 +1,8 @@
 /** Entries and the holder of a lease over their own protocol, on loopback. */
 import { expect } from "chai";
 
+import { RateLimits } from "../../src/rateLimits/index.js";
+import { seededRng } from "../../src/shared/rng.js";
 import { PlacementClient } from "../../src/placement/placementClient.js";
 import { LocalPlacement, PlacementServer } from "../../src/placement/index.js";
 import type {
@@ -60,13 +62,16 @@
   let address: string;
   let clients: PlacementClient[];
   let leaving: string[];
+  let rates: RateLimits;
 
   beforeEach(async () => {
+    rates = new RateLimits(seededRng(1));
     clients = [];
     leaving = [];
     local = new LocalPlacement({
       engines: () => ENGINES,
       share: () => 1,
+      permits: rates,
       now,
     });
     server = new PlacementServer({
@@ -78,6 +83,9 @@
       configNews: () => undefined,
       onLeaving: (engine) => leaving.push(engine),
       onUsage: () => undefined,
+      rates: () => rates.all(now()),
+      onRate: (news) => rates.learn(news, now()),
+      permit: () => ({ kind: "acquired" }),
       log: SILENT,
     });
     address = await server.listen("127.0.0.1:0");
@@ -99,6 +107,7 @@
       onLost: () => undefined,
       onState: () => undefined,
       onConfig: () => undefined,
+      onRates: () => undefined,
       log: SILENT,
       now,
       leaseNow: now,
--- a/tests/gateway/scheduling.test.ts
+++ b/tests/gateway/scheduling.test.ts
@@ -481,3 +481,77 @@
     }
   });
 });
+
+describe("scheduler of engines that name a limit", () => {
+  /** Permits that are left, by engine; others take any number. */
+  const limited = (left: Record<string, number>) => {
+    const scheduler = new EngineScheduler(() => 1, {
+      mayAcquire: (id) => (left[id] ?? 1) > 0,
+      acquire: (id) => {
+        if (left[id] !== undefined) left[id] -= 1;
+        return (left[id] ?? 0) >= 0;
+      },
+      ratePerS: (id) => (left[id] === undefined ? Infinity : 2),
+    });
+    scheduler.pace.restore({ fixedMs: 0, tokenMs: 1 / 100, mPairMs: 0.15 });
+    scheduler.setEngines(FLEET);
+    return scheduler;
+  };
+
+  it("sends as many there as it takes, the others elsewhere", () => {
+    const left = { "dec-1": 2, "pre-1": 1 };
+    const scheduler = limited(left);
+    const grants = Array.from({ length: 4 }, () => {
+      const one = ask({ parts: [] });
+      const answer = granted(scheduler.place(one, 0));
+      scheduler.onEvent({ kind: "read", id: one.id, ok: true }, 0);
+      return answer;
+    });
+    const runs = grants.filter(({ runner }) => runner === "dec-1").length;
+    const reads = grants.filter(({ reader }) => reader === "pre-1").length;
+    expect(runs).to.be.at.most(2);
+    expect(reads).to.be.at.most(1);
+    expect(left["dec-1"]).to.equal(2 - runs);
+    expect(left["pre-1"]).to.equal(1 - reads);
+  });
+
+  it("has no prompt read whose run has nowhere to go", () => {
+    const left = { "dec-1": 0, "dec-2": 0 };
+    const scheduler = limited(left);
+    const answer = scheduler.place(ask(), 0);
+    expect(answer.kind).to.not.equal("granted");
+  });
+
+  it("says when to come back where all of a stage take no more", () => {
+    const left = { "dec-1": 0, "dec-2": 0 };
+    const scheduler = limited(left);
+    const answer = refusal(scheduler, {});
+    expect(answer.why).to.equal("limited");
+    // Both together take four a second.
+    expect(answer.retryAfterMs).to.be.at.least(250);
+  });
+
+  it("lets those wait that get their turn by the limits in time", () => {
+    const left = { "dec-1": 0, "dec-2": 0 };
+    const scheduler = limited(left);
+    const one = ask({ objectiveLeftMs: 1000 });
+    expect(scheduler.place(one, 0).kind).to.equal("queued");
+    left["dec-2"] = 1;
+    const [settled] = scheduler.settle(260);
+    expect(settled?.answer).to.include({ kind: "granted", runner: "dec-2" });
+  });
+
+  it("uses no failed engine for one that takes no more for a moment", () => {
+    const left: Record<string, number> = { "dec-1": 5 };
+    const scheduler = limited(left);
+    for (let at = 0; at < 4; at += 1) {
+      const one = ask({ avoid: ["dec-2"] });
+      scheduler.place(one, 0);
+      scheduler.onEvent(ended(one.id, false), 0);
+    }
+    left["dec-1"] = 5;
+    left["dec-2"] = 0;
+    const answer = scheduler.place(ask(), 1);
+    expect(answer.kind).to.not.equal("granted");
+  });
+});
