Further sends: the fleet's bound holds with any number of entries

A further round at engines that read and run apart sends twice and was paid for once: charged.

The number of entries that a holder counts falls to one at each takeover; the most of the last 30 s counts now, for this, for connections and for guesses. Holder links and permits have files of their own.

--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -117,8 +117,9 @@
     log,
     now,
   });
-  const budgets = new RetryBudgets(settings.retry, now);
   const { placement } = role;
+  const countedEntries = () => placement.countedEntries(state.engineServices());
+  const budgets = new RetryBudgets(settings.retry, countedEntries, now);
   client.onLeaving = ({ id: engine, service }) => {
     if (!state.engineServices().includes(service)) return;
     placement.note(service, { kind: "leaving", id: "", engine });
@@ -144,7 +145,7 @@
     quarantine,
     keyBounds: settings.keyBounds,
     onBegun: role.onBegun,
-    plain: new PlainFlow({ ...shared, rates, permits: placement }),
+    plain: new PlainFlow({ ...shared, rates, permits: placement.permits }),
     stream: new StreamFlow({ ...shared, placement, log }, id),
     log,
     metrics,
--- a/src/gateway/placementRole.ts
+++ b/src/gateway/placementRole.ts
@@ -8,7 +8,7 @@
   PlacementServer,
   SharedPlacement,
 } from "../placement/index.js";
-import type { PermitAnswer, RateLimits } from "../rateLimits/index.js";
+import type { RateLimits } from "../rateLimits/index.js";
 import type { ObjectFeed } from "../store/index.js";
 import type { Supervisor } from "../tasks/index.js";
 import type { Log } from "../telemetry/index.js";
@@ -115,14 +115,15 @@
     onLeaving: (engine) => state.replicas.signals.leave(engine, now()),
     onUsage: (process, window) => duties?.onTold(process, window),
     rates: () => rates.all(now()),
-    onRate: (news) => void rates.learn(news, now()),
-    permit: (replica) => permitAt(rates, replica, now()),
+    onRate: (news) => placement.permits.learn([news]),
+    permit: (replica) => placement.permits.permitHere(replica),
     log,
   });
   const serviceOf = (replica: string): string =>
     state.replicas.get(replica)?.service ?? "";
-  rates.shareOf = (replica) => placement.permitShare(serviceOf(replica));
-  client.onRate = (news) => placement.tellRate(serviceOf(news.replica), news);
+  rates.shareOf = (replica) => placement.permits.share(serviceOf(replica));
+  client.onRate = (news) =>
+    placement.permits.tell(serviceOf(news.replica), news);
   const duties = newDuties(options, placement);
   address = await peers.listen(options.peerAddress);
   const work = new HolderWork({ ...options, local, placement });
@@ -152,15 +153,6 @@
   return { placement, peerAddress: address, onBegun, start, stop };
 };
 
-const permitAt = (
-  rates: RateLimits,
-  replica: string,
-  now: number,
-): PermitAnswer =>
-  rates.acquire(replica, now)
-    ? { kind: "acquired" }
-    : { kind: "held-back", waitMs: rates.waitMs(replica, now) };
-
 const newDuties = (
   options: PlacementRoleOptions,
   placement: SharedPlacement,
--- a/src/gateway/retryBudgets.ts
+++ b/src/gateway/retryBudgets.ts
@@ -1,55 +1,73 @@
 /**
  * How many sends beyond the first of each request this entry may make, a
- * service. Entries don't ask each other: each earns by its own requests, and
- * the small stock that it starts with is its part of the fleet's.
+ * service. The bound is one sum over all entries and any window of time.
+ * Entries don't ask each other: each keeps to the same rule over its own
+ * requests, and to its part of the fleet's stock, so that the sum holds.
+ * Nothing is kept for longer than a window: what sixty entries had kept could
+ * be spent in one.
  */
-import { addTokens, takeTokens } from "../shared/tokenBucket.js";
-import type { TokenBucket } from "../shared/tokenBucket.js";
+import { SlidingCount } from "../shared/slidingCount.js";
 
 /** Part of the allowed ratio that is used; the rest covers the spread. */
 const USED_PART = 0.75;
-/** Entries among which the fleet's stock is divided, at the most. */
-const MOST_ENTRIES = 32;
-/** Requests whose earnings are kept at the most. */
-const KEPT_REQUESTS = 60;
+/** Entries among which the fleet's stock is divided while nobody counted. */
+const UNCOUNTED_ENTRIES = 32;
 
 export interface RetryLimits {
   /** Allowed sends beyond the first, a request. */
   ratio: number;
   /** Allowed beyond that over all entries in one window. */
   burst: number;
+  windowMs: number;
+}
+
+/** What one service has had in the last window. */
+interface Counts {
+  requests: SlidingCount;
+  further: SlidingCount;
 }
 
 export class RetryBudgets {
-  private readonly buckets = new Map<string, TokenBucket>();
-  private readonly earned: number;
-  private readonly stock: number;
+  private readonly counts = new Map<string, Counts>();
 
+  /** `entries`: that share the stock; undefined: nobody has counted them. */
   constructor(
-    limits: RetryLimits,
+    private readonly limits: RetryLimits,
+    private readonly entries: () => number | undefined,
     private readonly now: () => number,
-  ) {
-    this.earned = limits.ratio * USED_PART;
-    this.stock = Math.max(1, limits.burst / MOST_ENTRIES);
-  }
+  ) {}
 
   /** A request came: it earns a part of a further send. */
   earn(service: string): void {
-    const bucket = addTokens(this.bucket(service), this.earned, this.now());
-    this.buckets.set(service, bucket);
+    this.countsOf(service).requests.add(1, this.now());
   }
 
   /** Takes one further send, if there is one. */
   spend(service: string): boolean {
-    const { bucket, taken } = takeTokens(this.bucket(service), 1, this.now());
-    this.buckets.set(service, bucket);
-    return taken;
+    const { ratio, burst } = this.limits;
+    const { requests, further } = this.countsOf(service);
+    const now = this.now();
+    const stock = burst / (this.entries() ?? UNCOUNTED_ENTRIES);
+    const allowed = requests.atLeast(now) * ratio * USED_PART + stock;
+    if (further.atMost(now) + 1 > allowed) return false;
+    further.add(1, now);
+    return true;
+  }
+
+  /** So many further sends were made without asking. */
+  charge(service: string, sends: number): void {
+    this.countsOf(service).further.add(sends, this.now());
   }
 
-  private bucket(service: string): TokenBucket {
-    const known = this.buckets.get(service);
+  private countsOf(service: string): Counts {
+    const known = this.counts.get(service);
     if (known !== undefined) return known;
-    const capacity = this.stock + KEPT_REQUESTS * this.earned;
-    return { tokens: this.stock, capacity, perMs: 0, at: this.now() };
+    const { windowMs } = this.limits;
+    const fresh = {
+      requests: new SlidingCount(windowMs),
+      further: new SlidingCount(windowMs),
+    };
+    this.counts.set(service, fresh);
+    return fresh;
   }
 }
--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -64,9 +64,12 @@
     const onFirstEvent = () => this.noteBegun(journey);
     const journey: Journey = newJourney(caller, onFirstEvent, now);
     for (;;) {
-      const sends = caller.sentTo.length;
+      const sentBefore = caller.sentTo.length;
       const round = await this.round(journey);
-      const isUnsent = caller.sentTo.length === sends;
+      const sends = caller.sentTo.length - sentBefore;
+      // A further round was paid for as one send, and may have been two.
+      if (sentBefore > 0 && sends > 1)
+        budgets.charge(caller.service, sends - 1);
       if (round.kind === "done") return;
       if (round.kind === "refused") return this.giveUp(journey, round.failure);
       journey.verdict = worseVerdict(journey.verdict, round.verdict);
@@ -74,7 +77,7 @@
       if (caller.isCallerGone) return;
       const failure = failureOf(journey.verdict, round.why);
       if (!mayGoOn(journey)) return this.giveUp(journey, failure);
-      if (!isUnsent && !budgets.spend(caller.service))
+      if (sends > 0 && !budgets.spend(caller.service))
         return this.giveUp(journey, failure);
     }
   }
--- a/src/placement/sharedPlacement.ts
+++ b/src/placement/sharedPlacement.ts
@@ -10,43 +10,26 @@
   PlacementEvent,
   ReadCost,
 } from "../scheduling/index.js";
-import type {
-  PermitAnswer,
-  PermitShare,
-  RateLimits,
-  RateNews,
-} from "../rateLimits/index.js";
+import type { RateLimits } from "../rateLimits/index.js";
 import type { ObjectFeed } from "../store/index.js";
 import type { Log } from "../telemetry/index.js";
 import { AskLimit } from "./askLimit.js";
+import { HolderLink } from "./holderLink.js";
 import { LeaseKeeper } from "./leaseKeeper.js";
 import type { LeaseMark } from "./leaseKeeper.js";
 import type { LocalPlacement } from "./localPlacement.js";
 import { PlacementClient } from "./placementClient.js";
 import { STANDBYS_AT_ONCE } from "./placementServer.js";
+import { RatePermits, UNKNOWN_ENTRIES } from "./ratePermits.js";
 import type { Placement } from "./types.js";
 import type { ConfigNews, WindowCounts } from "../workspaces/index.js";
 
-/** Entries assumed to share the engines while none was counted. */
-const UNKNOWN_ENTRIES = 4;
 /**
  * Part of the entries that an entry which places alone counts as busy as
  * itself. Callers are not spread evenly, and an engine that is full refuses
  * by itself.
  */
 const GUESSED_PART = 0.5;
-/**
- * Part of the rate of a limited replica that is used by processes which can't
- * reach the one that spends it. Others may still reach it and use the whole;
- * the two together must stay below one and a half times the rate.
- */
-const UNLED_PART = 0.5;
-/**
- * The largest number of entries that was counted counts for this long, ms: a
- * new holder counts from one on while they come to it.
- */
-const ENTRIES_HOLD_MS = 30_000;
-
 /** Pause between two such groups, ms: as long as a takeover takes. */
 const STANDBY_PAUSE_MS = 2000;
 
@@ -90,22 +73,6 @@
   leaseNow: () => number;
 }
 
-/** What is known of the holder of one service. */
-interface HolderLink {
-  service: string;
-  keeper: LeaseKeeper;
-  client: PlacementClient | undefined;
-  entries: number;
-  /** The most entries that were counted lately, and when, ms. */
-  mostEntries: { count: number; at: number } | undefined;
-  /** Whether the holder says that its lease is fresh. */
-  isFresh: boolean;
-  /** Since when there is no holder with a fresh lease, ms. */
-  unsureSince: number | undefined;
-  /** How long this process leaves looking for another to others, ms. */
-  leaveMs: number;
-}
-
 interface InUse {
   ask: PlacementAsk;
   grant: Grant;
@@ -117,8 +84,12 @@
   private readonly links = new Map<string, HolderLink>();
   private readonly inUse = new Map<string, InUse>();
   private readonly askLimit = new AskLimit();
+  /** Of the rates that replicas take. */
+  readonly permits: RatePermits;
 
-  constructor(private readonly options: SharedPlacementOptions) {}
+  constructor(private readonly options: SharedPlacementOptions) {
+    this.permits = new RatePermits({ ...options, links: this.links });
+  }
 
   async place(ask: PlacementAsk): Promise<PlacementAnswer> {
     const { local, now } = this.options;
@@ -164,64 +135,14 @@
   share(service: string): number {
     const link = this.links.get(service);
     if (link === undefined) return UNKNOWN_ENTRIES;
-    const guess = Math.max(1, link.entries * GUESSED_PART);
+    const entries = link.entries ?? UNKNOWN_ENTRIES;
+    const guess = Math.max(1, entries * GUESSED_PART);
     if (!link.keeper.isHolder) return guess;
     // Cut off from the store, others may have found another holder.
     const isAlone = this.options.entriesHere(service) <= 1;
     return isAlone && !link.keeper.isFresh ? guess : 1;
   }
 
-  /** How much of what a replica of a service takes this process may use. */
-  permitShare(service: string): PermitShare {
-    const link = this.permitLink(service);
-    const unled = { part: UNLED_PART / UNKNOWN_ENTRIES, isSole: false };
-    if (link === undefined) return unled;
-    const { keeper } = link;
-    const entries = this.entriesLately(link);
-    if (!keeper.isHolder) return { part: UNLED_PART / entries, isSole: false };
-    if (keeper.isFresh) return { part: 1, isSole: true };
-    // Others may have found another holder: only those that are left count.
-    const here = this.options.entriesHere(link.service);
-    return { part: Math.min(1, here / entries), isSole: true };
-  }
-
-  /** Whether one request may go to a replica on which nobody places. */
-  async permit(service: string, replica: string): Promise<PermitAnswer> {
-    const { rates, now } = this.options;
-    const answer = await this.permitLink(service)?.client?.askPermit(replica);
-    if (answer !== undefined) return answer;
-    if (rates.acquire(replica, now())) return { kind: "acquired" };
-    return { kind: "held-back", waitMs: rates.waitMs(replica, now()) };
-  }
-
-  /** Tells whoever spends the rate of a service's replicas. */
-  tellRate(service: string, news: RateNews): void {
-    this.permitLink(service)?.client?.tellRates([news]);
-  }
-
-  /**
-   * To the holder that spends the rates of a service's replicas: that of the
-   * service itself, or of the first one that has a holder.
-   */
-  private permitLink(service: string): HolderLink | undefined {
-    const [first] = [...this.links.keys()].sort();
-    return this.links.get(service) ?? this.links.get(first ?? "");
-  }
-
-  /** The most that were counted in the last time, one at least. */
-  private entriesLately(link: HolderLink): number {
-    const { keeper, entries, mostEntries } = link;
-    const now = this.options.now();
-    const { entriesHere } = this.options;
-    const count = keeper.isHolder ? entriesHere(link.service) : entries;
-    const isOld =
-      mostEntries === undefined || now - mostEntries.at > ENTRIES_HOLD_MS;
-    if (isOld || count >= mostEntries.count) {
-      link.mostEntries = { count, at: now };
-    }
-    return Math.max(1, link.mostEntries?.count ?? count);
-  }
-
   isHolder(service: string): boolean {
     return this.links.get(service)?.keeper.isHolder ?? false;
   }
@@ -256,13 +177,15 @@
 
   /** Most entries that place on the engines of any of these services. */
   entries(services: readonly string[]): number {
-    const counts = services.map((service) => {
-      const link = this.links.get(service);
-      if (link === undefined) return UNKNOWN_ENTRIES;
-      const here = this.options.entriesHere(service);
-      return link.keeper.isHolder ? here : link.entries;
-    });
-    return Math.max(1, ...(counts.length > 0 ? counts : [UNKNOWN_ENTRIES]));
+    return this.countedEntries(services) ?? UNKNOWN_ENTRIES;
+  }
+
+  /** The same; undefined while no holder has counted them. */
+  countedEntries(services: readonly string[]): number | undefined {
+    const counts = services.flatMap(
+      (service) => this.links.get(service)?.entries ?? [],
+    );
+    return counts.length === 0 ? undefined : Math.max(1, ...counts);
   }
 
   /** Keeps or seeks the lease of each service that has engines. */
@@ -277,6 +200,8 @@
   private async stepOne(service: string): Promise<void> {
     const link = this.links.get(service) ?? this.addLink(service);
     await link.keeper.step(this.mustLook(link));
+    const { entriesHere, now } = this.options;
+    if (link.keeper.isHolder) link.noteEntries(entriesHere(service), now());
     const { otherHolder } = link.keeper;
     if (link.client?.address === otherHolder) return;
     link.client?.close();
@@ -312,16 +237,7 @@
       now,
       leaseNow,
     });
-    const link: HolderLink = {
-      service,
-      keeper,
-      client: undefined,
-      entries: UNKNOWN_ENTRIES,
-      mostEntries: undefined,
-      isFresh: true,
-      unsureSince: undefined,
-      leaveMs: 0,
-    };
+    const link = new HolderLink(service, keeper);
     this.links.set(service, link);
     return link;
   }
@@ -336,12 +252,12 @@
       now: this.options.now,
       leaseNow: this.options.leaseNow,
       onConfig: this.options.onConfig,
-      onRates: (news) => this.learnRates(news),
+      onRates: (news) => this.permits.learn(news),
       onState: ({ entries, isFresh, standbyRank, readPace, ...lease }) => {
         const { leaseEpoch: epoch, leaseBeat: beat } = lease;
         link.keeper.hear({ epoch, beat });
         if (readPace !== undefined) this.restorePace(service, readPace);
-        link.entries = entries;
+        link.noteEntries(entries, this.options.now());
         link.isFresh = isFresh;
         const group = Math.floor(standbyRank / STANDBYS_AT_ONCE);
         link.leaveMs = group * STANDBY_PAUSE_MS;
@@ -368,11 +284,6 @@
     client.tellRates(this.options.rates.all(this.options.now()));
   }
 
-  private learnRates(news: readonly RateNews[]): void {
-    const { rates, now } = this.options;
-    for (const item of news) rates.learn(item, now());
-  }
-
   /** What another process has learnt of the engines' pace. */
   private restorePace(service: string, cost: ReadCost): void {
     this.options.local.scheduler(service).pace.restore(cost);
--- a/tests/gateway/state.test.ts
+++ b/tests/gateway/state.test.ts
@@ -251,8 +251,15 @@
 });
 
 describe("retry budgets", () => {
+  const newBudgets = (burst: number) =>
+    new RetryBudgets(
+      { ratio: 0.2, burst, windowMs: 10_000 },
+      () => undefined,
+      () => 0,
+    );
+
   it("allow no more than the ratio, over any number of requests", () => {
-    const budgets = new RetryBudgets({ ratio: 0.2, burst: 64 }, () => 0);
+    const budgets = newBudgets(64);
     let spent = 0;
     for (let at = 0; at < 1000; at += 1) {
       budgets.earn("s");
@@ -263,13 +270,13 @@
   });
 
   it("start with a part of the fleet's stock", () => {
-    const budgets = new RetryBudgets({ ratio: 0.2, burst: 64 }, () => 0);
+    const budgets = newBudgets(64);
     const taken = [1, 2, 3].map(() => budgets.spend("s"));
     expect(taken).to.deep.equal([true, true, false]);
   });
 
   it("are kept apart by service", () => {
-    const budgets = new RetryBudgets({ ratio: 0.2, burst: 32 }, () => 0);
+    const budgets = newBudgets(32);
     expect(budgets.spend("a")).to.equal(true);
     expect(budgets.spend("b")).to.equal(true);
   });
