--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -2,6 +2,7 @@
  * The promises, checked on what callers and upstreams recorded. Pure: records
  * in, violations out.
  */
+import { SIGNAL_CHECKS } from "./signalChecks.js";
 import { IS_STREAM, MAY_RUN_AGAIN } from "./types.js";
 import type {
   CallRecord,
@@ -215,6 +216,7 @@
   boundedRetries,
   plannedStopCutsNothing,
   oneHolder,
+  ...SIGNAL_CHECKS,
 ];
 
 /** Everything that the records prove to be wrong. */
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -281,13 +281,43 @@
   }),
 ];
 
-/** `planned`: nothing but planned work; `signals`: those faults besides all. */
-export type FaultProfile = "planned" | "all" | "signals";
+/** Limits that replicas name, requests a second. */
+const LIMITS = [0, 0.5, 1.4, 4.3, 12] as const;
+/** Limits that one replica names one after the other. */
+const LIMIT_CHANGES = 3;
+
+const LIMITED: readonly AnyFault[] = [
+  fault({
+    name: "replica names a limit",
+    isPlanned: false,
+    target: anyReplica,
+    nameOf: ofReplica,
+    run: async (target, { fleet, draw, last, note }) => {
+      const named = Array.from(
+        { length: LIMIT_CHANGES },
+        () => draw(LIMITS) ?? 1,
+      );
+      note(named.join(" "));
+      for (const perS of named) {
+        fleet.setLimit(target, perS);
+        await last(2500, 5000);
+      }
+      fleet.setLimit(target, undefined);
+    },
+  }),
+];
+
+/**
+ * `planned`: nothing but planned work; `signals` and `limits`: those faults
+ * besides all.
+ */
+export type FaultProfile = "planned" | "all" | "signals" | "limits";
 
 const FAULTS: Readonly<Record<FaultProfile, readonly AnyFault[]>> = {
   planned: PLANNED,
   all: [...PLANNED, ...UNPLANNED],
   signals: [...PLANNED, ...UNPLANNED, ...SIGNALS, ...SIGNALS],
+  limits: [...PLANNED, ...UNPLANNED, ...Array(8).fill(LIMITED).flat()],
 };
 
 export const faultsOf = (profile: FaultProfile): readonly AnyFault[] =>
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -53,6 +53,8 @@
     calls: [],
     probes: [],
     runs: [],
+    arrivals: [],
+    limits: [],
     orders: [],
     faults: [],
     news: [],
@@ -142,6 +144,10 @@
       misbehaviour: undefined,
       state: "ready",
     };
+    standin.onReached = ({ id: requestId, at, told }) => {
+      const { id } = standin.options;
+      this.records.arrivals.push({ requestId, replica: id, at, told });
+    };
     standin.behave = (arrival) => this.behave(replica, arrival);
     standin.onOrder = ({ stage, holder, fence }) => {
       const { id } = standin.options;
@@ -161,6 +167,13 @@
     replica.standin.register(this.store, state, replica.link.address);
   }
 
+  /** A replica names this limit in its answers from now on; undefined: none. */
+  setLimit({ standin }: SoakReplica, perS: number | undefined): void {
+    standin.rateLimit = perS === undefined ? undefined : String(perS);
+    const { id } = standin.options;
+    this.records.limits.push({ replica: id, at: this.now(), perS });
+  }
+
   unlist(replica: SoakReplica): void {
     unlist(this.store, replica.standin);
   }
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -1,4 +1,5 @@
 /** What the soak writes down while it runs, and what it finds in it. */
+import type { ToldSignals } from "../platform/standins/replica.js";
 
 /** What callers may send: plain requests and streams. */
 export const CALL_KINDS = ["safe", "unsafe", "resumable", "draft"] as const;
@@ -63,6 +64,21 @@
   at: number;
 }
 
+/** A request that reached a replica, also one that it turned away. */
+export interface ArrivalRecord {
+  requestId: string;
+  replica: string;
+  at: number;
+  told: ToldSignals;
+}
+
+/** From then on a replica names this limit; undefined: none. */
+export interface LimitRecord {
+  replica: string;
+  at: number;
+  perS: number | undefined;
+}
+
 /** An order that a replica took. */
 export interface OrderRecord {
   replica: string;
@@ -97,6 +113,8 @@
   calls: CallRecord[];
   probes: ProbeRecord[];
   runs: RunRecord[];
+  arrivals: ArrivalRecord[];
+  limits: LimitRecord[];
   orders: OrderRecord[];
   faults: FaultRecord[];
   news: NewsRecord[];
--- a/tests/soak/checks.test.ts
+++ b/tests/soak/checks.test.ts
@@ -6,6 +6,7 @@
   findViolations,
   STREAM_EVENTS,
 } from "../../soak/checks.js";
+import type { ToldSignals } from "../../platform/standins/replica.js";
 import type {
   CallRecord,
   FaultRecord,
@@ -72,6 +73,8 @@
   calls: [],
   probes: [],
   runs: [],
+  arrivals: [],
+  limits: [],
   orders: [],
   faults: [],
   news: [],
@@ -202,4 +205,97 @@
     const lower = [order("s-0", 2), order("s-1", 1)];
     expect(promises({ orders: lower })).to.eql(["one holder"]);
   });
+
+  describe("signals of replicas", () => {
+    const SAYS = { isLimited: false, isLeaving: false, backOff: undefined };
+
+    /** So many requests through one entry, one each 10 ms. */
+    const through = (
+      entry: string,
+      count: number,
+      from: number,
+      says: Partial<ToldSignals> = {},
+    ) => {
+      const ids = Array.from(
+        { length: count },
+        (_item, at) => `${entry}-${at}-${from}`,
+      );
+      const told = { ...SAYS, ...says };
+      return {
+        calls: ids.map((id) =>
+          call({ id, entry, answerId: id, sentAt: from, endedAt: from + 50 }),
+        ),
+        arrivals: ids.map((requestId, at) => {
+          const replica = "plain-0";
+          return { requestId, replica, at: from + at * 10, told };
+        }),
+      };
+    };
+
+    const all = (
+      parts: ReturnType<typeof through>[],
+      more: Partial<SoakRecords> = {},
+    ) => ({
+      calls: parts.flatMap(({ calls }) => calls),
+      arrivals: parts.flatMap(({ arrivals }) => arrivals),
+      ...more,
+    });
+
+    describe("limits", () => {
+      const limits = [{ replica: "plain-0", at: 10_000, perS: 2 }];
+      const says = { isLimited: true };
+      const told = [
+        through("entry-0", 1, 10_000, says),
+        through("entry-1", 1, 10_000, says),
+      ];
+      const later = (each: number) => [
+        through("entry-0", each, 14_000, says),
+        through("entry-1", each, 14_000, says),
+      ];
+      const broken = ["no more than a replica takes"];
+
+      it("find more than it takes of all entries together", () => {
+        const few = all([...told, ...later(8)], { limits });
+        expect(promises(few)).to.eql([]);
+        const many = all([...told, ...later(9)], { limits });
+        expect(promises(many)).to.eql(broken);
+      });
+
+      it("let pass what entries sent that were not told, or were struck", () => {
+        const [first] = told;
+        const untold = [...(first ? [first] : []), ...later(15)];
+        expect(promises(all(untold, { limits }))).to.eql([]);
+        const mute = through("entry-1", 30, 14_000);
+        const half = all([...told.slice(0, 1), mute], { limits });
+        expect(promises(half)).to.eql([]);
+        const faults = ["entry-0", "entry-1"].map((target) =>
+          fault({ name: "process paused", target, until: 13_000 }),
+        );
+        const struck = all([...told, ...later(30)], { limits, faults });
+        expect(promises(struck)).to.eql([]);
+      });
+    });
+
+    it("find sends in a back-off, of the entry that was asked", () => {
+      const asked = through("entry-0", 1, 10_000, { backOff: "3" });
+      const broken = ["back-offs are kept"];
+      const sends = (entry: string, count: number, from: number) =>
+        promises(all([asked, through(entry, count, from)]));
+      expect(sends("entry-0", 3, 11_000)).to.eql(broken);
+      expect(sends("entry-0", 2, 11_000)).to.eql([]);
+      expect(sends("entry-1", 9, 11_000)).to.eql([]);
+      expect(sends("entry-0", 9, 13_000)).to.eql([]);
+      expect(sends("entry-0", 9, 10_400)).to.eql([]);
+    });
+
+    it("find work for a replica that had told the entry that it leaves", () => {
+      const told = through("entry-0", 1, 10_000, { isLeaving: true });
+      const broken = ["no work for who says that it leaves"];
+      const sends = (entry: string, from: number) =>
+        promises(all([told, through(entry, 1, from)]));
+      expect(sends("entry-0", 12_500)).to.eql(broken);
+      expect(sends("entry-0", 11_500)).to.eql([]);
+      expect(sends("entry-1", 12_500)).to.eql([]);
+    });
+  });
 });
