--- a/tests/gateway/placement.test.ts
+++ b/tests/gateway/placement.test.ts
@@ -2,6 +2,7 @@
 import { expect } from "chai";
 
 import { RateLimits } from "../../src/rateLimits/index.js";
+import type { RateNews } from "../../src/rateLimits/index.js";
 import { seededRng } from "../../src/shared/rng.js";
 import { PlacementClient } from "../../src/placement/placementClient.js";
 import { LocalPlacement, PlacementServer } from "../../src/placement/index.js";
@@ -85,7 +86,12 @@
       onUsage: () => undefined,
       rates: () => rates.all(now()),
       onRate: (news) => rates.learn(news, now()),
-      permit: () => ({ kind: "acquired" }),
+      permit: (replica) => {
+        if (replica === "unheard") throw new Error("thrown on purpose");
+        return rates.acquire(replica, now())
+          ? { kind: "acquired" }
+          : { kind: "held-back", waitMs: 250.5 };
+      },
       log: SILENT,
     });
     address = await server.listen("127.0.0.1:0");
@@ -97,7 +103,9 @@
     local.close();
   });
 
-  const connect = async (): Promise<PlacementClient> => {
+  const connect = async (
+    onRates: (news: readonly RateNews[]) => void = () => undefined,
+  ): Promise<PlacementClient> => {
     let isAccepted = false;
     const client = new PlacementClient({
       service: SERVICE,
@@ -107,7 +115,7 @@
       onLost: () => undefined,
       onState: () => undefined,
       onConfig: () => undefined,
-      onRates: () => undefined,
+      onRates,
       log: SILENT,
       now,
       leaseNow: now,
@@ -162,6 +170,39 @@
     expect(leaving).to.deep.equal(["runner"]);
   });
 
+  it("gives permits for replicas that nobody places on", async () => {
+    const entry = await connect();
+    const free = await entry.askPermit("p-1");
+    expect(free).to.deep.equal({ kind: "acquired" });
+    entry.tellRates([{ replica: "p-1", perS: 2, endedAgoMs: undefined }]);
+    const held = await entry.askPermit("p-1");
+    expect(held).to.deep.equal({ kind: "held-back", waitMs: 251 });
+  });
+
+  it("answers no ask for a permit that it throws on, and goes on", async () => {
+    const entry = await connect();
+    expect(await entry.askPermit("unheard")).to.equal(undefined);
+    expect((await entry.ask(ask("next")))?.kind).to.equal("granted");
+  });
+
+  it("tells others which rates replicas take, once each change", async () => {
+    const entry = await connect();
+    const heard: RateNews[] = [];
+    await connect((news) => void heard.push(...news));
+    const news = { replica: "r", perS: 2, endedAgoMs: undefined };
+    entry.tellRates([news, { ...news, replica: "odd", perS: NaN }]);
+    await until(() => rates.isLimited("r", now()));
+    for (let times = 0; times < 3; times += 1) server.tellRates(SERVICE);
+    await until(() => heard.length > 0);
+    entry.tellRates([{ ...news, endedAgoMs: 0 }]);
+    await until(() => rates.all(now())[0]?.endedAgoMs !== undefined);
+    server.tellRates(SERVICE);
+    await until(() => heard.length > 1);
+    expect(heard.map(({ perS }) => perS)).to.eql([2, 2]);
+    expect(heard[0]?.endedAgoMs).to.equal(undefined);
+    expect(heard[1]?.endedAgoMs).to.be.a("number");
+  });
+
   it("an ask that waits is answered when room comes", async () => {
     const entry = await connect();
     await runOne(entry);
