--- a/src/gateway/plainFlow.ts
+++ b/src/gateway/plainFlow.ts
@@ -4,12 +4,14 @@
 import { afterFailure, afterSuccess, HEALTHY } from "../routing/health.js";
 import { isEjected } from "../routing/health.js";
 import type { Health } from "../routing/health.js";
-import type { PermitAnswer, RateLimits } from "../rateLimits/index.js";
+import type { RateLimits } from "../rateLimits/index.js";
 import type { Rng } from "../shared/rng.js";
 import { BoundedCancellation } from "../shared/cancellation.js";
 import type { Verdict } from "../shared/verdict.js";
 import { worseVerdict } from "../shared/verdict.js";
 import type { CallerRequest } from "./callerRequest.js";
+import { PlainPermits } from "./plainPermits.js";
+import type { PermitSource } from "./plainPermits.js";
 import type { QuarantineKeeper } from "./quarantineKeeper.js";
 import type { ReplicaEnds } from "./replicaEnds.js";
 import type { ReplicaClient } from "./replicaClient.js";
@@ -34,11 +36,6 @@
 /** Sends of one request at the most, refusals included. */
 const MAX_SENDS = 4;
 const HTTP_SERVER_ERROR = 500;
-/** Bounds of the time until a limited replica is asked for again, ms. */
-const LEAST_HELD_MS = 20;
-const MOST_HELD_MS = 1000;
-/** Less than a permit of one's own can be used for, ms. */
-const MOST_SPREAD_MS = 250;
 const AT_LIMIT = "all replicas take no more for the moment";
 
 export interface PlainFlowOptions {
@@ -55,11 +52,6 @@
   now: () => number;
 }
 
-/** Who says whether one request may go to a limited replica. */
-export interface PermitSource {
-  permit(service: string, replica: string): Promise<PermitAnswer>;
-}
-
 type Attempt =
   | { kind: "answer"; head: ReplyHead; headers: string[]; body: Buffer }
   | { kind: "failed"; verdict: Verdict; why: string; fault: Fault };
@@ -82,10 +74,11 @@
   private readonly health = new LRUCache<string, Health>({
     max: MAX_HEALTH,
   });
-  /** Until when limited replicas take no more, ms. */
-  private readonly heldBack = new LRUCache<string, number>({ max: MAX_HEALTH });
+  private readonly permits: PlainPermits;
 
-  constructor(private readonly options: PlainFlowOptions) {}
+  constructor(private readonly options: PlainFlowOptions) {
+    this.permits = new PlainPermits(options);
+  }
 
   async run(caller: CallerRequest): Promise<void> {
     const { budgets } = this.options;
@@ -104,9 +97,9 @@
       if (barred !== undefined) break;
       const replica = this.choose(caller, tried);
       if (replica === undefined) break;
-      const permitAt = await this.permitFor(caller, replica);
+      const permit = await this.permits.ask(caller.service, replica.id);
       if (caller.cancellation.isCancelled) break;
-      if (permitAt === "held-back") {
+      if (permit.kind === "held-back") {
         why = AT_LIMIT;
         continue;
       }
@@ -114,7 +107,7 @@
       if (arrivals > 0 && !budgets.spend(caller.service)) break;
       tried.add(replica.id);
       const sentTo = caller.sentTo.length;
-      const attempt = await this.attempt(caller, replica, permitAt);
+      const attempt = await this.attempt(caller, replica, permit.permitAt);
       arrivals += caller.sentTo.length - sentTo;
       if (attempt.kind === "answer") {
         answer = attempt;
@@ -137,26 +130,6 @@
     caller.fail(failureOf(verdict, why, this.retryAfterMs(caller)));
   }
 
-  /**
-   * A limited replica takes the request if there is a permit for it: the
-   * instant at which there was; undefined where none is needed.
-   */
-  private async permitFor(
-    { service }: CallerRequest,
-    { id }: Replica,
-  ): Promise<number | "held-back" | undefined> {
-    const { rates, permits, rng, now } = this.options;
-    if (!rates.isLimited(id, now())) return undefined;
-    const answer = await permits.permit(service, id);
-    if (answer.kind === "acquired") return now();
-    // Entries that were held back together do not ask again together.
-    const spreadMs = rng() * Math.min(answer.waitMs, MOST_SPREAD_MS);
-    const waitMs = answer.waitMs + spreadMs;
-    const heldMs = Math.min(MOST_HELD_MS, Math.max(LEAST_HELD_MS, waitMs));
-    this.heldBack.set(id, now() + heldMs);
-    return "held-back";
-  }
-
   /**
    * Where all replicas back off or take no more, none of them takes it before
    * the first that does again.
@@ -164,15 +137,11 @@
   private retryAfterMs({ service }: CallerRequest): number | undefined {
     const { replicas, now, rng } = this.options;
     const { signals } = replicas;
-    const heldUntil = (id: string): number => this.heldUntil(id);
+    const heldUntil = (id: string) => this.permits.heldUntil(id);
     const leftMs = signals.allBackOffLeftMs(service, now(), heldUntil);
     return leftMs > 0 ? afterBackOffMs(leftMs, rng) : undefined;
   }
 
-  private heldUntil(id: string): number {
-    return this.heldBack.get(id) ?? 0;
-  }
-
   /** A safe request that a replica failed may do better elsewhere. */
   private isWorthAnother(
     caller: CallerRequest,
@@ -192,7 +161,7 @@
     const { replicas, domain, now } = this.options;
     const usable = replicas.usable(caller.service, now()).filter(({ id }) => {
       const isRefused = replicas.signals.refusal(id, now()) !== undefined;
-      const isHeldBack = this.heldUntil(id) > now();
+      const isHeldBack = this.permits.heldUntil(id) > now();
       return !isRefused && !isHeldBack && !tried.has(id);
     });
     const healthy = usable.filter(
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -10,6 +10,7 @@
 import { RunningMean } from "../shared/runningMean.js";
 import { EnginePool } from "./enginePool.js";
 import type { EngineState } from "./engineState.js";
+import { permitGapMs, readingEngines } from "./limitedEngines.js";
 import { PlacedRequests } from "./placedRequests.js";
 import { keyedPart, PromptCache } from "./promptCache.js";
 import { planOwnRead, planRead } from "./readPlanner.js";
@@ -58,7 +59,6 @@
 const LOOK_AHEAD = 16;
 /** Time constant of the rate of urgent reading, ms. */
 const RATE_MEMORY_MS = 1000;
-const MS_PER_SECOND = 1000;
 
 /** The late answer to a request that was queued. */
 export interface Settled {
@@ -293,19 +293,18 @@
     fit: readonly EngineState[],
     now: number,
   ): ReadingLoad {
+    const { permits } = this;
     const readers = this.engines
       .readers(now)
       .filter(({ view }) => !ask.unavailable.includes(view.id));
-    const engines = readers.reduce(
-      (sum, item) => sum + this.readingPart(item, now),
-      0,
-    );
+    const meanReadMs = this.meanReadMs.value;
+    const engines = readingEngines(readers, permits, meanReadMs, now);
     const backlog = readers.reduce((sum, item) => sum + item.backlogMs(now), 0);
     const roomy = fit.filter((item) => hasRoom(ask, item, this.share()));
     const fullMs = roomy.length > 0 ? 0 : 1 / this.placed.endRate(now);
     const permitMs = Math.max(
-      this.permitGapMs(readers, now),
-      this.permitGapMs(roomy, now),
+      permitGapMs(readers, permits, now),
+      permitGapMs(roomy, permits, now),
     );
     return {
       engines,
@@ -315,23 +314,6 @@
     };
   }
 
-  /** Part of its time for which an engine may be given prompts to read. */
-  private readingPart({ view }: EngineState, now: number): number {
-    const perS = this.permits.ratePerS(view.id, now);
-    if (perS === Infinity) return 1;
-    return Math.min(1, (perS * this.meanReadMs.value) / MS_PER_SECOND);
-  }
-
-  /** Between two requests to any of these; 0 where one takes all, ms. */
-  private permitGapMs(engines: readonly EngineState[], now: number): number {
-    if (engines.length === 0) return 0;
-    const perS = engines.reduce(
-      (sum, { view }) => sum + this.permits.ratePerS(view.id, now),
-      0,
-    );
-    return MS_PER_SECOND / perS;
-  }
-
   /** From the end of a read to the first event at the caller, ms. */
   private get afterReadMs(): number {
     return this.placed.firstEventMs + HOPS_MS;
