--- a/src/placement/ratePermits.ts
+++ b/src/placement/ratePermits.ts
@@ -13,6 +13,11 @@
 
 /** Entries assumed while none was counted. */
 export const UNKNOWN_ENTRIES = 4;
+/**
+ * Entries assumed to share a rate while none was counted: too many leave some
+ * of it unused for a moment, too few would break it.
+ */
+const UNCOUNTED_ENTRIES = 64;
 /**
  * Part of the rate of a limited replica that is used by processes which can't
  * reach the one that spends it. Others may still reach it and use the whole;
@@ -35,7 +40,7 @@
   /** How much of what a replica of a service takes this process may use. */
   share(service: string): PermitShare {
     const link = this.linkFor(service);
-    const entries = link?.entries ?? UNKNOWN_ENTRIES;
+    const entries = link?.entries ?? UNCOUNTED_ENTRIES;
     const isSole = link?.keeper.isHolder ?? false;
     if (link === undefined || !isSole) {
       return { part: UNLED_PART / entries, isSole };
