--- a/tests/rateLimits/rateLimits.test.ts
+++ b/tests/rateLimits/rateLimits.test.ts
@@ -128,6 +128,14 @@
       expect(limits.isLimited("r", 0)).to.equal(false);
     });
 
+    it("is told anew where it comes back after it was forgotten", () => {
+      const filter = new RateNewsFilter();
+      const news = { replica: "r", perS: 2, endedAgoMs: undefined };
+      expect(filter.pick([news])).to.eql([news]);
+      expect(filter.pick([])).to.eql([]);
+      expect(filter.pick([news])).to.eql([news]);
+    });
+
     it("is told to each once, but for ends and large changes", () => {
       const filter = new RateNewsFilter();
       const told = (perS: number, endedAgoMs?: number) =>
