Further sends: the stock of small fleets is as small as it was

Suspected: the stock was divided by the five counted entries instead of 32, so that in a rush six times as many further sends went out at once. At least 32 share it again; more where more are counted, which the bound needs. The bound's tests pass.

--- a/src/gateway/retryBudgets.ts
+++ b/src/gateway/retryBudgets.ts
@@ -10,8 +10,11 @@
 
 /** Part of the allowed ratio that is used; the rest covers the spread. */
 const USED_PART = 0.75;
-/** Entries among which the fleet's stock is divided while nobody counted. */
-const UNCOUNTED_ENTRIES = 32;
+/**
+ * Entries among which the fleet's stock is divided at least: in a rush, further
+ * sends of a whole stock at once only hold up other requests.
+ */
+const LEAST_ENTRIES = 32;
 
 export interface RetryLimits {
   /** Allowed sends beyond the first, a request. */
@@ -47,7 +50,7 @@
     const { ratio, burst } = this.limits;
     const { requests, further } = this.countsOf(service);
     const now = this.now();
-    const stock = burst / (this.entries() ?? UNCOUNTED_ENTRIES);
+    const stock = burst / Math.max(LEAST_ENTRIES, this.entries() ?? 0);
     const allowed = requests.atLeast(now) * ratio * USED_PART + stock;
     if (further.atMost(now) + 1 > allowed) return false;
     further.add(1, now);
