The assumed number of entries stands where it is used

Since permits assume 64 uncounted entries, the four that placing assumes have one user. Moved; the value and its uses stay. Formatter, linter and types are clean; no test was run for it.

--- a/src/placement/ratePermits.ts
+++ b/src/placement/ratePermits.ts
@@ -11,8 +11,6 @@
 } from "../rateLimits/index.js";
 import type { HolderLink } from "./holderLink.js";
 
-/** Entries assumed while none was counted. */
-export const UNKNOWN_ENTRIES = 4;
 /**
  * Entries assumed to share a rate while none was counted: too many leave some
  * of it unused for a moment, too few would break it.
--- a/src/placement/sharedPlacement.ts
+++ b/src/placement/sharedPlacement.ts
@@ -20,10 +20,12 @@
 import type { LocalPlacement } from "./localPlacement.js";
 import { PlacementClient } from "./placementClient.js";
 import { STANDBYS_AT_ONCE } from "./placementServer.js";
-import { RatePermits, UNKNOWN_ENTRIES } from "./ratePermits.js";
+import { RatePermits } from "./ratePermits.js";
 import type { Placement } from "./types.js";
 import type { ConfigNews, WindowCounts } from "../workspaces/index.js";
 
+/** Entries assumed to share the engines while none was counted. */
+const UNKNOWN_ENTRIES = 4;
 /**
  * Part of the entries that an entry which places alone counts as busy as
  * itself. Callers are not spread evenly, and an engine that is full refuses
