Log dropped runs; report served requests by size in the load player

The log did not show whether the scheduler still counted a run that was in progress: runs whose end was never reported were dropped silently. They are now logged (`runs dropped, end never reported`), and `placed` includes the expected length of the answer (`outputTokens`).

The load player computes the fraction of requests of each kind that are served: all, the fifth below the largest tenth, and the largest tenth. Runs cut off by an engine crash are excluded. Its engines can slow down with the number of tokens in memory, and its callers can estimate lengths inaccurately.

Scheduling decisions are unchanged.

--- a/bench/player/engineModel.ts
+++ b/bench/player/engineModel.ts
@@ -10,6 +10,7 @@
 import type { EngineSpec } from "./load.js";
 
 const PAIRS_PER_M = 1e6;
+const TOKENS_PER_K = 1000;
 /** An engine that makes tokens reads at half the pace. */
 const DECODE_READ_FACTOR = 2;
 /** Part of the memory that is left for cached parts. */
@@ -19,6 +20,8 @@
   private readonly cache: LRUCache<string, number>;
   private readerFreeAt = 0;
   runs = 0;
+  /** Prompt and output tokens that the current runs hold in memory. */
+  runTokens = 0;
   isDown = false;
   /** Set while it lets its runs end and changes. */
   changingTo: Stage | undefined;
@@ -46,6 +49,7 @@
     this.isDown = true;
     this.life += 1;
     this.runs = 0;
+    this.runTokens = 0;
     this.cache.clear();
   }
 
@@ -81,8 +85,10 @@
 
   /** Time between two events of a run, at the present load. */
   eventMs(tokensPerEvent: number): number {
-    const { stepMs, stepMsPerRun } = this.spec;
-    return tokensPerEvent * (stepMs + stepMsPerRun * this.runs) * this.pace;
+    const { stepMs, stepMsPerRun, stepMsPerKToken } = this.spec;
+    const runTokensMs = (stepMsPerKToken * this.runTokens) / TOKENS_PER_K;
+    const totalStepMs = stepMs + stepMsPerRun * this.runs + runTokensMs;
+    return tokensPerEvent * totalStepMs * this.pace;
   }
 
   private get pace(): number {
--- a/bench/player/load.ts
+++ b/bench/player/load.ts
@@ -20,6 +20,8 @@
   /** One step of all runs, and what each run adds, ms. */
   stepMs: positive,
   stepMsPerRun: z.number().nonnegative(),
+  /** Added to a step per 1,000 tokens that the runs hold in memory, ms. */
+  stepMsPerKToken: z.number().nonnegative().default(0),
   /** To move one cached token between engines, ms. */
   moveMsPerToken: z.number().nonnegative(),
   /** A change of stage takes so long once its runs have ended, ms. */
@@ -38,7 +40,11 @@
     z.strictObject({ count: z.int().positive(), tokens: z.int().positive() }),
   ),
   events: positive,
+  /** Maximum number of events in an answer; longer answers are truncated. */
+  mostEvents: positive.optional(),
   tokensPerEvent: positive,
+  /** Callers' length estimates are off by up to this factor either way. */
+  guessSpread: z.number().min(1).default(1),
   objectiveMs: positive,
   deadlineMs: positive,
   /** Longest good pause between two events, ms. */
@@ -89,6 +95,10 @@
   parts: { id: string; tokens: number }[];
   promptTokens: number;
   events: number;
+  /** The caller's estimate of `events`. */
+  guessedEvents: number;
+  /** The kind's maximum, or the estimate where the kind has none. */
+  mostEvents: number;
 }
 
 const MS = 1000;
@@ -105,8 +115,20 @@
     .reduce((rate, { times }) => rate * times, perSecond);
 
 /** Spread evenly in the logarithm around `mean`. */
-const spreadAround = (mean: number, rng: Rng): number =>
-  Math.max(1, Math.round(mean * SIZE_SPREAD ** (2 * rng() - 1)));
+const spreadAround = (mean: number, rng: Rng, spread = SIZE_SPREAD): number =>
+  Math.max(1, Math.round(mean * spread ** (2 * rng() - 1)));
+
+/** Draws the length of an answer and the caller's estimate of it. */
+const drawEvents = (kind: Kind, rng: Rng) => {
+  const eventLimit = kind.mostEvents ?? Infinity;
+  const events = Math.min(eventLimit, spreadAround(kind.events, rng));
+  const guessedEvents =
+    kind.guessSpread === 1
+      ? events
+      : Math.min(eventLimit, spreadAround(events, rng, kind.guessSpread));
+  const mostEvents = kind.mostEvents ?? guessedEvents;
+  return { events, guessedEvents, mostEvents };
+};
 
 const drawOne = (kind: Kind, at: number, id: number, rng: Rng) => {
   const shared = kind.shared.map(({ count: many, tokens }, level) => ({
@@ -116,8 +138,7 @@
   const own = spreadAround(kind.ownTokens, rng);
   const parts = [...shared, { id: `own/${id}`, tokens: own }];
   const promptTokens = parts.reduce((sum, { tokens }) => sum + tokens, 0);
-  const events = spreadAround(kind.events, rng);
-  return { at, kind, parts, promptTokens, events };
+  return { at, kind, parts, promptTokens, ...drawEvents(kind, rng) };
 };
 
 /** All requests of a load, in the order of their times. */
--- a/bench/player/main.ts
+++ b/bench/player/main.ts
@@ -10,7 +10,7 @@
 import { percentiles, spread } from "../lib/figures.js";
 import { readLoad } from "./load.js";
 import { Play } from "./play.js";
-import { addTallies } from "./tally.js";
+import { addTallies, servedBySize } from "./tally.js";
 import type { Played } from "./play.js";
 
 const EXIT_USAGE = 2;
@@ -29,19 +29,23 @@
 
 const kindRow = (name: string, plays: readonly Played[]): string[] => {
   const all = plays.flatMap(({ tallies }) => tallies.get(name) ?? []);
-  const { asked, inTime, late, refused, failed, inVain, firstMs } =
-    addTallies(all);
+  const tally = addTallies(all);
+  const { asked, inTime, late, refused, failed, inVain, firstMs } = tally;
+  const served = servedBySize(tally);
   const [p50, , p99] = percentiles(firstMs);
   const shares = [inTime, late, refused, failed, inVain].map((part) =>
     share(part, asked),
   );
-  return [name, String(asked), ...shares, p50.toFixed(0), p99.toFixed(0)];
+  const bySize = [served.large, served.largest].map((part) => share(part, 1));
+  const latencies = [p50, p99].map((ms) => ms.toFixed(0));
+  return [name, String(asked), ...shares, ...bySize, ...latencies];
 };
 
 const kindTable = (plays: readonly Played[]): string => {
   const head = [
     ...["kind", "asked", "in time %", "late %", "refused %", "failed %"],
-    ...["in vain %", "first p50 ms", "p99 ms"],
+    ...["in vain %", "large served %", "largest served %"],
+    ...["first p50 ms", "p99 ms"],
   ];
   const table = new Table({ head, style: { head: [] } });
   for (const name of plays[0]?.tallies.keys() ?? []) {
--- a/bench/player/play.ts
+++ b/bench/player/play.ts
@@ -25,6 +25,8 @@
 const LEAST_SILENCE_MS = 2000;
 /** After the last request, for what is under way, ms. */
 const TAIL_MS = 20_000;
+/** Weight of an output token relative to a prompt token in a request's size. */
+const OUTPUT_WEIGHT = 10;
 /** What a late answer is worth of one in time. */
 const LATE_WORTH = 0.3;
 
@@ -103,7 +105,7 @@
   }
 
   private askOf({ drawn, id, begunAt, arrivedAt, ...one }: Try): PlacementAsk {
-    const { kind, parts, promptTokens, events } = drawn;
+    const { kind, parts, promptTokens, guessedEvents } = drawn;
     const { now } = this.clock;
     const deadlineMs = begunAt + kind.deadlineMs - now;
     const patienceMs = arrivedAt + silenceMs(kind) - now;
@@ -115,7 +117,7 @@
       domain: "one",
       model: "m",
       promptTokens,
-      outputTokens: Math.round(events * kind.tokensPerEvent),
+      outputTokens: Math.round(guessedEvents * kind.tokensPerEvent),
       parts,
       objectiveLeftMs: begunAt + kind.objectiveMs - now,
       deadlineLeftMs: Math.min(deadlineMs, patienceMs),
@@ -133,8 +135,8 @@
     const pauseMs = answer.retryAfterMs + this.load.hopMs;
     if (one.isReturn || pauseMs >= leftMs) {
       this.tally(one.drawn).refused += 1;
-      this.noteVain(one);
-      return;
+      this.noteOutcome(one, false);
+      return this.noteVain(one);
     }
     this.clock.after(pauseMs, () => {
       const arrivedAt = this.clock.now;
@@ -177,6 +179,7 @@
     const readyAt = isOwnRead ? this.readEnd(one, runner, grant) : now;
     if (!isOwnRead) runner.keep(one.drawn.parts);
     runner.runs += 1;
+    runner.runTokens += one.drawn.promptTokens;
     this.stream(one, runner, readyAt - now, isOwnRead);
   }
 
@@ -193,19 +196,24 @@
     let firstAt: number | undefined;
     let made = 0;
     let isSmooth = true;
+    const releaseRun = (): void => {
+      runner.runs -= 1;
+      runner.runTokens -= one.drawn.promptTokens + made * kind.tokensPerEvent;
+    };
     const next = (): void => {
       if (runner.life !== life) return this.lost(one, firstAt !== undefined);
       made += 1;
+      runner.runTokens += kind.tokensPerEvent;
       if (firstAt === undefined) {
         firstAt = this.clock.now;
         if (isOwnRead) this.report({ kind: "begun", id: one.id });
       }
       if (this.isOver(one) || (made === 1 && this.isTooSilent(one))) {
-        runner.runs -= 1;
+        releaseRun();
         return this.give(one, true);
       }
       if (made >= events) {
-        runner.runs -= 1;
+        releaseRun();
         return this.serve(one, firstAt, sentAt, isSmooth);
       }
       const pauseMs = runner.eventMs(kind.tokensPerEvent);
@@ -226,6 +234,7 @@
     tally.firstMs.push(firstMs);
     if (isSmooth && firstMs <= one.drawn.kind.objectiveMs) tally.inTime += 1;
     else tally.late += 1;
+    this.noteOutcome(one, true);
     const firstEventMs = firstAt - sentAt;
     this.report({ kind: "ended", id: one.id, ok: true, firstEventMs });
   }
@@ -233,6 +242,8 @@
   /** Ends with nothing for its caller. */
   private give(one: Try, ok: boolean): void {
     this.tally(one.drawn).failed += 1;
+    // A run that its engine's crash cut off does not reflect on scheduling.
+    if (ok) this.noteOutcome(one, false);
     this.noteVain(one);
     this.report({ kind: "ended", id: one.id, ok, firstEventMs: 0 });
   }
@@ -248,6 +259,7 @@
     this.report({ kind: "ended", id: one.id, ok: false, firstEventMs: 0 });
     if (one.rounds >= MAX_ROUNDS || this.isOver(one)) {
       this.tally(one.drawn).failed += 1;
+      this.noteOutcome(one, false);
       return this.noteVain(one);
     }
     this.ask({ ...one, avoid: [...one.avoid, engine] });
@@ -278,6 +290,12 @@
     }
   }
 
+  private noteOutcome({ drawn }: Try, isServed: boolean): void {
+    const { kind, promptTokens, events } = drawn;
+    const size = promptTokens + OUTPUT_WEIGHT * events * kind.tokensPerEvent;
+    this.tally(drawn).outcomes.push({ size, isServed });
+  }
+
   private tally({ kind }: DrawnRequest): Tally {
     return this.tallies.get(kind.name) ?? newTally();
   }
--- a/src/gateway/placementRole.ts
+++ b/src/gateway/placementRole.ts
@@ -86,6 +86,7 @@
     engines: (service) => state.engines(service),
     share: (service) => placement.share(service),
     permits: rates,
+    log,
     now,
   });
   const placement: SharedPlacement = new SharedPlacement({
--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -224,6 +224,7 @@
       donor: grant.donor,
       expectedReadMs: Math.round(grant.readMs),
       promptTokens: caller.head.prompt?.promptTokens,
+      outputTokens: caller.head.prompt?.outputTokens,
       elapsedMs: Math.round(caller.elapsedMs()),
       round: rounds,
     });
--- a/src/placement/localPlacement.ts
+++ b/src/placement/localPlacement.ts
@@ -10,6 +10,7 @@
   Queued,
 } from "../scheduling/index.js";
 import type { EnginePermits } from "../rateLimits/index.js";
+import type { Log } from "../telemetry/index.js";
 import type { Placement } from "./types.js";
 
 export interface LocalPlacementOptions {
@@ -18,6 +19,7 @@
   /** How many processes place on the same engines without talking. */
   share(service: string): number;
   permits: EnginePermits;
+  log: Log;
   now: () => number;
 }
 
@@ -101,8 +103,11 @@
 
   /** Drops what was never reported on. */
   expire(): void {
-    for (const scheduler of this.schedulers.values()) {
-      scheduler.expire(this.options.now());
+    const { log, now } = this.options;
+    for (const [service, scheduler] of this.schedulers) {
+      const runs = scheduler.expire(now());
+      if (runs > 0)
+        log.warn("runs dropped, end never reported", { service, runs });
     }
   }
 
--- a/src/scheduling/enginePool.ts
+++ b/src/scheduling/enginePool.ts
@@ -85,8 +85,8 @@
     return [...fit, ...lastResort];
   }
 
-  /** Drops work that was never reported on. */
-  expire(now: number): void {
-    for (const engine of this.engines.values()) engine.expire(now);
+  /** Drops work that was never reported on; returns the number of runs. */
+  expire(now: number): number {
+    return this.all().reduce((sum, engine) => sum + engine.expire(now), 0);
   }
 }
--- a/src/scheduling/engineState.ts
+++ b/src/scheduling/engineState.ts
@@ -219,14 +219,16 @@
     }
   }
 
-  /** Drops grants whose end was never reported. */
-  expire(now: number): void {
+  /** Drops grants whose end was never reported; returns the number of runs. */
+  expire(now: number): number {
     for (const [id, read] of this.reads) {
       if (now - read.at > GRANT_LOST_MS) this.endRead(id, false, now);
     }
+    const runsBefore = this.runs.size;
     for (const [id, run] of this.runs) {
       if (now > run.deadlineAt + GRANT_LOST_MS) this.endRun(id);
     }
+    return runsBefore - this.runs.size;
   }
 
   /** Time until the first read ends, ms. */
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -365,10 +365,10 @@
     if (event.kind === "ended") this.queue.drop(event.id);
   }
 
-  /** Drops what was never reported on. */
-  expire(now: number): void {
-    this.engines.expire(now);
+  /** Drops what was never reported on; returns the number of runs dropped. */
+  expire(now: number): number {
     this.placed.expire(now);
+    return this.engines.expire(now);
   }
 
   /** `plan`: absent where the runner reads a short rest by the way. */
--- a/tests/gateway/placement.test.ts
+++ b/tests/gateway/placement.test.ts
@@ -73,6 +73,7 @@
       engines: () => ENGINES,
       share: () => 1,
       permits: rates,
+      log: SILENT,
       now,
     });
     server = new PlacementServer({
