--- a/bench/player/fleet.ts
+++ b/bench/player/fleet.ts
@@ -43,6 +43,8 @@
   readonly scheduler = new EngineScheduler(() => 1);
   readonly stages: StageCount[] = [];
   changes = 0;
+  /** Most runs of an engine that the scheduler did not count. */
+  mostUncountedRuns = 0;
   private readonly demand = new StageDemand();
   private readonly changing = new Map<string, Stage>();
   private readonly changedAt = { prefill: -Infinity, decode: -Infinity };
@@ -111,6 +113,7 @@
     const { scheduler, clock, demand } = this;
     const { now } = clock;
     scheduler.expire(now);
+    this.compareRuns();
     demand.measure(scheduler.asked, scheduler.engineStates(), now);
     for (let orders = 0; orders < ORDERS_AT_ONCE; orders += 1) {
       const change = this.plan(now);
@@ -124,6 +127,13 @@
     this.stages.push({ atMs: now - LEAD_MS, prefill, decode: count("decode") });
   }
 
+  private compareRuns(): void {
+    for (const { view, runCount } of this.scheduler.engineStates()) {
+      const uncounted = (this.engine(view.id)?.runs ?? 0) - runCount;
+      this.mostUncountedRuns = Math.max(this.mostUncountedRuns, uncounted);
+    }
+  }
+
   private plan(now: number): StageChange | undefined {
     const { demand } = this;
     return planStages({
--- a/bench/player/play.ts
+++ b/bench/player/play.ts
@@ -34,6 +34,8 @@
   tallies: Map<string, Tally>;
   stages: StageCount[];
   changes: number;
+  /** Most runs of an engine that the scheduler did not count. */
+  mostUncountedRuns: number;
   /** Mean over all requests: 1 in time, less if late, 0 without an answer. */
   worth: number;
 }
@@ -81,8 +83,10 @@
       earned += inTime + late * LATE_WORTH;
       owed += asked;
     }
-    const { stages, changes } = this.fleet;
-    return { tallies: this.tallies, stages, changes, worth: earned / owed };
+    const { stages, changes, mostUncountedRuns } = this.fleet;
+    const { tallies } = this;
+    const worth = earned / owed;
+    return { tallies, stages, changes, mostUncountedRuns, worth };
   }
 
   private begin(drawn: DrawnRequest): void {
--- a/tests/gateway/play.test.ts
+++ b/tests/gateway/play.test.ts
@@ -7,6 +7,7 @@
 
 import { readLoad } from "../../bench/player/load.js";
 import { Play } from "../../bench/player/play.js";
+import { addTallies, servedBySize } from "../../bench/player/tally.js";
 
 const SEED = 1;
 
@@ -75,11 +76,27 @@
       for (const [kind, least] of Object.entries(inTime)) {
         const tally = played.tallies.get(kind)!;
         expect(tally.inTime / tally.asked, kind).to.be.at.least(least);
+        const { all, large, largest } = servedBySize(tally);
+        expect(Math.min(large, largest) / all, kind).to.be.at.least(0.5);
       }
       expect(played.changes).to.be.at.most(changes);
     });
   }
 
+  it("counts runs until they end", () => {
+    const load = readLoad("bench/loads/longest-answers-in-a-rush.yaml");
+    expect(new Play(load, SEED).run().mostUncountedRuns).to.equal(0);
+  });
+
+  it("serves the longest answers nearly as often as the rest", () => {
+    const load = readLoad("bench/loads/longest-answers-in-a-rush.yaml");
+    const tallies = [1, 2, 3].flatMap(
+      (seed) => new Play(load, seed).run().tallies.get("long-answer") ?? [],
+    );
+    const served = servedBySize(addTallies(tallies));
+    expect(served.largest / served.all).to.be.at.least(0.8);
+  });
+
   it("ends the same when played again", () => {
     const load = readLoad("bench/loads/swings-and-lost-engines.yaml");
     const [first, second] = [0, 1].map(() => new Play(load, SEED).run());
