Count runs until their caller's deadline

One cause: the scheduler dropped a run 6 s after the time for which a caller tolerates silence (2 s), because that was the only time a placement request carried, while an answer that has begun may take 15 s.

Ruled out: lost completion reports.

A placement request now carries how long its caller waits for the end of the answer (`answer_left_ms`). Grants are dropped 6 s after that time, and the run's deadline in the engine state is set from it as well. Gateways of an older version leave the field unset, and the previous limit applies to them.

--- a/bench/player/play.ts
+++ b/bench/player/play.ts
@@ -125,6 +125,7 @@
       parts,
       objectiveLeftMs: begunAt + kind.objectiveMs - now,
       deadlineLeftMs: Math.min(deadlineMs, patienceMs),
+      answerLeftMs: deadlineMs,
       priority: kind.priority,
       isReturn: one.isReturn,
       avoid: one.avoid,
--- a/src/gateway/journey.ts
+++ b/src/gateway/journey.ts
@@ -111,6 +111,7 @@
     parts: prompt?.parts ?? [],
     objectiveLeftMs: Math.min(objectiveMs, caller.leftMs()),
     deadlineLeftMs: Math.min(silenceMs, caller.leftMs()),
+    answerLeftMs: caller.leftMs(),
     priority: caller.priority,
     isReturn: caller.isReturn,
     avoid,
--- a/src/gen/snowgate.ts
+++ b/src/gen/snowgate.ts
@@ -113,6 +113,11 @@
   route: string;
   /** Engines that want nothing from the process that asks, for now. */
   unavailable: string[];
+  /**
+   * Time left until the caller abandons an answer that has begun. Older
+   * versions leave this unset.
+   */
+  answerLeftMs: number;
 }
 
 /** A grant that is in use already: told to a new holder. */
@@ -1514,6 +1519,7 @@
     avoid: [],
     route: "",
     unavailable: [],
+    answerLeftMs: 0,
   };
 }
 
@@ -1558,6 +1564,9 @@
     for (const v of message.unavailable) {
       writer.uint32(106).string(v!);
     }
+    if (message.answerLeftMs !== 0) {
+      writer.uint32(112).uint32(message.answerLeftMs);
+    }
     return writer;
   },
 
@@ -1678,6 +1687,14 @@
             message.unavailable.push(reader.string());
             continue;
           }
+          case 14: {
+            if (tag !== 112) {
+              break;
+            }
+
+            message.answerLeftMs = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1729,6 +1746,11 @@
       unavailable: globalThis.Array.isArray(object?.unavailable)
         ? object.unavailable.map((e: any) => globalThis.String(e))
         : [],
+      answerLeftMs: isSet(object.answerLeftMs)
+        ? globalThis.Number(object.answerLeftMs)
+        : isSet(object.answer_left_ms)
+        ? globalThis.Number(object.answer_left_ms)
+        : 0,
     };
   },
 
@@ -1773,6 +1795,9 @@
     if (message.unavailable?.length) {
       obj.unavailable = message.unavailable;
     }
+    if (message.answerLeftMs !== 0) {
+      obj.answerLeftMs = Math.round(message.answerLeftMs);
+    }
     return obj;
   },
 
@@ -1794,6 +1819,7 @@
     message.avoid = object.avoid?.map((e) => e) || [];
     message.route = object.route ?? "";
     message.unavailable = object.unavailable?.map((e) => e) || [];
+    message.answerLeftMs = object.answerLeftMs ?? 0;
     return message;
   },
 };
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -48,11 +48,14 @@
   isReturn: ask.isReturn,
   avoid: ask.avoid,
   unavailable: ask.unavailable,
+  answerLeftMs: whole(ask.answerLeftMs),
 });
 
 export const fromPlaceAsk = (service: string, ask: PlaceAsk): PlacementAsk => ({
   ...ask,
   service,
+  // Older versions leave this unset, so fall back to the first-event deadline.
+  answerLeftMs: Math.max(ask.answerLeftMs, ask.deadlineLeftMs),
 });
 
 export const toPlaceEvent = (event: PlacementEvent): PlaceEvent => ({
--- a/src/scheduling/placedRequests.ts
+++ b/src/scheduling/placedRequests.ts
@@ -58,10 +58,11 @@
 
   /** It takes room at the runner from now on. */
   add(ask: PlacementAsk, at: PlacedAt, now: number): void {
-    const { id, promptTokens, outputTokens, deadlineLeftMs } = ask;
+    const { id, promptTokens, outputTokens, answerLeftMs } = ask;
     const tokens = promptTokens + outputTokens;
-    at.runner.addRun(id, tokens, now + deadlineLeftMs, now);
-    const lostAt = now + deadlineLeftMs + LONGEST_CLOSE_MS;
+    const deadlineAt = now + answerLeftMs;
+    at.runner.addRun(id, tokens, deadlineAt, now);
+    const lostAt = deadlineAt + LONGEST_CLOSE_MS;
     this.placed.set(id, { ...at, grantedAt: now, outputTokens, lostAt });
   }
 
--- a/src/scheduling/types.ts
+++ b/src/scheduling/types.ts
@@ -42,6 +42,8 @@
   objectiveLeftMs: number;
   /** Left until the caller gives up if it has seen nothing. */
   deadlineLeftMs: number;
+  /** Time left until the caller abandons an answer that has begun. */
+  answerLeftMs: number;
   /** 0 is the most urgent. */
   priority: number;
   /** Came back after a refusal. */
--- a/tests/gateway/placement.test.ts
+++ b/tests/gateway/placement.test.ts
@@ -43,6 +43,7 @@
   parts: [],
   objectiveLeftMs: 20_000,
   deadlineLeftMs: 20_000,
+  answerLeftMs: 20_000,
   priority: 0,
   isReturn: false,
   avoid: [],
--- a/tests/gateway/placementMessages.test.ts
+++ b/tests/gateway/placementMessages.test.ts
@@ -16,6 +16,7 @@
   parts: [{ id: "aa", tokens: 200 }],
   objectiveLeftMs: 100,
   deadlineLeftMs: 500,
+  answerLeftMs: 500,
   priority: 0,
   isReturn: false,
   avoid: [],
@@ -34,6 +35,7 @@
     "outputTokens",
     "objectiveLeftMs",
     "deadlineLeftMs",
+    "answerLeftMs",
     "priority",
   ] as const;
   for (const field of fields) {
--- a/tests/gateway/scheduling.test.ts
+++ b/tests/gateway/scheduling.test.ts
@@ -45,6 +45,7 @@
     ],
     objectiveLeftMs: 200,
     deadlineLeftMs: 2000,
+    answerLeftMs: more.deadlineLeftMs ?? 2000,
     priority: 0,
     isReturn: false,
     avoid: [],
