Place long answers where they meet their deadline; refuse them otherwise

Symptom: the largest tenth of the long answers was served less than half as often as all requests.

Cause: an engine was chosen by slots, memory and its own past pace. The scheduler considered neither whether the answer would meet its deadline nor how an added run slows the runs already there. A run that could not finish in time occupied a slot for nothing.

Change: when a run ends, entries report how many events it produced and in what time. From this the scheduler learns the time per token as a function of engine load (`TokenPace`) and, by route, how accurately callers estimate the length of an answer (`AnswerLengths`). A run is placed by its probability of missing its deadline on each engine, in place of a general preference for quick engines. A first attempt at a long answer (512 tokens and more) that would add more than one expected deadline miss, its own included, on every engine with room is refused at once with a retry time. Callers that return after a refusal, and requests that have been at an engine before, are not refused this way.

--- a/src/gateway/eventSplitter.ts
+++ b/src/gateway/eventSplitter.ts
@@ -5,10 +5,12 @@
 
 const BLANK_LINES = ["\n\n", "\n\r\n"] as const;
 const ID_LINE = /^id: ?(.*?)\r?$/gm;
+const EVENT_END = /\n\r?\n/g;
 
 /** Whole events of one piece of the stream. */
 export interface WholeEvents {
   bytes: Buffer;
+  count: number;
   /** Id of the last event, if one had an id. */
   lastId: string | undefined;
 }
@@ -33,7 +35,9 @@
     );
     this.held = all.subarray(end);
     const bytes = all.subarray(0, end);
-    return { bytes, lastId: lastIdOf(bytes) };
+    const text = bytes.toString("latin1");
+    const count = text.match(EVENT_END)?.length ?? 0;
+    return { bytes, count, lastId: lastIdOf(text) };
   }
 
   /** What is held at the regular end of the stream. */
@@ -44,9 +48,9 @@
   }
 }
 
-const lastIdOf = (bytes: Buffer): string | undefined => {
+const lastIdOf = (text: string): string | undefined => {
   let last: string | undefined;
-  for (const match of bytes.toString("latin1").matchAll(ID_LINE)) {
+  for (const match of text.matchAll(ID_LINE)) {
     last = match[1];
   }
   return last;
--- a/src/gateway/journey.ts
+++ b/src/gateway/journey.ts
@@ -108,6 +108,7 @@
     model: prompt?.model ?? "",
     promptTokens: prompt?.promptTokens ?? 0,
     outputTokens: prompt?.outputTokens ?? 0,
+    mostOutputTokens: prompt?.mostOutputTokens ?? 0,
     parts: prompt?.parts ?? [],
     objectiveLeftMs: Math.min(objectiveMs, caller.leftMs()),
     deadlineLeftMs: Math.min(silenceMs, caller.leftMs()),
--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -112,7 +112,8 @@
       const id = journey.grantId;
       const ok = isGood || caller.isCallerGone;
       const { firstEventMs } = journey;
-      const event = { kind: "ended" as const, id, ok, firstEventMs };
+      const stream = journey.relay.takeStreamResult();
+      const event = { kind: "ended" as const, id, ok, firstEventMs, stream };
       placement.note(caller.service, event);
     }
   }
--- a/src/gateway/streamRelay.ts
+++ b/src/gateway/streamRelay.ts
@@ -6,7 +6,9 @@
 import type { IncomingMessage } from "node:http";
 
 import type { CallerRequest } from "./callerRequest.js";
+import type { StreamResult } from "../scheduling/index.js";
 import { EventSplitter } from "./eventSplitter.js";
+import type { WholeEvents } from "./eventSplitter.js";
 import type { UpstreamReply } from "./upstreamClient.js";
 
 /** How one run of a stream ended. */
@@ -30,6 +32,10 @@
   events = 0;
   /** When the last event came from an engine, ms. */
   private lastAt: number | undefined;
+  /** Events relayed of the current run. */
+  private runEvents = 0;
+  /** When the first of them came from the engine, ms. */
+  private runFirstAt = 0;
   /** Longest time between two events, ms. */
   private longestPauseMs = 0;
   /** Since when the caller has not taken what it was sent, ms. */
@@ -54,14 +60,22 @@
     };
   }
 
+  /** Returns and resets the current run; undefined if it had no events. */
+  takeStreamResult(): StreamResult | undefined {
+    const { runEvents: events, runFirstAt, lastAt } = this;
+    this.runEvents = 0;
+    if (events === 0 || lastAt === undefined) return undefined;
+    return { events, tookMs: lastAt - runFirstAt };
+  }
+
   /** Passes one run on; resolves when it has ended in any way. */
   run({ res: reply, isWhole }: UpstreamReply): Promise<RunEnd> {
     return new Promise((resolve) => {
       const splitter = new EventSplitter();
       let end: RunEnd = { kind: "cut", why: "the answer was cut" };
       reply.on("data", (chunk: Buffer) => {
-        const { bytes, lastId } = splitter.take(chunk);
-        if (bytes.length > 0) this.pass(reply, bytes, lastId);
+        const whole = splitter.take(chunk);
+        if (whole.bytes.length > 0) this.pass(reply, whole);
       });
       reply.on("error", (err) => {
         end = { kind: "cut", why: err.message };
@@ -78,13 +92,14 @@
 
   private pass(
     reply: IncomingMessage,
-    bytes: Buffer,
-    lastId: string | undefined,
+    { bytes, count, lastId }: WholeEvents,
   ): void {
     const { res } = this.caller;
     if (this.events === 0) this.onFirstEvent();
     this.events += 1;
     this.measurePause();
+    if (this.runEvents === 0) this.runFirstAt = this.lastAt ?? 0;
+    this.runEvents += count;
     this.lastEventId = lastId ?? this.lastEventId;
     if (res.destroyed || res.write(bytes)) return;
     this.hold(reply);
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -128,6 +128,8 @@
   promptTokens: number;
   /** Most tokens of output, or the caller's better guess. */
   outputTokens: number;
+  /** Upper limit of the output tokens. */
+  mostOutputTokens: number;
   parts: PromptPart[];
 }
 
--- a/src/gen/snowgate.ts
+++ b/src/gen/snowgate.ts
@@ -118,6 +118,8 @@
    * versions leave this unset.
    */
   answerLeftMs: number;
+  /** Upper limit of the output tokens. */
+  mostOutputTokens: number;
 }
 
 /** A grant that is in use already: told to a new holder. */
@@ -141,6 +143,15 @@
   tookMs: number;
   /** Of "wrong-stage", "silent" and "leaving": the engine that is meant. */
   engine: string;
+  /** Of "ended": what was relayed of the run; absent if it had no events. */
+  stream: StreamResult | undefined;
+}
+
+/** What an entry relayed of one run. */
+export interface StreamResult {
+  events: number;
+  /** From the first event to the last, ms. */
+  tookMs: number;
 }
 
 export interface PlaceCall {
@@ -1520,6 +1531,7 @@
     route: "",
     unavailable: [],
     answerLeftMs: 0,
+    mostOutputTokens: 0,
   };
 }
 
@@ -1567,6 +1579,9 @@
     if (message.answerLeftMs !== 0) {
       writer.uint32(112).uint32(message.answerLeftMs);
     }
+    if (message.mostOutputTokens !== 0) {
+      writer.uint32(120).uint32(message.mostOutputTokens);
+    }
     return writer;
   },
 
@@ -1695,6 +1710,14 @@
             message.answerLeftMs = reader.uint32();
             continue;
           }
+          case 15: {
+            if (tag !== 120) {
+              break;
+            }
+
+            message.mostOutputTokens = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1751,6 +1774,11 @@
         : isSet(object.answer_left_ms)
         ? globalThis.Number(object.answer_left_ms)
         : 0,
+      mostOutputTokens: isSet(object.mostOutputTokens)
+        ? globalThis.Number(object.mostOutputTokens)
+        : isSet(object.most_output_tokens)
+        ? globalThis.Number(object.most_output_tokens)
+        : 0,
     };
   },
 
@@ -1798,6 +1826,9 @@
     if (message.answerLeftMs !== 0) {
       obj.answerLeftMs = Math.round(message.answerLeftMs);
     }
+    if (message.mostOutputTokens !== 0) {
+      obj.mostOutputTokens = Math.round(message.mostOutputTokens);
+    }
     return obj;
   },
 
@@ -1820,6 +1851,7 @@
     message.route = object.route ?? "";
     message.unavailable = object.unavailable?.map((e) => e) || [];
     message.answerLeftMs = object.answerLeftMs ?? 0;
+    message.mostOutputTokens = object.mostOutputTokens ?? 0;
     return message;
   },
 };
@@ -1946,7 +1978,7 @@
 };
 
 function createBasePlaceEvent(): PlaceEvent {
-  return { id: "", kind: "", ok: false, tookMs: 0, engine: "" };
+  return { id: "", kind: "", ok: false, tookMs: 0, engine: "", stream: undefined };
 }
 
 export const PlaceEvent: MessageFns<PlaceEvent> = {
@@ -1966,6 +1998,9 @@
     if (message.engine !== "") {
       writer.uint32(42).string(message.engine);
     }
+    if (message.stream !== undefined) {
+      StreamResult.encode(message.stream, writer.uint32(50).fork()).join();
+    }
     return writer;
   },
 
@@ -2022,6 +2057,14 @@
             message.engine = reader.string();
             continue;
           }
+          case 6: {
+            if (tag !== 50) {
+              break;
+            }
+
+            message.stream = StreamResult.decode(reader, reader.uint32());
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2045,6 +2088,7 @@
         ? globalThis.Number(object.took_ms)
         : 0,
       engine: isSet(object.engine) ? globalThis.String(object.engine) : "",
+      stream: isSet(object.stream) ? StreamResult.fromJSON(object.stream) : undefined,
     };
   },
 
@@ -2065,6 +2109,9 @@
     if (message.engine !== "") {
       obj.engine = message.engine;
     }
+    if (message.stream !== undefined) {
+      obj.stream = StreamResult.toJSON(message.stream);
+    }
     return obj;
   },
 
@@ -2078,6 +2125,98 @@
     message.ok = object.ok ?? false;
     message.tookMs = object.tookMs ?? 0;
     message.engine = object.engine ?? "";
+    message.stream = (object.stream !== undefined && object.stream !== null)
+      ? StreamResult.fromPartial(object.stream)
+      : undefined;
+    return message;
+  },
+};
+
+function createBaseStreamResult(): StreamResult {
+  return { events: 0, tookMs: 0 };
+}
+
+export const StreamResult: MessageFns<StreamResult> = {
+  encode(message: StreamResult, writer: BinaryWriter = new BinaryWriter()): BinaryWriter {
+    if (message.events !== 0) {
+      writer.uint32(8).uint32(message.events);
+    }
+    if (message.tookMs !== 0) {
+      writer.uint32(16).uint32(message.tookMs);
+    }
+    return writer;
+  },
+
+  decode(input: BinaryReader | Uint8Array, length?: number): StreamResult {
+    const reader = input instanceof BinaryReader ? input : new BinaryReader(input);
+    const previousRecursionDepth = (reader as any).__tsProtoDecodeDepth ?? 0;
+    if (previousRecursionDepth >= 100) {
+      throw new globalThis.Error("protobuf decode recursion limit exceeded");
+    }
+    (reader as any).__tsProtoDecodeDepth = previousRecursionDepth + 1;
+    try {
+      const end = length === undefined ? reader.len : reader.pos + length;
+      const message = createBaseStreamResult();
+      while (reader.pos < end) {
+        const tag = reader.uint32();
+        switch (tag >>> 3) {
+          case 1: {
+            if (tag !== 8) {
+              break;
+            }
+
+            message.events = reader.uint32();
+            continue;
+          }
+          case 2: {
+            if (tag !== 16) {
+              break;
+            }
+
+            message.tookMs = reader.uint32();
+            continue;
+          }
+        }
+        if ((tag & 7) === 4 || tag === 0) {
+          break;
+        }
+        reader.skip(tag & 7);
+      }
+      return message;
+    } finally {
+      (reader as any).__tsProtoDecodeDepth = previousRecursionDepth;
+    }
+  },
+
+  fromJSON(object: any): StreamResult {
+    return {
+      events: isSet(object.events) ? globalThis.Number(object.events) : 0,
+      tookMs: isSet(object.tookMs)
+        ? globalThis.Number(object.tookMs)
+        : isSet(object.took_ms)
+        ? globalThis.Number(object.took_ms)
+        : 0,
+    };
+  },
+
+  toJSON(message: StreamResult): unknown {
+    const obj: any = {};
+    if (message.events !== 0) {
+      obj.events = Math.round(message.events);
+    }
+    if (message.tookMs !== 0) {
+      obj.tookMs = Math.round(message.tookMs);
+    }
+    return obj;
+  },
+
+  create<I extends Exact<DeepPartial<StreamResult>, I>>(base?: I): StreamResult {
+    return StreamResult.fromPartial(base ?? ({} as any));
+  },
+  fromPartial<I extends Exact<DeepPartial<StreamResult>, I>>(object: I): StreamResult {
+    const message = createBaseStreamResult();
+    message.events = object.events ?? 0;
+    message.tookMs = object.tookMs ?? 0;
     return message;
   },
 };
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -13,6 +13,7 @@
   PlacementEvent,
   Queued,
   ReadCost,
+  StreamResult,
 } from "../scheduling/index.js";
 import { REFUSAL_CAUSES } from "../scheduling/index.js";
 import type { ConfigNews, WindowCounts } from "../workspaces/index.js";
@@ -49,6 +50,7 @@
   avoid: ask.avoid,
   unavailable: ask.unavailable,
   answerLeftMs: whole(ask.answerLeftMs),
+  mostOutputTokens: whole(ask.mostOutputTokens),
 });
 
 export const fromPlaceAsk = (service: string, ask: PlaceAsk): PlacementAsk => ({
@@ -56,6 +58,7 @@
   service,
   // Older versions leave this unset, so fall back to the first-event deadline.
   answerLeftMs: Math.max(ask.answerLeftMs, ask.deadlineLeftMs),
+  mostOutputTokens: Math.max(ask.mostOutputTokens, ask.outputTokens),
 });
 
 export const toPlaceEvent = (event: PlacementEvent): PlaceEvent => ({
@@ -64,19 +67,25 @@
   ok: event.kind === "read" || event.kind === "ended" ? event.ok : true,
   tookMs: event.kind === "ended" ? whole(event.firstEventMs) : 0,
   engine: "engine" in event ? event.engine : "",
+  stream: event.kind === "ended" ? toStreamResult(event.stream) : undefined,
 });
 
+const toStreamResult = (stream: StreamResult | undefined) =>
+  stream && { events: whole(stream.events), tookMs: whole(stream.tookMs) };
+
 /** Undefined for a kind that this version does not know. */
 export const fromPlaceEvent = (
   event: PlaceEvent,
 ): PlacementEvent | undefined => {
-  const { id, kind, ok, tookMs, engine } = event;
+  const { id, kind, ok, tookMs, engine, stream } = event;
   if (kind === "begun" || kind === "rejected") return { kind, id };
   if (kind === "read") return { kind, id, ok };
   const isOfEngine =
     kind === "wrong-stage" || kind === "silent" || kind === "leaving";
   if (isOfEngine) return { kind, id, engine };
-  if (kind === "ended") return { kind, id, ok, firstEventMs: tookMs };
+  if (kind === "ended") {
+    return { kind, id, ok, firstEventMs: tookMs, stream };
+  }
   return undefined;
 };
 
--- a/src/scheduling/enginePool.ts
+++ b/src/scheduling/enginePool.ts
@@ -2,6 +2,7 @@
 import { EngineState } from "./engineState.js";
 import type { EnginePermits } from "../rateLimits/index.js";
 import type { ReadPace } from "./readPace.js";
+import type { TokenPace } from "./tokenPace.js";
 import type { EngineView, PlacementAsk } from "./types.js";
 
 /** An engine that denied its stage gets no work until the list says more, ms. */
@@ -14,6 +15,7 @@
 
   constructor(
     private readonly pace: ReadPace,
+    private readonly tokenPace: TokenPace,
     private readonly permits: EnginePermits,
   ) {}
 
@@ -31,7 +33,11 @@
     for (const view of views) {
       const known = this.engines.get(view.id);
       if (known !== undefined) known.see(view);
-      else this.engines.set(view.id, new EngineState(view, this.pace));
+      else
+        this.engines.set(
+          view.id,
+          new EngineState(view, this.pace, this.tokenPace),
+        );
     }
   }
 
--- /dev/null
+++ b/src/scheduling/engineRuns.ts
@@ -0,0 +1,149 @@
+/**
+ * The runs on one engine: their memory use, the engine's time per token, and
+ * how many are expected to miss their deadline. Pure; times are ms.
+ */
+import { median } from "simple-statistics";
+
+import type { TokenPace } from "./tokenPace.js";
+
+/** Runs from which an engine is known to be slower, or quicker, than others. */
+const LEAST_RATIOS = 5;
+const KEPT_RATIOS = 15;
+
+/** Estimated length of an answer, and the time left to complete it. */
+export interface AnswerLength {
+  guessedTokens: number;
+  mostTokens: number;
+  /** See `AnswerLengths`. */
+  steepness: number;
+  leftMs: number;
+}
+
+export interface Run {
+  tokens: number;
+  /** When the caller abandons the answer, ms. */
+  deadlineAt: number;
+  length: AnswerLength;
+}
+
+interface TrackedRun extends Run {
+  addedAt: number;
+  /** The engine's load sums when the run was added. */
+  sums: LoadSums;
+}
+
+/** Number of runs and of their tokens, integrated over time. */
+interface LoadSums {
+  runMs: number;
+  runTokenMs: number;
+}
+
+/** Deadline misses to expect if a run is added. */
+export interface ExpectedMisses {
+  /** Probability that the added run misses its deadline. */
+  own: number;
+  /** `own` plus the expected number of additional misses among other runs. */
+  total: number;
+}
+
+/** Probability that an answer misses its deadline at `tokenMs` per token. */
+const missChance = (length: AnswerLength, tokenMs: number): number => {
+  const { guessedTokens, mostTokens, steepness, leftMs } = length;
+  if (mostTokens * tokenMs <= leftMs) return 0;
+  const ratio = leftMs / (Math.max(1, guessedTokens) * tokenMs);
+  return 1 / (1 + ratio ** steepness);
+};
+
+export class EngineRuns {
+  private readonly runs = new Map<string, TrackedRun>();
+  /** Measured over expected time per token of recent runs. */
+  private readonly ratios: number[] = [];
+  private readonly sums: LoadSums = { runMs: 0, runTokenMs: 0 };
+  private sumsAt = 0;
+  /** Prompt and expected output tokens of all runs. */
+  tokens = 0;
+
+  constructor(
+    private readonly slots: () => number,
+    /** Shared by all engines of the service. */
+    private readonly pace: TokenPace,
+  ) {}
+
+  get count(): number {
+    return this.runs.size;
+  }
+
+  add(id: string, run: Run, now: number): void {
+    this.integrate(now);
+    this.runs.set(id, { ...run, addedAt: now, sums: { ...this.sums } });
+    this.tokens += run.tokens;
+  }
+
+  end(id: string, now: number): void {
+    const run = this.runs.get(id);
+    if (run === undefined) return;
+    this.integrate(now);
+    this.runs.delete(id);
+    this.tokens -= run.tokens;
+  }
+
+  /** Drops runs `graceMs` after their deadline; returns how many. */
+  expire(graceMs: number, now: number): number {
+    const before = this.runs.size;
+    for (const [id, { deadlineAt }] of this.runs) {
+      if (now > deadlineAt + graceMs) this.end(id, now);
+    }
+    return before - this.runs.size;
+  }
+
+  /** Records the mean time per token of a run that ends now. */
+  measure(id: string, tokenMs: number, now: number): void {
+    const run = this.runs.get(id);
+    if (run === undefined || now <= run.addedAt) return;
+    this.integrate(now);
+    const spanMs = now - run.addedAt;
+    const runs = (this.sums.runMs - run.sums.runMs) / spanMs;
+    const tokens = (this.sums.runTokenMs - run.sums.runTokenMs) / spanMs;
+    const load = { fill: runs / this.slots(), tokens };
+    const expectedMs = this.pace.expectMs(load);
+    if (expectedMs !== undefined) {
+      this.ratios.push(tokenMs / expectedMs);
+      if (this.ratios.length > KEPT_RATIOS) this.ratios.shift();
+    }
+    this.pace.observe(load, tokenMs / this.factor);
+  }
+
+  /** Effect of adding a run; undefined while the pace is unknown. */
+  expectMisses(
+    tokens: number,
+    length: AnswerLength,
+  ): ExpectedMisses | undefined {
+    const before = this.expectMs(this.count, this.tokens);
+    const after = this.expectMs(this.count + 1, this.tokens + tokens);
+    if (before === undefined || after === undefined) return undefined;
+    const own = missChance(length, after);
+    let total = own;
+    for (const run of this.runs.values()) {
+      total += missChance(run.length, after) - missChance(run.length, before);
+    }
+    return { own, total };
+  }
+
+  /** Expected time per token, ms; undefined while the pace is unknown. */
+  private expectMs(runs: number, tokens: number): number | undefined {
+    const ms = this.pace.expectMs({ fill: runs / this.slots(), tokens });
+    return ms === undefined ? undefined : ms * this.factor;
+  }
+
+  /** Time per token relative to the service's other engines. */
+  private get factor(): number {
+    return this.ratios.length < LEAST_RATIOS ? 1 : median(this.ratios);
+  }
+
+  private integrate(now: number): void {
+    const spanMs = Math.max(0, now - this.sumsAt);
+    this.sums.runMs += this.runs.size * spanMs;
+    this.sums.runTokenMs += this.tokens * spanMs;
+    this.sumsAt += spanMs;
+  }
+}
--- a/src/scheduling/engineState.ts
+++ b/src/scheduling/engineState.ts
@@ -5,9 +5,11 @@
 import { LRUCache } from "lru-cache";
 import { median } from "simple-statistics";
 
+import { EngineRuns } from "./engineRuns.js";
 import type { KeyedPart } from "./promptCache.js";
 import { addWork, workOf } from "./readPace.js";
 import type { ReadPace, ReadWork } from "./readPace.js";
+import { TokenPace } from "./tokenPace.js";
 import type { EngineView } from "./types.js";
 
 /** An engine that makes tokens reads at half the pace. */
@@ -28,9 +30,6 @@
 const CACHE_SHARE = 0.85;
 /** A grant nobody reported on is dropped after this, ms. */
 const GRANT_LOST_MS = 6000;
-/** Runs from which an engine is known to be slower, or quicker, than others. */
-const LEAST_RUN_RATIOS = 5;
-const KEPT_RUN_RATIOS = 15;
 /** A read that has not ended has at least this part of its time to go. */
 const LEAST_LEFT_PART = 0.05;
 /**
@@ -52,15 +51,9 @@
   isRead: boolean;
 }
 
-interface Run {
-  tokens: number;
-  at: number;
-  deadlineAt: number;
-}
-
 export class EngineState {
   private readonly reads = new Map<string, Read>();
-  private readonly runs = new Map<string, Run>();
+  readonly runs: EngineRuns;
   private readonly cache: LRUCache<string, CachedPart>;
   /** Expected time of all reads that have not ended, ms. */
   private outstandingMs = 0;
@@ -70,9 +63,6 @@
   private unmeasuredSince = 0;
   /** Times of the last reads over those of the service's engines. */
   private readonly ratios: number[] = [];
-  /** Times of the last long runs over those of the service's engines. */
-  private readonly runRatios: number[] = [];
-  runTokens = 0;
   /** No work before this instant: it changes its stage. */
   changesUntil = 0;
   /** No work before this instant, where others can do it: it failed. */
@@ -83,7 +73,9 @@
     public view: EngineView,
     /** Of all engines of the service. */
     private readonly pace: ReadPace,
+    tokenPace = new TokenPace(),
   ) {
+    this.runs = new EngineRuns(() => this.view.slots, tokenPace);
     this.cache = new LRUCache<string, CachedPart>({
       maxSize: Math.max(1, Math.floor(view.kvCapacityTokens * CACHE_SHARE)),
       sizeCalculation: ({ tokens }) => Math.max(1, tokens),
@@ -125,7 +117,11 @@
   }
 
   get runCount(): number {
-    return this.runs.size;
+    return this.runs.count;
+  }
+
+  get runTokens(): number {
+    return this.runs.tokens;
   }
 
   /**
@@ -173,30 +169,6 @@
     this.lastReadEnd = now;
   }
 
-  addRun(id: string, tokens: number, deadlineAt: number, now: number): void {
-    this.runs.set(id, { tokens, at: now, deadlineAt });
-    this.runTokens += tokens;
-  }
-
-  /** A long run took so many times as long as others of its length. */
-  measureRun(ratio: number): void {
-    this.runRatios.push(ratio);
-    if (this.runRatios.length > KEPT_RUN_RATIOS) this.runRatios.shift();
-  }
-
-  /** Its time to make tokens over that of the other engines. */
-  get runFactor(): number {
-    const { runRatios } = this;
-    return runRatios.length < LEAST_RUN_RATIOS ? 1 : median(runRatios);
-  }
-
-  endRun(id: string): void {
-    const run = this.runs.get(id);
-    if (run === undefined) return;
-    this.runs.delete(id);
-    this.runTokens -= run.tokens;
-  }
-
   /** It is about to read these parts, where it doesn't hold them. */
   expect(parts: readonly KeyedPart[]): void {
     for (const { key, tokens } of parts) {
@@ -224,11 +196,7 @@
     for (const [id, read] of this.reads) {
       if (now - read.at > GRANT_LOST_MS) this.endRead(id, false, now);
     }
-    const runsBefore = this.runs.size;
-    for (const [id, run] of this.runs) {
-      if (now > run.deadlineAt + GRANT_LOST_MS) this.endRun(id);
-    }
-    return runsBefore - this.runs.size;
+    return this.runs.expire(GRANT_LOST_MS, now);
   }
 
   /** Time until the first read ends, ms. */
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -17,4 +17,5 @@
   Queued,
   Refusal,
   Stage,
+  StreamResult,
 } from "./types.js";
--- a/src/scheduling/placedRequests.ts
+++ b/src/scheduling/placedRequests.ts
@@ -2,19 +2,29 @@
  * The requests that are at engines: what they take there, and what is learnt
  * from the reports on them. Pure; times are ms.
  */
+import { LRUCache } from "lru-cache";
+
 import { FadingSum } from "../shared/fadingSum.js";
 import { RunningMean } from "../shared/runningMean.js";
+import { AnswerLengths } from "./answerLengths.js";
 import { LONGEST_CLOSE_MS } from "./engineState.js";
+import type { AnswerLength } from "./engineRuns.js";
 import type { EngineState } from "./engineState.js";
 import type { KeyedPart } from "./promptCache.js";
 import { RunPace } from "./runPace.js";
-import { LONG_OUTPUT_TOKENS } from "./runPlanner.js";
-import type { PlacementAsk, PlacementEvent } from "./types.js";
+import type { PlacementAsk, PlacementEvent, StreamResult } from "./types.js";
 
 const FIRST_EVENT_GAIN = 0.05;
 /** Time constant of the rate of runs that end, ms. */
 const RATE_MEMORY_MS = 1000;
 
+/** Share of the remaining time that an answer is planned to take at most. */
+const DEADLINE_SHARE = 0.95;
+/** Shorter streams are too noisy to measure the pace. */
+const LEAST_MEASURED_EVENTS = 10;
+const MAX_ROUTES = 256;
+const DEFAULT_LENGTHS = new AnswerLengths();
+
 /** Where a request is. */
 export interface PlacedAt {
   /** Absent where the runner reads the prompt, or it was read before. */
@@ -25,7 +35,7 @@
 
 interface Placed extends PlacedAt {
   grantedAt: number;
-  outputTokens: number;
+  ask: PlacementAsk;
   /** Instant after which its end will not be reported any more, ms. */
   lostAt: number;
 }
@@ -36,11 +46,17 @@
   { kind: "read" | "begun" | "rejected" | "ended" }
 >;
 
+type EndedEvent = Extract<PlacementEvent, { kind: "ended" }>;
+
 export class PlacedRequests {
   private readonly placed = new Map<string, Placed>();
   private readonly firstEvent = new RunningMean(FIRST_EVENT_GAIN);
   private readonly runEnds = new FadingSum(RATE_MEMORY_MS);
   readonly runPace = new RunPace();
+  /** By route. */
+  private readonly lengths = new LRUCache<string, AnswerLengths>({
+    max: MAX_ROUTES,
+  });
 
   /** From the send to a runner to the first event, ms. */
   get firstEventMs(): number {
@@ -61,9 +77,21 @@
     const { id, promptTokens, outputTokens, answerLeftMs } = ask;
     const tokens = promptTokens + outputTokens;
     const deadlineAt = now + answerLeftMs;
-    at.runner.addRun(id, tokens, deadlineAt, now);
+    const length = this.lengthOf(ask);
+    at.runner.runs.add(id, { tokens, deadlineAt, length }, now);
     const lostAt = deadlineAt + LONGEST_CLOSE_MS;
-    this.placed.set(id, { ...at, grantedAt: now, outputTokens, lostAt });
+    this.placed.set(id, { ...at, grantedAt: now, ask, lostAt });
+  }
+
+  lengthOf(ask: PlacementAsk): AnswerLength {
+    const { outputTokens, mostOutputTokens, answerLeftMs, route } = ask;
+    const { steepness } = this.lengths.get(route) ?? DEFAULT_LENGTHS;
+    return {
+      guessedTokens: outputTokens,
+      mostTokens: mostOutputTokens,
+      steepness,
+      leftMs: answerLeftMs * DEADLINE_SHARE,
+    };
   }
 
   /**
@@ -89,7 +117,7 @@
       case "rejected":
         return this.giveBack(event.id, placed, now);
       case "ended":
-        this.end(event.id, placed, event, now);
+        this.end(event, placed, isMeasure, now);
         return;
     }
   }
@@ -112,20 +140,23 @@
     reader?.forget(parts);
     runner.endRead(id, false, now);
     runner.forget(parts);
-    runner.endRun(id);
+    runner.runs.end(id, now);
   }
 
   private end(
-    id: string,
+    { id, ok, firstEventMs, stream }: EndedEvent,
     placed: Placed,
-    { ok, firstEventMs }: { ok: boolean; firstEventMs: number },
+    isMeasure: boolean,
     now: number,
   ): void {
     const { reader, runner, parts } = placed;
     this.placed.delete(id);
+    if (stream !== undefined) {
+      this.observeStream(id, placed, stream, isMeasure, now);
+    }
     reader?.endRead(id, false, now);
     runner.endRead(id, false, now);
-    runner.endRun(id);
+    runner.runs.end(id, now);
     this.runEnds.add(1, now);
     if (firstEventMs > 0) this.measureRun(placed, now);
     if (firstEventMs > 0 && reader !== undefined) {
@@ -135,13 +166,26 @@
     runner.judge(ok, now);
   }
 
+  private observeStream(
+    id: string,
+    { ask, runner }: Placed,
+    { events, tookMs }: StreamResult,
+    isMeasure: boolean,
+    now: number,
+  ): void {
+    const { route, outputTokens } = ask;
+    const lengths = this.lengths.get(route) ?? new AnswerLengths();
+    this.lengths.set(route, lengths);
+    lengths.observe(outputTokens, events);
+    const { tokensPerEvent } = lengths;
+    if (tokensPerEvent === undefined || !isMeasure) return;
+    if (events < LEAST_MEASURED_EVENTS) return;
+    const tokens = (events - 1) * tokensPerEvent;
+    runner.runs.measure(id, tookMs / tokens, now);
+  }
+
   private measureRun(placed: Placed, now: number): void {
-    const { runner, grantedAt, outputTokens } = placed;
-    const tookMs = now - grantedAt;
-    const expectedMs = this.runPace.expectMs(outputTokens, now);
-    if (outputTokens >= LONG_OUTPUT_TOKENS && expectedMs > 0) {
-      runner.measureRun(tookMs / expectedMs);
-    }
-    this.runPace.observe(outputTokens, tookMs, now);
+    const { grantedAt, ask } = placed;
+    this.runPace.observe(ask.outputTokens, now - grantedAt, now);
   }
 }
--- a/src/scheduling/runPlanner.ts
+++ b/src/scheduling/runPlanner.ts
@@ -1,4 +1,5 @@
 /** Which engine makes the tokens of a request. Pure. */
+import type { AnswerLength } from "./engineRuns.js";
 import type { EngineState } from "./engineState.js";
 import type { PlacementAsk } from "./types.js";
 
@@ -9,6 +10,8 @@
  * each step takes so much longer that the longest streams miss their time.
  */
 const PACK_LOAD = 0.6;
+/** Cost of a certain deadline miss, in full engines. */
+const MISS_WEIGHT = 2;
 /** Engines in another failure domain count as this much busier, share of slots. */
 const OTHER_DOMAIN_COST = 0.02;
 /** Share of the KV memory that running requests may take. */
@@ -16,26 +19,52 @@
 /** Reading ahead of it counts as a full engine at this much, ms. */
 const FULL_BACKLOG_MS = 1000;
 
+/** A run to be assigned to an engine. */
+export interface PlannedRun {
+  ask: PlacementAsk;
+  /** Number of schedulers that place on these engines independently. */
+  share: number;
+  length: AnswerLength;
+}
+
 /**
  * The decode engine that suits the run best; undefined if all are full.
- * `share`: schedulers that place on these engines without talking.
  */
 export const chooseRunner = (
-  ask: PlacementAsk,
+  run: PlannedRun,
   open: readonly EngineState[],
-  share: number,
   now: number,
 ): EngineState | undefined => {
   let best: { engine: EngineState; cost: number } | undefined;
   for (const engine of open) {
-    const load = loadWith(ask, engine, share);
+    const load = loadWith(run.ask, engine, run.share);
     if (load === undefined) continue;
-    const cost = costOf(ask, engine, load, now);
+    const cost = costOf(run, engine, load, now);
     if (best === undefined || cost < best.cost) best = { engine, cost };
   }
   return best?.engine;
 };
 
+/**
+ * False if engines have room, but on each of them a long run would add more
+ * than one expected deadline miss, its own included.
+ */
+export const isAdmissible = (
+  run: PlannedRun,
+  open: readonly EngineState[],
+): boolean => {
+  const { ask, share, length } = run;
+  if (ask.outputTokens < LONG_OUTPUT_TOKENS) return true;
+  const tokens = ask.promptTokens + ask.outputTokens;
+  const roomy = open.filter((engine) => hasRoom(ask, engine, share));
+  return (
+    roomy.length === 0 ||
+    roomy.some(
+      (engine) => (engine.runs.expectMisses(tokens, length)?.total ?? 0) <= 1,
+    )
+  );
+};
+
 /** Whether the engine makes tokens and has room for the run. */
 export const hasRoom = (
   ask: PlacementAsk,
@@ -60,19 +89,14 @@
   return Math.max(runs / slots, memory);
 };
 
-/**
- * An engine that makes tokens more slowly by a tenth counts as fuller by this
- * share of a tenth for long answers: the longest need most of their time.
- */
-const SLOW_WEIGHT = 1;
-
 /**
  * Short runs go to the least loaded engine. Long ones fill one engine after
  * the other, so that the rest can change their stage without a wait, and
- * read without slowing streams.
+ * read without slowing streams. An engine costs more the more likely the run
+ * is to miss its deadline there.
  */
 const costOf = (
-  ask: PlacementAsk,
+  { ask, length }: PlannedRun,
   engine: EngineState,
   load: number,
   now: number,
@@ -81,6 +105,7 @@
   const reading = engine.backlogMs(now) / FULL_BACKLOG_MS;
   if (ask.outputTokens < LONG_OUTPUT_TOKENS) return load + away + reading;
   const packed = load <= PACK_LOAD ? 1 - load : 1 + load;
-  const slower = (engine.runFactor - 1) * SLOW_WEIGHT;
-  return packed + away + reading + slower;
+  const tokens = ask.promptTokens + ask.outputTokens;
+  const missChance = engine.runs.expectMisses(tokens, length)?.own ?? 0;
+  return packed + away + reading + missChance * MISS_WEIGHT;
 };
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -17,10 +17,12 @@
 import type { ReadPlan } from "./readPlanner.js";
 import { ReadPace, workOf } from "./readPace.js";
 import { refuse } from "./refusals.js";
-import { chooseRunner, hasRoom } from "./runPlanner.js";
+import { chooseRunner, hasRoom, isAdmissible } from "./runPlanner.js";
+import type { PlannedRun } from "./runPlanner.js";
 import { NO_LOAD } from "./schedulerLoad.js";
 import type { SchedulerLoad } from "./schedulerLoad.js";
 import { SizeFairness } from "./sizeFairness.js";
+import { TokenPace } from "./tokenPace.js";
 import { STAGES } from "./types.js";
 import type {
   EngineView,
@@ -108,7 +110,7 @@
     private share: () => number,
     private readonly permits: EnginePermits = NO_LIMITS,
   ) {
-    this.engines = new EnginePool(this.pace, permits);
+    this.engines = new EnginePool(this.pace, new TokenPace(), permits);
   }
 
   /** The engines that may get work; others keep what they run. */
@@ -172,6 +174,11 @@
     const costMs = plan?.costMs ?? 0;
     if (!ask.isReturn) this.countAsked(ask, costMs, now);
     if (costMs > 0) this.meanReadMs.add(costMs);
+    // Retries and callers that return after a refusal skip this check.
+    const isFirstTry = !ask.isReturn && ask.avoid.length === 0;
+    if (isFirstTry && !isAdmissible(this.plannedRun(ask), open)) {
+      return refuse(ask, "slots");
+    }
     const item = this.waitingAsk(ask, costMs, now);
     const grant = this.queue.hasBefore(item)
       ? undefined
@@ -196,6 +203,10 @@
     return { ask, open, now, cache: new PromptCache(ask) };
   }
 
+  private plannedRun(ask: PlacementAsk): PlannedRun {
+    return { ask, share: this.share(), length: this.placed.lengthOf(ask) };
+  }
+
   private countAsked(ask: PlacementAsk, costMs: number, now: number): void {
     const { asked } = this;
     const runMs = this.placed.runPace.expectMs(ask.outputTokens, now);
@@ -250,7 +261,7 @@
   private start(choice: Choice, plan: ReadPlan | undefined): Grant | undefined {
     const { ask, open, cache, now } = choice;
     const share = this.share();
-    const runner = chooseRunner(ask, open, share, now);
+    const runner = chooseRunner(this.plannedRun(ask), open, now);
     if (runner === undefined) return undefined;
     const restMs = runner.readCostMs(ask.promptTokens, cache.at(runner));
     if (restMs <= HOPS_MS && runner.backlogMs(now) <= START_AHEAD_MS) {
--- a/src/scheduling/types.ts
+++ b/src/scheduling/types.ts
@@ -36,7 +36,10 @@
   domain: string;
   model: string;
   promptTokens: number;
+  /** The caller's estimate, or the upper limit if it gave none. */
   outputTokens: number;
+  /** Upper limit of the output tokens. */
+  mostOutputTokens: number;
   parts: CachePart[];
   /** Left until the first event is too late to be in time. */
   objectiveLeftMs: number;
@@ -94,6 +97,13 @@
 
 export type PlacementAnswer = Grant | Refusal;
 
+/** What an entry relayed of one run. */
+export interface StreamResult {
+  events: number;
+  /** From the first event to the last, ms. */
+  tookMs: number;
+}
+
 /** What became of a granted request. */
 export type PlacementEvent =
   /** The reader has read the prompt, or failed to. */
@@ -110,6 +120,13 @@
   | { kind: "begun"; id: string }
   /**
    * Nothing of it is at any engine any more. The first event came
-   * `firstEventMs` after the send to the runner; 0 if none came.
+   * `firstEventMs` after the send to the runner; 0 if none came. `stream` is
+   * absent if the runner produced no events.
    */
-  | { kind: "ended"; id: string; ok: boolean; firstEventMs: number };
+  | {
+      kind: "ended";
+      id: string;
+      ok: boolean;
+      firstEventMs: number;
+      stream?: StreamResult;
+    };
--- a/tests/gateway/placement.test.ts
+++ b/tests/gateway/placement.test.ts
@@ -40,6 +40,7 @@
   model: "m",
   promptTokens: 100,
   outputTokens: 10,
+  mostOutputTokens: 10,
   parts: [],
   objectiveLeftMs: 20_000,
   deadlineLeftMs: 20_000,
--- a/tests/gateway/placementMessages.test.ts
+++ b/tests/gateway/placementMessages.test.ts
@@ -13,6 +13,7 @@
   model: "m",
   promptTokens: 200,
   outputTokens: 10,
+  mostOutputTokens: 10,
   parts: [{ id: "aa", tokens: 200 }],
   objectiveLeftMs: 100,
   deadlineLeftMs: 500,
@@ -33,6 +34,7 @@
   const fields = [
     "promptTokens",
     "outputTokens",
+    "mostOutputTokens",
     "objectiveLeftMs",
     "deadlineLeftMs",
     "answerLeftMs",
--- /dev/null
+++ b/tests/gateway/tokenPace.test.ts
@@ -0,0 +1,94 @@
+/** Models of the time per token and of answer lengths; deadline misses. */
+import { expect } from "chai";
+
+import { AnswerLengths } from "../../src/scheduling/answerLengths.js";
+import { EngineRuns } from "../../src/scheduling/engineRuns.js";
+import { TokenPace } from "../../src/scheduling/tokenPace.js";
+
+describe("token pace", () => {
+  const load = (fill: number) => ({ fill, tokens: fill * 100_000 });
+
+  it("has no estimate before enough streams have ended", () => {
+    const pace = new TokenPace();
+    for (let at = 0; at < 15; at += 1) pace.observe(load(0.2), 1);
+    expect(pace.expectMs(load(0.2))).to.equal(undefined);
+  });
+
+  it("fits the time per token to the load of an engine", () => {
+    const pace = new TokenPace();
+    for (let at = 0; at < 160; at += 1) {
+      const fill = (at % 16) / 16;
+      pace.observe(load(fill), 0.6 + 0.9 * fill);
+    }
+    expect(pace.expectMs(load(0.2))).to.be.closeTo(0.78, 0.04);
+    expect(pace.expectMs(load(1))).to.be.closeTo(1.5, 0.07);
+  });
+
+  it("expects a full engine to be slower without samples of one", () => {
+    const pace = new TokenPace();
+    for (let at = 0; at < 32; at += 1) pace.observe(load(0.2), 1);
+    expect(pace.expectMs(load(0.2))).to.be.closeTo(1, 0.05);
+    expect(pace.expectMs(load(1))).to.be.at.least(1.4);
+  });
+});
+
+describe("answer lengths", () => {
+  it("have a steep distribution where estimates are accurate", () => {
+    const lengths = new AnswerLengths();
+    for (let at = 1; at <= 60; at += 1) lengths.observe(at * 500, at * 10);
+    expect(lengths.tokensPerEvent).to.equal(50);
+    expect(lengths.steepness).to.be.at.least(10);
+  });
+
+  it("have a flatter distribution where estimates are inaccurate", () => {
+    const lengths = new AnswerLengths();
+    for (let at = 0; at < 60; at += 1) {
+      const error = 3 ** ((at % 5) / 2 - 1);
+      lengths.observe(5000 * error, 100);
+    }
+    expect(lengths.tokensPerEvent).to.be.closeTo(50, 1);
+    expect(lengths.steepness).to.be.within(1.5, 4);
+  });
+});
+
+describe("engine runs", () => {
+  const SLOTS = 10;
+  const length = {
+    guessedTokens: 1000,
+    mostTokens: 1000,
+    steepness: 20,
+    leftMs: 1300,
+  };
+  const run = { tokens: 1000, deadlineAt: 1500, length };
+  /** A token takes 1 ms on an empty engine and 2 ms on a full one. */
+  const newRuns = (): EngineRuns => {
+    const pace = new TokenPace();
+    for (let at = 0; at < 160; at += 1) {
+      const fill = (at % 16) / 16;
+      pace.observe({ fill, tokens: 0 }, 1 + fill);
+    }
+    return new EngineRuns(() => SLOTS, pace);
+  };
+
+  it("are expected to meet their deadline on a lightly loaded engine", () => {
+    const runs = newRuns();
+    runs.add("one", run, 0);
+    expect(runs.expectMisses(1000, length)!.total).to.be.at.most(0.1);
+  });
+
+  it("count the misses that an added run causes among the others", () => {
+    const runs = newRuns();
+    for (let at = 0; at < 3; at += 1) runs.add(`${at}`, run, 0);
+    const { own, total } = runs.expectMisses(1000, length)!;
+    expect(total).to.be.above(2 * own);
+    expect(total).to.be.above(1);
+  });
+
+  it("are dropped after their deadline if no end is reported", () => {
+    const runs = newRuns();
+    runs.add("one", run, 0);
+    expect(runs.expire(6000, 7500)).to.equal(0);
+    expect(runs.expire(6000, 7501)).to.equal(1);
+    expect(runs.tokens).to.equal(0);
+  });
+});
