Count requests as served by what callers received

Symptom: the largest answers were cut off at their deadline, and the scheduler did not compensate for it.

Cause: the count of served requests by size took a request as served when it was granted or queued. It was not corrected when the answer ran out of time or when the request waited in vain. The feedback loop measured its own decision instead of the outcome.

Change: at the end of a run, entries report whether the caller received the complete answer (`is_cut`). The scheduler reverts the served count of an answer that had begun but was cut at its deadline or because its caller had gone, and of a request that waited in vain. A run that an engine broke off does not revert the count, because the request is placed again. A granted request whose time is over before its first event keeps its count.

--- a/bench/player/play.ts
+++ b/bench/player/play.ts
@@ -218,7 +218,7 @@
       if (this.isOver(one) || (made === 1 && this.isTooSilent(one))) {
         releaseRun();
         const tookMs = this.clock.now - firstAt;
-        return this.give(one, true, { events: made, tookMs });
+        return this.give(one, true, { events: made, tookMs, isCut: true });
       }
       if (made >= events) {
         releaseRun();
@@ -245,7 +245,7 @@
     this.noteOutcome(one, true);
     const firstEventMs = firstAt - sentAt;
     const tookMs = this.clock.now - firstAt;
-    const stream = { events: one.drawn.events, tookMs };
+    const stream = { events: one.drawn.events, tookMs, isCut: false };
     this.report({ kind: "ended", id: one.id, ok: true, firstEventMs, stream });
   }
 
--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -104,15 +104,18 @@
     journey.grantedAt = this.options.now();
     this.logGrant(journey, answer);
     let isGood = false;
+    let isDone = false;
     try {
       const round = await this.carryOut(journey, answer);
       isGood = round.kind !== "failed" || round.isBlameless === true;
+      isDone = round.kind === "done";
       return round;
     } finally {
       const id = journey.grantId;
       const ok = isGood || caller.isCallerGone;
       const { firstEventMs } = journey;
-      const stream = journey.relay.takeStreamResult();
+      const isCut = !isDone || caller.isCallerGone;
+      const stream = journey.relay.takeStreamResult(isCut);
       const event = { kind: "ended" as const, id, ok, firstEventMs, stream };
       placement.note(caller.service, event);
     }
--- a/src/gateway/streamRelay.ts
+++ b/src/gateway/streamRelay.ts
@@ -61,11 +61,11 @@
   }
 
   /** Returns and resets the current run; undefined if it had no events. */
-  takeStreamResult(): StreamResult | undefined {
+  takeStreamResult(isCut: boolean): StreamResult | undefined {
     const { runEvents: events, runFirstAt, lastAt } = this;
     this.runEvents = 0;
     if (events === 0 || lastAt === undefined) return undefined;
-    return { events, tookMs: lastAt - runFirstAt };
+    return { events, tookMs: lastAt - runFirstAt, isCut };
   }
 
   /** Passes one run on; resolves when it has ended in any way. */
--- a/src/gen/snowgate.ts
+++ b/src/gen/snowgate.ts
@@ -152,6 +152,8 @@
   events: number;
   /** From the first event to the last, ms. */
   tookMs: number;
+  /** Whether the caller did not receive the complete answer. */
+  isCut: boolean;
 }
 
 export interface PlaceCall {
@@ -2133,7 +2135,7 @@
 };
 
 function createBaseStreamResult(): StreamResult {
-  return { events: 0, tookMs: 0 };
+  return { events: 0, tookMs: 0, isCut: false };
 }
 
 export const StreamResult: MessageFns<StreamResult> = {
@@ -2144,6 +2146,9 @@
     if (message.tookMs !== 0) {
       writer.uint32(16).uint32(message.tookMs);
     }
+    if (message.isCut !== false) {
+      writer.uint32(24).bool(message.isCut);
+    }
     return writer;
   },
 
@@ -2176,6 +2181,14 @@
             message.tookMs = reader.uint32();
             continue;
           }
+          case 3: {
+            if (tag !== 24) {
+              break;
+            }
+
+            message.isCut = reader.bool();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2196,6 +2209,11 @@
         : isSet(object.took_ms)
         ? globalThis.Number(object.took_ms)
         : 0,
+      isCut: isSet(object.isCut)
+        ? globalThis.Boolean(object.isCut)
+        : isSet(object.is_cut)
+        ? globalThis.Boolean(object.is_cut)
+        : false,
     };
   },
 
@@ -2207,6 +2225,9 @@
     if (message.tookMs !== 0) {
       obj.tookMs = Math.round(message.tookMs);
     }
+    if (message.isCut !== false) {
+      obj.isCut = message.isCut;
+    }
     return obj;
   },
 
@@ -2217,6 +2238,7 @@
     const message = createBaseStreamResult();
     message.events = object.events ?? 0;
     message.tookMs = object.tookMs ?? 0;
+    message.isCut = object.isCut ?? false;
     return message;
   },
 };
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -71,7 +71,11 @@
 });
 
 const toStreamResult = (stream: StreamResult | undefined) =>
-  stream && { events: whole(stream.events), tookMs: whole(stream.tookMs) };
+  stream && {
+    events: whole(stream.events),
+    tookMs: whole(stream.tookMs),
+    isCut: stream.isCut,
+  };
 
 /** Undefined for a kind that this version does not know. */
 export const fromPlaceEvent = (
--- a/src/scheduling/placedRequests.ts
+++ b/src/scheduling/placedRequests.ts
@@ -58,6 +58,12 @@
     max: MAX_ROUTES,
   });
 
+  /**
+   * `onUnserved` is called for each answer that ended before its caller had
+   * received all of it, unless the engine failed.
+   */
+  constructor(private readonly onUnserved: (ask: PlacementAsk) => void) {}
+
   /** From the send to a runner to the first event, ms. */
   get firstEventMs(): number {
     return this.firstEvent.value;
@@ -153,6 +159,7 @@
     this.placed.delete(id);
     if (stream !== undefined) {
       this.observeStream(id, placed, stream, isMeasure, now);
+      if (ok && stream.isCut) this.onUnserved(placed.ask);
     }
     reader?.endRead(id, false, now);
     runner.endRead(id, false, now);
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -94,8 +94,10 @@
   new Set(open.map((item) => item.view.stage)).size < STAGES.length;
 
 export class EngineScheduler {
-  private readonly placed = new PlacedRequests();
-  private readonly fairness = new SizeFairness();
+  readonly fairness = new SizeFairness();
+  private readonly placed = new PlacedRequests((ask) =>
+    this.fairness.uncountServed(ask.route, sizeOf(ask)),
+  );
   private readonly queue = new WaitQueue();
   /** Mean time to read the prompts that were asked for, ms. */
   private readonly meanReadMs = new RunningMean(MEAN_READ_GAIN);
@@ -145,9 +147,10 @@
   /** Answers of requests that waited, as far as there are any now. */
   settle(now: number): Settled[] {
     if (this.queue.size === 0) return [];
-    const settled: Settled[] = this.queue
-      .takeHopeless(now)
-      .map(({ ask }) => ({ id: ask.id, answer: refuse(ask, "too-late") }));
+    const settled: Settled[] = this.queue.takeHopeless(now).map(({ ask }) => {
+      this.fairness.uncountServed(ask.route, sizeOf(ask));
+      return { id: ask.id, answer: refuse(ask, "too-late") };
+    });
     if (!this.hasIdleReader(now)) return settled;
     const meant: MeantReads = new Map();
     for (const item of this.queue.first(LOOK_AHEAD)) {
--- a/src/scheduling/sizeFairness.ts
+++ b/src/scheduling/sizeFairness.ts
@@ -68,6 +68,13 @@
     return served / asked < share * LAG_RATIO;
   }
 
+  uncountServed(size: number): void {
+    const group = this.groups[this.groupOf(size)];
+    for (const count of [this.all, group]) {
+      count.served = Math.max(0, count.served - 1);
+    }
+  }
+
   count(size: number, isServed: boolean): void {
     const group = this.groups[this.groupOf(size)];
     for (const count of [this.all, group]) {
@@ -92,6 +99,11 @@
     return sizes !== undefined && sizes.lags(sizes.groupOf(size));
   }
 
+  /** Reverts the served count of a request that was not served after all. */
+  uncountServed(route: string, size: number): void {
+    this.routes.get(route)?.uncountServed(size);
+  }
+
   /** Counts one request and whether it was served. */
   count(route: string, size: number, isServed: boolean): void {
     const known = this.routes.get(route);
--- a/src/scheduling/types.ts
+++ b/src/scheduling/types.ts
@@ -102,6 +102,8 @@
   events: number;
   /** From the first event to the last, ms. */
   tookMs: number;
+  /** Whether the caller did not receive the complete answer. */
+  isCut: boolean;
 }
 
 /** What became of a granted request. */
--- a/tests/gateway/scheduling.test.ts
+++ b/tests/gateway/scheduling.test.ts
@@ -286,7 +286,7 @@
           runners.push(runner);
           scheduler.onEvent({ kind: "begun", id: item.id }, at + 10);
           const tookMs = TOOK_MS[runner]! - 10;
-          const stream = { events: 20, tookMs };
+          const stream = { events: 20, tookMs, isCut: false };
           const end = { ...ended(item.id, true), firstEventMs: 10, stream };
           scheduler.onEvent(end, at + TOOK_MS[runner]!);
         }
@@ -317,7 +317,7 @@
         }
         const tookMs = 200 + 100 * count;
         for (const { id } of asks) {
-          const stream = { events: 20, tookMs: tookMs - 10 };
+          const stream = { events: 20, tookMs: tookMs - 10, isCut: false };
           const end = { ...ended(id, true), firstEventMs: 10, stream };
           scheduler.onEvent(end, at + tookMs);
         }
@@ -428,6 +428,22 @@
     expect(fairness.lags("other", 99)).to.equal(false);
   });
 
+  it("detects that the largest answers are cut off", () => {
+    const scheduler = newScheduler(1, [
+      FLEET[0]!,
+      { ...FLEET[2]!, slots: 500, kvCapacityTokens: 100_000_000 },
+    ]);
+    for (const size of sizes) {
+      const one = ask({ promptTokens: 100, outputTokens: size * 10 });
+      granted(scheduler.place(one, 0));
+      const stream = { events: 5, tookMs: 10, isCut: size > 90 };
+      scheduler.onEvent({ ...ended(one.id, true), stream }, 10);
+    }
+    const { fairness } = scheduler;
+    expect(fairness.lags("lookup", 100 + 10 * 990)).to.equal(true);
+    expect(fairness.lags("lookup", 100 + 10 * 500)).to.equal(false);
+  });
+
   it("is content when they are served as often", () => {
     const fairness = new SizeFairness();
     for (const size of sizes) fairness.count("lookup", size, size % 2 === 0);
