Soak: record response header times and event loop stalls

Callers, replicas and the checks share one process, so the records could not tell whether an entry had passed on an answer, or whether a request reached a replica when the stand-in read it or long before. Calls and probes now record when the response headers arrived, and probes also record the replica that signed the answer. Gaps of 60 ms and more between event loop checks are recorded as stalls, and their total is printed in the summary line of a run.

No check changes.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -35,11 +35,19 @@
 interface Answer {
   status: number;
   headers: http.IncomingHttpHeaders;
+  /** When the response headers arrived; undefined if none did. */
+  headAt: number | undefined;
   body: string;
   isWhole: boolean;
 }
 
-const NO_ANSWER: Answer = { status: 0, headers: {}, body: "", isWhole: false };
+const NO_ANSWER: Answer = {
+  status: 0,
+  headers: {},
+  headAt: undefined,
+  body: "",
+  isWhole: false,
+};
 
 const pause = (ms: number): Promise<void> =>
   new Promise((resolve) => setTimeout(resolve, ms));
@@ -49,6 +57,7 @@
   address: string,
   target: string,
   headers: Record<string, string>,
+  now: () => number,
 ): Promise<Answer> =>
   new Promise((resolve) => {
     const [host, port] = address.split(":");
@@ -64,12 +73,13 @@
     };
     req.on("error", () => end(NO_ANSWER));
     req.on("response", (res) => {
+      const headAt = now();
       let body = "";
       res.on("data", (bytes: Buffer) => (body += bytes.toString()));
       res.on("error", () => undefined);
       res.on("close", () => {
         const { statusCode: status = 0, headers, complete: isWhole } = res;
-        end({ status, headers, body, isWhole });
+        end({ status, headers, headAt, body, isWhole });
       });
     });
     req.end();
@@ -125,8 +135,9 @@
     };
     const { life } = entry;
     const sentAt = now();
-    const answer = await exchange(this.agent, address, PATHS[kind], headers);
-    const { status, isWhole, body } = answer;
+    const target = PATHS[kind];
+    const answer = await exchange(this.agent, address, target, headers, now);
+    const { status, headAt, isWhole, body } = answer;
     const names = answerNames(answer.headers);
     records.calls.push({
       id,
@@ -134,6 +145,7 @@
       entry: entry.id,
       life,
       sentAt,
+      headAt,
       endedAt: now(),
       status,
       isWhole,
@@ -164,16 +176,21 @@
       const id = `probe-${entry}-${count}`;
       const headers = callHeaders(id, DEADLINE_MS);
       const target = `${addedPrefix(version)}a`;
-      const { status } = await exchange(agent, callers, target, headers);
-      const endedAt = fleet.now();
+      const { now } = fleet;
+      const answer = await exchange(agent, callers, target, headers, now);
+      const { status, headAt } = answer;
+      const { signedBy } = answerNames(answer.headers);
+      const endedAt = now();
       fleet.records.probes.push({
         id,
         entry,
         life,
         version,
         sentAt,
+        headAt,
         endedAt,
         status,
+        signedBy,
       });
     });
     await Promise.all(asked);
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -58,6 +58,7 @@
     orders: [],
     faults: [],
     news: [],
+    stalls: [],
   };
   version = 0;
   private incarnations = 0;
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -22,6 +22,12 @@
 }
 cli.help();
 
+/** Total duration of event loop stalls, ms. */
+const stalledMs = ({ records }: SoakResult): number =>
+  Math.round(
+    records.stalls.reduce((sum, { from, until }) => sum + until - from, 0),
+  );
+
 /** Which faults struck, and how often. */
 const countsOf = ({ records }: SoakResult): string => {
   const counts = new Map<string, number>();
@@ -39,7 +45,8 @@
   console.log(
     `seed ${options.seed} (${options.profile}): ${calls.length} requests, ` +
       `${served} answered whole, ${runs.length} runs, ${orders.length} orders;` +
-      ` faults: ${countsOf(result)}; ${result.violations.length} violations`,
+      ` faults: ${countsOf(result)}; stalled ${stalledMs(result)} ms;` +
+      ` ${result.violations.length} violations`,
   );
   for (const { promise, what } of result.violations.slice(0, 20)) {
     console.log(`  ${promise}: ${what}`);
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -7,7 +7,7 @@
 import type { FaultProfile } from "./faults.js";
 import { SoakFleet } from "./fleet.js";
 import type { FleetSizes } from "./fleet.js";
-import type { SoakRecords, Violation } from "./types.js";
+import type { SoakRecords, StallRecord, Violation } from "./types.js";
 
 export interface SoakOptions extends FleetSizes {
   seed: number;
@@ -37,15 +37,32 @@
 /** Calm traffic after the last fault, ms: what comes late is seen too. */
 const CALM_END_MS = 1500;
 const MS_PER_SECOND = 1000;
+/** Interval between checks for event loop stalls, ms. */
+const STALL_CHECK_MS = 20;
+/** Shortest gap between two checks that is recorded as a stall, ms. */
+const MIN_STALL_MS = 60;
 /** Keeps the seeds of the parts apart. */
 const SEED_STEP = 7919;
 
+/** Records event loop stalls until the returned function is called. */
+const watchStalls = (stalls: StallRecord[]): (() => void) => {
+  let from = monotonicNow();
+  const check = (): void => {
+    const until = monotonicNow();
+    if (until - from >= MIN_STALL_MS) stalls.push({ from, until });
+    from = until;
+  };
+  const timer = setInterval(check, STALL_CHECK_MS);
+  return () => clearInterval(timer);
+};
+
 export const runSoak = async (options: SoakOptions): Promise<SoakResult> => {
   const { seed, seconds, profile } = options;
   const rngOf = (part: number) => seededRng(seed * SEED_STEP + part);
   const fleet = new SoakFleet(rngOf(0), monotonicNow);
   const onSignal = () => void fleet.stop().then(() => process.exit(1));
   process.once("SIGINT", onSignal).once("SIGTERM", onSignal);
+  const stopWatching = watchStalls(fleet.records.stalls);
   try {
     await fleet.start(options);
     const endsAt = monotonicNow() + seconds * MS_PER_SECOND;
@@ -62,6 +79,7 @@
   } finally {
     process.off("SIGINT", onSignal).off("SIGTERM", onSignal);
     await fleet.stop();
+    stopWatching();
   }
   const { records } = fleet;
   const logs = new Map(fleet.processes.map((item) => [item.id, item.lines]));
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -30,6 +30,8 @@
   entry: string;
   life: number;
   sentAt: number;
+  /** When the response headers arrived; undefined if none did. */
+  headAt: number | undefined;
   endedAt: number;
   /** 0: no head came. */
   status: number;
@@ -53,8 +55,12 @@
   /** Configuration that added the route. */
   version: number;
   sentAt: number;
+  /** When the response headers arrived; undefined if none did. */
+  headAt: number | undefined;
   endedAt: number;
   status: number;
+  /** Replica named in the signature of the answer, if any. */
+  signedBy: string | undefined;
 }
 
 /** A request that began to run at a replica. */
@@ -109,6 +115,12 @@
   at: number;
 }
 
+/** A stall of the event loop that the callers and replicas share. */
+export interface StallRecord {
+  from: number;
+  until: number;
+}
+
 export interface SoakRecords {
   calls: CallRecord[];
   probes: ProbeRecord[];
@@ -118,6 +130,7 @@
   orders: OrderRecord[];
   faults: FaultRecord[];
   news: NewsRecord[];
+  stalls: StallRecord[];
 }
 
 /** A promise that did not hold. */
--- a/tests/soak/checks.test.ts
+++ b/tests/soak/checks.test.ts
@@ -22,6 +22,7 @@
   entry: "entry-0",
   life: 1,
   sentAt: 10_000,
+  headAt: 10_040,
   endedAt: 10_050,
   status: 200,
   isWhole: true,
@@ -41,8 +42,10 @@
   life: 1,
   version: 2,
   sentAt: 10_000,
+  headAt: 10_010,
   endedAt: 10_010,
   status: 200,
+  signedBy: "plain-0",
   ...more,
 });
 
@@ -78,6 +81,7 @@
   orders: [],
   faults: [],
   news: [],
+  stalls: [],
   ...more,
 });
 
@@ -223,7 +227,14 @@
       const told = { ...SAYS, ...says };
       return {
         calls: ids.map((id) =>
-          call({ id, entry, answerId: id, sentAt: from, endedAt: from + 50 }),
+          call({
+            id,
+            entry,
+            answerId: id,
+            sentAt: from,
+            headAt: from + 40,
+            endedAt: from + 50,
+          }),
         ),
         arrivals: ids.map((requestId, at) => {
           const replica = "plain-0";
