Tests that fail: grants that are read late, limits that were not passed on

A grant that an entry reads 3 s late counts as given then (0 ms for 3000). The soak's check of limits counts entries whose callers got no answer that names one, and requests that may have come while the soak's process stood still. `ageMs` of a grant is always 0 so far.

--- a/.ci/failed-gates.mjs
+++ b/.ci/failed-gates.mjs
@@ -26,7 +26,8 @@
   return (days ?? [])
     .filter(({ gate }) => gate === false)
     .map(({ name, seed, short = [], fault, rules }) => {
-      const reason = short.join("; ") || fault || Object.keys(rules ?? {}).join(", ");
+      const reason =
+        short.join("; ") || fault || Object.keys(rules ?? {}).join(", ");
       return `${entry} ${name} seed ${seed}: ${reason}`;
     });
 };
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -138,7 +138,8 @@
     const { runner, readMs } = reply;
     const reader = nameIn(reply.reader);
     const donor = nameIn(reply.donor);
-    return { kind: "granted", reader, runner, donor, readMs } satisfies Grant;
+    const kind = "granted" as const;
+    return { kind, reader, runner, donor, readMs, ageMs: 0 } satisfies Grant;
   }
   const why =
     REFUSAL_CAUSES.find((item) => item === reply.refusal) ?? "too-late";
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -406,6 +406,7 @@
       runner: runner.view.id,
       donor: plan?.donor?.view.id,
       readMs: plan?.endMs ?? 0,
+      ageMs: 0,
     };
   }
 }
--- a/src/scheduling/types.ts
+++ b/src/scheduling/types.ts
@@ -67,6 +67,8 @@
   donor: string | undefined;
   /** Expected time from now to the end of the read, ms. */
   readMs: number;
+  /** How long ago it was given, at the most, ms. */
+  ageMs: number;
 }
 
 export const REFUSAL_CAUSES = [
--- a/tests/gateway/placement.test.ts
+++ b/tests/gateway/placement.test.ts
@@ -57,6 +57,7 @@
   runner: "runner",
   donor: undefined,
   readMs: 0,
+  ageMs: 0,
 };
 
 describe("placing through the holder", () => {
@@ -108,6 +109,7 @@
 
   const connect = async (
     onRates: (news: readonly RateNews[]) => void = () => undefined,
+    clientNow = now,
   ): Promise<PlacementClient> => {
     let isAccepted = false;
     const client = new PlacementClient({
@@ -120,8 +122,8 @@
       onConfig: () => undefined,
       onRates,
       log: SILENT,
-      now,
-      leaseNow: now,
+      now: clientNow,
+      leaseNow: clientNow,
     });
     clients.push(client);
     await until(() => isAccepted, "the holder accepts");
@@ -141,6 +143,31 @@
       .engineStates()
       .reduce((sum, { runCount }) => sum + runCount, 0);
 
+  describe("grants that a starved entry reads late", () => {
+    let stoodStillMs: number;
+    const starvedNow = () => now() + stoodStillMs;
+    beforeEach(() => (stoodStillMs = 0));
+
+    it("are as old as they are there", async () => {
+      const entry = await connect(undefined, starvedNow);
+      const answer = entry.ask(ask("one"));
+      stoodStillMs = 3000;
+      expect(await answer).to.include({ kind: "granted" });
+      expect(((await answer) as Grant).ageMs).to.be.at.least(3000);
+    });
+
+    it("are not older for a wait at the holder", async () => {
+      const other = await connect();
+      await runOne(other);
+      await other.ask(ask("first"));
+      const entry = await connect(undefined, starvedNow);
+      const answer = entry.ask(ask("second"));
+      await new Promise((resolve) => setTimeout(resolve, 200));
+      other.note({ kind: "ended", id: "first", ok: true, firstEventMs: 5 });
+      expect(((await answer) as Grant).ageMs).to.be.below(150);
+    });
+  });
+
   /*
    * A throw while a call is handled ends the stream, with the asks of all
    * other requests; told again to the next holder, as entries do, the same
--- a/tests/soak/checks.test.ts
+++ b/tests/soak/checks.test.ts
@@ -287,6 +287,36 @@
       });
     });
 
+    describe("limits that entries had not passed on", () => {
+      const limits = [{ replica: "plain-0", at: 10_000, perS: 2 }];
+      const says = { isLimited: true };
+      const told = through("entry-0", 1, 10_000, says);
+      const later = through("entry-0", 30, 14_000, says);
+      const broken = ["no more than a replica takes"];
+
+      it("let pass what entries sent whose callers got no such answer", () => {
+        const calls = told.calls.map((item) => ({
+          ...item,
+          status: 502,
+          signedBy: undefined,
+        }));
+        expect(promises(all([{ ...told, calls }], { limits }))).to.eql([]);
+        const lost = all([{ ...told, calls }, later], { limits });
+        // The first of the later requests was answered at 14,040.
+        expect(promises(lost)).to.eql([]);
+        expect(promises(all([told, later], { limits }))).to.eql(broken);
+      });
+
+      it("let pass what may have come before, while the soak stood still", () => {
+        const stalled = (from: number) =>
+          promises(
+            all([told, later], { limits, stalls: [{ from, until: 14_000 }] }),
+          );
+        expect(stalled(10_300)).to.eql([]);
+        expect(stalled(13_100)).to.eql(broken);
+      });
+    });
+
     it("find sends in a back-off, of the entry that was asked", () => {
       const asked = through("entry-0", 1, 10_000, { backOff: "3" });
       const broken = ["back-offs are kept"];
