Age permits from when they were issued; fix the soak's limit check

- It took the time at which the stand-in read a request as its arrival time, although the stand-in's process stalls beside a load.

The users' page makes the promise for entries that forwarded such an answer half a second before. The check now counts an entry from when its caller received the headers of an answer that the replica signed. Times recorded after a stall of the soak's own process, of answers as well as of requests, count as the earliest possible ones. Without such stalls it leaves out entries that never forwarded an answer, and counts the others from the receipt of the headers instead of the arrival at the replica, which is what the page says.

A separate fault in the gateway, which these records don't show: a permit is valid for 1.5 s, counted from when the entry read the grant. An entry that had stalled for seconds still used the permit after that. A grant now carries the time that the ask waited for it, so the entry derives the grant's age from its own clock. A permit for a plain request counts from the ask (no test of its own).

--- a/soak/signalChecks.ts
+++ b/soak/signalChecks.ts
@@ -4,7 +4,12 @@
  */
 import { judgeRate } from "../platform/standins/rateJudge.js";
 import type { ToldSignals } from "../platform/standins/replica.js";
-import type { ArrivalRecord, SoakRecords, Violation } from "./types.js";
+import type {
+  ArrivalRecord,
+  SoakRecords,
+  StallRecord,
+  Violation,
+} from "./types.js";
 
 type Check = (records: SoakRecords) => Violation[];
 
@@ -70,6 +75,48 @@
   );
 };
 
+/** Time to process events queued during a stall, as a fraction of the stall. */
+const BACKLOG_FRACTION = 0.1;
+/** Lower bound on the time to process events queued during a stall, ms. */
+const MIN_BACKLOG_MS = 100;
+
+/**
+ * The earliest time at which an event recorded at `recordedAt` may have
+ * occurred: events that arrive during a stall are recorded after it.
+ */
+const earliestAt = (
+  stalls: readonly StallRecord[],
+  recordedAt: number,
+): number => {
+  let at = recordedAt;
+  for (const { from, until } of [...stalls].reverse()) {
+    const backlogMs = (until - from) * BACKLOG_FRACTION;
+    const backlogEndsAt = until + Math.max(MIN_BACKLOG_MS, backlogMs);
+    if (from < at && at <= backlogEndsAt) at = from;
+  }
+  return at;
+};
+
+/**
+ * By life of an entry: when a caller first received the headers of an answer
+ * that the replica signed and that named a limit.
+ */
+const firstForwarded = (
+  { calls, probes, stalls }: SoakRecords,
+  sent: readonly Sent[],
+): Map<string, number> => {
+  const callers = new Map([...calls, ...probes].map((item) => [item.id, item]));
+  const forwarded = new Map<string, number>();
+  for (const { entry, replica, requestId, told } of sent) {
+    const { headAt, signedBy } = callers.get(requestId) ?? {};
+    if (!told.isLimited || headAt === undefined) continue;
+    if (signedBy !== replica) continue;
+    const at = earliestAt(stalls, headAt);
+    forwarded.set(entry, Math.min(at, forwarded.get(entry) ?? Infinity));
+  }
+  return forwarded;
+};
+
 /** When the first answer that said it left for each life of an entry. */
 const firstTold = (
   sent: readonly Sent[],
@@ -85,8 +132,10 @@
 const limitsKept: Check = (records) =>
   [...sentTo(records)].flatMap(([replica, sent]) => {
     const named = records.limits.filter((item) => item.replica === replica);
-    const told = firstTold(sent, ({ isLimited }) => isLimited);
-    const arrivals = sent.filter((item) => !isExcused(records, item));
+    const told = firstForwarded(records, sent);
+    const arrivals = sent
+      .filter((item) => !isExcused(records, item))
+      .map((item) => ({ ...item, at: earliestAt(records.stalls, item.at) }));
     const [first] = judgeRate({ arrivals, named, told }, RATE_BOUNDS);
     if (first === undefined) return [];
     const { at, got, allowed } = first;
--- a/src/gateway/plainPermits.ts
+++ b/src/gateway/plainPermits.ts
@@ -42,8 +42,12 @@
     if (!rates.isLimited(replica, now())) {
       return { kind: "may-go", permitAt: undefined };
     }
+    const askedAt = now();
     const answer = await permits.permit(service, replica);
-    if (answer.kind === "acquired") return { kind: "may-go", permitAt: now() };
+    if (answer.kind === "acquired") {
+      // Not the time of the answer, which this process may read late.
+      return { kind: "may-go", permitAt: askedAt };
+    }
     // Entries that were held back together do not ask again together.
     const spreadMs = rng() * Math.min(answer.waitMs, MOST_SPREAD_MS);
     const waitMs = Math.max(LEAST_HELD_MS, answer.waitMs + spreadMs);
--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -101,7 +101,7 @@
         failure: isNotRun ? { ...failure, retryAfterMs } : failure,
       };
     }
-    journey.grantedAt = this.options.now();
+    journey.grantedAt = this.options.now() - answer.ageMs;
     this.logGrant(journey, answer);
     let isGood = false;
     let isDone = false;
@@ -227,6 +227,7 @@
       runner: grant.runner,
       donor: grant.donor,
       expectedReadMs: Math.round(grant.readMs),
+      grantAgeMs: Math.round(grant.ageMs),
       promptTokens: caller.head.prompt?.promptTokens,
       outputTokens: caller.head.prompt?.outputTokens,
       elapsedMs: Math.round(caller.elapsedMs()),
--- a/src/gen/snowgate.ts
+++ b/src/gen/snowgate.ts
@@ -206,7 +206,11 @@
   leaseBeat: number;
   config: ConfigAnswer | undefined;
   rates: RateNews[];
-  permit: PermitReply | undefined;
+  permit:
+    | PermitReply
+    | undefined;
+  /** For a grant: time from the holder's receipt of the ask to the grant, ms. */
+  waitedMs: number;
 }
 
 /** A replica takes so many requests a second from all processes together. */
@@ -2485,6 +2489,7 @@
     config: undefined,
     rates: [],
     permit: undefined,
+    waitedMs: 0,
   };
 }
 
@@ -2541,6 +2546,9 @@
     if (message.permit !== undefined) {
       PermitReply.encode(message.permit, writer.uint32(138).fork()).join();
     }
+    if (message.waitedMs !== 0) {
+      writer.uint32(144).uint32(message.waitedMs);
+    }
     return writer;
   },
 
@@ -2693,6 +2701,14 @@
             message.permit = PermitReply.decode(reader, reader.uint32());
             continue;
           }
+          case 18: {
+            if (tag !== 144) {
+              break;
+            }
+
+            message.waitedMs = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2758,6 +2774,11 @@
         ? object.rates.map((e: any) => RateNews.fromJSON(e))
         : [],
       permit: isSet(object.permit) ? PermitReply.fromJSON(object.permit) : undefined,
+      waitedMs: isSet(object.waitedMs)
+        ? globalThis.Number(object.waitedMs)
+        : isSet(object.waited_ms)
+        ? globalThis.Number(object.waited_ms)
+        : 0,
     };
   },
 
@@ -2814,6 +2835,9 @@
     if (message.permit !== undefined) {
       obj.permit = PermitReply.toJSON(message.permit);
     }
+    if (message.waitedMs !== 0) {
+      obj.waitedMs = Math.round(message.waitedMs);
+    }
     return obj;
   },
 
@@ -2845,6 +2869,7 @@
     message.permit = (object.permit !== undefined && object.permit !== null)
       ? PermitReply.fromPartial(object.permit)
       : undefined;
+    message.waitedMs = object.waitedMs ?? 0;
     return message;
   },
 };
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -7,7 +7,6 @@
   UsageWindow,
 } from "../gen/snowgate.js";
 import type {
-  Grant,
   PlacementAnswer,
   PlacementAsk,
   PlacementEvent,
@@ -119,6 +118,7 @@
     reader: isGrant ? (answer.reader ?? "") : "",
     donor: isGrant ? (answer.donor ?? "") : "",
     readMs: isGrant ? whole(answer.readMs) : 0,
+    waitedMs: isGrant ? whole(answer.waitedMs) : 0,
     refusal: isRefusal ? answer.why : "",
     retryAfterMs: isRefusal ? whole(answer.retryAfterMs) : 0,
     isQueued: answer?.kind === "queued",
@@ -133,13 +133,19 @@
 export const nameIn = (text: string): string | undefined =>
   text === "" ? undefined : text;
 
-export const fromPlaceReply = (reply: PlaceReply): PlacementAnswer => {
+/** `sinceAskMs` is the time since the ask was sent, by the client's clock. */
+export const fromPlaceReply = (
+  reply: PlaceReply,
+  sinceAskMs: number,
+): PlacementAnswer => {
   if (reply.runner !== "") {
     const { runner, readMs } = reply;
     const reader = nameIn(reply.reader);
     const donor = nameIn(reply.donor);
-    const kind = "granted" as const;
-    return { kind, reader, runner, donor, readMs, ageMs: 0 } satisfies Grant;
+    const { waitedMs } = reply;
+    const ageMs = Math.max(0, sinceAskMs - waitedMs);
+    const times = { readMs, waitedMs, ageMs };
+    return { kind: "granted", reader, runner, donor, ...times };
   }
   const why =
     REFUSAL_CAUSES.find((item) => item === reply.refusal) ?? "too-late";
--- a/src/placement/placementClient.ts
+++ b/src/placement/placementClient.ts
@@ -58,6 +58,7 @@
 interface Waiting {
   resolve(answer: PlacementAnswer | undefined): void;
   timer: NodeJS.Timeout;
+  askedAt: number;
   /** The holder has it, and answers when an engine comes free. */
   isQueued: boolean;
 }
@@ -143,8 +144,9 @@
       // timer comes before it, what it sets off comes after.
       const giveUp = () => setImmediate(() => this.onUnanswered(ask.id));
       const timer = setTimeout(giveUp, ANSWER_MS);
-      this.waiting.set(ask.id, { resolve, timer, isQueued: false });
-      this.silentSince ??= this.options.now();
+      const askedAt = this.options.now();
+      this.waiting.set(ask.id, { resolve, timer, askedAt, isQueued: false });
+      this.silentSince ??= askedAt;
       this.send({ ask: toPlaceAsk(ask) });
     });
   }
@@ -250,7 +252,10 @@
     if (reply.permit !== undefined) this.permitAsks.settle(reply.permit);
     if (reply.isQueued) return this.onQueued(id);
     const waiting = this.take(id);
-    if (waiting !== undefined) return waiting.resolve(fromPlaceReply(reply));
+    if (waiting !== undefined) {
+      const sinceAskMs = this.options.now() - waiting.askedAt;
+      return waiting.resolve(fromPlaceReply(reply, sinceAskMs));
+    }
     // Too late: the request was placed here, so the grant is given back.
     if (reply.runner === "") return;
     this.note({ kind: "ended", id, ok: true, firstEventMs: 0 });
--- a/src/placement/placementServer.ts
+++ b/src/placement/placementServer.ts
@@ -266,6 +266,7 @@
         runner,
         donor: undefined,
         readMs: 0,
+        waitedMs: 0,
         ageMs: 0,
       };
       placement.adopt(fromPlaceAsk(service, held.ask), grant, isRead);
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -160,7 +160,8 @@
       const answer = this.start(choice, plan);
       if (answer !== undefined) {
         this.queue.begin(item, now);
-        settled.push({ id: ask.id, answer });
+        const waitedMs = now - item.arrivedAt;
+        settled.push({ id: ask.id, answer: { ...answer, waitedMs } });
       } else if (plan !== undefined) {
         const before = meant.get(plan.engine) ?? 0;
         meant.set(plan.engine, before + plan.costMs);
@@ -406,6 +407,7 @@
       runner: runner.view.id,
       donor: plan?.donor?.view.id,
       readMs: plan?.endMs ?? 0,
+      waitedMs: 0,
       ageMs: 0,
     };
   }
--- a/src/scheduling/types.ts
+++ b/src/scheduling/types.ts
@@ -67,7 +67,9 @@
   donor: string | undefined;
   /** Expected time from now to the end of the read, ms. */
   readMs: number;
-  /** How long ago it was given, at the most, ms. */
+  /** Time from the holder's receipt of the ask to the grant, ms. */
+  waitedMs: number;
+  /** Upper bound on the time since the grant was issued, ms. */
   ageMs: number;
 }
 
