Learn no pace from a stream that took no time

Events that arrive in one piece gave a time of 0 per token: the median of an engine's ratios could become 0, and the next samples infinite. Seen in reading, by no play. The test shows the expected misses unchanged by such streams. The bound of long answers is used in one file only and no longer exported.

--- a/src/scheduling/engineRuns.ts
+++ b/src/scheduling/engineRuns.ts
@@ -99,7 +99,7 @@
   /** Records the mean time per token of a run that ends now. */
   measure(id: string, tokenMs: number, now: number): void {
     const run = this.runs.get(id);
-    if (run === undefined || now <= run.addedAt) return;
+    if (run === undefined || now <= run.addedAt || !(tokenMs > 0)) return;
     this.integrate(now);
     const spanMs = now - run.addedAt;
     const runs = (this.sums.runMs - run.sums.runMs) / spanMs;
--- a/src/scheduling/runPlanner.ts
+++ b/src/scheduling/runPlanner.ts
@@ -4,7 +4,7 @@
 import type { PlacementAsk } from "./types.js";
 
 /** Runs of at least this many tokens are packed. */
-export const LONG_OUTPUT_TOKENS = 512;
+const LONG_OUTPUT_TOKENS = 512;
 /**
  * Packed engines are filled up to this share of slots or memory: beyond it
  * each step takes so much longer that the longest streams miss their time.
--- a/tests/gateway/tokenPace.test.ts
+++ b/tests/gateway/tokenPace.test.ts
@@ -91,4 +91,16 @@
     expect(runs.expire(6000, 7501)).to.equal(1);
     expect(runs.tokens).to.equal(0);
   });
+
+  it("learn nothing from a stream that took no time", () => {
+    const runs = newRuns();
+    const before = runs.expectMisses(1000, { ...length, leftMs: 900 })!;
+    for (let at = 0; at < 20; at += 1) {
+      runs.add(`${at}`, run, at);
+      runs.measure(`${at}`, 0, at + 1);
+      runs.end(`${at}`, at + 1);
+    }
+    const after = runs.expectMisses(1000, { ...length, leftMs: 900 })!;
+    expect(after.own).to.equal(before.own);
+  });
 });
