--- a/src/scheduling/runPlanner.ts
+++ b/src/scheduling/runPlanner.ts
@@ -10,8 +10,6 @@
  * each step takes so much longer that the longest streams miss their time.
  */
 const PACK_LOAD = 0.6;
-/** Share of an engine's slots reserved for short runs, which free them quickly. */
-const SHORT_RUN_SLOT_SHARE = 0.05;
 /** Cost of a certain deadline miss, in full engines. */
 const MISS_WEIGHT = 2;
 /** Engines in another failure domain count as this much busier, share of slots. */
@@ -82,10 +80,8 @@
 ): number | undefined => {
   const { slots, kvCapacityTokens, stage } = engine.view;
   if (stage !== "decode") return undefined;
-  const isLong = ask.outputTokens >= LONG_OUTPUT_TOKENS;
-  const reservedSlots = isLong ? Math.floor(slots * SHORT_RUN_SLOT_SHARE) : 0;
   const runs = engine.runCount * share;
-  if (runs + 1 > slots - reservedSlots) return undefined;
+  if (runs + 1 > slots) return undefined;
   const needed = ask.promptTokens + ask.outputTokens;
   const tokens = engine.runTokens * share + needed;
   const memory = tokens / (kvCapacityTokens * RUN_MEMORY_SHARE);
