Refuse long answers only for the misses they cause; exempt lagging sizes

Cause, by reading: the admission check counted the probability that the new answer misses its own deadline. It is highest for the longest answers, so these were refused most often. Change: only the expected misses among the other runs count, and sizes that lag behind their route are exempt from this check.

--- a/src/scheduling/engineRuns.ts
+++ b/src/scheduling/engineRuns.ts
@@ -42,8 +42,8 @@
 export interface ExpectedMisses {
   /** Probability that the added run misses its deadline. */
   own: number;
-  /** `own` plus the expected number of additional misses among other runs. */
-  total: number;
+  /** Expected number of additional misses among the other runs. */
+  others: number;
 }
 
 /** Probability that an answer misses its deadline at `tokenMs` per token. */
@@ -122,11 +122,11 @@
     const after = this.expectMs(this.count + 1, this.tokens + tokens);
     if (before === undefined || after === undefined) return undefined;
     const own = missChance(length, after);
-    let total = own;
+    let others = 0;
     for (const run of this.runs.values()) {
-      total += missChance(run.length, after) - missChance(run.length, before);
+      others += missChance(run.length, after) - missChance(run.length, before);
     }
-    return { own, total };
+    return { own, others };
   }
 
   /** Expected time per token, ms; undefined while the pace is unknown. */
--- a/src/scheduling/runPlanner.ts
+++ b/src/scheduling/runPlanner.ts
@@ -47,7 +47,8 @@
 
 /**
  * False if engines have room, but on each of them a long run would add more
- * than one expected deadline miss, its own included.
+ * than one expected deadline miss among the other runs. Its own risk is not
+ * counted, as that would refuse the longest answers most often.
  */
 export const isAdmissible = (
   run: PlannedRun,
@@ -60,7 +61,7 @@
   return (
     roomy.length === 0 ||
     roomy.some(
-      (engine) => (engine.runs.expectMisses(tokens, length)?.total ?? 0) <= 1,
+      (engine) => (engine.runs.expectMisses(tokens, length)?.others ?? 0) <= 1,
     )
   );
 };
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -178,9 +178,12 @@
     const costMs = plan?.costMs ?? 0;
     if (!ask.isReturn) this.countAsked(ask, costMs, now);
     if (costMs > 0) this.meanReadMs.add(costMs);
-    // Retries and callers that return after a refusal skip this check.
+    // Retries, callers that return after a refusal, and sizes that lag behind
+    // their route skip this check.
     const isFirstTry = !ask.isReturn && ask.avoid.length === 0;
-    if (isFirstTry && !isAdmissible(this.plannedRun(ask), open)) {
+    const isBehind = this.fairness.lags(ask.route, sizeOf(ask));
+    const mayRefuse = isFirstTry && !isBehind;
+    if (mayRefuse && !isAdmissible(this.plannedRun(ask), open)) {
       return refuse(ask, "slots");
     }
     const item = this.waitingAsk(ask, costMs, now);
