--- a/src/scheduling/runPlanner.ts
+++ b/src/scheduling/runPlanner.ts
@@ -47,8 +47,7 @@
 
 /**
  * False if engines have room, but on each of them a long run would add more
- * than one expected deadline miss among the other runs. Its own risk is not
- * counted, as that would refuse the longest answers most often.
+ * than one expected deadline miss, its own included.
  */
 export const isAdmissible = (
   run: PlannedRun,
@@ -60,9 +59,10 @@
   const roomy = open.filter((engine) => hasRoom(ask, engine, share));
   return (
     roomy.length === 0 ||
-    roomy.some(
-      (engine) => (engine.runs.expectMisses(tokens, length)?.others ?? 0) <= 1,
-    )
+    roomy.some((engine) => {
+      const misses = engine.runs.expectMisses(tokens, length);
+      return misses === undefined || misses.own + misses.others <= 1;
+    })
   );
 };
 
