Log how news and the store's return reached a process; count charged retries

Change: `configuration in force` says by which way it came; `store regained` how many calls failed, for how long, and how long the last took; a timed-out call says whether it used a kept connection. The counter `retry_budget` has charges before a send, refusals, and charges after it. No decision changes. Measured: state, retryBudgets, entries, quarantine and story tests pass.

--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -138,7 +138,12 @@
   const { placement } = role;
   const countedEntries = () =>
     placement.countedMaxEntries(state.engineServices());
-  const budgets = new RetryBudgets(settings.retry, countedEntries, now);
+  const budgets = new RetryBudgets(
+    settings.retry,
+    countedEntries,
+    now,
+    metrics,
+  );
   client.onLeaving = ({ id: engine, service }) => {
     if (!state.engineServices().includes(service)) return;
     placement.reportEvent(service, { kind: "leaving", id: "", engine });
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -27,6 +27,9 @@
 /** Limit on names and error texts in log lines; stored ones may be 1 MB. */
 const MAX_LOGGED_CHARS = 200;
 
+/** How a configuration reached this process; `write`: with its own write. */
+type ConfigOrigin = "list" | "change" | "write" | "holder";
+
 /** A cached list of engines and the inputs that it was built from. */
 interface EngineList {
   table: RouteTable | undefined;
@@ -79,7 +82,7 @@
     return this.table !== undefined && this.hasReplicas;
   }
 
-  onConfigItem(item: FeedItem): void {
+  onConfigItem(item: FeedItem, origin: ConfigOrigin): void {
     if (item.name !== this.source.configName) return;
     // The known revision may be from a peer, which sends no status.
     const isCurrent = item.revision >= this.configRevision;
@@ -105,7 +108,8 @@
     this.configItem = item;
     const { version, routes, services } = config;
     this.replicas.setServices(services.map(({ name }) => name));
-    this.log.info("configuration in force", { version, routes: routes.length });
+    const fields = { version, routes: routes.length, origin };
+    this.log.info("configuration in force", fields);
     this.onConfig(config);
   }
 
@@ -147,7 +151,7 @@
     const { configName: name } = this.source;
     if (revision > this.configRevision) {
       if (value === undefined) return;
-      this.onConfigItem({ name, revision, value });
+      this.onConfigItem({ name, revision, value }, "holder");
     }
     this.onConfigProven(sentAt - ageMs);
   }
--- a/src/gateway/quarantineStore.ts
+++ b/src/gateway/quarantineStore.ts
@@ -122,12 +122,12 @@
     const result = await feed.writeStatus(kind, name, status, item.revision);
     switch (result.kind) {
       case "written":
-        state.onConfigItem(result.item);
+        state.onConfigItem(result.item, "write");
         return "written";
       case "conflict":
         if (result.current === undefined) return "failed";
         this.conflictItem = result.current;
-        state.onConfigItem(result.current);
+        state.onConfigItem(result.current, "write");
         return "conflict";
       case "refused":
       case "unknown":
--- a/src/gateway/retryBudgets.ts
+++ b/src/gateway/retryBudgets.ts
@@ -7,6 +7,7 @@
  * spent within one window.
  */
 import { SlidingCount } from "../shared/slidingCount.js";
+import type { Metrics } from "../telemetry/index.js";
 
 /** Fraction of the allowed ratio that is used; the rest is safety margin. */
 const USED_FRACTION = 0.75;
@@ -38,6 +39,7 @@
     private readonly limits: RetryLimits,
     private readonly entries: () => number | undefined,
     private readonly now: () => number,
+    private readonly metrics?: Pick<Metrics, "count">,
   ) {}
 
   /** Counts a new request, which adds `ratio` retries to the budget. */
@@ -50,9 +52,11 @@
    * of the budget that this kind of retry may use.
    */
   tryRetry(service: string, usable = 1): boolean {
-    if (!this.hasRetry(service, usable)) return false;
-    this.countsOf(service).retries.add(1, this.now());
-    return true;
+    const isTaken = this.hasRetry(service, usable);
+    const event = isTaken ? "taken" : "refused";
+    this.metrics?.count("retry_budget", { service, event });
+    if (isTaken) this.countsOf(service).retries.add(1, this.now());
+    return isTaken;
   }
 
   /** Whether `tryRetry` would succeed now; takes nothing. */
@@ -69,6 +73,7 @@
   /** Charges retries that were sent without a call to `tryRetry`. */
   recordRetries(service: string, sends: number): void {
     this.countsOf(service).retries.add(sends, this.now());
+    this.metrics?.count("retry_budget", { service, event: "late" });
   }
 
   private countsOf(service: string): Counts {
--- a/src/gateway/storeWatch.ts
+++ b/src/gateway/storeWatch.ts
@@ -69,9 +69,10 @@
         state.proofAgeMs > waitMs + PROOF_GRACE_MS,
       isActive: isActive.config,
       handlers: {
-        onList: (items) => items.forEach((item) => state.onConfigItem(item)),
+        onList: (items) =>
+          items.forEach((item) => state.onConfigItem(item, "list")),
         onChange: ({ item, isRemoved }) => {
-          if (!isRemoved) state.onConfigItem(item);
+          if (!isRemoved) state.onConfigItem(item, "change");
         },
         onAnswer: (answer) => state.onConfigProven(provenAt(answer)),
       },
--- a/src/http/request.ts
+++ b/src/http/request.ts
@@ -54,10 +54,11 @@
           : { "content-length": Buffer.byteLength(body) }),
       },
     });
-    const timer = setTimeout(
-      () => req.destroy(new Error("timed out")),
-      options.timeoutMs,
-    );
+    const onTimeout = () => {
+      const where = req.reusedSocket ? " on a reused connection" : "";
+      req.destroy(new Error(`timed out${where}`));
+    };
+    const timer = setTimeout(onTimeout, options.timeoutMs);
     const detach = options.cancellation?.onCancel(() =>
       req.destroy(new Error("cancelled")),
     );
--- a/src/store/feedWatch.ts
+++ b/src/store/feedWatch.ts
@@ -57,6 +57,8 @@
   private revision: number | undefined;
   private failures = 0;
   private failedCall: FailedCall | undefined;
+  /** When the first of the failed calls ended, ms. */
+  private lostAt = 0;
   /** When the last call ended, ms. */
   private endedAt = 0;
   private isIdle = false;
@@ -119,11 +121,12 @@
       if (this.revision === undefined) await this.readList();
       else await this.readChanges(this.revision, before);
       if (this.cancelled !== undefined) return;
-      if (this.failures > 0) this.onRegained();
+      if (this.failures > 0) this.onRegained(sentAt);
       this.failures = 0;
       this.lastAnswerAt = now();
     } catch (err) {
       this.failures += 1;
+      if (this.failures === 1) this.lostAt = now();
       this.lastFailureAt = now();
       this.failedCall = {
         failures: this.failures,
@@ -139,9 +142,13 @@
     }
   }
 
-  private onRegained(): void {
+  /** `sentAt`: when the call that was answered began, ms. */
+  private onRegained(sentAt: number): void {
     const { kind, log, recovery, now } = this.options;
-    log.info("store regained", { kind });
+    const lostMs = Math.round(now() - this.lostAt);
+    const tookMs = Math.round(now() - sentAt);
+    const { failures } = this;
+    log.info("store regained", { kind, failures, lostMs, tookMs });
     if (recovery !== undefined) recovery.regainedAt = now();
   }
 
--- a/tests/gateway/state.test.ts
+++ b/tests/gateway/state.test.ts
@@ -347,7 +347,7 @@
       limits: { maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
       workspaces: undefined,
     };
-    state.onConfigItem({ name: "main", revision: 1, value });
+    state.onConfigItem({ name: "main", revision: 1, value }, "list");
     return { state, clock, value };
   };
   const listed = (name: string, stage: string) => ({
@@ -374,10 +374,13 @@
     state.onConfigNews({ revision: 5, ageMs: 1, value }, 0);
     expect(state.storedConfig?.status).to.equal(undefined);
     const status = { of: "the store" };
-    state.onConfigItem({ name: "main", revision: 5, value, status });
+    state.onConfigItem({ name: "main", revision: 5, value, status }, "list");
     expect(seen).to.eql([status]);
     expect(state.storedConfig?.status).to.equal(status);
-    state.onConfigItem({ name: "main", revision: 4, value, status: {} });
+    state.onConfigItem(
+      { name: "main", revision: 4, value, status: {} },
+      "list",
+    );
     expect(seen).to.eql([status]);
   });
 
