Close idle connections that may be dead after a call got no response

Cause: calls to the store share a pool of kept connections. Where all open ones go silent at once, the call that waits is given up after 2.3 s, and each next call took an idle connection that was silent too: 2.3 s more for each, beyond the 3 s after which a machine counts as in touch. Change: after a call that timed out or was cancelled, idle connections to its address that have carried no response since it began are closed; the next call opens a new one.

--- a/src/http/request.ts
+++ b/src/http/request.ts
@@ -2,9 +2,10 @@
 import http from "node:http";
 
 import type { Cancellation } from "../shared/cancellation.js";
+import { KeptConnections } from "./keptConnections.js";
 
 /** Connection pool for control traffic. */
-const agent = new http.Agent({ keepAlive: true, maxSockets: 64 });
+const agent = new KeptConnections({ keepAlive: true, maxSockets: 64 });
 
 /** A complete response; the body is not parsed. */
 export interface JsonResponse {
@@ -42,6 +43,7 @@
   new Promise((resolve, reject) => {
     const body =
       options.body === undefined ? options.text : JSON.stringify(options.body);
+    const begunAt = performance.now();
     let connected = false;
     const req = http.request(options.url, {
       method: options.method,
@@ -54,14 +56,17 @@
           : { "content-length": Buffer.byteLength(body) }),
       },
     });
-    const onTimeout = () => {
-      const where = req.reusedSocket ? " on a reused connection" : "";
-      req.destroy(new Error(`timed out${where}`));
+    const giveUp = (why: string) => {
+      req.destroy(new Error(why));
+      const { port } = new URL(options.url);
+      agent.closeIdleSince(req.host, port, begunAt);
     };
+    const onTimeout = () =>
+      giveUp(
+        req.reusedSocket ? "timed out on a reused connection" : "timed out",
+      );
     const timer = setTimeout(onTimeout, options.timeoutMs);
-    const detach = options.cancellation?.onCancel(() =>
-      req.destroy(new Error("cancelled")),
-    );
+    const detach = options.cancellation?.onCancel(() => giveUp("cancelled"));
     const settled = () => {
       clearTimeout(timer);
       detach?.();
--- a/standins/faultLink.ts
+++ b/standins/faultLink.ts
@@ -42,6 +42,8 @@
   pending: { to: net.Socket; data: Buffer }[];
   /** Response chunks counted in `drop-answer` since the mode was set. */
   passedChunks: number;
+  /** Whether all data of the pair is dropped from now on. */
+  isSilent: boolean;
 }
 
 export class FaultLink {
@@ -91,6 +93,14 @@
     if (mode === "pass") this.release();
   }
 
+  /** Drops all data of the open connections for good; new ones work. */
+  silenceConnections(): void {
+    for (const pair of this.pairs) {
+      pair.isSilent = true;
+      pair.pending = [];
+    }
+  }
+
   private release(): void {
     for (const pair of this.pairs) {
       for (const { to, data } of pair.pending) to.write(data);
@@ -112,7 +122,13 @@
     }
     const { host, port } = splitAddress(this.target());
     const server = net.connect(port, host);
-    const pair: SocketPair = { client, server, pending: [], passedChunks: 0 };
+    const pair: SocketPair = {
+      client,
+      server,
+      pending: [],
+      passedChunks: 0,
+      isSilent: false,
+    };
     this.pairs.add(pair);
     const end = () => {
       client.destroy();
@@ -138,6 +154,7 @@
     to: net.Socket,
     isAnswer: boolean,
   ): void {
+    if (pair.isSilent) return;
     switch (this.mode) {
       case "pass":
       case "refuse":
