Probe the store with a short wait after any failed call of a watch

Cause: a watch whose call had failed asked for its whole wait again (1.5 s, 2.5 s on the grown sites) unless a holder vouched, which none does on small fleets. A call that is sent just before trouble ends and gets no answer is given up after its wait and 0.8 s, and the pause after it is up to 0.7 s: 3.0 and 4.0 s, all that is allowed, and the store's answer comes on top. Why it works: after a failed call the next waits 0.5 s at most, so the sum is 2.0 s.

--- a/src/store/feedWatch.ts
+++ b/src/store/feedWatch.ts
@@ -235,8 +235,7 @@
   private nextWaitMs(position: number, isAfterCancel: boolean): number {
     const { kind, waitMs: baseWaitMs, log } = this.options;
     const vouch = this.vouch(position);
-    const isAfterFailure = this.failures > 0 && vouch !== undefined;
-    const isProbe = isAfterCancel || isAfterFailure;
+    const isProbe = isAfterCancel || this.failures > 0;
     const isProofOld = this.isProofOld;
     const sinceVouchEndedMs = this.options.now() - this.vouchEndedAt;
     const input = { baseWaitMs, position, vouch, isProbe, isProofOld };
@@ -286,7 +285,8 @@
     }
   }
 
-  private pauseLeftMs(): number {
+  /** Time until the next call is due, ms; none is left if it is not positive. */
+  pauseLeftMs(): number {
     const { waitMs, recovery, now } = this.options;
     const sinceMs = now() - this.endedAt;
     if (this.isIdle) return IDLE_POLL_MS - sinceMs;
