Charge retries before they are sent, and until they have arrived

Cause: a further round was charged one send before it asked for engines, and sends twice (prefill and run); the second was charged when the round had ended, with a long answer seconds later. All requests that failed together passed the check before any had paid for its second send. And a retry counted at the instant of its check, while it may wait for engines, or at a replica that stands still, and arrive with others. Change: a round takes from the budget what its grant needs, before the first send, by request: all sends but the first and the first prefill that was carried out. A retry counts from then until a window after its answer, or after it was given up. Where too little is left the grant is handed back and the caller is told. Plain sends take theirs where they are made. Why it works: what may arrive in a window was either sent within it or not yet answered at its start; both count. Tests: the case of retries 'sent without asking the budget' is gone with that call; in its place cases for retries on their way and for those taken together.

--- a/src/gateway/engineRun.ts
+++ b/src/gateway/engineRun.ts
@@ -70,6 +70,7 @@
       this.failures.logSendFailure(caller, runner, "run", sent.why);
       return { ...sent, avoid: runner };
     }
+    progress.retries?.settle();
     const { res } = sent;
     const reply = codec.readReply(res.statusCode ?? 0, res.headers);
     if (reply.isMisdirected) {
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,6 +1,7 @@
 export { startGateway } from "./gatewayDaemon.js";
 export type { GatewaySettings } from "./gatewayDaemon.js";
 export type { GatewayDependencies } from "./gatewayDependencies.js";
+export type { RetryLimits } from "./retryBudgets.js";
 export { startScheduler } from "./schedulerDaemon.js";
 export type { SchedulerSettings } from "./schedulerDaemon.js";
 export type { GatewaySource } from "./gatewayState.js";
--- a/src/gateway/plainFlow.ts
+++ b/src/gateway/plainFlow.ts
@@ -8,7 +8,7 @@
 import { PlainPermits } from "./plainPermits.js";
 import type { PermitSource } from "./plainPermits.js";
 import { PlainProgress } from "./plainProgress.js";
-import { PlainSender } from "./plainSender.js";
+import { PlainSender, unavailable } from "./plainSender.js";
 import type { PlainSenderOptions } from "./plainSender.js";
 import type { QuarantineManager } from "./quarantineManager.js";
 import { ReplicaChoice } from "./replicaChoice.js";
@@ -76,7 +76,7 @@
       return;
     }
     const isRetry = caller.sentTo.length > 0;
-    if (isRetry && !this.options.budgets.tryRetry(service)) {
+    if (isRetry && !this.options.budgets.hasRetry(service)) {
       return progress.end();
     }
     progress.recordSend(replica.id);
@@ -99,13 +99,24 @@
     caller.fail(failureOf(verdict, why, this.retryAfterMs(caller)));
   }
 
+  /** A send that takes from the retry budget once it is made, if it is not the first. */
   private sendTo(
     caller: CallerRequest,
     replica: Replica,
     permitAt: number | undefined,
   ): PlainSend {
-    return (cancellation) =>
-      this.sender.send(caller, replica, permitAt, cancellation);
+    const { budgets } = this.options;
+    return async (cancellation) => {
+      const isRetry = caller.sentTo.length > 0;
+      const retry = isRetry ? budgets.acquire(caller.service) : undefined;
+      if (isRetry && retry === undefined)
+        return unavailable("no retry is left");
+      try {
+        return await this.sender.send(caller, replica, permitAt, cancellation);
+      } finally {
+        retry?.settle();
+      }
+    };
   }
 
   /** The second send of a slow request; undefined if it must not be sent. */
@@ -121,12 +132,12 @@
     // A full link delays the first answer, and a second send fills it further.
     if (!this.options.link.mayRepeat(caller)) return undefined;
     // A permit that is not used lowers the rate of a limited replica.
-    if (!budgets.hasRetry(service, SECOND_SEND_FRACTION)) return undefined;
+    if (!budgets.hasRetry(service, 1, SECOND_SEND_FRACTION)) return undefined;
     const replica = this.chooseReplica(caller, progress.tried, slowMs);
     if (replica === undefined) return undefined;
     const permit = await this.permits.acquire(service, replica.id);
     if (permit.kind === "held-back" || !isNeeded()) return undefined;
-    if (!budgets.tryRetry(service, SECOND_SEND_FRACTION)) return undefined;
+    if (!budgets.hasRetry(service, 1, SECOND_SEND_FRACTION)) return undefined;
     progress.recordSecondSend(replica.id);
     return this.sendTo(caller, replica, permit.permitAt);
   }
--- a/src/gateway/plainSender.ts
+++ b/src/gateway/plainSender.ts
@@ -45,7 +45,7 @@
  */
 type Fault = "unreachable" | "gone" | "refused" | "unavailable" | "broken";
 
-const unavailable = (why: string): Attempt => ({
+export const unavailable = (why: string): Attempt => ({
   kind: "failed",
   verdict: "not-run",
   why,
--- a/src/gateway/requestProgress.ts
+++ b/src/gateway/requestProgress.ts
@@ -4,6 +4,7 @@
 import type { Verdict } from "../shared/verdict.js";
 import { worseVerdict } from "../shared/verdict.js";
 import type { CallerRequest } from "./callerRequest.js";
+import type { RetryPermit } from "./retryBudgets.js";
 import { StreamRelay } from "./streamRelay.js";
 import { deadlineFailure } from "./verdicts.js";
 
@@ -38,6 +39,12 @@
   /** Number of replicas that ran the request or may have. */
   runs: number;
   grantId: string;
+  /** Whether an engine has prefilled the prompt for another one. */
+  hasPrefilled: boolean;
+  /** Retries of this request that the budget was charged. */
+  chargedRetries: number;
+  /** For the sends of the current round; undefined before the first. */
+  retries: RetryPermit | undefined;
   /** When the current round's engines were granted, ms. */
   grantedAt: number;
   runSentAt: number;
@@ -61,6 +68,9 @@
   rounds: 0,
   runs: 0,
   grantId: "",
+  hasPrefilled: false,
+  chargedRetries: 0,
+  retries: undefined,
   grantedAt: 0,
   runSentAt: 0,
   firstEventMs: 0,
@@ -68,6 +78,13 @@
   isWhole: false,
 });
 
+/**
+ * How many of a request's sends are retries: all but the first, and but the
+ * first prefill that an engine carried out for another one.
+ */
+export const retriesIn = (sends: number, hasPrefilled: boolean): number =>
+  Math.max(0, sends - 1 - (hasPrefilled ? 1 : 0));
+
 /** Whether another round is allowed and enough time is left for it. */
 export const canRetry = (progress: RequestProgress): boolean => {
   const { caller, verdict, rounds, runs } = progress;
--- a/src/gateway/retryBudgets.ts
+++ b/src/gateway/retryBudgets.ts
@@ -5,6 +5,10 @@
  * and its share of the fleet's burst, so that the sum holds. No budget is
  * carried over beyond a window: savings of sixty entries could otherwise be
  * spent within one window.
+ *
+ * The limit is on arrivals at replicas. A retry counts from before it is sent
+ * until one window after its answer, as it may arrive at any time in between:
+ * what is sent over several windows to replicas that stand still arrives at once.
  */
 import { SlidingCount } from "../shared/slidingCount.js";
 import type { Metrics } from "../telemetry/index.js";
@@ -25,10 +29,22 @@
   windowMs: number;
 }
 
+/** Retries that the budget allows, taken from it before they are sent. */
+export interface RetryPermit {
+  /**
+   * To be called once the retries were answered or given up, and in any case in
+   * the end; `sent`: how many were sent at all. Only the first call counts.
+   */
+  settle(sent?: number): void;
+}
+
 /** Requests and retries of one service in the last window. */
 interface Counts {
   requests: SlidingCount;
+  /** Settled retries. */
   retries: SlidingCount;
+  /** Retries that are not settled. */
+  open: number;
 }
 
 export class RetryBudgets {
@@ -48,32 +64,35 @@
   }
 
   /**
-   * Takes one retry from the budget; false if none is left. `usable`: fraction
-   * of the budget that this kind of retry may use.
+   * Takes retries from the budget; undefined if fewer are left. `usable`:
+   * fraction of the budget that this kind of retry may use.
    */
-  tryRetry(service: string, usable = 1): boolean {
-    const isTaken = this.hasRetry(service, usable);
-    const event = isTaken ? "taken" : "refused";
+  acquire(service: string, sends = 1, usable = 1): RetryPermit | undefined {
+    const isLeft = this.hasRetry(service, sends, usable);
+    const event = isLeft ? "taken" : "refused";
     this.metrics?.count("retry_budget", { service, event });
-    if (isTaken) this.countsOf(service).retries.add(1, this.now());
-    return isTaken;
+    if (!isLeft) return undefined;
+    const counts = this.countsOf(service);
+    counts.open += sends;
+    let isSettled = false;
+    const settle = (sent = sends): void => {
+      if (isSettled) return;
+      isSettled = true;
+      counts.open -= sends;
+      counts.retries.add(sent, this.now());
+    };
+    return { settle };
   }
 
-  /** Whether `tryRetry` would succeed now; takes nothing. */
-  hasRetry(service: string, usable = 1): boolean {
+  /** Whether `acquire` would succeed now; takes nothing. */
+  hasRetry(service: string, sends = 1, usable = 1): boolean {
     const { ratio, burst } = this.limits;
-    const { requests, retries } = this.countsOf(service);
+    const { requests, retries, open } = this.countsOf(service);
     const now = this.now();
     const burstShare = burst / Math.max(MIN_ENTRIES, this.entries() ?? 0);
     const allowed =
       requests.lowerBound(now) * ratio * USED_FRACTION + burstShare;
-    return retries.upperBound(now) + 1 <= allowed * usable;
-  }
-
-  /** Charges retries that were sent without a call to `tryRetry`. */
-  recordRetries(service: string, sends: number): void {
-    this.countsOf(service).retries.add(sends, this.now());
-    this.metrics?.count("retry_budget", { service, event: "late" });
+    return open + retries.upperBound(now) + sends <= allowed * usable;
   }
 
   private countsOf(service: string): Counts {
@@ -83,6 +102,7 @@
     const fresh = {
       requests: new SlidingCount(windowMs),
       retries: new SlidingCount(windowMs),
+      open: 0,
     };
     this.counts.set(service, fresh);
     return fresh;
--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -25,10 +25,11 @@
   canRetry,
   newRequestProgress,
   overdueResult,
+  retriesIn,
 } from "./requestProgress.js";
 import type { RequestProgress, RoundResult } from "./requestProgress.js";
 import { PromptPrefiller } from "./promptPrefiller.js";
-import type { RetryBudgets } from "./retryBudgets.js";
+import type { RetryBudgets, RetryPermit } from "./retryBudgets.js";
 import type { PrefillHandle } from "./types.js";
 import { afterBackOffMs, failureOf } from "./verdicts.js";
 
@@ -40,6 +41,9 @@
   rng: Rng;
 }
 
+/** For a round whose sends are no retries. */
+const NO_RETRIES: RetryPermit = { settle: () => undefined };
+
 const unusedGrantEnded = (id: string): PlacementEvent => ({
   kind: "ended",
   id,
@@ -86,12 +90,7 @@
       now,
     );
     for (;;) {
-      const sentBefore = caller.sentTo.length;
       const round = await this.round(progress);
-      const sends = caller.sentTo.length - sentBefore;
-      // The retry budget was charged for one send; a round may take two.
-      if (sentBefore > 0 && sends > 1)
-        budgets.recordRetries(caller.service, sends - 1);
       if (round.kind === "done") return;
       if (round.kind === "refused")
         return this.failRequest(progress, round.failure);
@@ -100,7 +99,8 @@
       if (caller.isCallerGone) return;
       const failure = failureOf(progress.verdict, round.why);
       if (!canRetry(progress)) return this.failRequest(progress, failure);
-      if (sends > 0 && !budgets.tryRetry(caller.service))
+      const isRetry = caller.sentTo.length > 0;
+      if (isRetry && !budgets.hasRetry(caller.service))
         return this.failRequest(progress, failure);
     }
   }
@@ -128,6 +128,13 @@
       };
     }
     progress.grantedAt = this.options.now() - answer.ageMs;
+    const retries = this.acquireRetries(progress, answer);
+    if (retries === undefined) {
+      placement.reportEvent(caller.service, unusedGrantEnded(progress.grantId));
+      const failure = failureOf(progress.verdict, "no retry is left");
+      return { kind: "refused", failure };
+    }
+    progress.retries = retries;
     this.logGrant(progress, answer);
     if (progress.isWhole) link.onWholeGranted(answer);
     let isGood = false;
@@ -144,6 +151,7 @@
       const id = progress.grantId;
       const ok = isGood || caller.isCallerGone;
       const { firstEventMs } = progress;
+      this.settleRetries(progress, retries);
       const isCut = !isDone || caller.isCallerGone;
       const stream = progress.relay.takeStreamResult(isCut);
       placement.reportEvent(caller.service, {
@@ -157,6 +165,26 @@
     }
   }
 
+  /** For the sends of a round; undefined if the budget does not allow them. */
+  private acquireRetries(
+    { caller, hasPrefilled, chargedRetries }: RequestProgress,
+    { reader }: Grant,
+  ): RetryPermit | undefined {
+    const isSplit = reader !== undefined;
+    const sends = caller.sentTo.length + (isSplit ? 2 : 1);
+    const needed = retriesIn(sends, hasPrefilled || isSplit) - chargedRetries;
+    if (needed <= 0) return NO_RETRIES;
+    return this.options.budgets.acquire(caller.service, needed);
+  }
+
+  /** Gives back what a round that ended early has not sent. */
+  private settleRetries(progress: RequestProgress, retries: RetryPermit): void {
+    const { caller, hasPrefilled, chargedRetries } = progress;
+    const charged = retriesIn(caller.sentTo.length, hasPrefilled);
+    retries.settle(Math.max(0, charged - chargedRetries));
+    progress.chargedRetries = Math.max(charged, chargedRetries);
+  }
+
   /**
    * Where engines back off, retrying makes no sense before the first back-off
    * ends. Retries to rate-limited engines are spread over time as well.
@@ -209,6 +237,7 @@
     if (grant.reader !== undefined) {
       const prefilled = await this.prefillPrompt(progress, grant, grant.reader);
       if (prefilled.kind !== "read") return prefilled;
+      progress.hasPrefilled = true;
       handle = prefilled.handle;
     }
     const round = await this.engineRun.run(progress, grant, handle);
--- a/tests/gateway/retryBudgets.test.ts
+++ b/tests/gateway/retryBudgets.test.ts
@@ -40,7 +40,9 @@
       // Nothing fails in the first half, so that the budgets fill up.
       const attempts = second < DURATION_S / 2 ? 0 : RETRIES_PER_REQUEST;
       for (let retry = 0; retry < attempts; retry += 1) {
-        if (budgets?.tryRetry("s") === true) retries += 1;
+        const permit = budgets?.acquire("s");
+        permit?.settle();
+        if (permit !== undefined) retries += 1;
       }
     }
     rows.push({ requests, retries });
@@ -88,27 +90,49 @@
     expect(excess(rows)).to.be.at.most(0);
   });
 
-  it("count as well if they were sent without asking the budget", () => {
-    let now = 0;
-    const budgets = new RetryBudgets(
+  const newBudgets = (clock: { now: number }) =>
+    new RetryBudgets(
       LIMITS,
       () => 1,
-      () => now,
+      () => clock.now,
     );
-    budgets.recordRetries("s", 60);
-    expect(budgets.tryRetry("s")).to.equal(false);
-    now = 12_000;
-    expect(budgets.tryRetry("s")).to.equal(true);
+
+  it("count while they are on their way, and a window after their answer", () => {
+    const clock = { now: 0 };
+    const budgets = newBudgets(clock);
+    const permit = budgets.acquire("s");
+    expect(budgets.hasRetry("s")).to.equal(false);
+    clock.now = 60_000;
+    expect(budgets.hasRetry("s")).to.equal(false);
+    permit?.settle();
+    permit?.settle();
+    clock.now += LIMITS.windowMs;
+    expect(budgets.hasRetry("s")).to.equal(false);
+    clock.now += 2 * SECOND_MS;
+    expect(budgets.hasRetry("s")).to.equal(true);
+  });
+
+  it("are all taken before the first of them is sent", () => {
+    const clock = { now: 0 };
+    const budgets = newBudgets(clock);
+    for (let at = 0; at < 10; at += 1) budgets.recordRequest("s");
+    // 10 * 0.2 * 0.75 + 56 / 32 retries are allowed.
+    expect(budgets.acquire("s", 4)).to.equal(undefined);
+    expect(budgets.acquire("s", 2)).to.not.equal(undefined);
+    expect(budgets.acquire("s", 2)).to.equal(undefined);
+    expect(budgets.acquire("s")).to.not.equal(undefined);
+  });
+
+  it("that were not sent do not count once that is known", () => {
+    const budgets = newBudgets({ now: 0 });
+    budgets.acquire("s")?.settle(0);
+    expect(budgets.hasRetry("s")).to.equal(true);
   });
 
   it("keep a part for failures where only a fraction may be used", () => {
-    const budgets = new RetryBudgets(
-      LIMITS,
-      () => 1,
-      () => 0,
-    );
+    const budgets = newBudgets({ now: 0 });
     // 56 / 32 retries are allowed.
-    expect(budgets.tryRetry("s", 0.5)).to.equal(false);
-    expect(budgets.tryRetry("s")).to.equal(true);
+    expect(budgets.acquire("s", 1, 0.5)).to.equal(undefined);
+    expect(budgets.acquire("s")).to.not.equal(undefined);
   });
 });
--- a/tests/gateway/secondSendCosts.test.ts
+++ b/tests/gateway/secondSendCosts.test.ts
@@ -38,7 +38,10 @@
     codec: { upstreamHeaders: () => [] },
     ends: { track: () => undefined },
     quarantine: { refusal: () => undefined },
-    budgets: { hasRetry: () => mayRetry, tryRetry: () => mayRetry },
+    budgets: {
+      hasRetry: () => mayRetry,
+      acquire: () => (mayRetry ? { settle: () => undefined } : undefined),
+    },
     link: { mayRepeat: () => hasRoom },
     rates: { isLimited: () => true },
     permits: {
--- a/tests/gateway/state.test.ts
+++ b/tests/gateway/state.test.ts
@@ -269,7 +269,7 @@
     let retries = 0;
     for (let at = 0; at < 1000; at += 1) {
       budgets.recordRequest("s");
-      if (budgets.tryRetry("s")) retries += 1;
+      if (budgets.acquire("s") !== undefined) retries += 1;
     }
     expect(retries).to.be.at.most(1000 * 0.2);
     expect(retries).to.be.greaterThan(1000 * 0.1);
@@ -277,14 +277,14 @@
 
   it("start with a share of the fleet's burst", () => {
     const budgets = newBudgets(64);
-    const allowed = [1, 2, 3].map(() => budgets.tryRetry("s"));
+    const allowed = [1, 2, 3].map(() => budgets.acquire("s") !== undefined);
     expect(allowed).to.deep.equal([true, true, false]);
   });
 
   it("are separate per service", () => {
     const budgets = newBudgets(32);
-    expect(budgets.tryRetry("a")).to.equal(true);
-    expect(budgets.tryRetry("b")).to.equal(true);
+    expect(budgets.acquire("a")).to.not.equal(undefined);
+    expect(budgets.acquire("b")).to.not.equal(undefined);
   });
 });
 
