Ask the holder for the configuration while the own watch fails, without keys too

Cause: a process that the store turns away or leaves silent asked the holder of a lease for the newest configuration only where there are keys. Without keys it acted by the old one until its own watch was answered again, beside entries that were served. Change: after a failed call of the configuration's watch the holder is asked each 300 ms, until a call is answered.

--- a/src/gateway/configProofRequester.ts
+++ b/src/gateway/configProofRequester.ts
@@ -1,9 +1,10 @@
 /**
- * Obtains proof that the configuration is the newest when the store gives none,
- * by asking the holder of a lease, which reaches the store. Otherwise a process
- * that the store rejects, or that has lost its connection to it, would refuse
- * all keyed requests although the store can be reached through the holder. The
- * holder is also asked while the own watch waits long and proves nothing.
+ * Asks the holder of a lease, which reaches the store, for a newer configuration
+ * and for proof that there is none, when the store gives this process neither.
+ * Otherwise a process that the store rejects, or that has lost its connection to
+ * it, would act by an older configuration and refuse all keyed requests. Where
+ * there are keys, the holder is also asked while the own watch waits long and
+ * proves nothing.
  */
 import type { SharedPlacement } from "../placement/index.js";
 import type { Supervisor } from "../tasks/index.js";
@@ -20,6 +21,14 @@
 /** Interval between attempts, ms. */
 const REQUEST_INTERVAL_MS = 300;
 
+/** What the process's own watch of the configuration says about itself. */
+export interface ConfigWatchState {
+  /** Age from which a proof is due although the watch works, ms. */
+  readonly proofDueAfterMs: number;
+  /** Whether the last call of the watch has failed. */
+  readonly isConfigLost: boolean;
+}
+
 export class ConfigProofRequester {
   private readonly requestAfterMs: number;
 
@@ -27,8 +36,7 @@
     private readonly state: GatewayState,
     private readonly placement: SharedPlacement,
     bounds: KeyBounds,
-    /** Age from which a proof is due where the own watch waits long, ms. */
-    private readonly dueAfterMs: () => number = () => Infinity,
+    private readonly watch: ConfigWatchState,
   ) {
     this.requestAfterMs = maxProofAgeMs(bounds) * REQUEST_AGE_FRACTION;
   }
@@ -40,11 +48,15 @@
   }
 
   private step(): void {
-    const { state, placement } = this;
-    const hasKeys = state.routes?.keyring !== undefined;
-    const limitMs = Math.min(this.requestAfterMs, this.dueAfterMs());
-    if (!hasKeys || !Number.isFinite(limitMs)) return;
-    if (state.proofAgeMs < limitMs) return;
+    const { state, placement, watch } = this;
+    if (!watch.isConfigLost && !this.isProofDue) return;
     placement.requestConfig(state.configRevision);
   }
+
+  private get isProofDue(): boolean {
+    const { state, watch } = this;
+    const hasKeys = state.routes?.keyring !== undefined;
+    const limitMs = Math.min(this.requestAfterMs, watch.proofDueAfterMs);
+    return hasKeys && Number.isFinite(limitMs) && state.proofAgeMs >= limitMs;
+  }
 }
--- a/src/gateway/placementRole.ts
+++ b/src/gateway/placementRole.ts
@@ -150,7 +150,7 @@
     state,
     placement,
     options.keyBounds,
-    () => watches.proofDueAfterMs,
+    watches,
   );
   const step = async (): Promise<void> => {
     state.expire();
--- a/src/gateway/storeWatch.ts
+++ b/src/gateway/storeWatch.ts
@@ -101,6 +101,11 @@
     return all.filter((item) => item !== undefined);
   }
 
+  /** Whether the last call of the configuration's watch has failed. */
+  get isConfigLost(): boolean {
+    return this.config.isLost;
+  }
+
   /**
    * Age of the configuration's proof from which the holder is asked for one
    * although this process's own watch works, ms: its long wait proves nothing
--- a/src/store/feedWatch.ts
+++ b/src/store/feedWatch.ts
@@ -152,6 +152,11 @@
     if (recovery !== undefined) recovery.regainedAt = now();
   }
 
+  /** Whether the last call has failed. */
+  get isLost(): boolean {
+    return this.failures > 0;
+  }
+
   /** Whether the open call waits longer than without a vouch. */
   get waitsLong(): boolean {
     return this.isLongWait;
