Let a process that vouches for others wait 1 s at most in its own watches

Cause: by the sum of the constants. Entries that wait long learn from the holder's newer position that their connection is dead; the holder itself found out after its wait of 2.5 s and 0.8 s, and with the next call, its message (0.3 s), the entry's grace (0.3 s) and check (0.1 s) that is 4.1 s of 4.0 allowed. Two holders of two services vouched for each other and could both wait 15 s. Change: while it holds a lease and 16 entries place through it, a process waits 1 s and never long; the sum is 2.6 s. A holder makes up to 0.8 calls a second more.

--- a/src/gateway/placementRole.ts
+++ b/src/gateway/placementRole.ts
@@ -9,6 +9,7 @@
   SharedPlacement,
 } from "../placement/index.js";
 import type { RateLimits } from "../rateLimits/index.js";
+import { MIN_VOUCHED_ENTRIES } from "../store/index.js";
 import type { ObjectFeed } from "../store/index.js";
 import type { Supervisor } from "../tasks/index.js";
 import type { Rng } from "../shared/rng.js";
@@ -138,6 +139,12 @@
     acquirePermit: (replica) => placement.permits.acquireLocally(replica),
     log,
   });
+  watches.isVouching = () =>
+    services().some(
+      (service) =>
+        placement.isHolder(service) &&
+        peers.entryCount(service) >= MIN_VOUCHED_ENTRIES,
+    );
   const serviceOf = (replica: string): string =>
     state.replicas.get(replica)?.service ?? "";
   rates.shareOf = (replica) => placement.permits.share(serviceOf(replica));
--- a/src/gateway/storeWatch.ts
+++ b/src/gateway/storeWatch.ts
@@ -32,6 +32,8 @@
 export class StoreWatches {
   /** Store positions that lease holders have reported. */
   readonly vouches = new HolderVouches();
+  /** Whether this process vouches as a lease holder. */
+  isVouching: () => boolean = () => false;
   /** Wait of a call without a vouch, ms. */
   readonly waitMs: number;
   private readonly config: FeedWatch;
@@ -58,6 +60,7 @@
       leaseNow,
       waitMs,
       vouches,
+      isVouching: () => this.isVouching(),
       recovery,
       ...pauses,
     };
--- a/src/store/feedWatch.ts
+++ b/src/store/feedWatch.ts
@@ -243,8 +243,9 @@
     const isProbe = isAfterCancel || this.failures > 0;
     const isProofOld = this.isProofOld;
     const sinceVouchEndedMs = this.options.now() - this.vouchEndedAt;
+    const isVouching = this.options.isVouching?.() ?? false;
     const input = { baseWaitMs, position, vouch, isProbe, isProofOld };
-    const waitMs = nextWaitMs({ ...input, sinceVouchEndedMs });
+    const waitMs = nextWaitMs({ ...input, isVouching, sinceVouchEndedMs });
     const isLongWait = waitMs > baseWaitMs;
     if (isLongWait !== this.isLongWait)
       log.info("wait of the watch changed", { kind, waitMs });
--- a/src/store/feedWatchOptions.ts
+++ b/src/store/feedWatchOptions.ts
@@ -39,6 +39,8 @@
   waitMs: number;
   /** What lease holders vouch for; absent: all waits are `waitMs`. */
   vouches?: HolderVouches;
+  /** Whether this process vouches as a lease holder; absent: never. */
+  isVouching?: () => boolean;
   /** Whether long waits have to end, to prove the list; absent: never. */
   isProofOld?: () => boolean;
   /** Shared with the other watches of the process; absent: none. */
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -17,7 +17,11 @@
 export type { FeedAnswer } from "./feedWatchOptions.js";
 export { maxChangePauseMs, StoreRecovery } from "./watchPauses.js";
 export type { ChangeBounds } from "./watchPauses.js";
-export { HolderVouches, revisionsToSend } from "./holderVouches.js";
+export {
+  HolderVouches,
+  MIN_VOUCHED_ENTRIES,
+  revisionsToSend,
+} from "./holderVouches.js";
 export { RevisionFilter } from "./revisionFilter.js";
 export type { HolderNews, SeenRevision } from "./holderVouches.js";
 export type {
--- a/src/store/watchWaits.ts
+++ b/src/store/watchWaits.ts
@@ -14,6 +14,11 @@
  * whether the store answers, and proves the configuration.
  */
 export const PROBE_WAIT_MS = 500;
+/**
+ * Maximum wait of a process that vouches, ms. Others learn from it that their
+ * connections are dead, so it must find out earlier that its own one is.
+ */
+export const VOUCHING_WAIT_MS = 1000;
 /**
  * How long a change that the holder reports may be missing here before the
  * call is taken to be cut off, ms. Both are sent the change at the same time,
@@ -49,6 +54,8 @@
 }
 
 export interface NextWaitInput extends WaitInput {
+  /** Whether this process vouches for others as the holder of a lease. */
+  isVouching: boolean;
   /** Time since the end of a vouch has cancelled a call, ms. */
   sinceVouchEndedMs: number;
 }
@@ -62,6 +69,7 @@
 export const nextWaitMs = (input: NextWaitInput): number => {
   const { baseWaitMs, position, vouch, isProbe, isProofOld } = input;
   if (isProbe) return Math.min(PROBE_WAIT_MS, baseWaitMs);
+  if (input.isVouching) return Math.min(VOUCHING_WAIT_MS, baseWaitMs);
   const isHeld = input.sinceVouchEndedMs < LONG_WAIT_HOLD_MS;
   if (isHeld) return baseWaitMs;
   const isBehind = vouch !== undefined && vouch.revision > position;
--- a/tests/store/watchWaits.test.ts
+++ b/tests/store/watchWaits.test.ts
@@ -6,7 +6,7 @@
 
 const BASE_MS = 2500;
 const COMMON = { baseWaitMs: BASE_MS, isProofOld: false };
-const NEXT = { ...COMMON, sinceVouchEndedMs: Infinity };
+const NEXT = { ...COMMON, isVouching: false, sinceVouchEndedMs: Infinity };
 const news = (revision: number, entries = 16, isFresh = true) => ({
   isFresh,
   entries,
@@ -97,6 +97,15 @@
     expect(waits).to.eql([BASE_MS, 15_000]);
   });
 
+  it("1 s at most where this process vouches, also while another one does", () => {
+    vouches.record(news(7), 0);
+    const next = { ...NEXT, isVouching: true, position: 7, isProbe: false };
+    const waits = [undefined, vouches.vouchFor("k", 7, 0)].map((vouch) =>
+      nextWaitMs({ ...next, vouch }),
+    );
+    expect(waits).to.eql([1000, 1000]);
+  });
+
   describe("while changes go on", () => {
     /** The holder reports a newer position each 250 ms, from 8 on. */
     const recordUntil = (endsAt: number): void => {
