--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -5,6 +5,7 @@
 import { SIGNAL_CHECKS } from "./signalChecks.js";
 import { IS_STREAM, IS_RETRYABLE } from "./types.js";
 import type {
+  ArrivalRecord,
   CallRecord,
   ChangeRecord,
   SoakRecords,
@@ -28,6 +29,7 @@
 /** Retry budget, as in the settings of the processes. */
 const RETRY_BUDGET_RATIO = 0.2;
 const RETRY_BURST = 64;
+const RETRY_WINDOW_MS = 10_000;
 /** Statuses that state that the request did not run and will not. */
 const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
 
@@ -173,6 +175,42 @@
   return [{ promise: "bounded retries", what }];
 };
 
+/** When arrivals beyond the first, and the first prefill, of requests came. */
+const retryTimes = (arrivals: readonly ArrivalRecord[]): number[] =>
+  [...groupBy(arrivals, ({ requestId }) => requestId).values()].flatMap(
+    (reached) => {
+      const ordered = [...reached].sort((a, b) => a.at - b.at);
+      const prefill = ordered.find(({ phase }) => phase === "read");
+      const counted = ordered.filter((arrival) => arrival !== prefill);
+      return counted.slice(1).map(({ at }) => at);
+    },
+  );
+
+/** As the users count: in any window, for the requests of it or shortly before. */
+const boundedRetriesInWindows: Check = ({ calls, probes, arrivals }) => {
+  const isStream = new Map(calls.map(({ id, kind }) => [id, IS_STREAM[kind]]));
+  return [true, false].flatMap((isModel) => {
+    const own = ({ id }: { id: string }) =>
+      (isStream.get(id) ?? false) === isModel;
+    const sent = [...calls, ...probes].filter(own).map(({ sentAt }) => sentAt);
+    const reached = arrivals.filter(({ requestId: id }) => own({ id }));
+    const retries = retryTimes(reached);
+    const countIn = (times: readonly number[], from: number) =>
+      times.filter((at) => at >= from && at < from + RETRY_WINDOW_MS).length;
+    const excess = retries.find((from) => {
+      const starts = [from, from - RETRY_WINDOW_MS / 2, from - RETRY_WINDOW_MS];
+      const requests = Math.max(...starts.map((start) => countIn(sent, start)));
+      const allowed = requests * RETRY_BUDGET_RATIO + RETRY_BURST;
+      return countIn(retries, from) > allowed;
+    });
+    if (excess === undefined) return [];
+    const count = countIn(retries, excess);
+    const service = isModel ? "model" : "plain";
+    const what = `${count} retries at ${service} in a window from ${excess}`;
+    return [{ promise: "bounded retries in windows", what }];
+  });
+};
+
 /**
  * A request that ran nowhere because its connection closed as it was sent does
  * not count as cut. Nor does one past its deadline: a machine that hangs for
@@ -224,6 +262,7 @@
   configNeverGoesBack,
   changesTakeEffect,
   boundedRetries,
+  boundedRetriesInWindows,
   plannedStopCutsNothing,
   fencesHaveOneHolder,
   ...SIGNAL_CHECKS,
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -285,6 +285,21 @@
   }),
 ];
 
+/** All open connections go silent at once, and new ones work. */
+const SILENCED: readonly AnyFault[] = [
+  defineFault({
+    name: "open connections go silent",
+    isPlanned: false,
+    target: () => "connections",
+    nameOf: (name) => name,
+    run: async (_target, { fleet }) => {
+      const replicaLinks = fleet.replicas.map(({ link }) => link);
+      for (const link of [...fleet.storeLinks.values(), ...replicaLinks])
+        link.silenceConnections();
+    },
+  }),
+];
+
 /** Limits that replicas name, requests per second. */
 const LIMITS = [0, 0.5, 1.4, 4.3, 12] as const;
 /** Number of limits that one replica names in succession. */
@@ -312,16 +327,17 @@
 ];
 
 /**
- * `planned`: planned work only; `signals` and `limits`: those faults in addition
- * to the ones of `all`.
+ * `planned`: planned work only; `signals`, `limits` and `silent`: those faults in
+ * addition to the ones of `all`.
  */
-export type FaultProfile = "planned" | "all" | "signals" | "limits";
+export type FaultProfile = "planned" | "all" | "signals" | "limits" | "silent";
 
 const FAULTS: Readonly<Record<FaultProfile, readonly AnyFault[]>> = {
   planned: PLANNED,
   all: [...PLANNED, ...UNPLANNED],
   signals: [...PLANNED, ...UNPLANNED, ...SIGNALS, ...SIGNALS],
   limits: [...PLANNED, ...UNPLANNED, ...Array(8).fill(LIMITED).flat()],
+  silent: [...PLANNED, ...UNPLANNED, ...SILENCED, ...SILENCED],
 };
 
 export const faultsOf = (profile: FaultProfile): readonly AnyFault[] =>
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -149,9 +149,9 @@
       misbehaviour: undefined,
       state: "ready",
     };
-    standin.onReached = ({ id: requestId, at, told }) => {
+    standin.onReached = ({ id: requestId, phase, at, told }) => {
       const { id } = standin.options;
-      this.records.arrivals.push({ requestId, replica: id, at, told });
+      this.records.arrivals.push({ requestId, replica: id, phase, at, told });
     };
     standin.behave = (arrival) => this.behave(replica, arrival);
     standin.onOrder = ({ stage, holder, fence }) => {
--- a/soak/profile.ts
+++ b/soak/profile.ts
@@ -12,9 +12,13 @@
 /** Of the other seeds, those with this remainder add replica limits. */
 const LIMITS_INTERVAL = 10;
 const LIMITS_REMAINDER = 8;
+/** Of the other seeds, those with this remainder add silent connections. */
+const SILENT_INTERVAL = 20;
+const SILENT_REMAINDER = 7;
 
 export const profileOf = (seed: number): FaultProfile => {
   if (seed % PLANNED_INTERVAL === 0) return "planned";
   if (seed % LIMITS_INTERVAL === LIMITS_REMAINDER) return "limits";
+  if (seed % SILENT_INTERVAL === SILENT_REMAINDER) return "silent";
   return seed % SIGNALS_INTERVAL === SIGNALS_REMAINDER ? "signals" : "all";
 };
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -74,6 +74,7 @@
 export interface ArrivalRecord {
   requestId: string;
   replica: string;
+  phase: "read" | "run";
   at: number;
   told: AnnouncedSignals;
 }
--- a/tests/soak/checks.test.ts
+++ b/tests/soak/checks.test.ts
@@ -183,6 +183,42 @@
     expect(violatedPromises({ calls, runs })).to.eql(["bounded retries"]);
   });
 
+  describe("retries in windows", () => {
+    const PROMISE = "bounded retries in windows";
+    const told = { isLimited: false, isLeaving: false, backOff: undefined };
+    /** Requests, each of which reaches a replica in these phases, 1 ms apart. */
+    const reaching = (
+      count: number,
+      phases: readonly ("read" | "run")[],
+      sentAt = 10_000,
+    ) => {
+      const ids = Array.from({ length: count }, (_item, at) => `r${at}`);
+      const calls = ids.map((id) => stream({ id, answerId: id, sentAt }));
+      const arrivals = ids.flatMap((requestId) =>
+        phases.map((phase, at) => {
+          const arrival = { requestId, replica: "engine-0", phase, told };
+          return { ...arrival, at: 10_000 + at };
+        }),
+      );
+      return violatedPromises({ calls, arrivals });
+    };
+
+    // 100 requests: 0.2 * 100 + 64 retries are allowed.
+    it("find arrivals beyond the first, also those that were refused", () =>
+      expect(reaching(100, ["run", "run"])).to.eql([PROMISE]));
+
+    it("count a second prefill", () =>
+      expect(reaching(100, ["read", "read", "run"])).to.eql([PROMISE]));
+
+    it("allow the first prefill, and what the budget allows", () => {
+      expect(reaching(100, ["read", "run"])).to.eql([]);
+      expect(reaching(80, ["run", "run"])).to.eql([]);
+    });
+
+    it("count no requests of long before", () =>
+      expect(reaching(80, ["run", "run"], -11_000)).to.eql([PROMISE]));
+  });
+
   describe("planned work", () => {
     const cut = call({ status: 0, isWhole: false });
 
@@ -254,7 +290,8 @@
         ),
         arrivals: ids.map((requestId, at) => {
           const replica = "plain-0";
-          return { requestId, replica, at: from + at * 10, told };
+          const phase = "run" as const;
+          return { requestId, replica, phase, at: from + at * 10, told };
         }),
       };
     };
