Log the software version of replicas, and what a placement resumes

Change: the version goes from the store's entry to `Replica.softwareVersion`; lines of the replica list and `placed` name it; `placed` names the resumed stream and the events sent. Nothing decides by them.

--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -277,6 +277,7 @@
         address: replica.address,
         state: replica.state,
         stage: replica.stage,
+        softwareVersion: replica.softwareVersion,
       });
     }
   }
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -20,6 +20,7 @@
   Replica,
   ReplicaSignal,
   ReplyHead,
+  Resumption,
   Route,
   UpstreamSend,
 } from "./types.js";
--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -300,11 +300,17 @@
     progress.caller.fail(failure);
   }
 
-  private logGrant({ caller, rounds }: RequestProgress, grant: Grant): void {
+  private logGrant(
+    { caller, rounds, relay }: RequestProgress,
+    grant: Grant,
+  ): void {
     this.options.log.info("placed", {
       requestId: caller.head.id,
       reader: grant.reader,
       runner: grant.runner,
+      runnerVersion: this.options.replicas.get(grant.runner)?.softwareVersion,
+      resumes: caller.head.resumption?.streamId,
+      eventsSent: relay.events,
       donor: grant.donor,
       expectedReadMs: Math.round(grant.readMs),
       grantAgeMs: Math.round(grant.ageMs),
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -106,6 +106,11 @@
   state: ReplicaState;
   /** Absent for plain services. */
   stage: Stage | undefined;
+  /**
+   * Version of the software that it runs, fixed for the incarnation; undefined
+   * if not reported.
+   */
+  softwareVersion?: string;
 }
 
 /** An engine's report of its own state, a few hundred ms old. */
@@ -140,6 +145,12 @@
   parts: PromptPart[];
 }
 
+/** A caller continues a stream of which it has received the first events. */
+export interface Resumption {
+  /** Id of the request that brought the first event; undefined if not named. */
+  streamId: string | undefined;
+}
+
 /** The decoded request line and headers of a caller's request. */
 export interface InboundHead {
   id: string;
@@ -151,6 +162,8 @@
   /** Time that the caller waits, ms; undefined if not given. */
   deadlineMs: number | undefined;
   prompt: PromptShape | undefined;
+  /** Undefined for a request that begins a stream or is none. */
+  resumption?: Resumption;
   /** Digest of the caller's key; undefined if none was sent. */
   keyDigest: string | undefined;
   /** Alternating names and values, as received. */
