Go on with a cut stream only at the software version that began it

Callers saw: one answer with events of two software versions (ORDER). Cause: an entry takes a cut stream up at any engine. The version stood in the store's entries alone; engines of the scheduler and asks had none. Change: engines have a software version; from the first event on an ask names the one that sent it, and `EnginePool.eligibleFor`, by which every choice of an engine passes (at once, from the queue, by an entry's estimate), leaves out decode engines of others. Where none is left the request is refused at once (`no-version`). An entry checks a grant against its own list, as holders of an older build know no versions; events of an engine whose version isn't known are followed by none. The users' case (v1.1, then v1.2 after a crash) is this path.

--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -235,6 +235,7 @@
       stage: replica.stage ?? "decode",
       slots: sizes.slots,
       kvCapacityTokens: sizes.kvCapacityTokens,
+      softwareVersion: replica.softwareVersion,
     }));
   }
 
--- a/src/gateway/requestProgress.ts
+++ b/src/gateway/requestProgress.ts
@@ -39,6 +39,10 @@
   /** Number of replicas that ran the request or may have. */
   runs: number;
   grantId: string;
+  /** Software version of the engine that runs the current round. */
+  grantedVersion: string | undefined;
+  /** Software version that sent the first event; undefined before it. */
+  runnerVersion: string | undefined;
   /** Whether an engine has prefilled the prompt for another one. */
   hasPrefilled: boolean;
   /** Retries of this request that the budget was charged. */
@@ -68,6 +72,8 @@
   rounds: 0,
   runs: 0,
   grantId: "",
+  grantedVersion: undefined,
+  runnerVersion: undefined,
   hasPrefilled: false,
   chargedRetries: 0,
   retries: undefined,
@@ -91,6 +97,9 @@
   if (caller.cancellation.isCancelled || rounds >= MAX_ROUNDS) return false;
   if (caller.leftMs() < MIN_TIME_LEFT_MS) return false;
   if (caller.isTrial && caller.sentTo.length > 0) return false;
+  // Events of an engine whose version is not known fit those of no other.
+  const { relay, runnerVersion } = progress;
+  if (relay.events > 0 && runnerVersion === undefined) return false;
   if (verdict === "not-run") return true;
   return caller.route.isResumable && runs < caller.route.maxAttempts;
 };
@@ -142,5 +151,6 @@
     isWhole: progress.isWhole,
     avoid,
     unavailable,
+    runnerVersion: progress.runnerVersion,
   };
 };
--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -128,6 +128,9 @@
       };
     }
     progress.grantedAt = this.options.now() - answer.ageMs;
+    progress.grantedVersion = this.options.replicas.get(
+      answer.runner,
+    )?.softwareVersion;
     const retries = this.acquireRetries(progress, answer);
     if (retries === undefined) {
       placement.reportEvent(caller.service, unusedGrantEnded(progress.grantId));
@@ -285,6 +288,7 @@
 
   private reportFirstEvent(progress: RequestProgress): void {
     const { caller, grantId } = progress;
+    progress.runnerVersion = progress.grantedVersion;
     caller.markBegun();
     progress.firstEventMs = this.options.now() - progress.runSentAt;
     if (!progress.runnerPrefills) return;
@@ -301,14 +305,14 @@
   }
 
   private logGrant(
-    { caller, rounds, relay }: RequestProgress,
+    { caller, rounds, relay, grantedVersion }: RequestProgress,
     grant: Grant,
   ): void {
     this.options.log.info("placed", {
       requestId: caller.head.id,
       reader: grant.reader,
       runner: grant.runner,
-      runnerVersion: this.options.replicas.get(grant.runner)?.softwareVersion,
+      runnerVersion: grantedVersion,
       resumes: caller.head.resumption?.streamId,
       eventsSent: relay.events,
       donor: grant.donor,
--- a/src/gen/snowgate.ts
+++ b/src/gen/snowgate.ts
@@ -124,6 +124,8 @@
   workspace: string;
   /** One engine is to prefill and run it, if one can in time. */
   isWhole: boolean;
+  /** Software version that began the stream; empty: any engine may run it. */
+  runnerVersion: string;
 }
 
 /** How much of the requests of one route and workspace an entry may ask for. */
@@ -1592,6 +1594,7 @@
     mostOutputTokens: 0,
     workspace: "",
     isWhole: false,
+    runnerVersion: "",
   };
 }
 
@@ -1648,6 +1651,9 @@
     if (message.isWhole !== false) {
       writer.uint32(136).bool(message.isWhole);
     }
+    if (message.runnerVersion !== "") {
+      writer.uint32(146).string(message.runnerVersion);
+    }
     return writer;
   },
 
@@ -1800,6 +1806,14 @@
             message.isWhole = reader.bool();
             continue;
           }
+          case 18: {
+            if (tag !== 146) {
+              break;
+            }
+
+            message.runnerVersion = reader.string();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -1867,6 +1881,11 @@
         : isSet(object.is_whole)
         ? globalThis.Boolean(object.is_whole)
         : false,
+      runnerVersion: isSet(object.runnerVersion)
+        ? globalThis.String(object.runnerVersion)
+        : isSet(object.runner_version)
+        ? globalThis.String(object.runner_version)
+        : "",
     };
   },
 
@@ -1923,6 +1942,9 @@
     if (message.isWhole !== false) {
       obj.isWhole = message.isWhole;
     }
+    if (message.runnerVersion !== "") {
+      obj.runnerVersion = message.runnerVersion;
+    }
     return obj;
   },
 
@@ -1948,6 +1970,7 @@
     message.mostOutputTokens = object.mostOutputTokens ?? 0;
     message.workspace = object.workspace ?? "";
     message.isWhole = object.isWhole ?? false;
+    message.runnerVersion = object.runnerVersion ?? "";
     return message;
   },
 };
--- a/src/placement/localPlacement.ts
+++ b/src/placement/localPlacement.ts
@@ -150,6 +150,12 @@
     return fresh;
   }
 
+  /** Undefined if the engine is not listed, or its version not known. */
+  softwareVersionOf(service: string, engine: string): string | undefined {
+    const listed = this.options.engines(service);
+    return listed.find(({ id }) => id === engine)?.softwareVersion;
+  }
+
   get now(): number {
     return this.options.now();
   }
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -57,6 +57,7 @@
   mostOutputTokens: toUint32(request.mostOutputTokens),
   workspace: request.workspace,
   isWhole: request.isWhole,
+  runnerVersion: request.runnerVersion ?? "",
 });
 
 export const fromPlaceAsk = (
@@ -68,6 +69,7 @@
   // Older versions leave this unset, so fall back to the first-event deadline.
   answerLeftMs: Math.max(ask.answerLeftMs, ask.deadlineLeftMs),
   mostOutputTokens: Math.max(ask.mostOutputTokens, ask.outputTokens),
+  runnerVersion: emptyToUndefined(ask.runnerVersion),
 });
 
 export const toPlaceEvent = (event: PlacementEvent): PlaceEvent => ({
--- a/src/placement/sharedPlacement.ts
+++ b/src/placement/sharedPlacement.ts
@@ -107,7 +107,7 @@
     if (decision?.kind === "refused") return decision;
     const answer =
       decision?.kind === "local" ? undefined : await client?.place(request);
-    if (answer !== undefined) {
+    if (answer !== undefined && this.isUsable(request, answer)) {
       connection?.admission.recordAnswer(request.route, answer, now());
       if (answer.kind === "granted") local.adopt(request, answer);
       return this.inUse.record(request, answer);
@@ -120,6 +120,25 @@
     return this.inUse.record(request, own);
   }
 
+  /**
+   * Whether the answer respects the request's software version, by this
+   * process's own list: a holder of an older build knows no versions. The grant
+   * of one that doesn't is reported as unused.
+   */
+  private isUsable(
+    request: PlacementRequest,
+    answer: PlacementAnswer,
+  ): boolean {
+    const { id, service, runnerVersion } = request;
+    if (answer.kind === "refused" || runnerVersion === undefined) return true;
+    const { local } = this.options;
+    const granted = local.softwareVersionOf(service, answer.runner);
+    if (granted === runnerVersion) return true;
+    const { client } = this.connections.get(service) ?? {};
+    client?.reportEvent({ kind: "ended", id, ok: true, firstEventMs: 0 });
+    return false;
+  }
+
   /** Decides whether the request may ask the holder, or this process if it is. */
   private admit(
     { service, keeper, client, admission }: HolderConnection,
--- a/src/scheduling/enginePool.ts
+++ b/src/scheduling/enginePool.ts
@@ -11,6 +11,15 @@
  */
 const STAGE_MISMATCH_PAUSE_MS = 2500;
 
+/** Whether an engine's events fit those that the caller has already. */
+const mayGoOn = (
+  { runnerVersion }: PlacementRequest,
+  { stage, softwareVersion }: EngineView,
+): boolean =>
+  runnerVersion === undefined ||
+  stage !== "decode" ||
+  softwareVersion === runnerVersion;
+
 export class EnginePool {
   private readonly engines = new Map<string, EngineState>();
   /** The list from the last call of `set`. */
@@ -86,17 +95,17 @@
 
   /**
    * Engines that may be assigned the request, rate limits aside. Engines in
-   * `avoid` and `unavailable` are always excluded. Engines that back off after
+   * `avoid` and `unavailable` are always excluded, and so are decode engines of
+   * another version than the one that began the stream. Engines that back off after
    * failures are excluded unless their stage would have no engine otherwise.
    */
-  eligibleFor(
-    { avoid, unavailable }: PlacementRequest,
-    now: number,
-  ): EngineState[] {
+  eligibleFor(request: PlacementRequest, now: number): EngineState[] {
+    const { avoid, unavailable } = request;
     const candidates = this.all().filter(({ view, suspendedUntil }) => {
       const isExcluded =
         avoid.includes(view.id) || unavailable.includes(view.id);
-      return suspendedUntil <= now && !isExcluded;
+      const isUsable = suspendedUntil <= now && !isExcluded;
+      return isUsable && mayGoOn(request, view);
     });
     const healthy = candidates.filter((item) => !item.isBackingOff(now));
     const stages = new Set(healthy.map((item) => item.view.stage));
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -122,6 +122,14 @@
 const isMissingStage = (engines: readonly EngineState[]): boolean =>
   new Set(engines.map((item) => item.view.stage)).size < STAGES.length;
 
+/** Whether no engine may go on with the stream that the request continues. */
+const isMissingVersion = (
+  { runnerVersion }: PlacementRequest,
+  engines: readonly EngineState[],
+): boolean =>
+  runnerVersion !== undefined &&
+  !engines.some((item) => item.view.stage === "decode");
+
 export class EngineScheduler {
   readonly fairness = new SizeFairness();
   private readonly placed = new PlacedRequests((request) =>
@@ -324,6 +332,9 @@
     // Waiting does not end a back-off, so the request is refused at once with a
     // retry delay.
     const eligible = this.engines.eligibleFor(request, now);
+    if (isMissingVersion(request, eligible)) {
+      return refuse(request, "no-version");
+    }
     if (request.unavailable.length > 0 && isMissingStage(eligible)) {
       return refuse(request, "no-engine");
     }
--- a/src/scheduling/types.ts
+++ b/src/scheduling/types.ts
@@ -15,6 +15,8 @@
   stage: Stage;
   slots: number;
   kvCapacityTokens: number;
+  /** Version of the engine's software; undefined if not known. */
+  softwareVersion?: string;
 }
 
 /** A part of a prompt that an engine may hold in its KV cache. */
@@ -66,6 +68,11 @@
   avoid: string[];
   /** Engines that currently accept no work from the requesting process. */
   unavailable: string[];
+  /**
+   * Software version that began the stream: only its engines may go on with it.
+   * Undefined if no event has been sent.
+   */
+  runnerVersion?: string;
 }
 
 /** The engines assigned to a request. */
@@ -87,6 +94,7 @@
 
 export const REFUSAL_CAUSES = [
   "no-engine",
+  "no-version",
   "limited",
   "slots",
   "too-late",
@@ -94,7 +102,8 @@
 ] as const;
 
 /**
- * `no-engine`: no engine of one stage may be assigned work; `limited`: all
+ * `no-engine`: no engine of one stage may be assigned work; `no-version`: no
+ * decode engine of the version that began the stream; `limited`: all
  * eligible engines of one stage are at their rate limit for the moment;
  * `slots`: all decode engines are full; `too-late`: the expected wait is too
  * long; `over-share`: the request exceeds the share of its route and workspace.
