Keep a decode engine of each software version for streams that go on

Cause: the planner of stages knew no versions. It took the last decode engine of a version for prefill, and engines of a new version could all prefill. Change: the last decode engine of a version is not ordered to prefill; where a version has two engines and more, and none decodes, one is ordered to. With one version nothing changes: neither rule can apply there. Evidence: two of the three new cases failed before ('v2-d0' to match /^v1-d/, 'prefill' to equal 'decode'); stagePlanner 21 passed now.

--- a/src/scheduling/stagePlanner.ts
+++ b/src/scheduling/stagePlanner.ts
@@ -16,6 +16,8 @@
   kvCapacityTokens: number;
   /** Target stage while a change is in progress. */
   changingTo: Stage | undefined;
+  /** Undefined if not known. */
+  softwareVersion?: string;
 }
 
 export interface StagePlanInput {
@@ -71,13 +73,58 @@
  * requests of one kind say nothing about the demand for the other.
  */
 const BASELINE_SHARE = 0.1;
+/** Engines of one version from which on one of them decodes. */
+const MIN_ENGINES_FOR_DECODE = 2;
 /** Share of prefill engines while the mix is unknown. */
 const DEFAULT_PREFILL_SHARE = 0.5;
 /** Total need, as a share of all engines, below which the mix is unknown. */
 const MIN_KNOWN_SHARE = 0.1;
 
+const plannedStage = ({ changingTo, stage }: PlannedEngine): Stage =>
+  changingTo ?? stage;
+
 const countOf = (engines: readonly PlannedEngine[], stage: Stage): number =>
-  engines.filter((item) => (item.changingTo ?? item.stage) === stage).length;
+  engines.filter((item) => plannedStage(item) === stage).length;
+
+/** Engines by the software version that they run. */
+const byVersion = (engines: readonly PlannedEngine[]): PlannedEngine[][] => {
+  const versions = new Map<string | undefined, PlannedEngine[]>();
+  for (const item of engines) {
+    const others = versions.get(item.softwareVersion) ?? [];
+    versions.set(item.softwareVersion, [...others, item]);
+  }
+  return [...versions.values()];
+};
+
+/**
+ * A stream goes on only at the version that began it, so each version keeps a
+ * decode engine while it has engines to spare for one.
+ */
+const planMissingDecode = (
+  engines: readonly PlannedEngine[],
+): StageChange | undefined => {
+  const versions = byVersion(engines);
+  if (versions.length < 2) return undefined;
+  const missing = versions.find(
+    (ofVersion) =>
+      ofVersion.length >= MIN_ENGINES_FOR_DECODE &&
+      countOf(ofVersion, "decode") === 0,
+  );
+  const why = `no decode engine of version ${missing?.[0]?.softwareVersion}`;
+  return missing && changeLeastLoaded(missing, "decode", why);
+};
+
+/** Whether streams of its version could go on nowhere else. */
+const isLastDecode = (
+  engine: PlannedEngine,
+  engines: readonly PlannedEngine[],
+): boolean =>
+  !engines.some(
+    (other) =>
+      other.id !== engine.id &&
+      other.softwareVersion === engine.softwareVersion &&
+      plannedStage(other) === "decode",
+  );
 
 /** Number of engines that each stage needs now; may be fractional. */
 interface Needs {
@@ -123,6 +170,8 @@
   const changing = engines.filter((item) => item.changingTo !== undefined);
   const maxChanging = Math.max(1, Math.floor(all * MAX_CHANGING_SHARE));
   if (changing.length >= maxChanging) return undefined;
+  const missingDecode = planMissingDecode(engines);
+  if (missingDecode !== undefined) return missingDecode;
   const prefill = countOf(engines, "prefill");
   const decode = countOf(engines, "decode");
   const target = prefillTarget(needs, all);
@@ -140,7 +189,8 @@
   if (target - prefill >= (lacksPrefill ? 1 : minImbalance)) {
     const isTooSoon = input.sinceChangeToDecodeMs < MIN_DWELL_MS;
     if (isTooSoon || !hasSpare.decode) return undefined;
-    return changeLeastLoaded(engines, "prefill", why);
+    const spare = engines.filter((item) => !isLastDecode(item, engines));
+    return changeLeastLoaded(spare, "prefill", why);
   }
   if (prefill - target >= (lacksDecode ? 1 : minImbalance)) {
     const isTooSoon = input.sinceChangeToPrefillMs < MIN_DWELL_MS;
--- a/tests/gateway/stagePlanner.test.ts
+++ b/tests/gateway/stagePlanner.test.ts
@@ -185,4 +185,41 @@
     const change = planStages({ ...baseInput, engines, prefillDemand: 4 });
     expect(change?.id).to.equal("idle");
   });
+
+  describe("with several software versions, whose streams go on only there,", () => {
+    const ofVersion = (softwareVersion: string, engines: PlannedEngine[]) =>
+      engines.map((item) => ({
+        ...item,
+        id: `${softwareVersion}-${item.id}`,
+        softwareVersion,
+      }));
+    const planFor = (...engines: PlannedEngine[][]) =>
+      planStages({ ...baseInput, engines: engines.flat(), prefillDemand: 4 });
+
+    it("keeps the last decode engine of each", () => {
+      const old = ofVersion("v1", fleet(2, 4, 4));
+      const change = planFor(old, ofVersion("v2", fleet(1, 1)));
+      expect(change?.to).to.equal("prefill");
+      expect(change?.id).to.match(/^v1-d/);
+    });
+
+    it("has one decode where none of a version does", () => {
+      const old = ofVersion("v1", fleet(0, 4));
+      const change = planFor(old, ofVersion("v2", fleet(2, 0)));
+      expect(change?.to).to.equal("decode");
+      expect(change?.id).to.match(/^v2-p/);
+      const changing = ofVersion("v2", [
+        planned("prefill", 0, "decode")("c"),
+        planned("prefill")("p"),
+      ]);
+      expect(planFor(old, changing)?.to).to.not.equal("decode");
+    });
+
+    it("leaves the only engine of a version in its stage", () => {
+      const old = ofVersion("v1", fleet(2, 2));
+      expect(planFor(old, ofVersion("v2", fleet(1, 0)))?.id).to.not.match(
+        /^v2/,
+      );
+    });
+  });
 });
