Give freed slots to queued streams that can go on nowhere else

Cause: only the queue's order kept a slot for a stream that may run at one version only. Change: while such a request waits, a stream that begins is not placed at engines of that version, if the others have engines of each stage.

--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -386,10 +386,31 @@
   }
 
   private candidatesFor(request: PlacementRequest, now: number): Candidates {
-    const available = this.engines.availableFor(request, now);
+    const available = this.withoutAwaited(
+      request,
+      this.engines.availableFor(request, now),
+    );
     return { request, available, now, cache: new PromptCacheLookup(request) };
   }
 
+  /**
+   * Leaves slots that come free to queued requests that can go on nowhere else,
+   * while the others have engines of other versions.
+   */
+  private withoutAwaited(
+    { runnerVersion }: PlacementRequest,
+    available: EngineState[],
+  ): EngineState[] {
+    const { awaitedVersions } = this.queue;
+    if (runnerVersion !== undefined || awaitedVersions.size === 0)
+      return available;
+    const others = available.filter(
+      ({ view: { stage, softwareVersion = "" } }) =>
+        stage !== "decode" || !awaitedVersions.has(softwareVersion),
+    );
+    return isMissingStage(others) ? available : others;
+  }
+
   /** `startsInMs`: time until the prompt is expected to be prefilled. */
   private plannedRun(
     request: PlacementRequest,
--- a/src/scheduling/waitQueue.ts
+++ b/src/scheduling/waitQueue.ts
@@ -74,12 +74,16 @@
   list.splice(at < 0 ? list.length : at, 0, item);
 };
 
+const NO_VERSIONS: ReadonlySet<string> = new Set();
+
 export class WaitQueue {
   /** Requests that can be on time, ordered by `onTimeUntil`. */
   private readonly onTime: QueuedRequest[] = [];
   /** Late requests, ordered by priority and then by `latestStartAt`. */
   private readonly late: QueuedRequest[] = [];
   private readonly outcomes = new LateOutcomes();
+  /** Number of requests that go on with a stream. */
+  private resumed = 0;
 
   get size(): number {
     return this.onTime.length + this.late.length;
@@ -135,7 +139,17 @@
     this.outcomes.recordStart(item.request.priority, now);
   }
 
+  /** Software versions that queued requests go on with. */
+  get awaitedVersions(): ReadonlySet<string> {
+    if (this.resumed === 0) return NO_VERSIONS;
+    const versions = this.items().flatMap(
+      ({ request }) => request.runnerVersion ?? [],
+    );
+    return new Set(versions);
+  }
+
   add(item: QueuedRequest, now: number): void {
+    if (item.request.runnerVersion !== undefined) this.resumed += 1;
     if (now > item.onTimeUntil) return insert(this.late, item, precedesLate);
     insert(
       this.onTime,
@@ -148,7 +162,10 @@
   remove(id: string): QueuedRequest | undefined {
     for (const list of [this.onTime, this.late]) {
       const at = list.findIndex((item) => item.request.id === id);
-      if (at >= 0) return list.splice(at, 1)[0];
+      const [removed] = at < 0 ? [] : list.splice(at, 1);
+      if (removed === undefined) continue;
+      if (removed.request.runnerVersion !== undefined) this.resumed -= 1;
+      return removed;
     }
     return undefined;
   }
@@ -169,7 +186,7 @@
     const overdue = this.onTime.filter((item) => now > item.onTimeUntil);
     for (const item of overdue) {
       this.remove(item.request.id);
-      insert(this.late, item, precedesLate);
+      this.add(item, now);
     }
     return overdue;
   }
