Soak: several software versions, streams taken up at other entries

Change: engines run v1, v2, v3 in turn, their events say which; a caller takes a stream that was cut up at any entry, up to three times, one in twenty under an invented id. Two checks: one version a stream, and of the streams taken up at well entries while two engines of their version serve at least half the share that begins.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -3,8 +3,10 @@
 
 import {
   addedPrefix,
-  responseIds,
   callHeaders,
+  eventsIn,
+  responseIds,
+  resumptionHeaders,
 } from "../platform/standins/caller.js";
 import {
   longPromptHeaders,
@@ -16,7 +18,7 @@
 import type { DaemonProcess } from "./daemonProcess.js";
 import type { SoakFleet } from "./fleet.js";
 import { CALL_KINDS, IS_STREAM } from "./types.js";
-import type { CallKind } from "./types.js";
+import type { CallKind, CallRecord, ResumptionRecord } from "./types.js";
 
 const PATHS: Readonly<Record<CallKind, string>> = {
   safe: "/safe/a",
@@ -31,7 +33,12 @@
 /** Pause before the next try if no entry is reachable, ms. */
 const NO_ENTRY_RETRY_MS = 100;
 const PROBE_INTERVAL_MS = 120;
-const EVENT_ID = /^id: (\d+)$/gm;
+/** How often a caller takes up one stream that was cut. */
+const MAX_RESUMPTIONS = 3;
+/** Share of resumptions that name an invented stream. */
+const INVENTED_SHARE = 0.05;
+/** Least time left for which a stream is taken up, ms. */
+const MIN_RESUMPTION_MS = 100;
 const CONNECTIONS_PER_CALLER = 1;
 
 /** The response to one request, as far as it arrived. */
@@ -100,9 +107,6 @@
   }
 };
 
-const eventIdsIn = (body: string): number[] =>
-  [...body.matchAll(EVENT_ID)].map((match) => Number(match[1]));
-
 export class SoakCaller {
   private readonly agent = new http.Agent({
     keepAlive: true,
@@ -119,8 +123,7 @@
   /** Sends requests one after the other until `isOver` returns true. */
   async run(isOver: () => boolean): Promise<void> {
     while (!isOver()) {
-      const reachable = this.fleet.entries.filter((item) => item.callerAddress);
-      const entry = drawOne(reachable, this.rng);
+      const entry = this.drawEntry();
       if (entry?.callerAddress === undefined) await pause(NO_ENTRY_RETRY_MS);
       else await this.sendOne(entry, entry.callerAddress);
       await pause(MAX_PAUSE_MS * this.rng());
@@ -129,24 +132,71 @@
   }
 
   private async sendOne(entry: DaemonProcess, address: string): Promise<void> {
-    const { now, records } = this.fleet;
-    this.sequence += 1;
-    const id = `${this.name}-${this.sequence}`;
     const kind = drawOne(CALL_KINDS, this.rng) ?? "safe";
-    const isStream = IS_STREAM[kind];
     const prompt =
       this.rng() < 0.5 ? longPromptHeaders() : shortPromptHeaders();
-    const headers = {
-      ...callHeaders(id, DEADLINE_MS),
-      ...(isStream ? prompt : {}),
-    };
+    const more = IS_STREAM[kind] ? prompt : {};
+    const call = await this.send(entry, address, kind, more, DEADLINE_MS);
+    if (kind === "resumable") await this.resume(call, more);
+  }
+
+  /** Takes up a stream that was cut, as often as its time allows. */
+  private async resume(
+    first: CallRecord,
+    more: Record<string, string>,
+  ): Promise<void> {
+    const { now } = this.fleet;
+    let last = first;
+    let lastEventId = 0;
+    for (let count = 0; count < MAX_RESUMPTIONS; count += 1) {
+      lastEventId = last.events.at(-1) ?? lastEventId;
+      const leftMs = first.sentAt + DEADLINE_MS - now();
+      if (last.isWhole && last.status === 200) return;
+      if (lastEventId === 0 || leftMs < MIN_RESUMPTION_MS) return;
+      const entry = this.drawEntry();
+      if (entry?.callerAddress === undefined) return;
+      const isTrue = this.rng() >= INVENTED_SHARE;
+      const streamId = isTrue ? first.id : `invented-${first.id}`;
+      const resumption = { streamId, lastEventId, isTrue };
+      const headers = { ...more, ...resumptionHeaders(streamId, lastEventId) };
+      const { callerAddress } = entry;
+      last = await this.send(
+        entry,
+        callerAddress,
+        "resumable",
+        headers,
+        leftMs,
+        resumption,
+      );
+      if (!isTrue) return;
+    }
+  }
+
+  private drawEntry(): DaemonProcess | undefined {
+    const reachable = this.fleet.entries.filter((item) => item.callerAddress);
+    return drawOne(reachable, this.rng);
+  }
+
+  private async send(
+    entry: DaemonProcess,
+    address: string,
+    kind: CallKind,
+    more: Record<string, string>,
+    deadlineMs: number,
+    resumption?: ResumptionRecord,
+  ): Promise<CallRecord> {
+    const { now, records } = this.fleet;
+    this.sequence += 1;
+    const id = `${this.name}-${this.sequence}`;
+    const headers = { ...callHeaders(id, Math.round(deadlineMs)), ...more };
     const { life } = entry;
     const sentAt = now();
     const target = PATHS[kind];
     const answer = await sendRequest(this.agent, address, target, headers, now);
     const { status, headAt, isWhole, body } = answer;
     const names = responseIds(answer.headers);
-    records.calls.push({
+    const events = IS_STREAM[kind] ? eventsIn(body) : [];
+    const call = {
       id,
       kind,
       entry: entry.id,
@@ -158,9 +208,13 @@
       isWhole,
       answerId: names.id,
       signedBy: names.signedBy,
-      bodyBy: isStream ? undefined : replicaInBody(body),
-      events: isStream ? eventIdsIn(body) : [],
-    });
+      bodyBy: IS_STREAM[kind] ? undefined : replicaInBody(body),
+      events: events.map((event) => event.id),
+      versions: events.map((event) => event.version),
+      resumption,
+    };
+    records.calls.push(call);
+    return call;
   }
 }
 
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -3,6 +3,7 @@
  * recorded. Pure functions from records to violations.
  */
 import { SIGNAL_CHECKS } from "./signalChecks.js";
+import { STREAM_CHECKS } from "./streamChecks.js";
 import { IS_STREAM, IS_RETRYABLE } from "./types.js";
 import type {
   ArrivalRecord,
@@ -61,9 +62,10 @@
     if (call.answerId !== id) problems.push(`names request ${call.answerId}`);
     if (call.signedBy === undefined) problems.push("is not signed");
     if (IS_STREAM[kind]) {
-      const isInOrder = events.every((event, at) => event === at + 1);
+      const before = call.resumption?.lastEventId ?? 0;
+      const isInOrder = events.every((event, at) => event === before + at + 1);
       if (!isInOrder) problems.push(`has events ${events.join(",")}`);
-      if (call.isWhole && events.length !== STREAM_EVENTS) {
+      if (call.isWhole && before + events.length !== STREAM_EVENTS) {
         problems.push(`ends as whole after ${events.length} events`);
       }
     } else if (call.isWhole && call.bodyBy !== call.signedBy) {
@@ -266,6 +268,7 @@
   plannedStopCutsNothing,
   fencesHaveOneHolder,
   ...SIGNAL_CHECKS,
+  ...STREAM_CHECKS,
 ];
 
 /** Returns every violation that the records prove. */
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -326,11 +326,42 @@
   }),
 ];
 
+/** Streams are cut in many places, while engines and entries go. */
+const CUT_STREAMS: readonly AnyFault[] = [
+  defineFault({
+    name: "all engines cut streams",
+    isPlanned: false,
+    target: () => "engines",
+    nameOf: (name) => name,
+    run: async (_target, { fleet, rng, wait }) => {
+      const engines = fleet.replicas.filter(
+        ({ standin }) => standin.options.stage,
+      );
+      const misbehaviour = { behaviour: "cut-event", share: rng() } as const;
+      for (const engine of engines) engine.misbehaviour = misbehaviour;
+      await wait(500, 2000);
+      for (const engine of engines) engine.misbehaviour = undefined;
+    },
+  }),
+  defineFault({
+    name: "entry killed while streams are cut",
+    isPlanned: false,
+    target: ({ fleet, draw }) => draw(fleet.entries),
+    nameOf: processId,
+    run: async (target, { wait }) => {
+      await target.kill();
+      await wait(100, 1500);
+      await target.start();
+    },
+  }),
+];
+
 /**
- * `planned`: planned work only; `signals`, `limits` and `silent`: those faults in
+ * `planned`: planned work only; `signals`, `limits`, `silent` and `streams`: those faults in
  * addition to the ones of `all`.
  */
-export type FaultProfile = "planned" | "all" | "signals" | "limits" | "silent";
+export type FaultProfile =
+  "planned" | "all" | "signals" | "limits" | "silent" | "streams";
 
 const FAULTS: Readonly<Record<FaultProfile, readonly AnyFault[]>> = {
   planned: PLANNED,
@@ -338,6 +369,7 @@
   signals: [...PLANNED, ...UNPLANNED, ...SIGNALS, ...SIGNALS],
   limits: [...PLANNED, ...UNPLANNED, ...Array(8).fill(LIMITED).flat()],
   silent: [...PLANNED, ...UNPLANNED, ...SILENCED, ...SILENCED],
+  streams: [...PLANNED, ...UNPLANNED, ...Array(3).fill(CUT_STREAMS).flat()],
 };
 
 export const faultsOf = (profile: FaultProfile): readonly AnyFault[] =>
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -55,6 +55,7 @@
     probes: [],
     runs: [],
     arrivals: [],
+    engines: [],
     limits: [],
     orders: [],
     faults: [],
@@ -62,6 +63,8 @@
     stalls: [],
   };
   version = 0;
+  /** Software versions that new engines run, in turn. */
+  softwareVersions = ["v1", "v2", "v3"];
   private incarnations = 0;
   private readonly folder = mkdtempSync(path.join(tmpdir(), "snowgate-soak-"));
 
@@ -139,6 +142,7 @@
       id: `${baseId}.${this.incarnations}`,
       service: isEngine ? "model" : "plain",
       stage: isEngine ? "decode" : undefined,
+      version: isEngine ? this.nextVersion() : undefined,
       events: STREAM_EVENTS,
     }).start();
     const link = await new FaultLink(() => standin.address).start();
@@ -169,6 +173,7 @@
   register(replica: SoakReplica, state = replica.state): void {
     replica.state = state;
     if (!this.replicas.includes(replica)) return;
+    this.recordListing(replica.standin, state === "ready");
     replica.standin.register(this.store, state, replica.link.address);
   }
 
@@ -183,16 +188,34 @@
   }
 
   unlist(replica: SoakReplica): void {
+    this.recordListing(replica.standin, false);
     removeFromList(this.store, replica.standin);
   }
 
   /** Stops a replica; its address no longer answers. */
   removeReplica(replica: SoakReplica): void {
+    this.recordListing(replica.standin, false);
     replica.standin.stop();
     replica.link.stop();
     this.replicas.splice(this.replicas.indexOf(replica), 1);
   }
 
+  private nextVersion(): string | undefined {
+    const { softwareVersions, incarnations } = this;
+    return softwareVersions[incarnations % softwareVersions.length];
+  }
+
+  private recordListing({ options }: StandinReplica, isListed: boolean): void {
+    const { id: replica, version } = options;
+    if (version === undefined) return;
+    const { engines } = this.records;
+    const last = engines.findLast((item) => item.replica === replica);
+    const isOpen = last?.until === Infinity;
+    if (isOpen === isListed) return;
+    if (last !== undefined && isOpen) last.until = this.now();
+    else engines.push({ replica, version, from: this.now(), until: Infinity });
+  }
+
   private async addProcess(
     role: "entry" | "scheduler",
     id: string,
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -10,6 +10,7 @@
 
 import { profileOf } from "./profile.js";
 import { DEFAULT_SIZES, runSoak } from "./runSoak.js";
+import { streamShares } from "./streamChecks.js";
 import type { SoakOptions, SoakResult } from "./runSoak.js";
 
 const cli = cac("soak");
@@ -37,6 +38,13 @@
   return [...counts].map(([name, count]) => `${name} ${count}`).join(", ");
 };
 
+/** How many were judged, and the shares of them and of new ones. */
+const streamsLine = ({ records }: SoakResult): string => {
+  const { resumed, goOn, begin } = streamShares(records);
+  const all = records.calls.filter(({ resumption }) => resumption).length;
+  return `${all}, judged ${resumed} (${goOn.toFixed(2)} of them go on, ${begin.toFixed(2)} of new ones begin)`;
+};
+
 const report = (options: SoakOptions, result: SoakResult): void => {
   const { calls, runs, orders } = result.records;
   const served = calls.filter(
@@ -46,6 +54,7 @@
     `seed ${options.seed} (${options.profile}): ${calls.length} requests, ` +
       `${served} answered whole, ${runs.length} runs, ${orders.length} orders;` +
       ` faults: ${faultCounts(result)}; stalled ${stalledMs(result)} ms;` +
+      ` streams taken up ${streamsLine(result)};` +
       ` ${result.violations.length} violations`,
   );
   for (const { promise, what } of result.violations.slice(0, 20)) {
--- a/soak/profile.ts
+++ b/soak/profile.ts
@@ -15,10 +15,18 @@
 /** Of the other seeds, those with this remainder add silent connections. */
 const SILENT_INTERVAL = 20;
 const SILENT_REMAINDER = 7;
+/** Of the other seeds, those with this remainder cut more streams. */
+const STREAMS_INTERVAL = 5;
+const STREAMS_REMAINDER = 0;
 
 export const profileOf = (seed: number): FaultProfile => {
   if (seed % PLANNED_INTERVAL === 0) return "planned";
   if (seed % LIMITS_INTERVAL === LIMITS_REMAINDER) return "limits";
   if (seed % SILENT_INTERVAL === SILENT_REMAINDER) return "silent";
+  if (seed % STREAMS_INTERVAL === STREAMS_REMAINDER) return "streams";
   return seed % SIGNALS_INTERVAL === SIGNALS_REMAINDER ? "signals" : "all";
 };
+
+/** With these, two engines and more run each of the software versions. */
+export const extraEngines = (profile: FaultProfile): number =>
+  profile === "streams" ? 2 : 0;
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -5,6 +5,7 @@
 import { findViolations } from "./checks.js";
 import { FaultInjector, faultsOf } from "./faults.js";
 import type { FaultProfile } from "./faults.js";
+import { extraEngines } from "./profile.js";
 import { SoakFleet } from "./fleet.js";
 import type { FleetSizes } from "./fleet.js";
 import type { SoakRecords, StallRecord, Violation } from "./types.js";
@@ -65,7 +66,10 @@
   process.once("SIGINT", onSignal).once("SIGTERM", onSignal);
   const stopWatching = watchStalls(fleet.records.stalls);
   try {
-    await fleet.start(options);
+    await fleet.start({
+      ...options,
+      engines: options.engines + extraEngines(profile),
+    });
     const endsAt = monotonicNow() + seconds * MS_PER_SECOND;
     const injector = new FaultInjector(fleet, faultsOf(profile), rngOf(1));
     let isOver = false;
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -45,6 +45,28 @@
   bodyBy: string | undefined;
   /** Ids of the received events, in order; streams only. */
   events: number[];
+  /** Software version that wrote each of them. */
+  versions: (string | undefined)[];
+  /** Set if the request continues a stream that was cut. */
+  resumption?: ResumptionRecord;
+}
+
+/** What a caller names when it continues a stream. */
+export interface ResumptionRecord {
+  /** Id of the request that brought the stream's first event. */
+  streamId: string;
+  lastEventId: number;
+  /** Whether the named id is the true one, rather than invented. */
+  isTrue: boolean;
+}
+
+/** An engine and how long it was listed as ready. */
+export interface EngineRecord {
+  replica: string;
+  version: string;
+  from: number;
+  /** `Infinity` while it is listed as ready. */
+  until: number;
 }
 
 /** One request to a route that a configuration version added. */
@@ -130,6 +152,7 @@
   probes: ProbeRecord[];
   runs: RunRecord[];
   arrivals: ArrivalRecord[];
+  engines: EngineRecord[];
   limits: LimitRecord[];
   orders: OrderRecord[];
   faults: FaultRecord[];
--- a/tests/soak/checks.test.ts
+++ b/tests/soak/checks.test.ts
@@ -30,6 +30,7 @@
   signedBy: "plain-0",
   bodyBy: "plain-0",
   events: [],
+  versions: [],
   ...overrides,
 });
 
@@ -77,6 +78,7 @@
   probes: [],
   runs: [],
   arrivals: [],
+  engines: [],
   limits: [],
   orders: [],
   faults: [],
@@ -121,6 +123,101 @@
     });
   });
 
+  describe("streams that are taken up", () => {
+    const begun = (id = "a", versions = ["v1", "v1"]) =>
+      stream({
+        id,
+        answerId: id,
+        kind: "resumable",
+        events: [1, 2],
+        versions,
+        isWhole: false,
+      });
+    const rest = EVENTS.slice(2);
+    const resumed = (version: string, overrides: Partial<CallRecord> = {}) =>
+      stream({
+        id: "b",
+        answerId: "b",
+        kind: "resumable",
+        entry: "entry-1",
+        sentAt: 11_000,
+        endedAt: 11_050,
+        events: rest,
+        versions: rest.map(() => version),
+        resumption: { streamId: "a", lastEventId: 2, isTrue: true },
+        ...overrides,
+      });
+
+    it("are whole from the event on that the caller names", () => {
+      expect(violatedPromises({ calls: [begun(), resumed("v1")] })).to.eql([]);
+      const doubled = resumed("v1", { events: [2, ...rest] });
+      expect(violatedPromises({ calls: [begun(), doubled] })).to.include(
+        "whole answers",
+      );
+    });
+
+    it("find events of two versions in one answer or over several", () => {
+      const expected = ["one version a stream"];
+      const calls = [begun(), resumed("v2")];
+      expect(violatedPromises({ calls })).to.eql(expected);
+      const mixed = [begun("a", ["v1", "v2"])];
+      expect(violatedPromises({ calls: mixed })).to.eql(expected);
+    });
+
+    it("allow another version to who names a stream that isn't his", () => {
+      const resumption = { streamId: "x", lastEventId: 2, isTrue: false };
+      const calls = [begun(), resumed("v2", { resumption })];
+      expect(violatedPromises({ calls })).to.eql([]);
+    });
+
+    describe("of which few go on", () => {
+      const engines = (count: number) =>
+        Array.from({ length: count }, (_, at) => ({
+          replica: `engine-${at}`,
+          version: "v1",
+          from: 0,
+          until: Infinity,
+        }));
+      /** Of twelve streams that are taken up, `count` go on. */
+      const calls = (count: number) =>
+        Array.from({ length: 12 }, (_, at) => {
+          const resumption = {
+            streamId: `a${at}`,
+            lastEventId: 2,
+            isTrue: true,
+          };
+          const refused = { status: 503, events: [], versions: [] };
+          const more = at < count ? {} : refused;
+          const id = `b${at}`;
+          return [
+            begun(`a${at}`),
+            resumed("v1", { id, answerId: id, resumption, ...more }),
+          ];
+        }).flat();
+
+      it("find them while two engines of their version serve", () => {
+        const expected = ["streams that are taken up go on"];
+        const found = (count: number) =>
+          violatedPromises({ calls: calls(count), engines: engines(2) });
+        expect(found(5)).to.eql(expected);
+        expect(found(6)).to.eql([]);
+      });
+
+      it("allow them while one engine serves, or the entry had a fault", () => {
+        const few = { calls: calls(0), engines: engines(1) };
+        expect(violatedPromises(few)).to.eql([]);
+        const killed = fault({
+          name: "process killed",
+          target: "entry-1",
+          until: 10_900,
+          isPlanned: false,
+        });
+        const struck = { ...few, engines: engines(2), faults: [killed] };
+        expect(violatedPromises(struck)).to.eql([]);
+      });
+    });
+  });
+
   it("find a second run of a request that may run only once", () => {
     const runs = [run(), run()];
     expect(violatedPromises({ calls: [call()], runs })).to.include(
--- a/tests/soak/seeds.test.ts
+++ b/tests/soak/seeds.test.ts
@@ -19,6 +19,7 @@
     seed: 313,
     why: "failed once: where a link's delay ended, later bytes overtook",
   },
+  { seed: 5, why: "streams cut while several software versions serve" },
   { seed: 8, why: "replicas that name limits" },
   { seed: 4, why: "signals of replicas, and a store back from a copy" },
 ];
