Route all tries of a resumable stream to one service of a split route

Cause: a split route drew its service at random for each request, so that a caller who takes a stream up got, by the weights, events of another service than the one that began it. Change: for resumable routes the draw is a hash of the stream's first request id, the same at every entry; weights hold as before. Routes that are not resumable draw at random. Evidence: the new case is what the old draw can't pass: two random sources give s0 and s1.

--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -172,7 +172,7 @@
   ): Destination | RequestFailure {
     const { state, rng, keyBounds } = this.options;
     const route = table.match(head.host, head.target);
-    const service = route && drawService(route, rng);
+    const service = route && drawService(route, head, rng);
     if (route === undefined || service === undefined) {
       return failure(404, "unknown_route", "no route fits");
     }
--- a/src/gateway/routeTable.ts
+++ b/src/gateway/routeTable.ts
@@ -1,7 +1,13 @@
 /** Selects the route and service of a request, without side effects. */
 import type { Rng } from "../shared/rng.js";
+import { hashFraction } from "../shared/utils.js";
 import { Keyring } from "../workspaces/index.js";
-import type { GatewayConfig, GatewayService, Route } from "./types.js";
+import type {
+  GatewayConfig,
+  GatewayService,
+  InboundHead,
+  Route,
+} from "./types.js";
 
 /** The routes of one configuration, by host, longest prefix first. */
 export class RouteTable {
@@ -43,13 +49,27 @@
   }
 }
 
-/** Picks a service of the route at random, by weight; undefined if none. */
-export const drawService = (route: Route, rng: Rng): string | undefined => {
+/** Picks a service of the route by weight; undefined if there is none. */
+const pickService = (route: Route, fraction: number): string | undefined => {
   const total = route.targets.reduce((sum, item) => sum + item.weight, 0);
-  let remaining = rng() * total;
+  let remaining = fraction * total;
   for (const target of route.targets) {
     remaining -= target.weight;
     if (remaining < 0) return target.service;
   }
   return route.targets.at(-1)?.service;
 };
+
+/**
+ * Draws a service of the route by weight. All tries of one resumable stream draw
+ * the same one, at every entry: another service's events don't fit it.
+ */
+export const drawService = (
+  route: Route,
+  { id, resumption }: Pick<InboundHead, "id" | "resumption">,
+  rng: Rng,
+): string | undefined => {
+  const streamId = resumption === undefined ? id : resumption.streamId;
+  const isBound = route.isResumable && streamId !== undefined;
+  return pickService(route, isBound ? hashFraction(streamId) : rng());
+};
--- a/src/shared/utils.ts
+++ b/src/shared/utils.ts
@@ -12,6 +12,12 @@
 export const fingerprint = (text: string | Buffer): string =>
   createHash("sha256").update(text).digest("hex").slice(0, 16);
 
+const HASH_DIGITS = 8;
+
+/** Maps a text to [0, 1), evenly and always to the same number. */
+export const hashFraction = (text: string): number =>
+  parseInt(fingerprint(text).slice(0, HASH_DIGITS), 16) / 16 ** HASH_DIGITS;
+
 /** Returns the message of any thrown value. */
 export const errText = (err: unknown): string =>
   err instanceof Error ? err.message : String(err);
--- a/tests/gateway/state.test.ts
+++ b/tests/gateway/state.test.ts
@@ -57,9 +57,41 @@
 
   it("draws services by weight, and never one of weight 0", () => {
     const split = route("split", "/", [90, 0, 10]);
-    expect(drawService(split, () => 0.89)).to.equal("s0");
-    expect(drawService(split, () => 0.9)).to.equal("s2");
-    expect(drawService(split, () => 0.999)).to.equal("s2");
+    const draw = (fraction: number) =>
+      drawService(split, { id: "a" }, () => fraction);
+    expect(draw(0.89)).to.equal("s0");
+    expect(draw(0.9)).to.equal("s2");
+    expect(draw(0.999)).to.equal("s2");
+  });
+
+  describe("that are split, for streams that can be taken up,", () => {
+    const split = { ...route("split", "/", [1, 1]), isResumable: true };
+    const IDS = Array.from({ length: 400 }, (_, at) => `stream-${at}`);
+    const drawnBy = (
+      rng: () => number,
+      requestOf: (id: string) => Parameters<typeof drawService>[1],
+    ) => IDS.map((id) => drawService(split, requestOf(id), rng));
+
+    it("draw one service over all tries of a caller, at every entry", () => {
+      const first = drawnBy(
+        () => 0,
+        (id) => ({ id }),
+      );
+      const later = drawnBy(
+        () => 0.99,
+        (streamId) => ({ id: "try", resumption: { streamId } }),
+      );
+      expect(later).to.eql(first);
+    });
+
+    it("draw services by weight", () => {
+      const drawn = drawnBy(
+        () => 0,
+        (id) => ({ id }),
+      );
+      const share = drawn.filter((name) => name === "s0").length / IDS.length;
+      expect(share).to.be.within(0.4, 0.6);
+    });
   });
 });
 
