Tell the entries of small fleets which versions began each other's streams

Callers saw: nothing by a record; while a lost holder is replaced (some 1.5 to 2 s) an entry can't place streams that only the lost entry and the holder knew, and streams of 2 s are over by then. Cause: only standbys were told of origins. Change: in fleets of eight entries and less the holder tells the entries as well; what it says does not replace what an entry relayed itself, and is used only without a holder: it may be older than what the holder knows. An entry reports to a new holder only what it relayed. In larger fleets such streams are refused with a time to come back, until there is a holder. Ruled out: waiting for the next holder, 0.75 of the time that is left: the test's holder came later than that, and the caller was refused late.

--- a/src/gateway/placementRole.ts
+++ b/src/gateway/placementRole.ts
@@ -171,7 +171,7 @@
     for (const service of services()) {
       if (!placement.isHolder(service)) continue;
       peers.notifyStandbys(service);
-      peers.notifyStandbysOfOrigins(service);
+      peers.notifyOfOrigins(service);
       peers.notifyEntriesOfRates(service);
     }
     await placement.step(services());
--- a/src/placement/placementServer.ts
+++ b/src/placement/placementServer.ts
@@ -43,6 +43,12 @@
  */
 export const CONCURRENT_STANDBYS = 3;
 
+/**
+ * Entries of a fleet in which all are told of each other's streams. The traffic
+ * for it grows with the square of the fleet.
+ */
+const MAX_TOLD_ENTRIES = 8;
+
 /** Standbys of one service in order of connection, with the state last sent. */
 type Standbys = Map<PlaceStream, HolderState | undefined>;
 
@@ -143,16 +149,21 @@
   }
 
   /**
-   * Sends the first standbys which versions began streams: if the holder and the
-   * entry of a stream are lost at once, nobody else knows.
+   * Sends the first standbys which versions began streams, and in small fleets
+   * the entries too: if the holder and the entry of a stream are lost at once,
+   * nobody else knows.
    */
-  notifyStandbysOfOrigins(service: string): void {
+  notifyOfOrigins(service: string): void {
     const standbys = [...(this.standbys.get(service)?.keys() ?? [])];
-    const receivers = standbys.slice(0, CONCURRENT_STANDBYS);
+    const entries = [...(this.streams.get(service) ?? [])];
+    const receivers = [
+      ...standbys.slice(0, CONCURRENT_STANDBYS),
+      ...(entries.length <= MAX_TOLD_ENTRIES ? entries : []),
+    ];
     const sent = this.replies.sendOrigins(service, receivers);
     if (sent === 0) return;
-    const fields = { service, standbys: receivers.length, origins: sent };
-    this.options.log.debug("origins of streams sent to standbys", fields);
+    const fields = { service, receivers: receivers.length, origins: sent };
+    this.options.log.debug("origins of streams sent", fields);
   }
 
   /**
@@ -266,7 +277,8 @@
     if (configAsk !== undefined) this.sendConfig(service, stream, configAsk);
     if (call.newHolder !== undefined)
       this.options.onNewHolder(service, call.newHolder);
-    if (call.origins.length > 0) placement.streams.adopt(service, call.origins);
+    if (call.origins.length > 0)
+      placement.streams.adoptFromEntry(service, call.origins);
     for (const received of call.rates) {
       const news = fromRateNews(received);
       if (news !== undefined) this.options.onRate(news);
--- a/src/placement/sharedPlacement.ts
+++ b/src/placement/sharedPlacement.ts
@@ -24,7 +24,11 @@
 import { CONCURRENT_STANDBYS } from "./placementServer.js";
 import { RatePermits } from "./ratePermits.js";
 import { ResumptionLog } from "./resumptionLog.js";
-import { refuseUnknownStream, withBinding } from "./streamVersions.js";
+import {
+  isUnboundResumption,
+  refuseUnknownStream,
+  withBinding,
+} from "./streamVersions.js";
 import type { Placement } from "./types.js";
 import type { ConfigNews, WindowCounts } from "../workspaces/index.js";
 
@@ -49,13 +53,6 @@
 /** Upper bound of that delay, ms. */
 const MAX_FIRST_ACQUIRE_DELAY_MS = 4000;
 
-/** Whether a stream goes on whose version the sending process doesn't know. */
-const isUnboundResumption = ({
-  runnerVersion,
-  stream,
-}: PlacementRequest): boolean =>
-  runnerVersion === undefined && stream?.isResumed === true;
-
 const firstAcquireDelayMs = (capacity: number): number =>
   Math.min(MAX_FIRST_ACQUIRE_DELAY_MS, FIRST_ACQUIRE_DELAY_MS / capacity);
 
@@ -124,7 +121,7 @@
     const soleVersion = streams.soleVersion(service);
     return withBinding(
       { ...request, stream: { ...stream, soleVersion } },
-      streams.recordedBinding(request),
+      streams.ownBinding(request),
     );
   }
 
@@ -374,7 +371,7 @@
       onHolderNews: this.options.onHolderNews,
       onRates: (news) => this.permits.applyUpdates(news),
       onOrigins: (origins) =>
-        this.options.local.streams.adopt(service, origins),
+        this.options.local.streams.adoptFromHolder(service, origins),
       onShares: (shares) =>
         connection.admission.applyShares(shares, this.options.now()),
       takeRefused: () => connection.admission.takeRefused(),
@@ -410,7 +407,7 @@
     // gone.
     connection.isFresh = false;
     if (!this.options.isStandby)
-      client.sendOrigins(this.options.local.streams.origins(service));
+      client.sendOrigins(this.options.local.streams.ownOrigins(service));
     for (const { request, grant, isRead } of this.inUse.of(service))
       client.reportHeldGrant(request, grant, isRead);
     client.sendRates(this.options.rates.activeLimits(this.options.now()));
--- a/src/placement/streamOrigins.ts
+++ b/src/placement/streamOrigins.ts
@@ -17,6 +17,7 @@
 interface Kept {
   version: string;
   until: number;
+  isOwn: boolean;
 }
 
 export class StreamOrigins {
@@ -28,11 +29,15 @@
     return this.kept.size;
   }
 
-  /** Replaces what is known of the stream. */
-  record({ key, version, keepMs }: StreamOrigin, now: number): void {
+  /** Replaces what is known of the stream; `isOwn`: this process relays it. */
+  record(
+    { key, version, keepMs }: StreamOrigin,
+    now: number,
+    isOwn = false,
+  ): void {
     if (key.length > MAX_KEY_CHARS) return;
     this.kept.delete(key);
-    this.kept.set(key, { version, until: now + keepMs });
+    this.kept.set(key, { version, until: now + keepMs, isOwn });
     this.news.add(key);
     if (this.kept.size > MAX_STREAMS) this.deleteOldest();
   }
@@ -46,6 +51,15 @@
     return [...this.kept.keys()].flatMap((key) => this.origin(key, now));
   }
 
+  /** Those of streams that this process relays or relayed. */
+  own(now: number): StreamOrigin[] {
+    return this.all(now).filter(({ key }) => this.isOwn(key));
+  }
+
+  isOwn(key: string): boolean {
+    return this.kept.get(key)?.isOwn === true;
+  }
+
   /** What was recorded since the last call. */
   takeNews(now: number): StreamOrigin[] {
     const keys = [...this.news];
--- a/src/placement/streamVersions.ts
+++ b/src/placement/streamVersions.ts
@@ -45,6 +45,13 @@
     ? { ...request, runnerVersion: binding.version }
     : request;
 
+/** Whether a stream goes on whose version the request does not name. */
+export const isUnboundResumption = ({
+  runnerVersion,
+  stream,
+}: PlacementRequest): boolean =>
+  runnerVersion === undefined && stream?.isResumed === true;
+
 /** Names a stream within its service; workspaces may use the same ids. */
 const streamKey = (workspace: string, id: string): string =>
   `${workspace}\n${id}`;
@@ -57,33 +64,32 @@
 
   constructor(private readonly options: StreamVersionsOptions) {}
 
-  /** The binding that is recorded here; `free` if there is none. */
-  recordedBinding(request: PlacementRequest): StreamBinding {
-    const { service, runnerVersion, stream } = request;
-    if (runnerVersion !== undefined || stream?.isResumed !== true)
-      return { kind: "free" };
+  /**
+   * The binding of a stream that this process has relayed; `free` if it has not.
+   * What others told it may be older than what the holder knows.
+   */
+  ownBinding(request: PlacementRequest): StreamBinding {
     const key = keyOf(request);
-    const { origins } = this.streamsOf(service);
-    const version = key && origins.find(key, this.options.now());
-    if (version === undefined) return { kind: "free" };
-    return { kind: "bound", version, source: "record" };
+    const { origins } = this.streamsOf(request.service);
+    const isOwn = key !== undefined && origins.isOwn(key);
+    return isOwn ? this.recordedBinding(request) : { kind: "free" };
   }
 
   /**
-   * Like `recordedBinding`; a stream that is not recorded began at the only
-   * version in service, if no other has served while it can have begun.
+   * The binding by all that this process knows. A stream that is not recorded
+   * began at the only version in service, if no other has served while it can
+   * have begun.
    */
   binding(request: PlacementRequest): StreamBinding {
-    const { service, runnerVersion, stream } = request;
+    const { service, stream } = request;
+    if (!isUnboundResumption(request)) return { kind: "free" };
     const recorded = this.recordedBinding(request);
     if (recorded.kind === "bound") return recorded;
-    if (runnerVersion !== undefined || stream?.isResumed !== true)
-      return recorded;
     this.observe(service);
     const { history } = this.streamsOf(service);
     const { onlyListed } = history;
     const isSeenBySender =
-      onlyListed !== undefined && onlyListed === stream.soleVersion;
+      onlyListed !== undefined && onlyListed === stream?.soleVersion;
     const version =
       this.soleVersion(service) ??
       (isSeenBySender && !this.hasSeveral(service) ? onlyListed : undefined);
@@ -114,19 +120,35 @@
     const key = keyOf(request);
     if (key === undefined || version === undefined) return;
     const keepMs = request.answerLeftMs + RETURN_MS;
-    this.adopt(request.service, [{ key, version, keepMs }]);
+    const { origins } = this.streamsOf(request.service);
+    origins.record({ key, version, keepMs }, this.options.now(), true);
   }
 
-  /** Records origins that another process knows. */
-  adopt(service: string, received: readonly StreamOrigin[]): void {
+  /** Records origins that an entry reports, which relayed the streams itself. */
+  adoptFromEntry(service: string, received: readonly StreamOrigin[]): void {
     const { origins } = this.streamsOf(service);
     for (const origin of received) origins.record(origin, this.options.now());
   }
 
+  /**
+   * Records origins that the holder knows. Of streams that this process relays
+   * it may know a grant that was not used.
+   */
+  adoptFromHolder(service: string, received: readonly StreamOrigin[]): void {
+    const { origins } = this.streamsOf(service);
+    const others = received.filter(({ key }) => !origins.isOwn(key));
+    this.adoptFromEntry(service, others);
+  }
+
   origins(service: string): StreamOrigin[] {
     return this.streamsOf(service).origins.all(this.options.now());
   }
 
+  /** Those of streams that this process relays or relayed. */
+  ownOrigins(service: string): StreamOrigin[] {
+    return this.streamsOf(service).origins.own(this.options.now());
+  }
+
   /** Origins recorded since the last call. */
   takeNews(service: string): StreamOrigin[] {
     return this.streamsOf(service).origins.takeNews(this.options.now());
@@ -140,6 +162,15 @@
     }
   }
 
+  private recordedBinding(request: PlacementRequest): StreamBinding {
+    const key = keyOf(request);
+    const { origins } = this.streamsOf(request.service);
+    const version = key && origins.find(key, this.options.now());
+    return version === undefined || !isUnboundResumption(request)
+      ? { kind: "free" }
+      : { kind: "bound", version, source: "record" };
+  }
+
   private observe(service: string): void {
     const { listedVersions, now } = this.options;
     const versions = [...new Set(listedVersions(service))];
--- a/tests/gateway/streamVersions.test.ts
+++ b/tests/gateway/streamVersions.test.ts
@@ -190,8 +190,8 @@
               lost.versions = lost.restarted();
             }
             if (item.kind === "tell") {
-              const told = all[item.entry]!.versions.origins(SERVICE);
-              all[item.holder]!.versions.adopt(SERVICE, told);
+              const told = all[item.entry]!.versions.ownOrigins(SERVICE);
+              all[item.holder]!.versions.adoptFromEntry(SERVICE, told);
             }
             if (item.kind === "release") {
               const before = all[0]!.listed;
@@ -212,7 +212,7 @@
               const asked = resumed(id);
               const { versions } = all[item.entry]!;
               const soleVersion = versions.soleVersion(SERVICE);
-              const known = versions.recordedBinding(asked);
+              const known = versions.ownBinding(asked);
               const version =
                 known.kind === "bound"
                   ? known.version
@@ -251,6 +251,23 @@
     expect(origins.size).to.equal(0);
   });
 
+  it("of a stream that a process relays are not replaced by the holder's", () => {
+    const process = new Process({ now: 0 });
+    process.listed = ["v1", "v2"];
+    process.begin("a", "v1");
+    const stale = { key: "\na", version: "v2", keepMs: 1000 };
+    process.versions.adoptFromHolder(SERVICE, [stale]);
+    expect(process.resume("a")).to.equal("v1");
+    const other = { ...stale, key: "\nb" };
+    process.versions.adoptFromHolder(SERVICE, [other]);
+    expect(process.resume("b")).to.equal("v2");
+    // The holder may know better by now.
+    const binding = process.versions.ownBinding(resumed("b"));
+    expect(binding.kind).to.equal("free");
+    const own = process.versions.ownOrigins(SERVICE);
+    expect(own.map(({ key }) => key)).to.eql(["\na"]);
+  });
+
   it("are told once", () => {
     const origins = new StreamOrigins();
     origins.record({ key: "a", version: "v1", keepMs: 1000 }, 0);
