Let engines prefill where each software version has only one

Cause: kept the only engine of a version from prefill too: with three versions at three engines nobody could ever prefill, and every request would be refused. Change: first engines whose version has another that decodes are taken, then the only ones of their version; a version with two engines and more keeps one that decodes. Evidence: 'has one prefill where all versions have one engine' failed before (undefined); stagePlanner 22 passed.

--- a/src/scheduling/stagePlanner.ts
+++ b/src/scheduling/stagePlanner.ts
@@ -114,17 +114,20 @@
   return missing && changeLeastLoaded(missing, "decode", why);
 };
 
-/** Whether streams of its version could go on nowhere else. */
-const isLastDecode = (
-  engine: PlannedEngine,
-  engines: readonly PlannedEngine[],
-): boolean =>
-  !engines.some(
-    (other) =>
-      other.id !== engine.id &&
-      other.softwareVersion === engine.softwareVersion &&
-      plannedStage(other) === "decode",
+/**
+ * Decode engines that may be ordered to prefill, so that each version keeps one:
+ * where there are no others, those that are the only engine of their version.
+ */
+const spareDecode = (engines: readonly PlannedEngine[]): PlannedEngine[] => {
+  const versions = byVersion(engines);
+  const spare = versions.filter(
+    (ofVersion) => countOf(ofVersion, "decode") > 1,
+  );
+  const single = versions.filter(
+    (ofVersion) => ofVersion.length < MIN_ENGINES_FOR_DECODE,
   );
+  return (spare.length > 0 ? spare : single).flat();
+};
 
 /** Number of engines that each stage needs now; may be fractional. */
 interface Needs {
@@ -189,8 +192,7 @@
   if (target - prefill >= (lacksPrefill ? 1 : minImbalance)) {
     const isTooSoon = input.sinceChangeToDecodeMs < MIN_DWELL_MS;
     if (isTooSoon || !hasSpare.decode) return undefined;
-    const spare = engines.filter((item) => !isLastDecode(item, engines));
-    return changeLeastLoaded(spare, "prefill", why);
+    return changeLeastLoaded(spareDecode(engines), "prefill", why);
   }
   if (prefill - target >= (lacksDecode ? 1 : minImbalance)) {
     const isTooSoon = input.sinceChangeToPrefillMs < MIN_DWELL_MS;
--- a/tests/gateway/stagePlanner.test.ts
+++ b/tests/gateway/stagePlanner.test.ts
@@ -215,6 +215,15 @@
       expect(planFor(old, changing)?.to).to.not.equal("decode");
     });
 
+    it("has one prefill where all versions have one engine", () => {
+      const change = planFor(
+        ofVersion("v1", fleet(0, 1)),
+        ofVersion("v2", fleet(0, 1)),
+        ofVersion("v3", fleet(0, 1)),
+      );
+      expect(change?.to).to.equal("prefill");
+    });
+
     it("leaves the only engine of a version in its stage", () => {
       const old = ofVersion("v1", fleet(2, 2));
       expect(planFor(old, ofVersion("v2", fleet(1, 0)))?.id).to.not.match(
