Name the entry's own record in the line of a resumption

Cause: where the entry had relayed the stream itself, the line and the counter said that its version was found nowhere (`none`), seen in lines of the soak. Change: the source is `own-record` then, `record` or `sole-version` by the holder's answer.

--- a/src/placement/resumptionLog.ts
+++ b/src/placement/resumptionLog.ts
@@ -12,23 +12,20 @@
 export class ResumptionLog {
   constructor(private readonly options: ResumptionLogOptions) {}
 
-  /** `request`: as it was before its version was looked up. */
+  /** `request`: names a version if this process has relayed the stream. */
   record(request: PlacementRequest, answer: PlacementAnswer): void {
-    const { id, service, stream } = request;
-    if (stream?.isResumed !== true || request.runnerVersion !== undefined)
-      return;
+    const { id, service, stream, runnerVersion } = request;
     const { local, log, metrics } = this.options;
-    const isGranted = answer.kind === "granted";
-    const outcome = isGranted ? "granted" : answer.why;
-    const source = (isGranted && answer.origin?.source) || "none";
-    const runner = isGranted ? answer.runner : undefined;
-    metrics.count("stream_resumed", { source, outcome });
+    const origin = answer.kind === "granted" ? answer.origin : undefined;
+    const source = runnerVersion === undefined ? origin?.source : "own-record";
+    const outcome = answer.kind === "granted" ? "granted" : answer.why;
+    metrics.count("stream_resumed", { source: source ?? "none", outcome });
     log.info("stream resumed", {
       service,
-      streamId: stream.id,
+      streamId: stream?.id,
       grant: id,
-      source,
-      version: runner && local.softwareVersionOf(service, runner),
+      source: source ?? "none",
+      version: runnerVersion ?? origin?.version,
       engines: local.decodeEngines(service),
       outcome,
     });
--- a/src/placement/sharedPlacement.ts
+++ b/src/placement/sharedPlacement.ts
@@ -108,15 +108,16 @@
   }
 
   async place(asked: PlacementRequest): Promise<PlacementAnswer> {
-    const answer = await this.placeBound(this.withKnownVersion(asked));
-    this.resumptions.record(asked, answer);
+    const request = this.withKnownVersion(asked);
+    const answer = await this.placeBound(request);
+    if (isUnboundResumption(asked)) this.resumptions.record(request, answer);
     return answer;
   }
 
   /** What this process knows of a resumed stream, for the holder to use. */
   private withKnownVersion(request: PlacementRequest): PlacementRequest {
     const { stream, service } = request;
-    if (stream?.isResumed !== true) return request;
+    if (stream === undefined || !isUnboundResumption(request)) return request;
     const { streams } = this.options.local;
     const soleVersion = streams.soleVersion(service);
     return withBinding(
