Build the news of streams only while somebody is to be told

Cause: a holder listed what it had recorded each 300 ms, also while one version alone serves and nobody is told. Change: it is dropped then. What is told, and to whom, is as before.

--- a/src/placement/holderReplies.ts
+++ b/src/placement/holderReplies.ts
@@ -101,11 +101,14 @@
    */
   sendOrigins(service: string, receivers: readonly PlaceStream[]): number {
     const { streams } = this.options.placement;
-    const news = streams.takeNews(service);
     const before = this.originReceivers.get(service) ?? new Set();
-    const isNeeded = streams.hasSeveral(service);
-    const current = new Set(isNeeded ? receivers : []);
+    const current = new Set(streams.hasSeveral(service) ? receivers : []);
     this.originReceivers.set(service, current);
+    if (current.size === 0) {
+      streams.dropNews(service);
+      return 0;
+    }
+    const news = streams.takeNews(service);
     let sent = 0;
     for (const stream of current) {
       const origins = before.has(stream) ? news : streams.origins(service);
--- a/src/placement/streamOrigins.ts
+++ b/src/placement/streamOrigins.ts
@@ -67,6 +67,10 @@
     return keys.flatMap((key) => this.origin(key, now));
   }
 
+  dropNews(): void {
+    this.news.clear();
+  }
+
   expire(now: number): void {
     for (const [key, { until }] of this.kept)
       if (until <= now) this.delete(key);
--- a/src/placement/streamVersions.ts
+++ b/src/placement/streamVersions.ts
@@ -154,6 +154,11 @@
     return this.streamsOf(service).origins.takeNews(this.options.now());
   }
 
+  /** Nobody is to be told of what was recorded so far. */
+  dropNews(service: string): void {
+    this.streamsOf(service).origins.dropNews();
+  }
+
   /** Drops origins that nobody asks for any more, and looks at the list. */
   expire(): void {
     for (const [service, { origins }] of this.services) {
