Refuse queued streams at once when their software version is gone

Cause: only requests that were about to be placed were looked at. Change: every queued request that goes on with a stream is looked at each time; the refusal says, as one that was never queued, whether coming back makes sense.

--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -251,16 +251,12 @@
     const expired = this.queue
       .removeExpired(now)
       .map((item) => this.refuseQueued(item, "too-late", now));
-    const answers = [...displaced, ...expired];
+    const stranded = this.refuseStranded(now);
+    const answers = [...displaced, ...expired, ...stranded];
     const reserved: ReservedPrefill = new Map();
     for (const item of this.dispatchCandidates(now)) {
       const candidates = this.candidatesFor(withWaitDeducted(item, now), now);
       const { request, cache, available } = candidates;
-      if (isMissingVersion(request, this.engines.eligibleFor(request, now))) {
-        this.queue.remove(request.id);
-        answers.push(this.refuseQueued(item, "no-version", now));
-        continue;
-      }
       const plan = planPrefill(request, cache, available, now, reserved);
       const answer = this.tryGrant(candidates, plan);
       if (answer !== undefined) {
@@ -276,6 +272,21 @@
     return answers;
   }
 
+  /** Refuses queued requests whose software version has no engine left. */
+  private refuseStranded(now: number): QueuedAnswer[] {
+    if (this.queue.awaitedVersions.size === 0) return [];
+    const stranded = this.queue
+      .items()
+      .filter(({ request }) =>
+        isMissingVersion(request, this.engines.eligibleFor(request, now)),
+      );
+    return stranded.map((item) => {
+      this.queue.remove(item.request.id);
+      const { id } = this.refuseQueued(item, "no-version", now);
+      return { id, answer: this.refuseVersion(item.request) };
+    });
+  }
+
   private refuseQueued(
     { request, workMs }: QueuedRequest,
     why: RefusalCause,
--- a/tests/gateway/streamRunners.test.ts
+++ b/tests/gateway/streamRunners.test.ts
@@ -101,11 +101,12 @@
   it("is refused from the queue once no engine of its version is left", () => {
     fill();
     expect(place("r", { runnerVersion: "v1" }).kind).to.equal("queued");
-    const withoutV1 = FLEET.filter(({ id }) => id !== "dec-1");
+    const withoutV1 = FLEET.filter((item) => item.softwareVersion !== "v1");
     scheduler.setEngines(withoutV1);
     const [answered] = scheduler.answerQueued(0);
     expect(answered?.id).to.equal("r");
-    expect(answered?.answer).to.include({ why: "no-version" });
+    const expected = { why: "no-version", retryAfterMs: 0 };
+    expect(answered?.answer).to.include(expected);
   });
 
   it("gets the next slot of its version before streams that begin", () => {
