Count every event in the soak again, also one that is mangled

Cause: with the software versions the soak read only well-formed events, where it had counted every id before: an event that was passed on mangled and then sent again was no longer seen as doubled. The check had become weaker. Change: every id counts again; the version is taken from whole events only, and a caller resumes after the last whole one.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -149,7 +149,7 @@
     let last = first;
     let lastEventId = 0;
     for (let count = 0; count < MAX_RESUMPTIONS; count += 1) {
-      lastEventId = last.events.at(-1) ?? lastEventId;
+      lastEventId = last.events[last.versions.length - 1] ?? lastEventId;
       const leftMs = first.sentAt + DEADLINE_MS - now();
       if (last.isWhole && last.status === 200) return;
       if (lastEventId === 0 || leftMs < MIN_RESUMPTION_MS) return;
@@ -210,7 +210,9 @@
       signedBy: names.signedBy,
       bodyBy: IS_STREAM[kind] ? undefined : replicaInBody(body),
       events: events.map((event) => event.id),
-      versions: events.map((event) => event.version),
+      versions: events
+        .filter(({ isWhole }) => isWhole)
+        .map(({ version }) => version),
       resumption,
     };
     records.calls.push(call);
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -45,7 +45,7 @@
   bodyBy: string | undefined;
   /** Ids of the received events, in order; streams only. */
   events: number[];
-  /** Software version that wrote each of them. */
+  /** Software version that wrote each of them; without one that was cut off. */
   versions: (string | undefined)[];
   /** Set if the request continues a stream that was cut. */
   resumption?: ResumptionRecord;
--- a/tests/soak/checks.test.ts
+++ b/tests/soak/checks.test.ts
@@ -6,6 +6,7 @@
   findViolations,
   STREAM_EVENTS,
 } from "../../soak/checks.js";
+import { eventsIn } from "../../platform/standins/caller.js";
 import type { AnnouncedSignals } from "../../platform/standins/replica.js";
 import type {
   CallRecord,
@@ -117,6 +118,15 @@
       });
     }
 
+    it("count an event that is mangled and then sent again", () => {
+      const body = "id: 1\ndata: ev\n\nid: 1\ndata: event 1 of v1\n\n";
+      const events = eventsIn(body).map(({ id }) => id);
+      const doubled = stream({ events, isWhole: false });
+      expect(violatedPromises({ calls: [doubled] })).to.include(
+        "whole answers",
+      );
+    });
+
     it("allow a stream that was cut and that the caller saw as cut", () => {
       const cut = stream({ events: [1, 2], isWhole: false });
       expect(violatedPromises({ calls: [cut] })).to.eql([]);
