--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -9,6 +9,7 @@
   ArrivalRecord,
   CallRecord,
   ChangeRecord,
+  Check,
   SoakRecords,
   Violation,
 } from "./types.js";
@@ -34,8 +35,6 @@
 /** Statuses that state that the request did not run and will not. */
 const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
 
-type Check = (records: SoakRecords) => Violation[];
-
 const isSuccess = ({ status }: CallRecord): boolean =>
   status >= 200 && status < 300;
 
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -91,6 +91,15 @@
     run,
   });
 
+const killForAWhile = async (
+  target: DaemonProcess,
+  { wait }: FaultContext,
+): Promise<void> => {
+  await target.kill();
+  await wait(100, 1500);
+  await target.start();
+};
+
 const PLANNED: readonly AnyFault[] = [
   defineFault({
     name: "process stopped",
@@ -136,11 +145,7 @@
 ];
 
 const UNPLANNED: readonly AnyFault[] = [
-  processFault("process killed", async (target, { wait }) => {
-    await target.kill();
-    await wait(100, 1500);
-    await target.start();
-  }),
+  processFault("process killed", killForAWhile),
   processFault("process paused", async (target, { wait }) => {
     target.signal("SIGSTOP");
     await wait(200, 4000);
@@ -348,11 +353,7 @@
     isPlanned: false,
     target: ({ fleet, draw }) => draw(fleet.entries),
     nameOf: processId,
-    run: async (target, { wait }) => {
-      await target.kill();
-      await wait(100, 1500);
-      await target.start();
-    },
+    run: killForAWhile,
   }),
 ];
 
--- a/soak/signalChecks.ts
+++ b/soak/signalChecks.ts
@@ -7,13 +7,11 @@
 import type { AnnouncedSignals } from "../platform/standins/replica.js";
 import type {
   ArrivalRecord,
+  Check,
   SoakRecords,
   StallRecord,
-  Violation,
 } from "./types.js";
 
-type Check = (records: SoakRecords) => Violation[];
-
 /** Bounds for the check of rate limits, as the users require. */
 const RATE_BOUNDS = { contactMs: 3000, windowMs: 4000 };
 /**
--- a/soak/streamChecks.ts
+++ b/soak/streamChecks.ts
@@ -3,14 +3,7 @@
  * of its caller, and that enough of the streams that are taken up go on. Pure
  * functions from records to violations.
  */
-import type {
-  CallRecord,
-  EngineRecord,
-  SoakRecords,
-  Violation,
-} from "./types.js";
-
-type Check = (records: SoakRecords) => Violation[];
+import type { CallRecord, Check, EngineRecord, SoakRecords } from "./types.js";
 
 /** Time without a fault after which an entry counts as well, ms. */
 const WELL_AFTER_MS = 3000;
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -160,6 +160,9 @@
   stalls: StallRecord[];
 }
 
+/** Finds the violations of one promise. */
+export type Check = (records: SoakRecords) => Violation[];
+
 /** A broken promise. */
 export interface Violation {
   promise: string;
--- a/src/placement/localPlacement.ts
+++ b/src/placement/localPlacement.ts
@@ -128,8 +128,11 @@
   adopt(request: PlacementRequest, grant: Grant, isRead = false): void {
     const scheduler = this.refresh(request.service);
     scheduler.adoptGrant(request, grant, isRead, this.options.now());
-    const { service } = request;
-    const version = this.softwareVersionOf(service, grant.runner);
+    this.recordOrigin(request, grant);
+  }
+
+  private recordOrigin(request: PlacementRequest, { runner }: Grant): void {
+    const version = this.softwareVersionOf(request.service, runner);
     this.options.streams.recordGrant(request, version);
   }
 
@@ -138,9 +141,7 @@
     binding: StreamBinding,
     grant: Grant,
   ): Grant {
-    const { service } = request;
-    const version = this.softwareVersionOf(service, grant.runner);
-    this.options.streams.recordGrant(request, version);
+    this.recordOrigin(request, grant);
     return binding.kind === "bound" ? { ...grant, origin: binding } : grant;
   }
 
--- a/src/placement/placementClient.ts
+++ b/src/placement/placementClient.ts
@@ -174,7 +174,7 @@
   }
 
   /** The entry uses no grant that the holder gives or has given by this id. */
-  private reportUnused(id: string): void {
+  reportUnused(id: string): void {
     this.reportEvent({ kind: "ended", id, ok: true, firstEventMs: 0 });
   }
 
--- a/src/placement/sharedPlacement.ts
+++ b/src/placement/sharedPlacement.ts
@@ -171,8 +171,7 @@
     const { local } = this.options;
     const granted = local.softwareVersionOf(service, answer.runner);
     if (version !== undefined && granted === version) return true;
-    const { client } = this.connections.get(service) ?? {};
-    client?.reportEvent({ kind: "ended", id, ok: true, firstEventMs: 0 });
+    this.connections.get(service)?.client?.reportUnused(id);
     return false;
   }
 
