--- a/src/gateway/streamRelay.ts
+++ b/src/gateway/streamRelay.ts
@@ -7,6 +7,7 @@
 
 import type { CallerRequest } from "./callerRequest.js";
 import type { StreamResult } from "../scheduling/index.js";
+import type { BodyFraming } from "../http/index.js";
 import { EventSplitter } from "./eventSplitter.js";
 import type { WholeEvents } from "./eventSplitter.js";
 import type { UpstreamReply } from "./upstreamClient.js";
@@ -24,6 +25,10 @@
   sinceLastMs: number;
   /** Total time during which the caller's socket was not draining. */
   heldByCallerMs: number;
+  /** How the end of the last run's body was marked. */
+  framing: BodyFraming | undefined;
+  /** Bytes of an unfinished event when the last run ended. */
+  restBytes: number;
 }
 
 export class StreamRelay {
@@ -41,6 +46,8 @@
   /** When reading was paused because the caller's socket is full, ms. */
   private pausedSince: number | undefined;
   private pausedMs = 0;
+  private framing: BodyFraming | undefined;
+  private restBytes = 0;
 
   constructor(
     private readonly caller: CallerRequest,
@@ -58,6 +65,8 @@
       longestPauseMs: Math.round(this.longestPauseMs),
       sinceLastMs: Math.round(now - (this.lastAt ?? now)),
       heldByCallerMs: Math.round(this.pausedMs + currentPauseMs),
+      framing: this.framing,
+      restBytes: this.restBytes,
     };
   }
 
@@ -70,7 +79,8 @@
   }
 
   /** Relays one run; resolves when it has ended, however it ended. */
-  run({ res: reply, isWhole }: UpstreamReply): Promise<RunEnd> {
+  run({ res: reply, framing, isWhole }: UpstreamReply): Promise<RunEnd> {
+    this.framing = framing;
     return new Promise((resolve) => {
       const splitter = new EventSplitter();
       let end: RunEnd = { kind: "cut", why: "the answer was cut" };
@@ -82,6 +92,7 @@
         end = { kind: "cut", why: err.message };
       });
       reply.on("close", () => {
+        this.restBytes = splitter.pendingBytes;
         if (this.caller.isCallerGone) return resolve({ kind: "caller-gone" });
         if (!isWhole()) return resolve(end);
         const rest = splitter.flush();
--- a/src/gateway/upstreamClient.ts
+++ b/src/gateway/upstreamClient.ts
@@ -6,7 +6,8 @@
 import net from "node:net";
 import type { Socket } from "node:net";
 
-import { splitAddress } from "../http/index.js";
+import { bodyFraming, splitAddress } from "../http/index.js";
+import type { BodyFraming } from "../http/index.js";
 import type { Cancellation } from "../shared/cancellation.js";
 import type { Verdict } from "../shared/verdict.js";
 
@@ -45,6 +46,7 @@
 export interface UpstreamReply {
   kind: "reply";
   res: http.IncomingMessage;
+  framing: BodyFraming;
   /**
    * Whether the body is complete. To be used instead of `res.complete`, since
    * Node counts a body without a length as complete even if its connection was
@@ -158,7 +160,8 @@
       req.once("response", (res) => {
         onResetAtEnd(res, () => (hasFailed = true));
         const isWhole = () => res.complete && !hasFailed;
-        resolve({ kind: "reply", res, isWhole });
+        const framing = bodyFraming(res, request.method);
+        resolve({ kind: "reply", res, framing, isWhole });
       });
       req.on("error", (err: NodeJS.ErrnoException) => {
         hasFailed = true;
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -1,3 +1,5 @@
+export { bodyFraming } from "./bodyFraming.js";
+export type { BodyFraming } from "./bodyFraming.js";
 export { forwardedHeaders } from "./headers.js";
 export { exchange, ExchangeError } from "./request.js";
 export type { ExchangeOptions, JsonResponse } from "./request.js";
