Judge the end of a replica's answer by its content, not by its connection

No second attempt was made, no failure logged.

Cause: a body with neither length nor chunks ends with its connection, and Node counts that as complete; the relay then wrote the unfinished event and ended the answer. The detector of replica ends, the engine's health and the retries asked the same flag. Ruled out: a reset that arrives as a regular end (told as cut at each place that was tried).

Change: UpstreamReply decides once, after the end of the body, for all readers: the reader says whether what it has read can be whole (a stream inside an event, half of a JSON body), and where the body ended with its connection the replica's address is asked, since the end of a process closes its connections like the end of an answer. An event of over 1 MiB is cut.

Why it works: the caller's answer is ended only after that decision, and a cut stream takes the way that a reset one took.

--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -1,5 +1,5 @@
 /** Faults that the soak injects: each hits one target and is then reverted. */
-import type { Behaviour } from "../platform/standins/replica.js";
+import type { NamedBehaviour } from "../platform/standins/replica.js";
 import type { StoreMode } from "../platform/standins/store.js";
 import type { Rng } from "../src/shared/rng.js";
 import { LINK_MODES } from "../standins/faultLink.js";
@@ -56,7 +56,7 @@
 
 const FAULT_MODES = LINK_MODES.filter((mode) => mode !== "pass");
 const STORE_MODES: readonly StoreMode[] = ["busy", "silent", "lost"];
-const MISBEHAVIOURS: readonly Behaviour[] = [
+const MISBEHAVIOURS: readonly NamedBehaviour[] = [
   "refuse",
   "fail",
   "fail-503",
--- a/src/gateway/cacheListLoader.ts
+++ b/src/gateway/cacheListLoader.ts
@@ -11,7 +11,7 @@
 import type { ReplicaSet } from "./replicaSet.js";
 import type { RequestCodec } from "./requestCodec.js";
 import type { Replica } from "./types.js";
-import { readWholeBody } from "./upstreamClient.js";
+import { readWholeBody } from "./upstreamReply.js";
 
 /** Timeout after which an engine is left out, ms. */
 const LIST_TIMEOUT_MS = 1000;
--- a/src/gateway/engineCalls.ts
+++ b/src/gateway/engineCalls.ts
@@ -11,16 +11,17 @@
 import type { RequestCodec } from "./requestCodec.js";
 import type { PrefillHandle, UpstreamSend } from "./types.js";
 import type { ReplicaClient } from "./replicaClient.js";
-import type { UpstreamClient, UpstreamReply } from "./upstreamClient.js";
+import type { UpstreamClient } from "./upstreamClient.js";
+import type { UpstreamReply } from "./upstreamReply.js";
 
 /** Limit for handle responses, engine reports and error bodies, bytes. */
 export const MAX_SHORT_RESPONSE_BYTES = 16 * 1024;
 /** Timeout of the call that releases a KV handle, ms. */
 const RELEASE_TIMEOUT_MS = 1000;
 
-/** The response head and the engine's address, or the failure. */
+/** The response head, or the failure. */
 export type EngineReply =
-  | (UpstreamReply & { address: string })
+  | UpstreamReply
   | {
       kind: "failed";
       verdict: Verdict;
@@ -111,7 +112,7 @@
       };
     }
     const { head, body, claim } = caller;
-    const { address, name: replicaName } = replica;
+    const { name: replicaName } = replica;
     const { grantedAt, ...phase } = send;
     const fullSend = { ...phase, claim, replicaName };
     caller.sentTo.push(id);
@@ -133,7 +134,7 @@
       outcome,
       (res) => codec.readReply(res.statusCode ?? 0, res.headers).isNotRun,
     );
-    return outcome.kind === "failed" ? outcome : { ...outcome, address };
+    return outcome;
   }
 
   /** Reports an engine that stopped responding while it has a request. */
--- a/src/gateway/engineRun.ts
+++ b/src/gateway/engineRun.ts
@@ -7,8 +7,8 @@
 import { canRetry, overdueResult } from "./requestProgress.js";
 import type { RequestProgress, RoundResult } from "./requestProgress.js";
 import type { PrefillHandle } from "./types.js";
-import type { UpstreamReply } from "./upstreamClient.js";
-import { readWholeBody } from "./upstreamClient.js";
+import type { UpstreamReply } from "./upstreamReply.js";
+import { readWholeBody } from "./upstreamReply.js";
 import { replyFault } from "./verdicts.js";
 
 /**
@@ -18,6 +18,9 @@
  */
 const RUN_SLACK_MS = 200;
 
+/** Largest successful response that is no event stream, bytes. */
+const MAX_WHOLE_RESPONSE_BYTES = 8 * 1024 * 1024;
+
 export class EngineRun {
   constructor(
     private readonly calls: EngineCalls,
@@ -105,6 +108,7 @@
     }
     const isGood = reply.status >= 200 && reply.status < 300;
     if (!isGood) return this.relayErrorResponse(progress, sent, runner);
+    if (!reply.isEventStream) return this.relayWhole(progress, sent, runner);
     const headers = codec.responseHeaders(res.rawHeaders);
     caller.startStream(reply.status, headers);
     const end = await relay.run(sent);
@@ -118,16 +122,38 @@
         caller.endStream("caller_gone", stats);
         return { kind: "done" };
       case "cut":
-        if (caller.cancellation.isCancelled)
-          return overdueResult(progress, "may-have-run");
-        this.failures.logSendFailure(caller, runner, "run", end.why);
-        return {
-          kind: "failed",
-          verdict: "may-have-run",
-          why: end.why,
-          avoid: runner,
-        };
+        return this.runFailed(progress, runner, end.why);
+    }
+  }
+
+  /** Passes on a successful response that is no event stream. */
+  private async relayWhole(
+    progress: RequestProgress,
+    sent: UpstreamReply,
+    runner: string,
+  ): Promise<RoundResult> {
+    const { caller } = progress;
+    const { res } = sent;
+    const whole = await readWholeBody(sent, MAX_WHOLE_RESPONSE_BYTES);
+    if (whole.kind === "whole" && !caller.isResponseStarted) {
+      const headers = this.options.codec.responseHeaders(res.rawHeaders);
+      caller.sendWholeResponse(res.statusCode ?? 0, headers, whole.body);
+      return { kind: "done" };
     }
+    const why = whole.kind === "cut" ? whole.why : "the answer is no stream";
+    return this.runFailed(progress, runner, why);
+  }
+
+  private runFailed(
+    progress: RequestProgress,
+    runner: string,
+    why: string,
+  ): RoundResult {
+    const { caller } = progress;
+    if (caller.cancellation.isCancelled)
+      return overdueResult(progress, "may-have-run");
+    this.failures.logSendFailure(caller, runner, "run", why);
+    return { kind: "failed", verdict: "may-have-run", why, avoid: runner };
   }
 
   /**
--- a/src/gateway/engineWatch.ts
+++ b/src/gateway/engineWatch.ts
@@ -8,7 +8,7 @@
 import { MAX_SHORT_RESPONSE_BYTES } from "./engineCalls.js";
 import { isDifferentIncarnation } from "./replicaSet.js";
 import type { EngineCallsOptions } from "./engineCalls.js";
-import { readWholeBody } from "./upstreamClient.js";
+import { readWholeBody } from "./upstreamReply.js";
 
 /** Timeout of a probe, after which the engine counts as silent, ms. */
 const PROBE_TIMEOUT_MS = 250;
--- a/src/gateway/plainSender.ts
+++ b/src/gateway/plainSender.ts
@@ -18,7 +18,7 @@
 import type { ReplicaSet } from "./replicaSet.js";
 import type { RequestCodec } from "./requestCodec.js";
 import type { Replica, ReplyHead } from "./types.js";
-import { readWholeBody } from "./upstreamClient.js";
+import { readWholeBody } from "./upstreamReply.js";
 import { replyFault } from "./verdicts.js";
 
 /** Maximum size of a buffered response, bytes. */
--- a/src/gateway/promptPrefiller.ts
+++ b/src/gateway/promptPrefiller.ts
@@ -9,7 +9,7 @@
 import { MAX_SHORT_RESPONSE_BYTES } from "./engineCalls.js";
 import type { EngineActivity, EngineWatch } from "./engineWatch.js";
 import type { PrefillHandle } from "./types.js";
-import { readWholeBody } from "./upstreamClient.js";
+import { readWholeBody } from "./upstreamReply.js";
 
 /**
  * An engine is first probed after this many times the expected time plus
--- a/src/gateway/replicaEndDetector.ts
+++ b/src/gateway/replicaEndDetector.ts
@@ -88,9 +88,9 @@
       if (outcome.verdict !== "not-run") onInterrupted();
       return;
     }
-    const { res, isWhole } = outcome;
-    res.once("close", () => {
-      if (!isWhole()) return onInterrupted();
+    const { res } = outcome;
+    void outcome.ended().then(({ kind }) => {
+      if (kind === "cut") return onInterrupted();
       this.onCompleteAnswer(replica);
       if (phase === "run" && !isRefused(res)) this.onSurvived(caller);
     });
--- a/src/gateway/stageController.ts
+++ b/src/gateway/stageController.ts
@@ -17,7 +17,7 @@
 import type { ReplicaSet } from "./replicaSet.js";
 import type { ReplicaCall, RequestCodec } from "./requestCodec.js";
 import type { Replica } from "./types.js";
-import { readWholeBody } from "./upstreamClient.js";
+import { readWholeBody } from "./upstreamReply.js";
 
 /** Order timeout, ms. An order that timed out may still be executed. */
 const ORDER_TIMEOUT_MS = 1500;
--- a/src/gateway/streamRelay.ts
+++ b/src/gateway/streamRelay.ts
@@ -10,7 +10,10 @@
 import type { BodyFraming } from "../http/index.js";
 import { EventSplitter } from "./eventSplitter.js";
 import type { WholeEvents } from "./eventSplitter.js";
-import type { UpstreamReply } from "./upstreamClient.js";
+import type { UpstreamReply } from "./upstreamReply.js";
+
+/** Largest event that is held until it is whole, bytes. */
+const MAX_EVENT_BYTES = 1024 * 1024;
 
 /** How one run of a stream ended. */
 export type RunEnd =
@@ -78,28 +81,36 @@
     return { events, tookMs: lastAt - runFirstAt, isCut };
   }
 
-  /** Relays one run; resolves when it has ended, however it ended. */
-  run({ res: reply, framing, isWhole }: UpstreamReply): Promise<RunEnd> {
+  /** Relays the events of one run; resolves when it has ended, however. */
+  async run(reply: UpstreamReply): Promise<RunEnd> {
+    const { res, framing } = reply;
+    const splitter = new EventSplitter();
     this.framing = framing;
-    return new Promise((resolve) => {
-      const splitter = new EventSplitter();
-      let end: RunEnd = { kind: "cut", why: "the answer was cut" };
-      reply.on("data", (chunk: Buffer) => {
-        const whole = splitter.push(chunk);
-        if (whole.bytes.length > 0) this.forward(reply, whole);
-      });
-      reply.on("error", (err) => {
-        end = { kind: "cut", why: err.message };
-      });
-      reply.on("close", () => {
-        this.restBytes = splitter.pendingBytes;
-        if (this.caller.isCallerGone) return resolve({ kind: "caller-gone" });
-        if (!isWhole()) return resolve(end);
-        const rest = splitter.flush();
-        if (rest.length > 0) this.caller.writePart(rest);
-        resolve({ kind: "complete" });
-      });
+    const canBeEmpty = framing !== "connection" || this.isContinued;
+    reply.contentFault = () => {
+      this.restBytes = splitter.pendingBytes;
+      if (splitter.pendingBytes > MAX_EVENT_BYTES)
+        return "an event is too large";
+      if (splitter.isInsideEvent) return "the stream ended inside an event";
+      const isEmpty = this.events === 0 && !canBeEmpty;
+      return isEmpty ? "the stream ended before its first event" : undefined;
+    };
+    res.on("data", (chunk: Buffer) => {
+      const whole = splitter.push(chunk);
+      if (whole.bytes.length > 0) this.forward(res, whole);
+      if (splitter.pendingBytes > MAX_EVENT_BYTES) res.destroy();
     });
+    const end = await reply.ended();
+    if (this.caller.isCallerGone) return { kind: "caller-gone" };
+    if (end.kind === "cut") return end;
+    const rest = splitter.flush();
+    if (rest.length > 0) this.caller.writePart(rest);
+    return { kind: "complete" };
+  }
+
+  /** Whether the caller has events already, from an earlier run or request. */
+  private get isContinued(): boolean {
+    return this.events > 0 || this.caller.head.resumption !== undefined;
   }
 
   private forward(
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -220,6 +220,7 @@
   /** Id of the request that this is the response to. */
   requestId: string | undefined;
   isSigned: boolean;
+  /** Also true if no type is given. */
   isEventStream: boolean;
   isEncoded: boolean;
   /** Whether the status tells a caller that the request did not run. */
--- a/src/gateway/upstreamClient.ts
+++ b/src/gateway/upstreamClient.ts
@@ -6,10 +6,10 @@
 import net from "node:net";
 import type { Socket } from "node:net";
 
-import { bodyFraming, splitAddress } from "../http/index.js";
-import type { BodyFraming } from "../http/index.js";
+import { splitAddress } from "../http/index.js";
 import type { Cancellation } from "../shared/cancellation.js";
 import type { Verdict } from "../shared/verdict.js";
+import { UpstreamReply } from "./upstreamReply.js";
 
 /** Timeout for establishing a connection, ms. */
 const CONNECT_TIMEOUT_MS = 400;
@@ -42,19 +42,6 @@
   onWritten?: () => void;
 }
 
-/** The head of a response, and its body as a stream. */
-export interface UpstreamReply {
-  kind: "reply";
-  res: http.IncomingMessage;
-  framing: BodyFraming;
-  /**
-   * Whether the body is complete. To be used instead of `res.complete`, since
-   * Node counts a body without a length as complete even if its connection was
-   * reset.
-   */
-  isWhole(): boolean;
-}
-
 export type SendOutcome =
   | UpstreamReply
   | {
@@ -156,15 +143,15 @@
         };
         timer = setTimeout(giveUp, CONNECT_TIMEOUT_MS);
       });
-      let hasFailed = false;
+      let reply: UpstreamReply | undefined;
       req.once("response", (res) => {
-        onResetAtEnd(res, () => (hasFailed = true));
-        const isWhole = () => res.complete && !hasFailed;
-        const framing = bodyFraming(res, request.method);
-        resolve({ kind: "reply", res, framing, isWhole });
+        const { address, method } = request;
+        const isRefused = async () => (await this.probe(address)) === "refused";
+        reply = new UpstreamReply(res, { address, method, isRefused });
+        resolve(reply);
       });
       req.on("error", (err: NodeJS.ErrnoException) => {
-        hasFailed = true;
+        reply?.onError(err.message);
         fail(err.message, err.code === REFUSED_CODE);
       });
       req.end(request.body);
@@ -209,42 +196,3 @@
     return fresh;
   }
 }
-
-/**
- * Detects a reset at the end of a body that is delimited by the end of its
- * connection. Libuv reports a reset that closely follows data as a regular end,
- * but after a reset the socket has no peer address any more.
- */
-const onResetAtEnd = (res: http.IncomingMessage, onReset: () => void): void => {
-  const { headers, socket } = res;
-  const hasLength = headers["content-length"] !== undefined;
-  if (hasLength || headers["transfer-encoding"] !== undefined) return;
-  socket.prependOnceListener("end", () => {
-    if (socket.remoteAddress === undefined) onReset();
-  });
-};
-
-export type WholeBody =
-  { kind: "whole"; body: Buffer } | { kind: "cut"; why: string };
-
-/** Reads a whole response body; `cut` if it was truncated or is too large. */
-export const readWholeBody = (
-  { res, isWhole }: UpstreamReply,
-  maxBytes: number,
-): Promise<WholeBody> =>
-  new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    res.on("data", (chunk: Buffer) => {
-      size += chunk.length;
-      chunks.push(chunk);
-      if (size <= maxBytes) return;
-      resolve({ kind: "cut", why: `answer is over ${maxBytes} bytes` });
-      res.destroy();
-    });
-    res.on("error", (err) => resolve({ kind: "cut", why: err.message }));
-    res.on("close", () => {
-      if (!isWhole()) return resolve({ kind: "cut", why: "answer was cut" });
-      resolve({ kind: "whole", body: Buffer.concat(chunks) });
-    });
-  });
--- /dev/null
+++ b/src/gateway/upstreamReply.ts
@@ -0,0 +1,101 @@
+/** The response of a replica, and whether its body arrived whole. */
+import type { IncomingMessage } from "node:http";
+
+import { bodyFraming, isHalfJson, onResetAtEnd } from "../http/index.js";
+import type { BodyFraming } from "../http/index.js";
+
+export type BodyEnd = { kind: "whole" } | { kind: "cut"; why: string };
+
+const WHOLE: BodyEnd = { kind: "whole" };
+const cut = (why: string) => ({ kind: "cut", why }) as const;
+
+export interface UpstreamReplyOptions {
+  /** Address of the replica. */
+  address: string;
+  /** Method of the request. */
+  method: string;
+  /** Whether the replica's address refuses connections now. */
+  isRefused(): Promise<boolean>;
+}
+
+/** The head of a response, and its body as a stream. */
+export class UpstreamReply {
+  readonly kind = "reply";
+  readonly framing: BodyFraming;
+  /**
+   * Set by the reader of the body: why what it has read can't be a whole body;
+   * undefined if it may be one.
+   */
+  contentFault: () => string | undefined = () => undefined;
+  private error: string | undefined;
+  private readonly closed: Promise<unknown>;
+  private judged: Promise<BodyEnd> | undefined;
+
+  constructor(
+    readonly res: IncomingMessage,
+    private readonly options: UpstreamReplyOptions,
+  ) {
+    this.framing = bodyFraming(res, options.method);
+    this.closed = new Promise((resolve) => res.once("close", resolve));
+    res.on("error", ({ message }) => this.onError(message));
+    if (this.framing === "connection")
+      onResetAtEnd(res, () => this.onError("the connection was reset"));
+  }
+
+  get address(): string {
+    return this.options.address;
+  }
+
+  /** Records that the connection failed. */
+  onError(why: string): void {
+    this.error ??= why;
+  }
+
+  /**
+   * Resolves once the body has ended and it is known whether it is whole. To be
+   * used instead of `res.complete`: Node counts a body that ends with its
+   * connection as complete, however that ended.
+   */
+  ended(): Promise<BodyEnd> {
+    this.judged ??= this.closed.then(() => this.judge());
+    return this.judged;
+  }
+
+  private async judge(): Promise<BodyEnd> {
+    const fault = this.contentFault() ?? this.error;
+    if (fault !== undefined) return cut(fault);
+    if (!this.res.complete) return cut("the answer was cut");
+    if (this.framing !== "connection") return WHOLE;
+    // A process that ends closes its connections like one that has answered.
+    const hasEnded = await this.options.isRefused();
+    return hasEnded ? cut("the replica ended with its answer") : WHOLE;
+  }
+}
+
+export type WholeBody = { kind: "whole"; body: Buffer } | BodyCut;
+type BodyCut = Extract<BodyEnd, { kind: "cut" }>;
+
+/** Reads a whole response body; `cut` if it was truncated or is too large. */
+export const readWholeBody = async (
+  reply: UpstreamReply,
+  maxBytes: number,
+): Promise<WholeBody> => {
+  const { res, framing } = reply;
+  const chunks: Buffer[] = [];
+  let size = 0;
+  reply.contentFault = () => {
+    if (size > maxBytes) return `answer is over ${maxBytes} bytes`;
+    const mayBeHalf = framing === "connection";
+    const isHalf = mayBeHalf && isHalfJson(res, Buffer.concat(chunks));
+    return isHalf ? "the answer ends inside its JSON" : undefined;
+  };
+  res.on("data", (chunk: Buffer) => {
+    size += chunk.length;
+    chunks.push(chunk);
+    if (size > maxBytes) res.destroy();
+  });
+  const end = await reply.ended();
+  return end.kind === "cut"
+    ? end
+    : { kind: "whole", body: Buffer.concat(chunks) };
+};
--- a/src/http/bodyFraming.ts
+++ b/src/http/bodyFraming.ts
@@ -20,3 +20,33 @@
     return CHUNKED.test(coding) ? "chunks" : "connection";
   return headers["content-length"] === undefined ? "connection" : "length";
 };
+
+/**
+ * Reports a reset at the end of a body that ends with its connection. Libuv
+ * takes a reset that closely follows data for a regular end, but after a reset
+ * the socket has no peer address any more.
+ */
+export const onResetAtEnd = (
+  { socket }: IncomingMessage,
+  onReset: () => void,
+): void => {
+  socket.prependOnceListener("end", () => {
+    if (socket.remoteAddress === undefined) onReset();
+  });
+};
+
+const JSON_TYPE = /^application\/json\b/i;
+
+/** Whether a body of this type is visibly incomplete. */
+export const isHalfJson = (
+  { headers }: IncomingMessage,
+  body: Buffer,
+): boolean => {
+  if (!JSON_TYPE.test(headers["content-type"] ?? "")) return false;
+  try {
+    JSON.parse(body.toString("utf8"));
+    return false;
+  } catch {
+    return true;
+  }
+};
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -1,4 +1,4 @@
-export { bodyFraming } from "./bodyFraming.js";
+export { bodyFraming, isHalfJson, onResetAtEnd } from "./bodyFraming.js";
 export type { BodyFraming } from "./bodyFraming.js";
 export { forwardedHeaders } from "./headers.js";
 export { exchange, ExchangeError } from "./request.js";
