Reset a cut response that is sent without chunks

A caller of HTTP/1.0 gets no chunks: its response ends with its connection, and a cut one was closed like a complete one. It is reset now, so that it can't be taken as complete. The test ("ends the connection of a caller without chunks by a reset") got a regular end before. Left: a process that is killed, or closes its connections at the end of its grace, still closes regularly.

--- a/src/gateway/callerRequest.ts
+++ b/src/gateway/callerRequest.ts
@@ -178,6 +178,8 @@
   /** Closes the connection, so that the response can't be taken as complete. */
   abort(why: string): void {
     this.recordOutcome("cut", { why });
+    // A response without chunks is complete if its connection ends regularly.
+    if (!this.res.chunkedEncoding) this.res.socket?.resetAndDestroy();
     this.res.destroy();
   }
 
