--- a/src/gateway/streamRelay.ts
+++ b/src/gateway/streamRelay.ts
@@ -7,9 +7,13 @@
 
 import type { CallerRequest } from "./callerRequest.js";
 import type { StreamResult } from "../scheduling/index.js";
+import type { BodyFraming } from "../http/index.js";
 import { EventSplitter } from "./eventSplitter.js";
 import type { WholeEvents } from "./eventSplitter.js";
-import type { UpstreamReply } from "./upstreamClient.js";
+import type { UpstreamReply } from "./upstreamReply.js";
+
+/** Largest event that is held until it is whole, bytes. */
+const MAX_EVENT_BYTES = 1024 * 1024;
 
 /** How one run of a stream ended. */
 export type RunEnd =
@@ -24,6 +28,10 @@
   sinceLastMs: number;
   /** Total time during which the caller's socket was not draining. */
   heldByCallerMs: number;
+  /** How the end of the last run's body was marked. */
+  framing: BodyFraming | undefined;
+  /** Bytes of an unfinished event when the last run ended. */
+  restBytes: number;
 }
 
 export class StreamRelay {
@@ -41,6 +49,8 @@
   /** When reading was paused because the caller's socket is full, ms. */
   private pausedSince: number | undefined;
   private pausedMs = 0;
+  private framing: BodyFraming | undefined;
+  private restBytes = 0;
 
   constructor(
     private readonly caller: CallerRequest,
@@ -58,6 +68,8 @@
       longestPauseMs: Math.round(this.longestPauseMs),
       sinceLastMs: Math.round(now - (this.lastAt ?? now)),
       heldByCallerMs: Math.round(this.pausedMs + currentPauseMs),
+      framing: this.framing,
+      restBytes: this.restBytes,
     };
   }
 
@@ -69,26 +81,36 @@
     return { events, tookMs: lastAt - runFirstAt, isCut };
   }
 
-  /** Relays one run; resolves when it has ended, however it ended. */
-  run({ res: reply, isWhole }: UpstreamReply): Promise<RunEnd> {
-    return new Promise((resolve) => {
-      const splitter = new EventSplitter();
-      let end: RunEnd = { kind: "cut", why: "the answer was cut" };
-      reply.on("data", (chunk: Buffer) => {
-        const whole = splitter.push(chunk);
-        if (whole.bytes.length > 0) this.forward(reply, whole);
-      });
-      reply.on("error", (err) => {
-        end = { kind: "cut", why: err.message };
-      });
-      reply.on("close", () => {
-        if (this.caller.isCallerGone) return resolve({ kind: "caller-gone" });
-        if (!isWhole()) return resolve(end);
-        const rest = splitter.flush();
-        if (rest.length > 0) this.caller.writePart(rest);
-        resolve({ kind: "complete" });
-      });
+  /** Relays the events of one run; resolves when it has ended, however. */
+  async run(reply: UpstreamReply): Promise<RunEnd> {
+    const { res, framing } = reply;
+    const splitter = new EventSplitter();
+    this.framing = framing;
+    const canBeEmpty = framing !== "connection" || this.isContinued;
+    reply.contentFault = () => {
+      this.restBytes = splitter.pendingBytes;
+      if (splitter.pendingBytes > MAX_EVENT_BYTES)
+        return "an event is too large";
+      if (splitter.isInsideEvent) return "the stream ended inside an event";
+      const isEmpty = this.events === 0 && !canBeEmpty;
+      return isEmpty ? "the stream ended before its first event" : undefined;
+    };
+    res.on("data", (chunk: Buffer) => {
+      const whole = splitter.push(chunk);
+      if (whole.bytes.length > 0) this.forward(res, whole);
+      if (splitter.pendingBytes > MAX_EVENT_BYTES) res.destroy();
     });
+    const end = await reply.ended();
+    if (this.caller.isCallerGone) return { kind: "caller-gone" };
+    if (end.kind === "cut") return end;
+    const rest = splitter.flush();
+    if (rest.length > 0) this.caller.writePart(rest);
+    return { kind: "complete" };
+  }
+
+  /** Whether the caller has events already, from an earlier run or request. */
+  private get isContinued(): boolean {
+    return this.events > 0 || this.caller.head.resumption !== undefined;
   }
 
   private forward(
