Name the prompt parts of the requests at a replica's end

"replica ended" named the digests of the requests that were there, which say nothing of what unlike requests share. No decision changes.

--- a/src/gateway/callerRequest.ts
+++ b/src/gateway/callerRequest.ts
@@ -4,7 +4,7 @@
 import { Cancellation } from "../shared/cancellation.js";
 import type { RequestFailure } from "../shared/errors.js";
 import type { Log, LogFields, Metrics } from "../telemetry/index.js";
-import { requestDigest } from "../quarantine/index.js";
+import { requestDigest, sharedPartKeys } from "../quarantine/index.js";
 import { ANSWER_HEAD_BYTES } from "./linkBudget.js";
 import type { RequestCodec } from "./requestCodec.js";
 import type { InboundHead, Route } from "./types.js";
@@ -53,6 +53,7 @@
   private readonly timer: NodeJS.Timeout;
   private readonly maxDeadlineMs: number;
   private knownDigest: string | undefined;
+  private knownPartKeys: readonly string[] | undefined;
   private hasStartedResponse = false;
   private hasBegun = false;
   /** Time from arrival to the start of the stream, ms. */
@@ -103,6 +104,12 @@
     return this.knownDigest;
   }
 
+  /** Keys of the prompt parts that it shares with other requests. */
+  get partKeys(): readonly string[] {
+    this.knownPartKeys ??= sharedPartKeys(this.head.prompt?.parts ?? []);
+    return this.knownPartKeys;
+  }
+
   /** Whether it looks like a retry after a refusal: its deadline is shorter. */
   get isReturn(): boolean {
     const { deadlineMs } = this.head;
--- a/src/gateway/quarantineManager.ts
+++ b/src/gateway/quarantineManager.ts
@@ -61,7 +61,8 @@
   }
 
   onEnd({ replica, requests }: ReplicaEnd): void {
-    this.quarantine.recordReplicaEnd(requests, replica.id);
+    const digests = requests.map(({ digest }) => digest);
+    this.quarantine.recordReplicaEnd(digests, replica.id);
     this.unsharedSince ??= this.options.now();
     this.hasNewEnds = true;
     this.logRecordChanges();
--- a/src/gateway/replicaEndDetector.ts
+++ b/src/gateway/replicaEndDetector.ts
@@ -6,6 +6,7 @@
  */
 import type { IncomingMessage } from "node:http";
 
+import type { SuspectRequest } from "../quarantine/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
 import type { CallerRequest } from "./callerRequest.js";
 import type { ReplicaSet } from "./replicaSet.js";
@@ -28,17 +29,20 @@
 const MAX_REPLICAS = 256;
 /** Maximum number of requests kept per replica, which has no more slots. */
 const MAX_REQUESTS = 256;
-/** Maximum number of digests in one log line. */
+/** Maximum number of digests, and of parts, in one log line. */
 const MAX_LOGGED = 8;
 
+const logged = (names: readonly string[]): string =>
+  [...new Set(names)].slice(0, MAX_LOGGED).join(",");
+
 /** What confirmed the end of a replica. */
 export type EndEvidence = "nobody listens" | "left the list";
 
 export interface ReplicaEnd {
   replica: Replica;
   evidence: EndEvidence;
-  /** Digests of the requests whose responses were interrupted. */
-  requests: string[];
+  /** The requests whose responses were interrupted. */
+  requests: SuspectRequest[];
 }
 
 export interface ReplicaEndDetectorOptions {
@@ -49,11 +53,16 @@
   now: () => number;
 }
 
+interface InterruptedRequest extends SuspectRequest {
+  /** Instant until which an end is attributed to the request, ms. */
+  until: number;
+}
+
 /** Interrupted responses of one replica, and whether its end is confirmed. */
 interface InterruptedResponses {
   replica: Replica;
-  /** Instant until which an end is attributed to the request, ms, by digest. */
-  requests: Map<string, number>;
+  /** By digest. */
+  requests: Map<string, InterruptedRequest>;
   evidence: EndEvidence | undefined;
   /** A probe is running, or finished less than an interval ago. */
   isProbing: boolean;
@@ -66,7 +75,8 @@
   /** Called for each end, and for requests attributed to it later. */
   onEnd: (end: ReplicaEnd) => void = () => undefined;
   /** Called when a run completed and its replica survived. */
-  onSurvived: (caller: CallerRequest) => void = () => undefined;
+  onSurvived: (caller: CallerRequest, isGood: boolean) => void = () =>
+    undefined;
 
   constructor(private readonly options: ReplicaEndDetectorOptions) {}
 
@@ -92,7 +102,9 @@
     void outcome.ended().then(({ kind }) => {
       if (kind === "cut") return onInterrupted();
       this.onCompleteAnswer(replica);
-      if (phase === "run" && !isRefused(res)) this.onSurvived(caller);
+      if (phase !== "run" || isRefused(res)) return;
+      const { statusCode = 0 } = res;
+      this.onSurvived(caller, statusCode >= 200 && statusCode < 300);
     });
   }
 
@@ -128,9 +140,11 @@
     // If the send was cancelled, this process closed the connection.
     const hasLeft = cancellation.isCancelled;
     const until = now + (hasLeft ? CALLER_LEFT_MS : CONFIRM_MS);
-    this.remember(record, caller.digest, until);
+    const { digest, partKeys: parts } = caller;
+    const request = { digest, parts, until };
+    this.remember(record, request);
     if (record.evidence !== undefined) {
-      if (!hasLeft) this.report(record, [caller.digest]);
+      if (!hasLeft) this.report(record, [request]);
       return;
     }
     if (!hasLeft) this.probe(record);
@@ -138,18 +152,19 @@
 
   private remember(
     { requests }: InterruptedResponses,
-    digest: string,
-    until: number,
+    request: InterruptedRequest,
   ): void {
     const now = this.options.now();
     if (requests.size >= MAX_REQUESTS) {
-      for (const [known, limit] of requests) {
-        if (limit < now) requests.delete(known);
+      for (const [known, { until }] of requests) {
+        if (until < now) requests.delete(known);
       }
     }
-    const isFull = requests.size >= MAX_REQUESTS;
-    if (isFull && !requests.has(digest)) return;
-    requests.set(digest, Math.max(until, requests.get(digest) ?? 0));
+    const { digest } = request;
+    const known = requests.get(digest);
+    if (requests.size >= MAX_REQUESTS && known === undefined) return;
+    const until = Math.max(request.until, known?.until ?? 0);
+    requests.set(digest, { ...request, until });
   }
 
   private recordFor(replica: Replica): InterruptedResponses {
@@ -190,16 +205,16 @@
     record.evidence = evidence;
     this.options.metrics.count("replica_ended", { how: evidence });
     const now = this.options.now();
-    const there = [...record.requests].filter(([, until]) => until >= now);
+    const there = [...record.requests.values()];
     this.report(
       record,
-      there.map(([digest]) => digest),
+      there.filter(({ until }) => until >= now),
     );
   }
 
   private report(
     { replica, evidence }: InterruptedResponses,
-    requests: string[],
+    requests: readonly SuspectRequest[],
   ): void {
     if (evidence === undefined || requests.length === 0) return;
     this.options.log.info("replica ended", {
@@ -207,8 +222,9 @@
       address: replica.address,
       evidence,
       requests: requests.length,
-      digests: requests.slice(0, MAX_LOGGED).join(","),
+      digests: logged(requests.map(({ digest }) => digest)),
+      parts: logged(requests.flatMap(({ parts }) => parts)),
     });
-    this.onEnd({ replica, evidence, requests });
+    this.onEnd({ replica, evidence, requests: [...requests] });
   }
 }
--- a/src/quarantine/types.ts
+++ b/src/quarantine/types.ts
@@ -2,6 +2,13 @@
  * Types for the quarantine of requests that crash the replicas running them.
  */
 
+/** What may be the cause when a replica ends under a request. */
+export interface SuspectRequest {
+  digest: string;
+  /** Keys of the prompt parts that it shares with other requests. */
+  parts: readonly string[];
+}
+
 /** Replica incarnations seen to end by one process, by request digest. */
 export type EndRecord = Record<string, string[]>;
 
