Quarantine parts of prompts that end each replica that writes on them

Cause: the quarantine knew a request by its digest. Requests that share one part and are unlike otherwise had a count each, and each ended up to three engines. Ruled out as sufficient: late evidence, missed ends.

Change: a run has itself and each shared part of its prompt as suspects, over the same records. A part is barred after four incarnations under two requests or more, not if a run with it survived within 2 s; whole good answers acquit it; it is tried one request at a time after 1.5 s, 10 s and 10 minutes.

Why it works: sound parts keep being acquitted by runs that end well, a part that ends each run never is; bars are in force at all entries with the configuration, and every send looks them up.

--- a/src/gateway/quarantineManager.ts
+++ b/src/gateway/quarantineManager.ts
@@ -1,8 +1,9 @@
 /**
- * Quarantines requests that crash the replicas that run them: refuses barred
- * requests at this entry and shares its observations with the fleet.
+ * Quarantines what crashes the replicas that run it: refuses barred requests,
+ * and those with a barred part, at this entry and shares its observations with
+ * the fleet.
  */
-import { Quarantine } from "../quarantine/index.js";
+import { isPartKey, Quarantine } from "../quarantine/index.js";
 import type { QuarantineRecord } from "../quarantine/index.js";
 import type { RequestFailure } from "../shared/errors.js";
 import { errText } from "../shared/utils.js";
@@ -61,17 +62,22 @@
   }
 
   onEnd({ replica, requests }: ReplicaEnd): void {
-    const digests = requests.map(({ digest }) => digest);
-    this.quarantine.recordReplicaEnd(digests, replica.id);
+    this.quarantine.recordReplicaEnd(requests, replica.id);
     this.unsharedSince ??= this.options.now();
     this.hasNewEnds = true;
     this.logRecordChanges();
   }
 
-  onSurvived(caller: CallerRequest): void {
-    if (!this.quarantine.mayBeTracked(caller.body.length)) return;
-    this.trials.recordSurvival(caller);
-    const isNews = this.quarantine.recordSurvival(caller.digest);
+  /** A run ended and left its replica alive; `isGood`: it was whole and a 2xx. */
+  onSurvived(caller: CallerRequest, isGood: boolean): void {
+    // An error may come before anything was written, and clears no part.
+    const survived = isGood ? [...caller.partKeys] : [];
+    if (this.quarantine.mayBeTracked(caller.body.length))
+      survived.push(caller.digest);
+    this.trials.recordSurvival(caller, isGood);
+    let isNews = false;
+    for (const key of survived)
+      isNews = this.quarantine.recordSurvival(key) || isNews;
     if (isNews) this.unsharedSince ??= this.options.now();
   }
 
@@ -90,24 +96,33 @@
    * if it may.
    */
   async admit(caller: CallerRequest): Promise<RequestFailure | undefined> {
-    if (!this.quarantine.mayBeTracked(caller.body.length)) return undefined;
-    const verdict = this.quarantine.verdict(
-      caller.digest,
-      maxTrialSends(caller),
-    );
+    const keys = this.trackedKeys(caller);
+    if (keys.length === 0) return undefined;
+    const verdict = this.quarantine.requestVerdict(keys, maxTrialSends(caller));
     if (verdict.kind === "free") return undefined;
     const mayTry = verdict.kind === "may-try";
-    if (mayTry && (await this.trials.claim(caller))) return undefined;
+    if (mayTry && (await this.trials.claim(caller, keys))) return undefined;
     this.options.metrics.count("quarantine", { what: "refused" });
-    return this.failure(verdict.record);
+    const record = mayTry ? verdict.records[0] : verdict.record;
+    return record && this.failure(caller, record);
   }
 
   /** Called before each send: a record may be newer than the request. */
   refusal(caller: CallerRequest): RequestFailure | undefined {
     if (caller.isTrial) return undefined;
-    if (!this.quarantine.mayBeTracked(caller.body.length)) return undefined;
-    const record = this.quarantine.activeRecord(caller.digest);
-    return record && this.failure(record);
+    for (const key of this.trackedKeys(caller)) {
+      const record = this.quarantine.activeRecord(key);
+      if (record !== undefined) return this.failure(caller, record);
+    }
+    return undefined;
+  }
+
+  /** Digest and part keys that have to be looked up; mostly none. */
+  private trackedKeys(caller: CallerRequest): string[] {
+    const { quarantine } = this;
+    const parts = quarantine.tracksParts ? caller.partKeys : [];
+    const mayBeTracked = quarantine.mayBeTracked(caller.body.length);
+    return mayBeTracked ? [caller.digest, ...parts] : [...parts];
   }
 
   /** Called when a request has ended. */
@@ -185,14 +200,21 @@
     return false;
   }
 
-  private failure({ lives, by, at }: QuarantineRecord): RequestFailure {
+  private failure(
+    caller: CallerRequest,
+    { digest, lives, by, at }: QuarantineRecord,
+  ): RequestFailure {
     const ageMs = Math.max(0, this.options.wallNow() - at);
     const age = `${Math.round(ageMs / MS_PER_SECOND)} s`;
+    const isPart = isPartKey(digest);
+    const what = isPart ? `requests with its ${digest}` : "it";
+    // The request may have run before, in an earlier try of its caller.
+    const isNew = isPart && caller.sentTo.length === 0;
     return {
       status: 502,
       code: "quarantined",
-      message: `replicas that ran it ended: ${lives.join(", ")}; barred by ${by} ${age} ago`,
-      verdict: "may-have-run",
+      message: `replicas that ran ${what} ended: ${lives.join(", ")}; barred by ${by} ${age} ago`,
+      verdict: isNew ? "not-run" : "may-have-run",
     };
   }
 
@@ -208,7 +230,8 @@
       if (step <= (before.get(digest) ?? 0)) continue;
       const isFirst = !before.has(digest);
       const fields = { digest, step, sends, by, lives: lives.join(",") };
-      const message = isFirst ? "request quarantined" : "quarantine changed";
+      const what = isPartKey(digest) ? "part" : "request";
+      const message = isFirst ? `${what} quarantined` : "quarantine changed";
       this.options.log.info(message, { ...fields, state });
       this.options.metrics.count("quarantine", { what: state });
     }
--- a/src/gateway/quarantineRole.ts
+++ b/src/gateway/quarantineRole.ts
@@ -31,6 +31,6 @@
   state.onGone = (replica) => ends.onReplicaRemoved(replica);
   state.onStatus = (status) => quarantine.onStatus(status);
   ends.onEnd = (end) => quarantine.onEnd(end);
-  ends.onSurvived = (caller) => quarantine.onSurvived(caller);
+  ends.onSurvived = (caller, isGood) => quarantine.onSurvived(caller, isGood);
   return { ends, quarantine };
 };
--- a/src/gateway/quarantineTrials.ts
+++ b/src/gateway/quarantineTrials.ts
@@ -1,7 +1,9 @@
 /**
- * Runs trials of barred requests. Only one trial of a request runs at a time in
- * the fleet; it is claimed in the store before anything is sent.
+ * Runs trials of what is barred: a request, or parts of its prompt. Only one
+ * trial of each runs at a time in the fleet; it is claimed in the store before
+ * anything is sent.
  */
+import { isPartKey } from "../quarantine/index.js";
 import type { QuarantineRecord, Quarantine } from "../quarantine/index.js";
 import type { Log } from "../telemetry/index.js";
 import type { CallerRequest } from "./callerRequest.js";
@@ -16,16 +18,19 @@
 export const maxTrialSends = (caller: CallerRequest): number =>
   caller.head.prompt === undefined ? 1 : ENGINE_TRIAL_SENDS;
 
+/** Sends that a trial reserves; trials of a part are counted themselves. */
+const reservedSends = (caller: CallerRequest, key: string): number =>
+  isPartKey(key) ? 1 : maxTrialSends(caller);
+
 interface TrialRun {
-  trial: QuarantineRecord;
-  /** Sends reserved for it in the store. */
-  reserved: number;
+  /** Records of what is tried. */
+  trials: readonly QuarantineRecord[];
   hasSurvived: boolean;
 }
 
 export class QuarantineTrials {
   private readonly runs = new Map<CallerRequest, TrialRun>();
-  /** Digests with a claim in progress. */
+  /** Digests and part keys with a claim in progress. */
   private readonly claiming = new Set<string>();
 
   constructor(
@@ -35,24 +40,29 @@
   ) {}
 
   /**
-   * Claims the trial of the request; whether it may run. A lost response of the
-   * store counts as no: the trial may then be claimed although nobody runs it.
+   * Claims the trial of a request that is, or has, these suspects; whether it
+   * may run. A lost response of the store counts as no: the trial may then be
+   * claimed although nobody runs it.
    */
-  async claim(caller: CallerRequest): Promise<boolean> {
-    const { digest } = caller;
-    if (this.claiming.has(digest)) return false;
-    this.claiming.add(digest);
+  async claim(
+    caller: CallerRequest,
+    keys: readonly string[],
+  ): Promise<boolean> {
+    if (keys.some((key) => this.claiming.has(key))) return false;
+    for (const key of keys) this.claiming.add(key);
     try {
-      return await this.claimInStore(caller);
+      return await this.claimInStore(caller, keys);
     } finally {
-      this.claiming.delete(digest);
+      for (const key of keys) this.claiming.delete(key);
     }
   }
 
   /** Records that a run of the request completed and its replica survived. */
-  recordSurvival(caller: CallerRequest): void {
+  recordSurvival(caller: CallerRequest, isGood: boolean): void {
     const run = this.runs.get(caller);
-    if (run !== undefined) run.hasSurvived = true;
+    if (run === undefined) return;
+    const hasPart = run.trials.some(({ digest }) => isPartKey(digest));
+    if (isGood || !hasPart) run.hasSurvived = true;
   }
 
   /** Called when a request has ended; whether it was a trial. */
@@ -60,40 +70,49 @@
     const run = this.runs.get(caller);
     if (run === undefined) return false;
     this.runs.delete(caller);
-    const { trial, reserved, hasSurvived } = run;
-    const outcome = { sends: caller.sentTo.length, hasSurvived };
-    const next = this.quarantine.finishTrial(trial, reserved, outcome);
-    this.quarantine.applyRecords([next]);
+    const { trials, hasSurvived } = run;
+    for (const trial of trials) {
+      const reserved = reservedSends(caller, trial.digest);
+      const sends = Math.min(caller.sentTo.length, reserved);
+      const outcome = { sends, hasSurvived };
+      const next = this.quarantine.finishTrial(trial, reserved, outcome);
+      this.quarantine.applyRecords([next]);
+    }
     this.log.info("quarantine trial ended", {
       requestId: caller.head.id,
-      digest: trial.digest,
+      digest: trials.map(({ digest }) => digest).join(","),
       sentTo: caller.sentTo.join(","),
       hasSurvived,
     });
     return true;
   }
 
-  private async claimInStore(caller: CallerRequest): Promise<boolean> {
-    const { digest } = caller;
-    const reserved = maxTrialSends(caller);
+  private async claimInStore(
+    caller: CallerRequest,
+    keys: readonly string[],
+  ): Promise<boolean> {
+    const { quarantine } = this;
     for (let round = 0; round < MAX_CONFLICTS; round += 1) {
-      const verdict = this.quarantine.verdict(digest, reserved);
+      const verdict = quarantine.requestVerdict(keys, maxTrialSends(caller));
       if (verdict.kind !== "may-try") return false;
-      const trial = this.quarantine.startTrial(verdict.record, reserved);
-      const outcome = await this.store.writeRecords(this.recordsWith(trial));
+      const trials = verdict.records.map((record) =>
+        quarantine.startTrial(record, reservedSends(caller, record.digest)),
+      );
+      const outcome = await this.store.writeRecords(this.recordsWith(trials));
       if (outcome === "failed") return false;
       if (outcome === "conflict") continue;
-      this.runs.set(caller, { trial, reserved, hasSurvived: false });
+      this.runs.set(caller, { trials, hasSurvived: false });
       caller.isTrial = true;
       return true;
     }
     return false;
   }
 
-  private recordsWith(trial: QuarantineRecord): QuarantineRecord[] {
+  private recordsWith(trials: readonly QuarantineRecord[]): QuarantineRecord[] {
+    const tried = new Set(trials.map(({ digest }) => digest));
     const others = this.quarantine
       .allRecords()
-      .filter(({ digest }) => digest !== trial.digest);
-    return [...others, trial];
+      .filter(({ digest }) => !tried.has(digest));
+    return [...others, ...trials];
   }
 }
--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -2,7 +2,7 @@
 export { requestDigest } from "./requestDigest.js";
 export type { RequestIdentity } from "./requestDigest.js";
 export { QUARANTINE_STATES } from "./types.js";
-export { sharedPartKeys } from "./promptParts.js";
+export { isPartKey, sharedPartKeys } from "./promptParts.js";
 export type {
   QuarantineRecord,
   QuarantineState,
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -1,15 +1,22 @@
 /**
- * Quarantines requests that crash each replica that runs them. Pure. Retry
- * budgets limit the sum over all requests, and the attempt limit one call:
- * neither stops a single request that is sent again and again, at any entry.
- * Here replica ends are counted per request over the whole fleet.
+ * Quarantines requests, and parts of prompts, that crash each replica that runs
+ * them. Pure. Retry budgets limit the sum over all requests, and the attempt
+ * limit one call: neither stops a single request that is sent again and again,
+ * or unlike requests that share a part, at any entry. Here replica ends are
+ * counted per suspect over the whole fleet: a request by its digest, a part by
+ * its key.
  */
-import { SuspectTable } from "./suspectTable.js";
+import { LRUCache } from "lru-cache";
+
+import { isPartKey } from "./promptParts.js";
+import { decodeEvidence, SuspectTable } from "./suspectTable.js";
+import type { Evidence } from "./suspectTable.js";
 import { sizePrefix, sizePrefixOf } from "./requestDigest.js";
 import type {
   QuarantineRecord,
   QuarantineVerdict,
   EndRecord,
+  SuspectRequest,
 } from "./types.js";
 
 /**
@@ -18,6 +25,32 @@
  * each additional one costs a replica.
  */
 export const REPLICA_ENDS_TO_BAR = 3;
+/**
+ * Replica incarnations that end under a part before it is barred. More than for
+ * a request, since a part is in many requests that run beside the cause.
+ */
+export const PART_ENDS_TO_BAR = 4;
+/** Different requests with a part under which they ended. */
+export const PART_REQUESTS_TO_BAR = 2;
+/**
+ * A part of which a run survived this recently is not barred, ms: when many
+ * replicas end at once, popular parts were on each of them.
+ */
+export const RECENT_SURVIVAL_MS = 2000;
+/** Parts whose last survival is remembered. */
+const MAX_SURVIVALS = 4096;
+/**
+ * Delays before the trials of a part, ms, the last one again and again. A trial
+ * costs a replica at most, and without one a sound part would never be served.
+ */
+export const PART_TRIAL_DELAYS_MS = [1500, 10_000, 600_000] as const;
+/** A trial of a part that has no outcome by then has been lost, ms. */
+const PART_TRIAL_TIMEOUT_MS = 15_000;
+/**
+ * Delay before a trial of a request with several barred suspects, ms: most of
+ * them are tried sooner, by requests that have one of them only.
+ */
+export const JOINT_TRIAL_DELAY_MS = 10_000;
 /**
  * Total sends of a barred request to replicas in trials, over the whole fleet.
  * Trials tell the cause from a popular request that ran beside three causes.
@@ -52,11 +85,32 @@
 const byAge = (left: QuarantineRecord, right: QuarantineRecord): number =>
   left.at - right.at || left.digest.localeCompare(right.digest);
 
+/** How many requests there are among the evidence. */
+const requestCount = (ends: Evidence): number => new Set(ends.values()).size;
+
+const partTrialDelayMs = ({ sends }: QuarantineRecord): number =>
+  PART_TRIAL_DELAYS_MS[Math.min(sends, PART_TRIAL_DELAYS_MS.length - 1)] ?? 0;
+
+/** Requests are named by a short form in the evidence against a part. */
+const shortDigest = (digest: string): string => digest.slice(-8);
+
+/** All suspects of a request: itself, and the parts that it shares. */
+const keysOf = ({ digest, parts }: SuspectRequest): string[] => [
+  digest,
+  ...parts,
+];
+
 export class Quarantine {
   private readonly suspects: SuspectTable;
+  /** When a run with a part last survived, ms. */
+  private readonly survivals = new LRUCache<string, number>({
+    max: MAX_SURVIVALS,
+  });
   private readonly records = new Map<string, KnownRecord>();
   /** Body sizes of tracked requests; undefined: must be rebuilt. */
   private sizes: Set<string> | undefined;
+  /** Number of parts that are barred or on trial. */
+  private activeParts = 0;
 
   constructor(
     /** Name of this process. */
@@ -74,7 +128,9 @@
   mayBeTracked(bodyBytes: number): boolean {
     if (this.records.size === 0 && this.suspects.size === 0) return false;
     this.sizes ??= new Set(
-      [...this.records.keys(), ...this.suspects.digests()].map(sizePrefixOf),
+      [...this.records.keys(), ...this.suspects.keys()]
+        .filter((key) => !isPartKey(key))
+        .map(sizePrefixOf),
     );
     return this.sizes.has(sizePrefix(bodyBytes));
   }
@@ -82,13 +138,19 @@
   /**
    * Records that a replica incarnation ended while these requests were on it.
    */
-  recordReplicaEnd(digests: readonly string[], incarnation: string): void {
-    this.suspects.add(digests, incarnation);
+  recordReplicaEnd(
+    requests: readonly SuspectRequest[],
+    incarnation: string,
+  ): void {
     this.sizes = undefined;
-    for (const digest of digests) {
+    for (const request of requests) {
+      const { digest, parts } = request;
+      this.suspects.add([digest], incarnation);
+      this.suspects.add(parts, incarnation, shortDigest(digest));
       this.endTrials(digest);
-      this.barIfThresholdReached(digest, this.suspects.incarnations(digest));
     }
+    for (const key of new Set(requests.flatMap(keysOf)))
+      this.barIfThresholdReached(key, this.suspects.evidence(key));
   }
 
   /**
@@ -96,31 +158,74 @@
    * changed anything. A barred request is cleared only by its trial, since this
    * run began before it was barred.
    */
-  recordSurvival(digest: string): boolean {
-    if (this.activeRecord(digest) !== undefined) return false;
-    return this.suspects.clear(digest);
+  recordSurvival(key: string): boolean {
+    if (isPartKey(key)) this.survivals.set(key, this.now());
+    if (this.activeRecord(key) !== undefined) return false;
+    return this.suspects.clear(key);
   }
 
   /**
-   * Whether a request may run. `trialSends`: maximum sends to replicas that a
-   * trial of it may take.
+   * Whether what has this digest or key may run. `trialSends`: maximum sends to
+   * replicas that a trial of it may take; for a part, each trial counts as one.
    */
-  verdict(digest: string, trialSends: number): QuarantineVerdict {
-    const known = this.records.get(digest);
+  verdict(key: string, trialSends: number): QuarantineVerdict {
+    const known = this.records.get(key);
     if (known === undefined || known.record.state === "cleared") return FREE;
     const { record, since } = known;
-    const isDelayed = this.now() - since < TRIAL_DELAY_MS;
-    const hasSends = record.sends + trialSends <= MAX_TRIAL_SENDS;
-    const mayTry = record.state === "barred" && hasSends && !isDelayed;
-    return { kind: mayTry ? "may-try" : "refused", record };
+    const ageMs = this.now() - since;
+    const mayTry = isPartKey(key)
+      ? this.mayTryPart(record, ageMs)
+      : record.state === "barred" &&
+        record.sends + trialSends <= MAX_TRIAL_SENDS &&
+        ageMs >= TRIAL_DELAY_MS;
+    return mayTry
+      ? { kind: "may-try", records: [record] }
+      : { kind: "refused", record };
   }
 
-  /** The record of a request that must not run. */
-  activeRecord(digest: string): QuarantineRecord | undefined {
-    const record = this.records.get(digest)?.record;
+  /** Whether a request may run that is, or has, these suspects. */
+  requestVerdict(
+    keys: readonly string[],
+    trialSends: number,
+  ): QuarantineVerdict {
+    const records: QuarantineRecord[] = [];
+    for (const key of keys) {
+      const verdict = this.verdict(key, trialSends);
+      if (verdict.kind === "refused") return verdict;
+      if (verdict.kind === "may-try") records.push(...verdict.records);
+    }
+    const [first] = records;
+    if (first === undefined) return FREE;
+    const isEarly = records.some(
+      ({ digest }) => this.ageMs(digest) < JOINT_TRIAL_DELAY_MS,
+    );
+    if (records.length > 1 && isEarly)
+      return { kind: "refused", record: first };
+    return { kind: "may-try", records };
+  }
+
+  /** Whether any part is barred or on trial, so that parts have to be checked. */
+  get tracksParts(): boolean {
+    return this.activeParts > 0;
+  }
+
+  /** The record of what must not run. */
+  activeRecord(key: string): QuarantineRecord | undefined {
+    const record = this.records.get(key)?.record;
     return record?.state === "cleared" ? undefined : record;
   }
 
+  private mayTryPart(record: QuarantineRecord, ageMs: number): boolean {
+    const delayMs = partTrialDelayMs(record);
+    const isLost =
+      record.state === "on-trial" && ageMs >= PART_TRIAL_TIMEOUT_MS;
+    return (record.state === "barred" || isLost) && ageMs >= delayMs;
+  }
+
+  private ageMs(key: string): number {
+    return this.now() - (this.records.get(key)?.since ?? 0);
+  }
+
   /** What this process has seen, for the other processes. */
   toRecord(): EndRecord {
     return this.suspects.toRecord();
@@ -136,16 +241,16 @@
    * counts as three.
    */
   applyEndRecords(records: readonly EndRecord[]): void {
-    const all = new Map<string, Set<string>>();
+    const all = new Map<string, Map<string, string>>();
     for (const record of records) {
-      for (const [digest, incarnations] of Object.entries(record)) {
-        const known = all.get(digest) ?? new Set();
-        incarnations.forEach((incarnation) => known.add(incarnation));
-        all.set(digest, known);
+      for (const [key, texts] of Object.entries(record)) {
+        const known = all.get(key) ?? new Map<string, string>();
+        for (const [incarnation, request] of decodeEvidence(texts))
+          known.set(incarnation, request);
+        all.set(key, known);
       }
     }
-    for (const [digest, incarnations] of all)
-      this.barIfThresholdReached(digest, incarnations);
+    for (const [key, ends] of all) this.barIfThresholdReached(key, ends);
   }
 
   /** Applies steps taken by any process; returns those that were new. */
@@ -197,23 +302,32 @@
     };
   }
 
-  private barIfThresholdReached(
-    digest: string,
-    incarnations: ReadonlySet<string>,
-  ): void {
-    const known = this.records.get(digest)?.record;
+  private barIfThresholdReached(key: string, ends: Evidence): void {
+    const known = this.records.get(key)?.record;
     if (known !== undefined && known.state !== "cleared") return;
     const excluded = new Set(known?.lives ?? []);
-    const counted = [...incarnations].filter(
-      (incarnation) => !excluded.has(incarnation),
+    const counted = new Map(
+      [...ends].filter(([incarnation]) => !excluded.has(incarnation)),
     );
-    if (counted.length < REPLICA_ENDS_TO_BAR) return;
+    if (!this.isEnough(key, counted)) return;
     const step = known?.step ?? 0;
-    const named = [...excluded, ...counted].slice(-MAX_EXCLUDED_INCARNATIONS);
-    const record = { digest, step, lives: named, sends: 0, by: "", at: 0 };
+    const named = [...excluded, ...counted.keys()];
+    const lives = named.slice(-MAX_EXCLUDED_INCARNATIONS);
+    const record = { digest: key, step, lives, sends: 0, by: "", at: 0 };
     this.set(this.nextStep({ ...record, state: "barred" }, "barred"));
   }
 
+  /** Whether the evidence is enough to bar a request or a part. */
+  private isEnough(key: string, ends: Evidence): boolean {
+    if (!isPartKey(key)) return ends.size >= REPLICA_ENDS_TO_BAR;
+    const survivedAt = this.survivals.get(key) ?? -Infinity;
+    return (
+      ends.size >= PART_ENDS_TO_BAR &&
+      requestCount(ends) >= PART_REQUESTS_TO_BAR &&
+      this.now() - survivedAt >= RECENT_SURVIVAL_MS
+    );
+  }
+
   /**
    * Ends further trials: a replica ended under a trial run by this process, so
    * the request is the cause. Ends under runs from before it was barred don't
@@ -239,12 +353,19 @@
     // Ends seen before a request was cleared no longer count against it.
     if (record.state === "cleared") this.suspects.clear(record.digest);
     if (this.records.size > MAX_RECORDS) this.dropOldest();
+    this.activeParts = [...this.records.keys()].filter(
+      (key) => isPartKey(key) && this.activeRecord(key) !== undefined,
+    ).length;
   }
 
   private dropOldest(): void {
     const all = this.allRecords();
     const cleared = all.filter(({ state }) => state === "cleared");
-    const [oldest] = (cleared.length > 0 ? cleared : all).sort(byAge);
+    const requests = all.filter(({ digest }) => !isPartKey(digest));
+    const candidates = [cleared, requests, all].find(
+      ({ length }) => length > 0,
+    );
+    const [oldest] = (candidates ?? []).sort(byAge);
     if (oldest !== undefined) this.records.delete(oldest.digest);
   }
 }
--- a/src/quarantine/suspectTable.ts
+++ b/src/quarantine/suspectTable.ts
@@ -1,12 +1,13 @@
 /**
- * Requests that were running on replicas when these ended, as seen by one
- * process. Pure. Most were there by chance: a run that ends and leaves its
- * replica alive clears its request.
+ * Requests and prompt parts that were running on replicas when these ended, as
+ * seen by one process. Pure. Most were there by chance: a run that ends and
+ * leaves its replica alive clears its request and its parts.
  */
+import { isPartKey } from "./promptParts.js";
 import type { EndRecord } from "./types.js";
 
 /**
- * Maximum number of requests remembered: what runs on five replicas of 96
+ * Maximum number of suspects remembered: what runs on five replicas of 96
  * slots. Kept small, since every process reads each process's record.
  */
 export const MAX_SUSPECTS = 512;
@@ -17,17 +18,45 @@
  */
 export const SUSPECT_RETENTION_MS = 600_000;
 /**
- * Maximum replica incarnations recorded per request; more do not affect the
+ * The same for a part, ms. Other processes see it survive without telling, so
+ * that old ends prove little.
+ */
+export const PART_RETENTION_MS = 60_000;
+/**
+ * Maximum replica incarnations recorded per suspect; more do not affect the
  * decision.
  */
 const MAX_INCARNATIONS = 6;
+/** Separates an incarnation from the request of a part's evidence. */
+const SEPARATOR = " ";
+
+/**
+ * Replica incarnations that ended under a suspect; for a part, each with a
+ * request that had it, else with an empty text.
+ */
+export type Evidence = ReadonlyMap<string, string>;
 
 interface Suspect {
-  incarnations: Set<string>;
+  ends: Map<string, string>;
   /** Time of the last end, ms. */
   at: number;
 }
 
+const NO_EVIDENCE: Evidence = new Map();
+
+export const encodeEvidence = (ends: Evidence): string[] =>
+  [...ends].map(([incarnation, request]) =>
+    request === "" ? incarnation : `${incarnation}${SEPARATOR}${request}`,
+  );
+
+export const decodeEvidence = (texts: readonly string[]): Evidence =>
+  new Map(
+    texts.map((text) => {
+      const [incarnation = "", request = ""] = text.split(SEPARATOR);
+      return [incarnation, request];
+    }),
+  );
+
 export class SuspectTable {
   /** Ordered by the last end, oldest first. */
   private readonly suspects = new Map<string, Suspect>();
@@ -38,66 +67,72 @@
     return this.suspects.size;
   }
 
-  /** Records that a replica incarnation ended while these requests were on it. */
-  add(digests: readonly string[], incarnation: string): void {
+  /** Records that a replica incarnation ended under these suspects. */
+  add(keys: readonly string[], incarnation: string, request = ""): void {
     const at = this.now();
     this.dropOld(at);
-    for (const digest of digests) {
-      const incarnations = this.suspects.get(digest)?.incarnations ?? new Set();
-      if (incarnations.size < MAX_INCARNATIONS) incarnations.add(incarnation);
-      this.suspects.delete(digest);
-      this.suspects.set(digest, { incarnations, at });
+    for (const key of keys) {
+      const ends = this.suspects.get(key)?.ends ?? new Map<string, string>();
+      const isFull = ends.size >= MAX_INCARNATIONS;
+      if (!ends.has(incarnation) && !isFull) ends.set(incarnation, request);
+      this.suspects.delete(key);
+      this.suspects.set(key, { ends, at });
     }
     while (this.suspects.size > MAX_SUSPECTS) this.dropWeakest();
   }
 
-  /** Forgets a request; returns whether it was known. */
-  clear(digest: string): boolean {
-    return this.suspects.delete(digest);
+  /** Forgets a suspect; returns whether it was known. */
+  clear(key: string): boolean {
+    return this.suspects.delete(key);
   }
 
-  incarnations(digest: string): ReadonlySet<string> {
-    return this.suspects.get(digest)?.incarnations ?? new Set();
+  evidence(key: string): Evidence {
+    return this.suspects.get(key)?.ends ?? NO_EVIDENCE;
   }
 
-  digests(): Iterable<string> {
+  keys(): Iterable<string> {
     return this.suspects.keys();
   }
 
   toRecord(): EndRecord {
-    const rows = [...this.suspects].map(([digest, { incarnations }]) => [
-      digest,
-      [...incarnations],
+    const rows = [...this.suspects].map(([key, { ends }]) => [
+      key,
+      encodeEvidence(ends),
     ]);
     return Object.fromEntries(rows) as EndRecord;
   }
 
   /** Restores what this process wrote before its restart. */
   restore(record: EndRecord): void {
-    for (const [digest, incarnations] of Object.entries(record)) {
-      for (const incarnation of incarnations) this.add([digest], incarnation);
+    for (const [key, texts] of Object.entries(record)) {
+      for (const [incarnation, request] of decodeEvidence(texts))
+        this.add([key], incarnation, request);
     }
   }
 
   private dropOld(now: number): void {
-    for (const [digest, { at }] of this.suspects) {
-      if (now - at < SUSPECT_RETENTION_MS) return;
-      this.suspects.delete(digest);
+    for (const [key, { at }] of this.suspects) {
+      const ageMs = now - at;
+      if (ageMs < PART_RETENTION_MS) return;
+      const retentionMs = isPartKey(key)
+        ? PART_RETENTION_MS
+        : SUSPECT_RETENTION_MS;
+      if (ageMs >= retentionMs) this.suspects.delete(key);
     }
   }
 
   /**
-   * Drops the oldest of the requests with the fewest ends, so that requests
-   * seen once never push out one that was seen again.
+   * Drops the oldest of those with the fewest ends, so that suspects seen once
+   * never push out one that was seen again.
    */
   private dropWeakest(): void {
-    let weakest: { digest: string; count: number } | undefined;
-    for (const [digest, { incarnations }] of this.suspects) {
-      const count = incarnations.size;
+    let weakest: { key: string; count: number } | undefined;
+    for (const [key, { ends }] of this.suspects) {
+      const count = ends.size;
       if (weakest === undefined || count < weakest.count) {
-        weakest = { digest, count };
+        weakest = { key, count };
       }
     }
-    if (weakest !== undefined) this.suspects.delete(weakest.digest);
+    if (weakest !== undefined) this.suspects.delete(weakest.key);
   }
 }
--- a/src/quarantine/types.ts
+++ b/src/quarantine/types.ts
@@ -1,5 +1,5 @@
 /**
- * Types for the quarantine of requests that crash the replicas running them.
+ * Types for the quarantine of what crashes the replicas that run it.
  */
 
 /** What may be the cause when a replica ends under a request. */
@@ -9,7 +9,10 @@
   parts: readonly string[];
 }
 
-/** Replica incarnations seen to end by one process, by request digest. */
+/**
+ * Replica incarnations seen to end by one process, by request digest or part
+ * key; for a part, each is followed by a space and a request that had it.
+ */
 export type EndRecord = Record<string, string[]>;
 
 export const QUARANTINE_STATES = ["barred", "on-trial", "cleared"] as const;
@@ -23,15 +26,20 @@
 export type QuarantineState = (typeof QUARANTINE_STATES)[number];
 
 /**
- * The fleet's decision on one request; a later step replaces an earlier one.
+ * The fleet's decision on one request or part; a later step replaces an earlier
+ * one.
  */
 export interface QuarantineRecord {
+  /** Digest of the request, or key of the part. */
   digest: string;
   state: QuarantineState;
   step: number;
   /** Replica incarnations that ended under it. */
   lives: string[];
-  /** Sends to replicas that trials have used, or may have used. */
+  /**
+   * Sends to replicas that trials have used, or may have used; for a part, the
+   * number of trials.
+   */
   sends: number;
   /**
    * Process that took the step and when, ms since 1970: informational, except
@@ -46,5 +54,5 @@
 export type QuarantineVerdict =
   | { kind: "free" }
   | { kind: "refused"; record: QuarantineRecord }
-  /** One process may run it once in a trial, if the store agrees. */
-  | { kind: "may-try"; record: QuarantineRecord };
+  /** One process may run it once in a trial of these, if the store agrees. */
+  | { kind: "may-try"; records: readonly QuarantineRecord[] };
--- a/tests/quarantine/quarantine.test.ts
+++ b/tests/quarantine/quarantine.test.ts
@@ -2,7 +2,10 @@
 import { expect } from "chai";
 
 import { Quarantine } from "../../src/quarantine/index.js";
-import type { QuarantineRecord } from "../../src/quarantine/index.js";
+import type {
+  QuarantineRecord,
+  SuspectRequest,
+} from "../../src/quarantine/index.js";
 import {
   SuspectTable,
   MAX_SUSPECTS,
@@ -33,9 +36,12 @@
 const incarnationIds = (count: number, from = 0): string[] =>
   Array.from({ length: count }, (_item, at) => `life-${from + at}`);
 
+const requests = (digests: readonly string[]): SuspectRequest[] =>
+  digests.map((digest) => ({ digest, parts: [] }));
+
 const recordEnds = (at: Quarantine, names: readonly string[]): void => {
   for (const incarnation of names)
-    at.recordReplicaEnd([CRASHING_DIGEST], incarnation);
+    at.recordReplicaEnd(requests([CRASHING_DIGEST]), incarnation);
 };
 
 describe("a request during which replicas crashed", () => {
@@ -52,7 +58,7 @@
     const { add } = newFleet();
     const entry = add("a");
     for (let at = 0; at < 10; at += 1)
-      entry.recordReplicaEnd([CRASHING_DIGEST], "life-0");
+      entry.recordReplicaEnd(requests([CRASHING_DIGEST]), "life-0");
     expect(entry.activeRecord(CRASHING_DIGEST)).to.equal(undefined);
   });
 
@@ -61,7 +67,7 @@
     const entries = incarnationIds(REPLICA_ENDS_TO_BAR).map((incarnation) => {
       const entry = add(`entry of ${incarnation}`);
       entry.recordReplicaEnd(
-        [CRASHING_DIGEST, `4.beside-${incarnation}`],
+        requests([CRASHING_DIGEST, `4.beside-${incarnation}`]),
         incarnation,
       );
       return entry;
@@ -105,7 +111,7 @@
     clock.now += TRIAL_DELAY_MS;
     const verdict = entry.verdict(CRASHING_DIGEST, ENGINE_SENDS);
     if (verdict.kind !== "may-try") throw new Error(verdict.kind);
-    return { clock, add, entry, quarantineRecord: verdict.record };
+    return { clock, add, entry, quarantineRecord: verdict.records[0]! };
   };
 
   it("waits for the delay after the ends that quarantined the request", () => {
@@ -154,7 +160,7 @@
     const { entry, quarantineRecord, clock } = barred();
     const trial = entry.startTrial(quarantineRecord, 1);
     entry.applyRecords([trial]);
-    entry.recordReplicaEnd([CRASHING_DIGEST], "life-of-trial");
+    entry.recordReplicaEnd(requests([CRASHING_DIGEST]), "life-of-trial");
     const after = { sends: 1, hasSurvived: false };
     entry.applyRecords([entry.finishTrial(trial, 1, after)]);
     clock.now += 60 * 60 * 1000;
@@ -175,7 +181,7 @@
 
   it("is not ruled out by a late end of a run from before the quarantine", () => {
     const { entry, clock } = barred();
-    entry.recordReplicaEnd([CRASHING_DIGEST], "life-late");
+    entry.recordReplicaEnd(requests([CRASHING_DIGEST]), "life-late");
     clock.now += TRIAL_DELAY_MS;
     expect(entry.verdict(CRASHING_DIGEST, ENGINE_SENDS).kind).to.equal(
       "may-try",
@@ -189,7 +195,7 @@
       clock.now += TRIAL_DELAY_MS;
       const verdict = entry.verdict(CRASHING_DIGEST, ENGINE_SENDS);
       if (verdict.kind !== "may-try") break;
-      const trial = entry.startTrial(verdict.record, ENGINE_SENDS);
+      const trial = entry.startTrial(verdict.records[0]!, ENGINE_SENDS);
       entry.applyRecords([trial]);
       sends += 1;
       const after = { sends: 1, hasSurvived: false };
@@ -205,7 +211,7 @@
     const entry = add("a");
     const popular = "4.popular";
     for (const incarnation of incarnationIds(20)) {
-      entry.recordReplicaEnd([popular], incarnation);
+      entry.recordReplicaEnd(requests([popular]), incarnation);
       expect(entry.recordSurvival(popular)).to.equal(true);
     }
     expect(entry.activeRecord(popular)).to.equal(undefined);
@@ -221,7 +227,7 @@
         1000 + 40 * Number(incarnation.slice(5)),
       );
       entry.recordReplicaEnd(
-        [...bystanders.map((name) => `9.${name}`), CRASHING_DIGEST],
+        requests([...bystanders.map((name) => `9.${name}`), CRASHING_DIGEST]),
         incarnation,
       );
     }
@@ -233,7 +239,7 @@
     const { add } = newFleet();
     const entry = add("a");
     expect(entry.mayBeTracked(0)).to.equal(false);
-    entry.recordReplicaEnd(["z.x"], "life-0");
+    entry.recordReplicaEnd(requests(["z.x"]), "life-0");
     expect(entry.mayBeTracked(35)).to.equal(true);
     expect(entry.mayBeTracked(34)).to.equal(false);
   });
@@ -290,7 +296,10 @@
         entries[Math.floor(clock.now / ARRIVAL_INTERVAL_MS) % ENTRIES]!;
       const verdict = entry.verdict(CRASHING_DIGEST, ENGINE_SENDS);
       if (verdict.kind === "may-try") {
-        const quarantineRecord = entry.startTrial(verdict.record, ENGINE_SENDS);
+        const quarantineRecord = entry.startTrial(
+          verdict.records[0]!,
+          ENGINE_SENDS,
+        );
         entry.applyRecords([quarantineRecord]);
         exchangeRecords();
         trial = {
@@ -319,7 +328,7 @@
       suspects.add([`9.${at}`], `life-${at}`);
     }
     expect(suspects.size).to.equal(MAX_SUSPECTS);
-    expect(suspects.incarnations(CRASHING_DIGEST).size).to.equal(2);
+    expect(suspects.evidence(CRASHING_DIGEST).size).to.equal(2);
   });
 
   it("drop a suspect once the retention time has passed since its last end", () => {
@@ -330,11 +339,11 @@
     suspects.add([CRASHING_DIGEST, "9.other"], "life-1");
     clock.now = 2 * SUSPECT_RETENTION_MS - 2;
     suspects.add(["9.new"], "life-2");
-    expect(suspects.incarnations(CRASHING_DIGEST).size).to.equal(2);
+    expect(suspects.evidence(CRASHING_DIGEST).size).to.equal(2);
     clock.now = 2 * SUSPECT_RETENTION_MS;
     suspects.add(["9.new"], "life-3");
-    expect(suspects.incarnations(CRASHING_DIGEST).size).to.equal(0);
-    expect(suspects.incarnations("9.new").size).to.equal(2);
+    expect(suspects.evidence(CRASHING_DIGEST).size).to.equal(0);
+    expect(suspects.evidence("9.new").size).to.equal(2);
   });
 
   it("are the same records at each process, in whatever order they arrived", () => {
