Soak: answers of every framing that break off anywhere, parts that end engines

The line of a run counts the ends, the requests with the part that entries in touch sent on later than 3 s after the fifth end (more than three break the promise), and the share of sound ones that begin before and after.

Links keep what TCP keeps: a connection whose data was dropped or is held ends by a reset, never regularly. A replica that crashed by itself is not removed a second time in another's place.

--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -5,11 +5,13 @@
   addedPrefix,
   callHeaders,
   eventsIn,
+  partIds,
   responseIds,
   resumptionHeaders,
 } from "../platform/standins/caller.js";
 import {
   longPromptHeaders,
+  promptHeaders,
   shortPromptHeaders,
 } from "../platform/standins/deployment.js";
 import type { Rng } from "../src/shared/rng.js";
@@ -40,6 +42,10 @@
 /** Least time left for which a stream is taken up, ms. */
 const MIN_RESUMPTION_MS = 100;
 const CONNECTIONS_PER_CALLER = 1;
+/** Share of the streams whose prompt has the deadly part. */
+const DEADLY_SHARE = 0.12;
+/** Parts that sound prompts share, besides the first. */
+const SOUND_PARTS = ["s1", "s2", "s3", "s4"] as const;
 
 /** The response to one request, as far as it arrived. */
 interface Answer {
@@ -68,13 +74,14 @@
   target: string,
   headers: Record<string, string>,
   now: () => number,
+  body = "",
 ): Promise<Answer> =>
   new Promise((resolve) => {
     const [host, port] = address.split(":");
     const options = { host, port, path: target, method: "POST", agent };
     const req = http.request({
       ...options,
-      headers: { ...headers, "Content-Length": "0" },
+      headers: { ...headers, "Content-Length": String(body.length) },
     });
     const timer = setTimeout(
       () => req.destroy(),
@@ -87,15 +94,15 @@
     req.on("error", () => end(NO_ANSWER));
     req.on("response", (res) => {
       const headAt = now();
-      let body = "";
-      res.on("data", (bytes: Buffer) => (body += bytes.toString()));
+      let text = "";
+      res.on("data", (bytes: Buffer) => (text += bytes.toString()));
       res.on("error", () => undefined);
       res.on("close", () => {
         const { statusCode: status = 0, headers, complete: isWhole } = res;
-        end({ status, headers, headAt, body, isWhole });
+        end({ status, headers, headAt, body: text, isWhole });
       });
     });
-    req.end();
+    req.end(body);
   });
 
 const replicaInBody = (body: string): string | undefined => {
@@ -135,11 +142,21 @@
     const kind = drawOne(CALL_KINDS, this.rng) ?? "safe";
     const prompt =
       this.rng() < 0.5 ? longPromptHeaders() : shortPromptHeaders();
-    const more = IS_STREAM[kind] ? prompt : {};
+    const more = IS_STREAM[kind] ? (this.drawParts() ?? prompt) : {};
     const call = await this.send(entry, address, kind, more, DEADLINE_MS);
     if (kind === "resumable") await this.resume(call, more);
   }
 
+  /** Prompts all unlike, some with the deadly part; undefined without one. */
+  private drawParts(): Record<string, string> | undefined {
+    const { deadlyPart } = this.fleet;
+    if (deadlyPart === undefined) return undefined;
+    const isDeadly = this.rng() < DEADLY_SHARE;
+    const sound = drawOne(SOUND_PARTS, this.rng) ?? "";
+    const own = `${this.name}.${this.sequence}`;
+    return promptHeaders(["first", isDeadly ? deadlyPart : sound, own]);
+  }
+
   /** Takes up a stream that was cut, as often as its time allows. */
   private async resume(
     first: CallRecord,
@@ -192,10 +209,19 @@
     const { life } = entry;
     const sentAt = now();
     const target = PATHS[kind];
-    const answer = await sendRequest(this.agent, address, target, headers, now);
-    const { status, headAt, isWhole, body } = answer;
+    const parts = partIds(headers);
+    const body = this.fleet.deadlyPart === undefined ? "" : id;
+    const answer = await sendRequest(
+      this.agent,
+      address,
+      target,
+      headers,
+      now,
+      body,
+    );
+    const { status, headAt, isWhole } = answer;
     const names = responseIds(answer.headers);
-    const events = IS_STREAM[kind] ? eventsIn(body) : [];
+    const events = IS_STREAM[kind] ? eventsIn(answer.body) : [];
     const call = {
       id,
       kind,
@@ -208,12 +234,13 @@
       isWhole,
       answerId: names.id,
       signedBy: names.signedBy,
-      bodyBy: IS_STREAM[kind] ? undefined : replicaInBody(body),
+      bodyBy: IS_STREAM[kind] ? undefined : replicaInBody(answer.body),
       events: events.map((event) => event.id),
       versions: events
         .filter(({ isWhole }) => isWhole)
         .map(({ version }) => version),
       resumption,
+      parts,
     };
     records.calls.push(call);
     return call;
--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -2,6 +2,7 @@
  * Checks the promises of the system against what callers and upstreams
  * recorded. Pure functions from records to violations.
  */
+import { PART_CHECKS } from "./partChecks.js";
 import { SIGNAL_CHECKS } from "./signalChecks.js";
 import { STREAM_CHECKS } from "./streamChecks.js";
 import { IS_STREAM, IS_RETRYABLE } from "./types.js";
@@ -268,6 +269,7 @@
   fencesHaveOneHolder,
   ...SIGNAL_CHECKS,
   ...STREAM_CHECKS,
+  ...PART_CHECKS,
 ];
 
 /** Returns every violation that the records prove. */
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -357,12 +357,47 @@
   }),
 ];
 
+/** Responses of every framing that break off anywhere. */
+const ENDINGS: readonly AnyFault[] = [
+  defineFault({
+    name: "replica breaks answers off",
+    isPlanned: false,
+    target: anyReplica,
+    nameOf: replicaId,
+    run: async (target, { rng, wait }) => {
+      target.misbehaviour = { behaviour: "break off", share: rng() / 2 };
+      await wait(500, 3000);
+      target.misbehaviour = undefined;
+    },
+  }),
+];
+
+/** A prompt part that ends each engine that writes an answer on it. */
+const DEADLY_PARTS: readonly AnyFault[] = [
+  defineFault({
+    name: "prompt part ends engines",
+    isPlanned: false,
+    target: () => "prompt part",
+    nameOf: (name) => name,
+    run: async (_target, { fleet, wait }) => {
+      fleet.deadlyPart = `dead-${fleet.records.faults.length}`;
+      await wait(9000, 12_000);
+    },
+  }),
+];
+
 /**
- * `planned`: planned work only; `signals`, `limits`, `silent` and `streams`: those faults in
- * addition to the ones of `all`.
+ * `planned`: planned work only; the others: those faults in addition to the ones of `all`.
  */
 export type FaultProfile =
-  "planned" | "all" | "signals" | "limits" | "silent" | "streams";
+  | "planned"
+  | "all"
+  | "signals"
+  | "limits"
+  | "silent"
+  | "streams"
+  | "endings"
+  | "parts";
 
 const FAULTS: Readonly<Record<FaultProfile, readonly AnyFault[]>> = {
   planned: PLANNED,
@@ -371,6 +406,8 @@
   limits: [...PLANNED, ...UNPLANNED, ...Array(8).fill(LIMITED).flat()],
   silent: [...PLANNED, ...UNPLANNED, ...SILENCED, ...SILENCED],
   streams: [...PLANNED, ...UNPLANNED, ...Array(3).fill(CUT_STREAMS).flat()],
+  endings: [...PLANNED, ...UNPLANNED, ...Array(12).fill(ENDINGS).flat()],
+  parts: [...PLANNED, ...UNPLANNED, ...Array(12).fill(DEADLY_PARTS).flat()],
 };
 
 export const faultsOf = (profile: FaultProfile): readonly AnyFault[] =>
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -10,12 +10,15 @@
 import { KINDS } from "../platform/names.js";
 import { putConfig, removeFromList } from "../platform/standins/caller.js";
 import { StandinReplica } from "../platform/standins/replica.js";
+import { BREAK_KINDS, FRAMINGS } from "../platform/standins/answerWriter.js";
+import type { BreakKind } from "../platform/standins/answerWriter.js";
 import type { Arrival, Behaviour } from "../platform/standins/replica.js";
 import { StandinStore } from "../platform/standins/store.js";
 import type { Rng } from "../src/shared/rng.js";
 import { FaultLink } from "../standins/faultLink.js";
 import { STREAM_EVENTS } from "./checks.js";
 import { DaemonProcess } from "./daemonProcess.js";
+import { drawOne } from "./draw.js";
 import type { SoakRecords } from "./types.js";
 
 export interface FleetSizes {
@@ -32,7 +35,8 @@
   /** Id without the incarnation; successive incarnations share it. */
   baseId: string;
   /** Applies to this share of the requests. */
-  misbehaviour: { behaviour: Behaviour; share: number } | undefined;
+  misbehaviour:
+    { behaviour: Behaviour | "break off"; share: number } | undefined;
   /** State in its store entry, or the one to write there next. */
   state: "ready" | "draining";
 }
@@ -43,6 +47,10 @@
 /** How long an engine takes to change its stage, ms. */
 const STAGE_CHANGE_MS = 300;
 const ZONES = 3;
+/** Time from a crash until the replica's entry lapses and it is back, ms. */
+const CRASH_MS = 1500;
+/** About the size of a complete stream, bytes. */
+const ANSWER_BYTES = 1200;
 
 export class SoakFleet {
   readonly store = new StandinStore();
@@ -55,6 +63,7 @@
     probes: [],
     runs: [],
     arrivals: [],
+    partEnds: [],
     engines: [],
     limits: [],
     orders: [],
@@ -65,6 +74,11 @@
   version = 0;
   /** Software versions that new engines run, in turn. */
   softwareVersions = ["v1", "v2", "v3"];
+  /** Prompt part that ends each engine that writes an answer on it. */
+  deadlyPart: string | undefined;
+  /** Whether responses come with all framings, in turn. */
+  hasAllFramings = false;
+  private isStopped = false;
   private incarnations = 0;
   private readonly folder = mkdtempSync(path.join(tmpdir(), "snowgate-soak-"));
 
@@ -101,6 +115,7 @@
 
   /** Kills every started process and stops all stand-ins and links. */
   async stop(): Promise<void> {
+    this.isStopped = true;
     await Promise.all(this.processes.map((item) => item.kill()));
     for (const { standin, link } of this.replicas) {
       standin.stop();
@@ -153,9 +168,12 @@
       misbehaviour: undefined,
       state: "ready",
     };
-    standin.onReached = ({ id: requestId, phase, at, told }) => {
-      const { id } = standin.options;
-      this.records.arrivals.push({ requestId, replica: id, phase, at, told });
+    if (this.hasAllFramings)
+      standin.framing = FRAMINGS[this.incarnations % FRAMINGS.length];
+    standin.onCrash = () => void this.replaceCrashed(replica);
+    standin.onReached = ({ id: requestId, ...reached }) => {
+      const { id: replica } = standin.options;
+      this.records.arrivals.push({ requestId, replica, ...reached });
     };
     standin.behave = (arrival) => this.behave(replica, arrival);
     standin.onOrder = ({ stage, holder, fence }) => {
@@ -197,7 +215,27 @@
     this.recordListing(replica.standin, false);
     replica.standin.stop();
     replica.link.stop();
-    this.replicas.splice(this.replicas.indexOf(replica), 1);
+    this.forget(replica);
+  }
+
+  /** A replica that crashed is back under a new id after a while. */
+  private async replaceCrashed(replica: SoakReplica): Promise<void> {
+    if (!this.forget(replica)) return;
+    const { baseId, standin, link } = replica;
+    this.recordListing(standin, false);
+    link.stopListening();
+    await new Promise((resolve) => setTimeout(resolve, CRASH_MS));
+    link.stop();
+    if (this.isStopped) return;
+    this.unlist(replica);
+    await this.addReplica(baseId);
+  }
+
+  /** Whether the replica was part of the fleet. */
+  private forget(replica: SoakReplica): boolean {
+    const at = this.replicas.indexOf(replica);
+    if (at >= 0) this.replicas.splice(at, 1);
+    return at >= 0;
   }
 
   private nextVersion(): string | undefined {
@@ -236,16 +274,40 @@
   }
 
   private behave(replica: SoakReplica, arrival: Arrival): Behaviour {
-    const { misbehaviour, standin } = replica;
-    const isHit = misbehaviour !== undefined && this.rng() < misbehaviour.share;
-    const behaviour = isHit ? misbehaviour.behaviour : "ok";
+    const behaviour = this.drawBehaviour(replica, arrival);
     if (arrival.phase === "run" && behaviour !== "refuse") {
       this.records.runs.push({
         requestId: arrival.id,
-        replica: standin.options.id,
+        replica: replica.standin.options.id,
         at: this.now(),
       });
     }
     return behaviour;
   }
+
+  private drawBehaviour(
+    { misbehaviour, standin }: SoakReplica,
+    { phase, parts }: Arrival,
+  ): Behaviour {
+    const { deadlyPart: part } = this;
+    if (part !== undefined && phase === "run" && parts.includes(part)) {
+      const { id: replica } = standin.options;
+      this.records.partEnds.push({ part, replica, at: this.now() });
+      return { afterBytes: this.drawBytes(), how: "crash" };
+    }
+    const isHit = misbehaviour !== undefined && this.rng() < misbehaviour.share;
+    if (!isHit) return "ok";
+    if (misbehaviour.behaviour !== "break off") return misbehaviour.behaviour;
+    // Less than the stated length would leave the caller waiting for the rest.
+    const kinds: readonly BreakKind[] =
+      standin.framing === "length" ? ["close", "reset"] : BREAK_KINDS;
+    return {
+      afterBytes: this.drawBytes(),
+      how: drawOne(kinds, this.rng) ?? "close",
+    };
+  }
+
+  private drawBytes(): number {
+    return Math.floor(this.rng() * ANSWER_BYTES);
+  }
 }
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -8,6 +8,7 @@
 import path from "node:path";
 import { cac } from "cac";
 
+import { partCounts } from "./partChecks.js";
 import { profileOf } from "./profile.js";
 import { DEFAULT_SIZES, runSoak } from "./runSoak.js";
 import { streamShares } from "./streamChecks.js";
@@ -45,6 +46,16 @@
   return `${all}, judged ${resumed} (${goOn.toFixed(2)} of them go on, ${begin.toFixed(2)} of new ones begin)`;
 };
 
+/** How far requests with parts that ended engines got, and sound ones beside. */
+const partsLine = ({ records }: SoakResult): string =>
+  partCounts(records)
+    .map(
+      ({ part, ends, laterRequests, soundBefore, soundAfter }) =>
+        ` ${part} ended ${ends} engines, ${laterRequests} requests later,` +
+        ` sound ones begun ${soundBefore.toFixed(2)} before, ${soundAfter.toFixed(2)} later;`,
+    )
+    .join("");
+
 const report = (options: SoakOptions, result: SoakResult): void => {
   const { calls, runs, orders } = result.records;
   const served = calls.filter(
@@ -55,6 +66,7 @@
       `${served} answered whole, ${runs.length} runs, ${orders.length} orders;` +
       ` faults: ${faultCounts(result)}; stalled ${stalledMs(result)} ms;` +
       ` streams taken up ${streamsLine(result)};` +
+      partsLine(result) +
       ` ${result.violations.length} violations`,
   );
   for (const { promise, what } of result.violations.slice(0, 20)) {
--- a/soak/profile.ts
+++ b/soak/profile.ts
@@ -19,14 +19,27 @@
 const STREAMS_INTERVAL = 5;
 const STREAMS_REMAINDER = 0;
 
+/** Of the other seeds, those with these remainders. */
+const ENDINGS_INTERVAL = 20;
+const ENDINGS_REMAINDER = 17;
+const PARTS_INTERVAL = 20;
+const PARTS_REMAINDER = 11;
+
 export const profileOf = (seed: number): FaultProfile => {
   if (seed % PLANNED_INTERVAL === 0) return "planned";
   if (seed % LIMITS_INTERVAL === LIMITS_REMAINDER) return "limits";
   if (seed % SILENT_INTERVAL === SILENT_REMAINDER) return "silent";
   if (seed % STREAMS_INTERVAL === STREAMS_REMAINDER) return "streams";
+  if (seed % ENDINGS_INTERVAL === ENDINGS_REMAINDER) return "endings";
+  if (seed % PARTS_INTERVAL === PARTS_REMAINDER) return "parts";
   return seed % SIGNALS_INTERVAL === SIGNALS_REMAINDER ? "signals" : "all";
 };
 
-/** With these, two engines and more run each of the software versions. */
+/** Of several software versions, or of engines that end, enough are left. */
+const EXTRA_ENGINES: Partial<Record<FaultProfile, number>> = {
+  streams: 2,
+  parts: 4,
+};
+
 export const extraEngines = (profile: FaultProfile): number =>
-  profile === "streams" ? 2 : 0;
+  EXTRA_ENGINES[profile] ?? 0;
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -65,6 +65,7 @@
   const onSignal = () => void fleet.stop().then(() => process.exit(1));
   process.once("SIGINT", onSignal).once("SIGTERM", onSignal);
   const stopWatching = watchStalls(fleet.records.stalls);
+  fleet.hasAllFramings = profile === "endings" || profile === "parts";
   try {
     await fleet.start({
       ...options,
--- a/soak/streamChecks.ts
+++ b/soak/streamChecks.ts
@@ -39,7 +39,7 @@
   });
 
 /** Whether no fault hit the target in this time. */
-const isWell = (
+export const isWell = (
   { faults }: SoakRecords,
   target: string,
   from: number,
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -49,6 +49,8 @@
   versions: (string | undefined)[];
   /** Set if the request continues a stream that was cut. */
   resumption?: ResumptionRecord;
+  /** Ids of the parts of its prompt, if any. */
+  parts?: readonly string[];
 }
 
 /** What a caller names when it continues a stream. */
@@ -98,9 +100,18 @@
   replica: string;
   phase: "read" | "run";
   at: number;
+  /** Ids of its prompt's parts. */
+  parts: readonly string[];
   told: AnnouncedSignals;
 }
 
+/** An engine that ended because it wrote an answer on a prompt part. */
+export interface PartEndRecord {
+  part: string;
+  replica: string;
+  at: number;
+}
+
 /**
  * The limit in requests per second that a replica announces from `at` on;
  * undefined: none.
@@ -152,6 +163,7 @@
   probes: ProbeRecord[];
   runs: RunRecord[];
   arrivals: ArrivalRecord[];
+  partEnds: PartEndRecord[];
   engines: EngineRecord[];
   limits: LimitRecord[];
   orders: OrderRecord[];
--- a/standins/faultLink.ts
+++ b/standins/faultLink.ts
@@ -44,6 +44,8 @@
   passedChunks: number;
   /** Whether all data of the pair is dropped from now on. */
   isSilent: boolean;
+  /** Whether data was dropped, after which no regular end can follow. */
+  hasLostData: boolean;
 }
 
 export class FaultLink {
@@ -72,6 +74,11 @@
     this.server.close();
   }
 
+  /** Refuses new connections; open ones stay. */
+  stopListening(): void {
+    this.server.close();
+  }
+
   /** Number of chunks that are delayed or held. */
   get pendingChunks(): number {
     return [...this.pairs].reduce(
@@ -97,6 +104,7 @@
   silenceConnections(): void {
     for (const pair of this.pairs) {
       pair.isSilent = true;
+      pair.hasLostData ||= pair.pending.length > 0;
       pair.pending = [];
     }
   }
@@ -128,9 +136,11 @@
       pending: [],
       passedChunks: 0,
       isSilent: false,
+      hasLostData: false,
     };
     this.pairs.add(pair);
     const end = () => {
+      if (pair.hasLostData || pair.pending.length > 0) return this.reset(pair);
       client.destroy();
       server.destroy();
       this.pairs.delete(pair);
@@ -154,7 +164,7 @@
     to: net.Socket,
     isAnswer: boolean,
   ): void {
-    if (pair.isSilent) return;
+    if (pair.isSilent) return void (pair.hasLostData = true);
     switch (this.mode) {
       case "pass":
       case "refuse":
@@ -168,9 +178,10 @@
         this.reset(pair);
         return this.countHit();
       case "half-open":
-        return;
+        return void (pair.hasLostData = true);
       case "one-way":
-        return void (isAnswer && to.write(data));
+        if (isAnswer) return void to.write(data);
+        return void (pair.hasLostData = true);
       case "drop-answer":
         if (!isAnswer) return void to.write(data);
         pair.passedChunks += 1;
--- a/tests/soak/checks.test.ts
+++ b/tests/soak/checks.test.ts
@@ -79,6 +79,7 @@
   probes: [],
   runs: [],
   arrivals: [],
+  partEnds: [],
   engines: [],
   limits: [],
   orders: [],
@@ -101,6 +102,54 @@
     );
   });
 
+  describe("parts that end engines", () => {
+    const PROMISE = "parts that end engines are held back";
+    const told = { isLimited: false, isLeaving: false, backOff: undefined };
+    const partEnds = [1, 2, 3, 4, 5].map((at) => ({
+      part: "dead",
+      replica: `engine-${at}`,
+      at: 10_000 + at,
+    }));
+    /** Requests with a part that reach an engine at this time. */
+    const reaching = (
+      count: number,
+      at: number,
+      overrides: Partial<SoakRecords> = {},
+    ) => {
+      const ids = Array.from({ length: count }, (_item, index) => `r${index}`);
+      const calls = ids.map((id) => stream({ id, answerId: id, sentAt: at }));
+      const arrivals = ids.flatMap((requestId) =>
+        (["read", "run"] as const).map((phase) => {
+          const parts = ["first", "dead", requestId];
+          return { requestId, replica: "engine-0", phase, at, parts, told };
+        }),
+      );
+      return violatedPromises({ calls, arrivals, partEnds, ...overrides });
+    };
+
+    it("find more than three requests long after the fifth end", () => {
+      expect(reaching(4, 14_000)).to.eql([PROMISE]);
+    });
+
+    it("allow three, each read and run", () => {
+      expect(reaching(3, 14_000)).to.eql([]);
+    });
+
+    it("allow those of the time in which entries hear of it", () => {
+      expect(reaching(40, 12_900)).to.eql([]);
+    });
+
+    it("allow those of entries that a fault hit shortly before", () => {
+      const paused = fault({ from: 12_000, until: 12_500, isPlanned: false });
+      expect(reaching(4, 14_000, { faults: [paused] })).to.eql([]);
+    });
+
+    it("count nothing after four ends", () => {
+      const four = partEnds.slice(1);
+      expect(reaching(40, 14_000, { partEnds: four })).to.eql([]);
+    });
+  });
+
   describe("whole answers", () => {
     const wrongAnswers: Record<string, CallRecord> = {
       "another request's": call({ answerId: "x" }),
@@ -304,7 +353,7 @@
       const arrivals = ids.flatMap((requestId) =>
         phases.map((phase, at) => {
           const arrival = { requestId, replica: "engine-0", phase, told };
-          return { ...arrival, at: 10_000 + at };
+          return { ...arrival, parts: [], at: 10_000 + at };
         }),
       );
       return violatedPromises({ calls, arrivals });
@@ -395,10 +444,11 @@
             endedAt: from + 50,
           }),
         ),
-        arrivals: ids.map((requestId, at) => {
+        arrivals: ids.map((requestId, index) => {
           const replica = "plain-0";
           const phase = "run" as const;
-          return { requestId, replica, phase, at: from + at * 10, told };
+          const at = from + index * 10;
+          return { requestId, replica, phase, at, parts: [], told };
         }),
       };
     };
