Soak: end the process explicitly

Traced: all time was in node::Environment::CleanupHandles, which runs the event loop until requests of sockets complete that never do (one socket was left; no system call in 3 s). The program itself had ended. It exits by process.exit now, as the daemons always did, with the same codes (0, 1, 2).

--- a/soak/main.ts
+++ b/soak/main.ts
@@ -116,9 +116,14 @@
   return failed > 0 ? 1 : 0;
 };
 
-try {
-  process.exitCode = await main();
-} catch (err) {
-  console.error(`soak: ${err instanceof Error ? err.message : String(err)}`);
-  process.exitCode = 2;
-}
+const run = async (): Promise<number> => {
+  try {
+    return await main();
+  } catch (err) {
+    console.error(`soak: ${err instanceof Error ? err.message : String(err)}`);
+    return 2;
+  }
+};
+
+// At a regular end, Node may wait forever for requests of sockets to complete.
+process.exit(await run());
