Let callers come back while a new holder may yet be told of their stream

What callers saw: a cut stream taken up at another entry right after the lease had changed hands was refused for good (503, unknown-stream, no time to come back), though the entry that had relayed it lived and told the new holder some 100 ms later.

Cause: the holder refused a stream that it did not know as final from its first moment on. Entries tell a new holder of their streams once they have found it; another entry may find it first.

Change: for 2 s after it took the lease a holder's refusal of a named stream says when to come back; without a name nobody can tell, and it is final at once, also while there is no holder. tests/gateway/streamVersions.test.ts has both (its first case got 0 before).

--- a/src/gateway/placementRole.ts
+++ b/src/gateway/placementRole.ts
@@ -98,6 +98,7 @@
     engines: (service) => state.engines(service),
     sharingProcesses: (service) => placement.sharingProcesses(service),
     permits: rates,
+    mayBeTold: (service) => placement.mayBeTold(service),
     streams: new StreamVersions({
       listedVersions: (service) => state.replicas.listedVersions(service),
       maxAnswerMs: (service) => state.maxResumableMs(service),
--- a/src/placement/leaseKeeper.ts
+++ b/src/placement/leaseKeeper.ts
@@ -84,6 +84,8 @@
 
 export class LeaseKeeper {
   private state: LeaseState = NO_LEASE;
+  /** When this process last became the holder, ms. */
+  private takenAt = -Infinity;
   private stored: StoredLease | undefined;
   private revision = ABSENT;
   /**
@@ -108,6 +110,11 @@
     return this.state.sentAt !== undefined;
   }
 
+  /** How long it has been the holder, ms; 0 if it is not. */
+  get heldMs(): number {
+    return this.isHolder ? this.options.now() - this.takenAt : 0;
+  }
+
   /** Whether the lease is recent enough to give orders. */
   get isFresh(): boolean {
     const { self, leaseMs, leaseNow } = this.options;
@@ -287,6 +294,7 @@
         this.highestEpoch = epoch;
         this.revision = result.item.revision;
         this.state = leaseAfterWrite(lease, sentAt.now, sentAt.leaseNow);
+        if (isNew) this.takenAt = this.options.now();
         if (isNew) log.info("lease taken", { service, epoch });
         return;
       }
--- a/src/placement/localPlacement.ts
+++ b/src/placement/localPlacement.ts
@@ -28,6 +28,8 @@
   permits: EnginePermits;
   /** Software versions that may go on with resumed streams. */
   streams: StreamVersions;
+  /** Whether other processes may yet tell of streams that they relayed. */
+  mayBeTold(service: string): boolean;
   metrics?: Metrics;
   log: Log;
   now: () => number;
@@ -104,7 +106,10 @@
   ): PlacementAnswer | Queued {
     const { streams } = this.options;
     const binding = streams.binding(request);
-    if (binding.kind === "unknown") return refuseUnknownStream(request, false);
+    if (binding.kind === "unknown") {
+      const mayBeTold = this.options.mayBeTold(request.service);
+      return refuseUnknownStream(request, mayBeTold);
+    }
     const bound = withBinding(request, binding);
     const scheduler = this.scheduler(request.service);
     const answer = scheduler.place(bound, this.options.now());
--- a/src/placement/sharedPlacement.ts
+++ b/src/placement/sharedPlacement.ts
@@ -92,6 +92,9 @@
   leaseNow: () => number;
 }
 
+/** Time after which a holder has been told of all streams in progress, ms. */
+const TOLD_AFTER_MS = 2000;
+
 export class SharedPlacement implements Placement {
   private readonly connections = new Map<string, HolderConnection>();
   private readonly inUse = new GrantsInUse();
@@ -149,7 +152,7 @@
     if (refusal !== undefined) return refusal;
     const own = await local.place(request);
     if (own.kind === "refused" && own.why === "unknown-stream")
-      return refuseUnknownStream(request, !this.isHolder(request.service));
+      return refuseUnknownStream(request, this.mayBeTold(request.service));
     const { client: newest } = this.connections.get(request.service) ?? {};
     if (own.kind === "granted") newest?.reportHeldGrant(request, own, false);
     return this.inUse.record(request, own);
@@ -227,6 +230,15 @@
     return this.connections.get(service)?.keeper.isHolder ?? false;
   }
 
+  /**
+   * Whether this process may yet be told of streams: entries tell a new holder
+   * of those that they relay once they have found it.
+   */
+  mayBeTold(service: string): boolean {
+    const heldMs = this.connections.get(service)?.keeper.heldMs ?? 0;
+    return heldMs < TOLD_AFTER_MS;
+  }
+
   isFresh(service: string): boolean {
     return this.connections.get(service)?.keeper.isFresh ?? false;
   }
--- a/src/placement/streamVersions.ts
+++ b/src/placement/streamVersions.ts
@@ -199,14 +199,15 @@
 }
 
 /**
- * The refusal of a stream whose origin is not known. `mayBeKnown`: another
- * process may know it later; otherwise coming back is in vain.
+ * The refusal of a stream whose origin is not known. `mayBeTold`: another
+ * process may yet tell of streams; otherwise coming back is in vain, as it is
+ * where the stream isn't named.
  */
 export const refuseUnknownStream = (
-  { deadlineLeftMs }: PlacementRequest,
-  mayBeKnown: boolean,
-): Refusal => ({
-  kind: "refused",
-  why: "unknown-stream",
-  retryAfterMs: mayBeKnown ? usualRetryMs(deadlineLeftMs) : 0,
-});
+  { deadlineLeftMs, stream }: PlacementRequest,
+  mayBeTold: boolean,
+): Refusal => {
+  const mayBeKnown = mayBeTold && stream?.id !== undefined;
+  const retryAfterMs = mayBeKnown ? usualRetryMs(deadlineLeftMs) : 0;
+  return { kind: "refused", why: "unknown-stream", retryAfterMs };
+};
--- a/tests/gateway/sharedPlacement.test.ts
+++ b/tests/gateway/sharedPlacement.test.ts
@@ -142,6 +142,7 @@
       engines: () => [],
       sharingProcesses: () => 1,
       streams: newStreamVersions(),
+      mayBeTold: () => false,
       permits: NO_LIMITS,
       metrics,
       log: SILENT_LOG,
--- a/tests/gateway/streamVersions.test.ts
+++ b/tests/gateway/streamVersions.test.ts
@@ -6,8 +6,13 @@
 import { StreamVersions } from "../../src/placement/index.js";
 import { fromPlaceAsk, toPlaceAsk } from "../../src/placement/messages.js";
 import { StreamOrigins } from "../../src/placement/streamOrigins.js";
+import { NO_LIMITS } from "../../src/rateLimits/index.js";
 import type { PlacementRequest } from "../../src/scheduling/index.js";
-import { placementRequest, SERVICE } from "../support/placementPeers.js";
+import {
+  newLocal,
+  placementRequest,
+  SERVICE,
+} from "../support/placementPeers.js";
 
 const ANSWER_MS = 2000;
 /** As long as any stream can last, with the return of its caller. */
@@ -233,6 +238,29 @@
   });
 });
 
+describe("a stream that its holder does not know", () => {
+  /** Two versions serve, so that any may have begun it. */
+  const refusal = async (mayBeTold: boolean, id: string | undefined) => {
+    const { versions } = new Process({ now: 0 });
+    versions.binding = () => ({ kind: "unknown" });
+    const local = newLocal([], NO_LIMITS, versions, () => mayBeTold);
+    const answer = await local.place(resumed(id));
+    if (answer.kind !== "refused") throw new Error(answer.kind);
+    return answer;
+  };
+
+  it("is refused with a time to come back while entries may yet tell of it", async () => {
+    const { why, retryAfterMs } = await refusal(true, "a");
+    expect(why).to.equal("unknown-stream");
+    expect(retryAfterMs).to.be.greaterThan(0);
+  });
+
+  it("is refused for good once all have told, or if nobody can", async () => {
+    expect((await refusal(false, "a")).retryAfterMs).to.equal(0);
+    expect((await refusal(true, undefined)).retryAfterMs).to.equal(0);
+  });
+});
+
 describe("origins of streams", () => {
   it("give way to newer ones, the oldest first", () => {
     const origins = new StreamOrigins();
--- a/tests/support/placementPeers.ts
+++ b/tests/support/placementPeers.ts
@@ -34,11 +34,14 @@
 export const newLocal = (
   engines: readonly EngineView[],
   permits: EnginePermits = NO_LIMITS,
+  streams = newStreamVersions(),
+  mayBeTold = () => false,
 ): LocalPlacement =>
   new LocalPlacement({
     engines: () => engines,
     sharingProcesses: () => 1,
-    streams: newStreamVersions(),
+    streams,
+    mayBeTold,
     permits,
     log: SILENT_LOG,
     now,
