Peers hear from the holder while the store does not answer

Callers of a limited replica saw its limit exceeded; two standbys took a live holder for lost. One task told peers of limits, streams and the holder's state, and then renewed the lease: a renewal that waits for a silent store (1 s and more) held the next news back. An entry was not told of a limit for 0.8 s; a standby gives its holder up after 0.9 s without news, connects anew and sends what it knows, old limits too.

--- a/src/gateway/placementRole.ts
+++ b/src/gateway/placementRole.ts
@@ -166,25 +166,27 @@
     options.keyBounds,
     watches,
   );
-  const step = async (): Promise<void> => {
+  const expire = async (): Promise<void> => {
     state.expire();
     local.expire();
+  };
+  const notifyPeers = async (): Promise<void> => {
     for (const service of services()) {
       if (!placement.isHolder(service)) continue;
       peers.notifyStandbys(service);
       peers.notifyOfOrigins(service);
       peers.notifyEntriesOfRates(service);
+      peers.notifyEntriesOfRevisions(service);
     }
-    await placement.step(services());
-  };
-  // A task of its own: a renewal that the store answers slowly would delay it.
-  const notifyOfRevisions = async (): Promise<void> => {
-    for (const service of services())
-      if (placement.isHolder(service)) peers.notifyEntriesOfRevisions(service);
   };
   const start = (supervisor: Supervisor): void => {
-    supervisor.every("placement", STEP_INTERVAL_MS, step);
-    supervisor.every("store revisions", STEP_INTERVAL_MS, notifyOfRevisions);
+    // Separate tasks: a lease renewal that the store answers slowly would delay
+    // the others.
+    supervisor.every("lease", STEP_INTERVAL_MS, () =>
+      placement.step(services()),
+    );
+    supervisor.every("expiry", STEP_INTERVAL_MS, expire);
+    supervisor.every("peer news", STEP_INTERVAL_MS, notifyPeers);
     holderTasks.start(supervisor, STEP_INTERVAL_MS);
     duties?.start(supervisor);
     if (host === "entry") proofRequester.start(supervisor);
