Limits carry their age: a process that reconnects overrides no newer one

Callers' requests reached a replica at 24 times the rate that it had named last: an engine named 12 a second, then 0.5; two standbys and an entry that connected anew sent the holder their 12, 0.3 s old, and the holder applied the last message to arrive. The entries, which knew 0.5, did not report it again, since for them nothing had changed: the holder granted by 12 until one of them was told 12 by it and corrected it.

News of a limit says how long ago an answer last reported it. An older report neither replaces a newer one nor ends or revives it; who is sent an older one by the holder answers with its own. Messages of older builds count as new, as before.

Two cases of tests/rateLimits/rateLimits.test.ts fail without the check of ages; ratePermits.test.ts has the correction.

--- a/src/gen/snowgate.ts
+++ b/src/gen/snowgate.ts
@@ -311,7 +311,11 @@
   replica: string;
   perS: number;
   /** Since it says so no more, ms; absent: it does. */
-  endedAgoMs?: number | undefined;
+  endedAgoMs?:
+    | number
+    | undefined;
+  /** Since an answer last said so, ms. */
+  reportedAgoMs: number;
 }
 
 export interface PermitAsk {
@@ -3909,7 +3913,7 @@
 };
 
 function createBaseRateNews(): RateNews {
-  return { replica: "", perS: 0, endedAgoMs: undefined };
+  return { replica: "", perS: 0, endedAgoMs: undefined, reportedAgoMs: 0 };
 }
 
 export const RateNews: MessageFns<RateNews> = {
@@ -3923,6 +3927,9 @@
     if (message.endedAgoMs !== undefined) {
       writer.uint32(24).uint32(message.endedAgoMs);
     }
+    if (message.reportedAgoMs !== 0) {
+      writer.uint32(32).uint32(message.reportedAgoMs);
+    }
     return writer;
   },
 
@@ -3963,6 +3970,14 @@
             message.endedAgoMs = reader.uint32();
             continue;
           }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.reportedAgoMs = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -3988,6 +4003,11 @@
         : isSet(object.ended_ago_ms)
         ? globalThis.Number(object.ended_ago_ms)
         : undefined,
+      reportedAgoMs: isSet(object.reportedAgoMs)
+        ? globalThis.Number(object.reportedAgoMs)
+        : isSet(object.reported_ago_ms)
+        ? globalThis.Number(object.reported_ago_ms)
+        : 0,
     };
   },
 
@@ -4002,6 +4022,9 @@
     if (message.endedAgoMs !== undefined) {
       obj.endedAgoMs = Math.round(message.endedAgoMs);
     }
+    if (message.reportedAgoMs !== 0) {
+      obj.reportedAgoMs = Math.round(message.reportedAgoMs);
+    }
     return obj;
   },
 
@@ -4013,6 +4036,7 @@
     message.replica = object.replica ?? "";
     message.perS = object.perS ?? 0;
     message.endedAgoMs = object.endedAgoMs ?? undefined;
+    message.reportedAgoMs = object.reportedAgoMs ?? 0;
     return message;
   },
 };
--- a/src/placement/rateMessages.ts
+++ b/src/placement/rateMessages.ts
@@ -15,9 +15,11 @@
   replica,
   perS,
   endedAgoMs,
+  reportedAgoMs,
 }: RateNews): RateNewsMessage => ({
   replica,
   perS,
+  reportedAgoMs: toUint32Ms(reportedAgoMs),
   endedAgoMs: endedAgoMs === undefined ? undefined : toUint32Ms(endedAgoMs),
 });
 
@@ -28,8 +30,9 @@
   replica,
   perS,
   endedAgoMs,
+  reportedAgoMs,
 }: RateNewsMessage): RateNews | undefined =>
-  perS >= 0 ? { replica, perS, endedAgoMs } : undefined;
+  perS >= 0 ? { replica, perS, endedAgoMs, reportedAgoMs } : undefined;
 
 export const toPermitReply = (
   number: number,
--- a/src/placement/ratePermits.ts
+++ b/src/placement/ratePermits.ts
@@ -82,6 +82,16 @@
     for (const item of news) rates.applyUpdate(item, now());
   }
 
+  /** Applies rate limits received from the allocator, and corrects old ones. */
+  applyFromAllocator(service: string, news: readonly RateNews[]): void {
+    this.applyUpdates(news);
+    const { rates, now } = this.options;
+    for (const item of news) {
+      const newer = rates.newerThan(item, now());
+      if (newer !== undefined) this.reportRate(service, newer);
+    }
+  }
+
   private connectionFor(service: string): HolderConnection | undefined {
     const { connections } = this.options;
     const [first = ""] = [...connections.keys()].sort();
--- a/src/placement/sharedPlacement.ts
+++ b/src/placement/sharedPlacement.ts
@@ -381,7 +381,7 @@
       leaseNow: this.options.leaseNow,
       onConfig: this.options.onConfig,
       onHolderNews: this.options.onHolderNews,
-      onRates: (news) => this.permits.applyUpdates(news),
+      onRates: (news) => this.permits.applyFromAllocator(service, news),
       onOrigins: (origins) =>
         this.options.local.streams.adoptFromHolder(service, origins),
       onShares: (shares) =>
--- a/src/rateLimits/rateLimits.ts
+++ b/src/rateLimits/rateLimits.ts
@@ -97,43 +97,61 @@
     const { perS } = report;
     if (perS !== undefined && perS <= MAX_PER_S) {
       const isNews = known?.perS !== perS || known.endedAt !== undefined;
-      this.setLimit(replica, perS, now);
-      return isNews ? { replica, perS, endedAgoMs: undefined } : undefined;
+      this.setLimit(replica, perS, now, now);
+      return isNews
+        ? { replica, perS, endedAgoMs: undefined, reportedAgoMs: 0 }
+        : undefined;
     }
     if (known === undefined || known.endedAt !== undefined) return undefined;
     // Answers can arrive out of order: one to an earlier request does not prove
     // that the limit has ended.
     if (!report.mayEnd || report.sentAt <= known.reportedAt) return undefined;
     known.endedAt = now;
-    return { replica, perS: known.perS, endedAgoMs: 0 };
+    const reportedAgoMs = now - known.reportedAt;
+    return { replica, perS: known.perS, endedAgoMs: 0, reportedAgoMs };
   }
 
   /**
    * Applies an update from another process; returns whether it changed
-   * anything.
+   * anything. A process that reconnects may send what has been superseded.
    */
-  applyUpdate({ replica, perS, endedAgoMs }: RateNews, now: number): boolean {
+  applyUpdate(news: RateNews, now: number): boolean {
+    const { replica, perS, endedAgoMs } = news;
     const known = this.activeLimit(replica, now);
-    const isEnd = endedAgoMs !== undefined;
-    if (!isEnd) {
+    const changedAt = now - changedAgoMs(news);
+    const knownAt = known?.endedAt ?? known?.reportedAt ?? -Infinity;
+    if (changedAt < knownAt) return false;
+    if (endedAgoMs === undefined) {
       const isNews = known?.perS !== perS || known.endedAt !== undefined;
-      if (perS <= MAX_PER_S) this.setLimit(replica, perS, now);
+      if (perS <= MAX_PER_S) this.setLimit(replica, perS, changedAt, now);
       return isNews;
     }
     if (known === undefined || known.endedAt !== undefined) return false;
-    known.endedAt = now - endedAgoMs;
+    known.endedAt = changedAt;
     return true;
   }
 
+  /**
+   * What is known here of the update's replica; undefined unless it is more
+   * recent and differs.
+   */
+  newerThan(news: RateNews, now: number): RateNews | undefined {
+    const known = this.activeLimit(news.replica, now);
+    if (known === undefined) return undefined;
+    const own = toNews(news.replica, known, now);
+    const isSame =
+      own.perS === news.perS &&
+      (own.endedAgoMs === undefined) === (news.endedAgoMs === undefined);
+    return !isSame && changedAgoMs(own) < changedAgoMs(news) ? own : undefined;
+  }
+
   /** All limits in force now. */
   activeLimits(now: number): RateNews[] {
     const news: RateNews[] = [];
     for (const replica of [...this.known.keys()]) {
       const known = this.activeLimit(replica, now);
       if (known === undefined) continue;
-      const { perS, endedAt } = known;
-      const endedAgoMs = endedAt === undefined ? undefined : now - endedAt;
-      news.push({ replica, perS, endedAgoMs });
+      news.push(toNews(replica, known, now));
     }
     return news;
   }
@@ -201,22 +219,27 @@
     return isAllocator;
   }
 
-  private setLimit(replica: string, perS: number, now: number): void {
+  private setLimit(
+    replica: string,
+    perS: number,
+    reportedAt: number,
+    now: number,
+  ): void {
     const known = this.known.get(replica);
     if (known === undefined) {
-      const fresh = this.newLimit(perS, now);
+      const fresh = this.newLimit(perS, reportedAt, now);
       this.known.set(replica, fresh);
       return void this.update(replica, fresh, now);
     }
     known.perS = perS;
-    known.reportedAt = now;
+    known.reportedAt = reportedAt;
     known.endedAt = undefined;
   }
 
-  private newLimit(perS: number, now: number): KnownLimit {
+  private newLimit(perS: number, reportedAt: number, now: number): KnownLimit {
     return {
       perS,
-      reportedAt: now,
+      reportedAt,
       endedAt: undefined,
       bucket: new PermitBucket(now),
       slots: new PermitSlots(this.rng(), now),
@@ -236,6 +259,21 @@
   }
 }
 
+/** Time since the responses that an update tells of, ms. */
+const changedAgoMs = ({ endedAgoMs, reportedAgoMs }: RateNews): number =>
+  endedAgoMs ?? reportedAgoMs;
+
+const toNews = (
+  replica: string,
+  { perS, endedAt, reportedAt }: KnownLimit,
+  now: number,
+): RateNews => ({
+  replica,
+  perS,
+  endedAgoMs: endedAt === undefined ? undefined : now - endedAt,
+  reportedAgoMs: now - reportedAt,
+});
+
 /** Requests per second that the replica takes from all processes now. */
 const currentRate = ({ perS, endedAt }: KnownLimit, now: number): number => {
   const limitPerS = Math.max(perS, MIN_PER_S);
--- a/src/rateLimits/types.ts
+++ b/src/rateLimits/types.ts
@@ -13,6 +13,8 @@
    * they report it.
    */
   endedAgoMs: number | undefined;
+  /** Time since a response last reported it, ms. */
+  reportedAgoMs: number;
 }
 
 /** How much of a replica's rate this process may use. */
--- a/tests/gateway/placement.test.ts
+++ b/tests/gateway/placement.test.ts
@@ -183,7 +183,9 @@
     const entry = await connect();
     const free = await entry.requestPermit("p-1");
     expect(free).to.deep.equal({ kind: "acquired" });
-    entry.sendRates([{ replica: "p-1", perS: 2, endedAgoMs: undefined }]);
+    entry.sendRates([
+      { replica: "p-1", perS: 2, endedAgoMs: undefined, reportedAgoMs: 0 },
+    ]);
     const held = await entry.requestPermit("p-1");
     expect(held).to.deep.equal({ kind: "held-back", waitMs: 251 });
   });
@@ -200,7 +202,12 @@
     const entry = await connect();
     const received: RateNews[] = [];
     await connect((news) => void received.push(...news));
-    const news = { replica: "r", perS: 2, endedAgoMs: undefined };
+    const news = {
+      replica: "r",
+      perS: 2,
+      endedAgoMs: undefined,
+      reportedAgoMs: 0,
+    };
     entry.sendRates([news, { ...news, replica: "odd", perS: NaN }]);
     await until(() => rates.isLimited("r", now()));
     for (let times = 0; times < 3; times += 1)
--- a/tests/rateLimits/rateLimits.test.ts
+++ b/tests/rateLimits/rateLimits.test.ts
@@ -2,7 +2,7 @@
 import { expect } from "chai";
 
 import { RateLimits, RateNewsFilter } from "../../src/rateLimits/index.js";
-import type { PermitShare } from "../../src/rateLimits/index.js";
+import type { PermitShare, RateNews } from "../../src/rateLimits/index.js";
 
 const SOLE_SHARE: PermitShare = { fraction: 1, isAllocator: true };
 const FRACTIONAL_SHARE: PermitShare = { fraction: 0.1, isAllocator: false };
@@ -13,6 +13,13 @@
   return limits;
 };
 
+const NEWS: RateNews = {
+  replica: "r",
+  perS: 2,
+  endedAgoMs: undefined,
+  reportedAgoMs: 0,
+};
+
 const answerWithLimit = (perS: number, sentAt = 0) => ({
   perS,
   mayEnd: true,
@@ -92,7 +99,12 @@
       ).to.equal(undefined);
       expect(limits.ratePerS("r", 120)).to.equal(2);
       const news = limits.recordAnswer("r", answerWithoutLimit(110), 130);
-      expect(news).to.eql({ replica: "r", perS: 2, endedAgoMs: 0 });
+      expect(news).to.eql({
+        replica: "r",
+        perS: 2,
+        endedAgoMs: 0,
+        reportedAgoMs: 30,
+      });
     });
 
     it("gradually, so that the load that caused the limit does not return at once", () => {
@@ -121,7 +133,7 @@
     it("produces an update only when it changes", () => {
       const limits = newLimits();
       const first = limits.recordAnswer("r", answerWithLimit(2), 0);
-      expect(first).to.eql({ replica: "r", perS: 2, endedAgoMs: undefined });
+      expect(first).to.eql(NEWS);
       expect(limits.recordAnswer("r", answerWithLimit(2), 5)).to.equal(
         undefined,
       );
@@ -138,33 +150,50 @@
 
     it("applies and ends there as well", () => {
       const limits = newLimits();
-      const news = { replica: "r", perS: 2, endedAgoMs: undefined };
-      expect(limits.applyUpdate(news, 0)).to.equal(true);
+      expect(limits.applyUpdate(NEWS, 0)).to.equal(true);
       expect(limits.acquire("r", 1)).to.equal(false);
-      expect(limits.applyUpdate({ ...news, endedAgoMs: 1000 }, 2000)).to.equal(
-        true,
-      );
+      const end = { ...NEWS, endedAgoMs: 1000, reportedAgoMs: 2000 };
+      expect(limits.applyUpdate(end, 2000)).to.equal(true);
       expect(limits.ratePerS("r", 2000)).to.equal(4);
     });
 
+    it("is not replaced by the older limit of a process that reconnects", () => {
+      const limits = newLimits();
+      limits.applyUpdate(NEWS, 1000);
+      const older = { ...NEWS, perS: 12, reportedAgoMs: 200 };
+      expect(limits.applyUpdate(older, 1100)).to.equal(false);
+      expect(limits.ratePerS("r", 1100)).to.equal(2);
+    });
+
+    it("does not return after its end, nor ends when it has been named since", () => {
+      const limits = newLimits();
+      limits.applyUpdate(NEWS, 1000);
+      const end = { ...NEWS, endedAgoMs: 500, reportedAgoMs: 1500 };
+      expect(limits.applyUpdate(end, 1100)).to.equal(false);
+      expect(limits.ratePerS("r", 2000)).to.equal(2);
+      limits.applyUpdate({ ...end, endedAgoMs: 0 }, 2000);
+      const older = { ...NEWS, reportedAgoMs: 900 };
+      expect(limits.applyUpdate(older, 2500)).to.equal(false);
+      expect(limits.ratePerS("r", 3000)).to.equal(4);
+    });
+
     it("is not created there by an update that says it has ended", () => {
       const limits = newLimits();
-      limits.applyUpdate({ replica: "r", perS: 2, endedAgoMs: 10 }, 0);
+      limits.applyUpdate({ ...NEWS, endedAgoMs: 10, reportedAgoMs: 20 }, 0);
       expect(limits.isLimited("r", 0)).to.equal(false);
     });
 
     it("is sent again when it returns after it was dropped", () => {
       const filter = new RateNewsFilter();
-      const news = { replica: "r", perS: 2, endedAgoMs: undefined };
-      expect(filter.selectUpdates([news])).to.eql([news]);
+      expect(filter.selectUpdates([NEWS])).to.eql([NEWS]);
       expect(filter.selectUpdates([])).to.eql([]);
-      expect(filter.selectUpdates([news])).to.eql([news]);
+      expect(filter.selectUpdates([NEWS])).to.eql([NEWS]);
     });
 
     it("is sent once to each process, except for its end and large changes", () => {
       const filter = new RateNewsFilter();
       const updatesFor = (perS: number, endedAgoMs?: number) =>
-        filter.selectUpdates([{ replica: "r", perS, endedAgoMs }]).length;
+        filter.selectUpdates([{ ...NEWS, perS, endedAgoMs }]).length;
       expect([
         updatesFor(10),
         updatesFor(10),
--- a/tests/rateLimits/ratePermits.test.ts
+++ b/tests/rateLimits/ratePermits.test.ts
@@ -7,6 +7,7 @@
 import type { PlacementClient } from "../../src/placement/placementClient.js";
 import { RatePermits } from "../../src/placement/ratePermits.js";
 import { RateLimits } from "../../src/rateLimits/index.js";
+import type { RateNews } from "../../src/rateLimits/index.js";
 
 const connection = (
   service: string,
@@ -26,6 +27,13 @@
 const STALE_HOLDER = { isHolder: true, isFresh: false };
 const NOT_HOLDER = { isHolder: false, isFresh: false };
 
+const NEWS: RateNews = {
+  replica: "r",
+  perS: 2,
+  endedAgoMs: undefined,
+  reportedAgoMs: 0,
+};
+
 const permitsOf = (connections: HolderConnection[], here = 60): RatePermits => {
   const rates = new RateLimits(() => 0.5);
   const permits = new RatePermits({
@@ -35,7 +43,7 @@
     now: () => 0,
   });
   rates.shareOf = () => permits.share("model");
-  rates.applyUpdate({ replica: "r", perS: 2, endedAgoMs: undefined }, 0);
+  rates.applyUpdate(NEWS, 0);
   return permits;
 };
 
@@ -99,6 +107,24 @@
   });
 });
 
+describe("an old rate limit from the holder", () => {
+  it("is answered with the newer one, which an entry would not report again", () => {
+    const sent: RateNews[] = [];
+    const other = connection("model", NOT_HOLDER, 50);
+    const client = {
+      sendRates: (news: RateNews[]) => void sent.push(...news),
+    };
+    other.client = client as unknown as PlacementClient;
+    const permits = permitsOf([other]);
+    permits.applyFromAllocator("model", [
+      { ...NEWS, perS: 12, reportedAgoMs: 500 },
+      { ...NEWS, replica: "unknown" },
+      NEWS,
+    ]);
+    expect(sent).to.eql([NEWS]);
+  });
+});
+
 describe("the number of entries", () => {
   it("does not fall while a new holder starts its count from one", () => {
     const holderConnection = connection("model", NOT_HOLDER, 60);
