Permits lapse when a replica's limit falls

A replica that names 12 requests a second and then 0 got what had been granted before: a permit stays valid for 1.5 s, whatever the limit is by then, and the holder kept two permits of the old rate for after the fall.

Where the limit falls below two thirds of the one that permits were issued under, earlier ones count no more: who sends needs a new one, and the holder starts with none, as after a takeover. A request whose permit lapsed is placed anew, as where a limit is named between grant and send. A smaller fall turns nothing back, since a limit may vary with each answer.

One case of engineCalls.test.ts and one of rateLimits.test.ts failed before.

--- a/src/gateway/replicaClient.ts
+++ b/src/gateway/replicaClient.ts
@@ -30,13 +30,6 @@
 const MAX_LOGGED_CHARS = 80;
 /** Replicas whose last unparsable signal is kept, to log each only once. */
 const MAX_UNPARSED = 1024;
-/**
- * Lifetime of a permit, ms. A request delayed by a prefill on another engine or
- * a wait for a connection must not add to the requests that follow it. With
- * this lifetime and the burst of permits, a replica receives less than 1.5
- * times its limit in any four seconds.
- */
-const PERMIT_VALID_MS = 1500;
 const AT_LIMIT = "the replica takes no more for the moment";
 
 /** Log messages for new signals of a replica. */
@@ -144,7 +137,7 @@
       return why;
     }
     if (!rates.isLimited(id, now())) return undefined;
-    const isPermitted = now() - permitAt <= PERMIT_VALID_MS;
+    const isPermitted = rates.isPermitValid(id, permitAt, now());
     if (!isPermitted && !rates.acquire(id, now())) {
       metrics.count("kept_from_limited", {});
       return AT_LIMIT;
--- a/src/rateLimits/rateLimits.ts
+++ b/src/rateLimits/rateLimits.ts
@@ -42,12 +42,29 @@
  * at a large fleet.
  */
 const MIN_REFUSAL_INTERVAL_MS = 2;
+/**
+ * Lifetime of a permit, ms. A request delayed by a prefill on another engine or
+ * a wait for a connection must not add to the requests that follow it. With
+ * this lifetime and the burst of permits, a replica receives less than 1.5
+ * times its limit in any four seconds.
+ */
+const PERMIT_VALID_MS = 1500;
+/**
+ * Permits are void once the limit falls below this fraction of the one that
+ * they were issued under. A limit may vary with each response: a small fall
+ * must not turn back what has been granted.
+ */
+const VOIDING_FRACTION = 2 / 3;
 const MS_PER_SECOND = 1000;
 
 interface KnownLimit {
   perS: number;
   /** When a response last reported it, here or at another process. */
   reportedAt: number;
+  /** Highest rate since permits were last voided, per second. */
+  highestPerS: number;
+  /** Permits from before this instant are void. */
+  validSince: number;
   /** Since when responses have not reported it. */
   endedAt: number | undefined;
   bucket: PermitBucket;
@@ -166,6 +183,12 @@
     return known !== undefined && now - known.heldBackAt < THROTTLING_MS;
   }
 
+  /** Whether a permit that dates from `permitAt` may still be used. */
+  isPermitValid(replica: string, permitAt: number, now: number): boolean {
+    const { validSince = -Infinity } = this.activeLimit(replica, now) ?? {};
+    return permitAt >= validSince && now - permitAt <= PERMIT_VALID_MS;
+  }
+
   mayAcquire(replica: string, now: number): boolean {
     const known = this.activeLimit(replica, now);
     if (known === undefined) return true;
@@ -231,6 +254,12 @@
       this.known.set(replica, fresh);
       return void this.update(replica, fresh, now);
     }
+    known.highestPerS = Math.max(known.highestPerS, currentRate(known, now));
+    if (perS < known.highestPerS * VOIDING_FRACTION) {
+      known.highestPerS = perS;
+      known.validSince = now;
+      known.bucket = new PermitBucket(now);
+    }
     known.perS = perS;
     known.reportedAt = reportedAt;
     known.endedAt = undefined;
@@ -240,6 +269,8 @@
     return {
       perS,
       reportedAt,
+      highestPerS: perS,
+      validSince: -Infinity,
       endedAt: undefined,
       bucket: new PermitBucket(now),
       slots: new PermitSlots(this.rng(), now),
--- a/tests/gateway/engineCalls.test.ts
+++ b/tests/gateway/engineCalls.test.ts
@@ -12,6 +12,7 @@
 import { ReplicaClient } from "../../src/gateway/replicaClient.js";
 import type { ReplicaClientOptions } from "../../src/gateway/replicaClient.js";
 import { ReplicaSet } from "../../src/gateway/replicaSet.js";
+import type { UpstreamRequest } from "../../src/gateway/upstreamClient.js";
 import { Cancellation } from "../../src/shared/cancellation.js";
 
 const setUp = (leftMs: number) => {
@@ -29,16 +30,21 @@
   });
   const sent: unknown[] = [];
   const upstream = {
-    send: async (order: unknown) => {
-      sent.push(order);
-      return { kind: "failed", verdict: "not-run", why: "test" };
+    send: async (order: UpstreamRequest) => {
+      const why = order.refusal?.();
+      if (why === undefined) sent.push(order);
+      return { kind: "failed", verdict: "not-run", why: why ?? "test" };
     },
   };
-  const now = () => 0;
+  const clock = { now: 0 };
+  const now = () => clock.now;
+  const rates = new RateLimits(seededRng(1));
+  const metrics = { count: () => undefined };
   const client = new ReplicaClient({
     client: upstream,
     replicas,
-    rates: new RateLimits(seededRng(1)),
+    rates,
+    metrics,
     now,
   } as unknown as ReplicaClientOptions);
   const codec = { upstreamHeaders: () => [] };
@@ -59,13 +65,13 @@
     body: Buffer.alloc(0),
     sentTo: [],
   } as unknown as CallerRequest;
-  const run = () =>
+  const run = (grantedAt = 0) =>
     calls.send(caller, "dec-1", cancellation, {
       deadlineMs: leftMs,
       phase: "run",
-      grantedAt: 0,
+      grantedAt,
     });
-  return { run, sent, cancellation, replicas };
+  return { run, sent, cancellation, replicas, rates, clock };
 };
 
 describe("requests to engines", () => {
@@ -103,4 +109,39 @@
     expect(await outcome).to.include({ kind: "failed", verdict: "not-run" });
     expect(sent).to.have.length(0);
   });
+
+  describe("to an engine whose rate limit falls", () => {
+    const setUpFall = (perS: number) => {
+      const all = setUp(500);
+      const announce = (limitPerS: number) =>
+        all.rates.recordAnswer(
+          "dec-1",
+          { perS: limitPerS, mayEnd: true, sentAt: all.clock.now },
+          all.clock.now,
+        );
+      announce(12);
+      all.clock.now = 1000;
+      announce(perS);
+      all.clock.now = 1010;
+      return all;
+    };
+
+    it("are not sent with a permit of the higher limit", async () => {
+      const { run, sent } = setUpFall(0.1);
+      await run(900);
+      expect(sent).to.have.length(0);
+    });
+
+    it("are sent with a permit of the lower limit", async () => {
+      const { run, sent } = setUpFall(0.1);
+      await run(1005);
+      expect(sent).to.have.length(1);
+    });
+
+    it("are sent with an earlier permit if it fell only a little", async () => {
+      const { run, sent } = setUpFall(10);
+      await run(900);
+      expect(sent).to.have.length(1);
+    });
+  });
 });
--- a/tests/rateLimits/rateLimits.test.ts
+++ b/tests/rateLimits/rateLimits.test.ts
@@ -74,6 +74,14 @@
     expect(limits.waitMs("r", 18_100)).to.be.closeTo(4400, 1);
   });
 
+  it("that falls leaves no permits of the higher limit", () => {
+    const limits = newLimits();
+    limits.recordAnswer("r", answerWithLimit(12), 0);
+    expect(limits.mayAcquire("r", 1000)).to.equal(true);
+    limits.recordAnswer("r", answerWithLimit(0.5), 1000);
+    expect(countAcquired(limits, 1000, 2000)).to.equal(0);
+  });
+
   it("of zero still admits a request now and then, or it could never end", () => {
     const limits = newLimits();
     limits.recordAnswer("r", answerWithLimit(0), 0);
