--- a/src/gateway/engineRun.ts
+++ b/src/gateway/engineRun.ts
@@ -132,14 +132,9 @@
     sent: UpstreamReply,
     runner: string,
   ): Promise<RoundResult> {
-    const { caller } = progress;
-    const { res } = sent;
     const whole = await readWholeBody(sent, MAX_WHOLE_RESPONSE_BYTES);
-    if (whole.kind === "whole" && !caller.isResponseStarted) {
-      const headers = this.options.codec.responseHeaders(res.rawHeaders);
-      caller.sendWholeResponse(res.statusCode ?? 0, headers, whole.body);
-      return { kind: "done" };
-    }
+    if (whole.kind === "whole" && !progress.caller.isResponseStarted)
+      return this.respond(progress, sent, whole.body);
     const why = whole.kind === "cut" ? whole.why : "the answer is no stream";
     return this.runFailed(progress, runner, why);
   }
@@ -165,17 +160,24 @@
     sent: UpstreamReply,
     runner: string,
   ): Promise<RoundResult> {
-    const { caller } = progress;
-    const { res } = sent;
     const whole = await readWholeBody(sent, MAX_SHORT_RESPONSE_BYTES);
-    const status = res.statusCode ?? 0;
-    const why = `engine failed with ${status}`;
-    const isFinal = whole.kind === "whole" && !caller.isResponseStarted;
-    if (isFinal && !canRetry({ ...progress, verdict: "may-have-run" })) {
-      const headers = this.options.codec.responseHeaders(res.rawHeaders);
-      caller.sendWholeResponse(status, headers, whole.body);
-      return { kind: "done" };
-    }
+    const isFinal =
+      !progress.caller.isResponseStarted &&
+      !canRetry({ ...progress, verdict: "may-have-run" });
+    if (isFinal && whole.kind === "whole")
+      return this.respond(progress, sent, whole.body);
+    const why = `engine failed with ${sent.res.statusCode ?? 0}`;
     return { kind: "failed", verdict: "may-have-run", why, avoid: runner };
   }
+
+  /** Responds with an engine's answer that is not relayed event by event. */
+  private respond(
+    { caller }: RequestProgress,
+    { res }: UpstreamReply,
+    body: Buffer,
+  ): RoundResult {
+    const headers = this.options.codec.responseHeaders(res.rawHeaders);
+    caller.sendWholeResponse(res.statusCode ?? 0, headers, body);
+    return { kind: "done" };
+  }
 }
