--- a/src/rateLimits/rateLimits.ts
+++ b/src/rateLimits/rateLimits.ts
@@ -42,12 +42,29 @@
  * at a large fleet.
  */
 const MIN_REFUSAL_INTERVAL_MS = 2;
+/**
+ * Lifetime of a permit, ms. A request delayed by a prefill on another engine or
+ * a wait for a connection must not add to the requests that follow it. With
+ * this lifetime and the burst of permits, a replica receives less than 1.5
+ * times its limit in any four seconds.
+ */
+const PERMIT_VALID_MS = 1500;
+/**
+ * Permits are void once the limit falls below this fraction of the one that
+ * they were issued under. A limit may vary with each response: a small fall
+ * must not turn back what has been granted.
+ */
+const VOIDING_FRACTION = 2 / 3;
 const MS_PER_SECOND = 1000;
 
 interface KnownLimit {
   perS: number;
   /** When a response last reported it, here or at another process. */
   reportedAt: number;
+  /** Highest rate since permits were last voided, per second. */
+  highestPerS: number;
+  /** Permits from before this instant are void. */
+  validSince: number;
   /** Since when responses have not reported it. */
   endedAt: number | undefined;
   bucket: PermitBucket;
@@ -97,43 +114,61 @@
     const { perS } = report;
     if (perS !== undefined && perS <= MAX_PER_S) {
       const isNews = known?.perS !== perS || known.endedAt !== undefined;
-      this.setLimit(replica, perS, now);
-      return isNews ? { replica, perS, endedAgoMs: undefined } : undefined;
+      this.setLimit(replica, perS, now, now);
+      return isNews
+        ? { replica, perS, endedAgoMs: undefined, reportedAgoMs: 0 }
+        : undefined;
     }
     if (known === undefined || known.endedAt !== undefined) return undefined;
     // Answers can arrive out of order: one to an earlier request does not prove
     // that the limit has ended.
     if (!report.mayEnd || report.sentAt <= known.reportedAt) return undefined;
     known.endedAt = now;
-    return { replica, perS: known.perS, endedAgoMs: 0 };
+    const reportedAgoMs = now - known.reportedAt;
+    return { replica, perS: known.perS, endedAgoMs: 0, reportedAgoMs };
   }
 
   /**
    * Applies an update from another process; returns whether it changed
-   * anything.
+   * anything. A process that reconnects may send what has been superseded.
    */
-  applyUpdate({ replica, perS, endedAgoMs }: RateNews, now: number): boolean {
+  applyUpdate(news: RateNews, now: number): boolean {
+    const { replica, perS, endedAgoMs } = news;
     const known = this.activeLimit(replica, now);
-    const isEnd = endedAgoMs !== undefined;
-    if (!isEnd) {
+    const changedAt = now - changedAgoMs(news);
+    const knownAt = known?.endedAt ?? known?.reportedAt ?? -Infinity;
+    if (changedAt < knownAt) return false;
+    if (endedAgoMs === undefined) {
       const isNews = known?.perS !== perS || known.endedAt !== undefined;
-      if (perS <= MAX_PER_S) this.setLimit(replica, perS, now);
+      if (perS <= MAX_PER_S) this.setLimit(replica, perS, changedAt, now);
       return isNews;
     }
     if (known === undefined || known.endedAt !== undefined) return false;
-    known.endedAt = now - endedAgoMs;
+    known.endedAt = changedAt;
     return true;
   }
 
+  /**
+   * What is known here of the update's replica; undefined unless it is more
+   * recent and differs.
+   */
+  newerThan(news: RateNews, now: number): RateNews | undefined {
+    const known = this.activeLimit(news.replica, now);
+    if (known === undefined) return undefined;
+    const own = toNews(news.replica, known, now);
+    const isSame =
+      own.perS === news.perS &&
+      (own.endedAgoMs === undefined) === (news.endedAgoMs === undefined);
+    return !isSame && changedAgoMs(own) < changedAgoMs(news) ? own : undefined;
+  }
+
   /** All limits in force now. */
   activeLimits(now: number): RateNews[] {
     const news: RateNews[] = [];
     for (const replica of [...this.known.keys()]) {
       const known = this.activeLimit(replica, now);
       if (known === undefined) continue;
-      const { perS, endedAt } = known;
-      const endedAgoMs = endedAt === undefined ? undefined : now - endedAt;
-      news.push({ replica, perS, endedAgoMs });
+      news.push(toNews(replica, known, now));
     }
     return news;
   }
@@ -148,6 +183,12 @@
     return known !== undefined && now - known.heldBackAt < THROTTLING_MS;
   }
 
+  /** Whether a permit that dates from `permitAt` may still be used. */
+  isPermitValid(replica: string, permitAt: number, now: number): boolean {
+    const { validSince = -Infinity } = this.activeLimit(replica, now) ?? {};
+    return permitAt >= validSince && now - permitAt <= PERMIT_VALID_MS;
+  }
+
   mayAcquire(replica: string, now: number): boolean {
     const known = this.activeLimit(replica, now);
     if (known === undefined) return true;
@@ -201,22 +242,35 @@
     return isAllocator;
   }
 
-  private setLimit(replica: string, perS: number, now: number): void {
+  private setLimit(
+    replica: string,
+    perS: number,
+    reportedAt: number,
+    now: number,
+  ): void {
     const known = this.known.get(replica);
     if (known === undefined) {
-      const fresh = this.newLimit(perS, now);
+      const fresh = this.newLimit(perS, reportedAt, now);
       this.known.set(replica, fresh);
       return void this.update(replica, fresh, now);
     }
+    known.highestPerS = Math.max(known.highestPerS, currentRate(known, now));
+    if (perS < known.highestPerS * VOIDING_FRACTION) {
+      known.highestPerS = perS;
+      known.validSince = now;
+      known.bucket = new PermitBucket(now);
+    }
     known.perS = perS;
-    known.reportedAt = now;
+    known.reportedAt = reportedAt;
     known.endedAt = undefined;
   }
 
-  private newLimit(perS: number, now: number): KnownLimit {
+  private newLimit(perS: number, reportedAt: number, now: number): KnownLimit {
     return {
       perS,
-      reportedAt: now,
+      reportedAt,
+      highestPerS: perS,
+      validSince: -Infinity,
       endedAt: undefined,
       bucket: new PermitBucket(now),
       slots: new PermitSlots(this.rng(), now),
@@ -236,6 +290,21 @@
   }
 }
 
+/** Time since the responses that an update tells of, ms. */
+const changedAgoMs = ({ endedAgoMs, reportedAgoMs }: RateNews): number =>
+  endedAgoMs ?? reportedAgoMs;
+
+const toNews = (
+  replica: string,
+  { perS, endedAt, reportedAt }: KnownLimit,
+  now: number,
+): RateNews => ({
+  replica,
+  perS,
+  endedAgoMs: endedAt === undefined ? undefined : now - endedAt,
+  reportedAgoMs: now - reportedAt,
+});
+
 /** Requests per second that the replica takes from all processes now. */
 const currentRate = ({ perS, endedAt }: KnownLimit, now: number): number => {
   const limitPerS = Math.max(perS, MIN_PER_S);
