A barred prompt part has one trial in its first minute

Two of the three allowed requests were spent by trials; a bar that is late by two requests then breaks the rule.

The second trial comes after 60 s in place of 10 s. The first, after 1.5 s, is what clears a sound part that was beside the ends; a part that ends the engine of its first trial has ended five.

One case of tests/quarantine/parts.test.ts failed before: two trials in a minute.

--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -42,8 +42,9 @@
 /**
  * Delays before the trials of a part, ms, the last one again and again. A trial
  * costs a replica at most, and without one a sound part would never be served.
+ * A part that has ended the replica of its first trial is hardly sound.
  */
-export const PART_TRIAL_DELAYS_MS = [1500, 10_000, 600_000] as const;
+export const PART_TRIAL_DELAYS_MS = [1500, 60_000, 600_000] as const;
 /** A trial of a part that has no outcome by then has been lost, ms. */
 const PART_TRIAL_TIMEOUT_MS = 15_000;
 /**
--- a/tests/quarantine/parts.test.ts
+++ b/tests/quarantine/parts.test.ts
@@ -13,6 +13,7 @@
 const DEADLY = "part:dead";
 const SHARED = "part:first";
 const [FIRST_DELAY_MS] = PART_TRIAL_DELAYS_MS;
+const MINUTE_MS = 60_000;
 
 const newFleet = (names: readonly string[]) => {
   const clock = { now: 100_000 };
@@ -148,6 +149,17 @@
     }
   });
 
+  it("has a single trial in its first minute, whatever callers send", () => {
+    const { clock, entry } = barred();
+    let trials = 0;
+    for (const end = clock.now + MINUTE_MS; clock.now < end; clock.now += 100) {
+      if (entry.requestVerdict([DEADLY], 2).kind !== "may-try") continue;
+      trials += 1;
+      tryOnce(entry, false);
+    }
+    expect(trials).to.equal(1);
+  });
+
   it("is cleared by a trial that does well, at all entries", () => {
     const { clock, entry } = barred();
     const other = newFleet(["b"]).entries[0]!;
