A run acquits nothing if its engine ends right behind it

Callers' requests with a part that ends engines went on to engines for good where the answer was whole before the engine ended: each such run cleared the part that it had, and the end was attributed to nobody.

A run still acquits at once, since sound parts beside it must not be barred meanwhile. It is taken back if 0.1 s later the connection of its answer is closed and the address refuses connections, or the end is known already; then the request is a suspect of that end like those whose answers broke off. A trial ends once this is known.

--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -47,6 +47,8 @@
 /** How long an engine takes to change its stage, ms. */
 const STAGE_CHANGE_MS = 300;
 const ZONES = 3;
+/** Share of the crashes that come right behind all bytes of an answer. */
+const WHOLE_BEFORE_CRASH = 0.2;
 /** Time from a crash until the replica's entry lapses and it is back, ms. */
 const CRASH_MS = 1500;
 /** About the size of a complete stream, bytes. */
@@ -293,7 +295,9 @@
     if (part !== undefined && phase === "run" && parts.includes(part)) {
       const { id: replica } = standin.options;
       this.records.partEnds.push({ part, replica, at: this.now() });
-      return { afterBytes: this.drawBytes(), how: "crash" };
+      const isWhole = this.rng() < WHOLE_BEFORE_CRASH;
+      const afterBytes = isWhole ? Infinity : this.drawBytes();
+      return { afterBytes, how: "crash" };
     }
     const isHit = misbehaviour !== undefined && this.rng() < misbehaviour.share;
     if (!isHit) return "ok";
--- a/src/gateway/engineCalls.ts
+++ b/src/gateway/engineCalls.ts
@@ -1,7 +1,7 @@
 /** Calls to model engines for a request: prefill, run, release a KV handle. */
 import { BoundedCancellation } from "../shared/cancellation.js";
 import type { Cancellation } from "../shared/cancellation.js";
-import { errText } from "../shared/utils.js";
+import { errText, nextEventLoopTurn } from "../shared/utils.js";
 import type { Verdict } from "../shared/verdict.js";
 import type { Log } from "../telemetry/index.js";
 import type { CallerRequest } from "./callerRequest.js";
@@ -32,14 +32,6 @@
       isUnavailable?: boolean;
     };
 
-/**
- * After this process was paused, sockets hold unread closes of callers and
- * timers are late. One turn of the event loop handles both, so that nothing is
- * sent on behalf of callers that have disconnected.
- */
-const nextEventLoopTurn = (): Promise<void> =>
-  new Promise((resolve) => setImmediate(resolve));
-
 const unavailable = (why: string): EngineReply => ({
   kind: "failed",
   verdict: "not-run",
@@ -91,6 +83,7 @@
       const why = "the replica is gone";
       return { kind: "failed", verdict: "not-run", why };
     }
+    // Nothing is sent on behalf of callers whose close is still unread.
     await nextEventLoopTurn();
     const refusal = client.refusal(replica);
     if (refusal !== undefined) return unavailable(refusal);
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -161,7 +161,7 @@
     try {
       await flow.run(caller);
     } finally {
-      quarantine.onRequestEnd(caller);
+      void quarantine.onRequestEnd(caller);
     }
   }
 
--- a/src/gateway/quarantineManager.ts
+++ b/src/gateway/quarantineManager.ts
@@ -49,6 +49,9 @@
   /** Unshared observations include an end, so others' records are needed. */
   private hasNewEnds = false;
   private retryAt = 0;
+  /** Resolves once it is known whether a replica survived the request's run. */
+  survivalKnown: (caller: CallerRequest) => Promise<void> = async () =>
+    undefined;
 
   constructor(private readonly options: QuarantineManagerOptions) {
     const { self, log, now, wallNow } = options;
@@ -68,17 +71,23 @@
     this.logRecordChanges();
   }
 
-  /** A run ended and left its replica alive; `isGood`: it was whole and a 2xx. */
-  onSurvived(caller: CallerRequest, isGood: boolean): void {
+  /**
+   * A run completed; `isGood`: with a 2xx. Returns what to call if its replica
+   * has ended right behind it.
+   */
+  onCompleted(caller: CallerRequest, isGood: boolean): () => void {
     // An error may come before anything was written, and clears no part.
-    const survived = isGood ? [...caller.partKeys] : [];
+    const keys = isGood ? [...caller.partKeys] : [];
     if (this.quarantine.mayBeTracked(caller.body.length))
-      survived.push(caller.digest);
+      keys.push(caller.digest);
+    const completion = this.quarantine.recordCompletion(keys);
+    if (completion.cleared.size > 0) this.unsharedSince ??= this.options.now();
+    return () => this.quarantine.takeBack(completion);
+  }
+
+  /** The replica of a completed run has not ended behind it. */
+  onSurvived(caller: CallerRequest, isGood: boolean): void {
     this.trials.recordSurvival(caller, isGood);
-    let isNews = false;
-    for (const key of survived)
-      isNews = this.quarantine.recordSurvival(key) || isNews;
-    if (isNews) this.unsharedSince ??= this.options.now();
   }
 
   /** Handles the status that is stored with the configuration. */
@@ -126,7 +135,9 @@
   }
 
   /** Called when a request has ended. */
-  onRequestEnd(caller: CallerRequest): void {
+  async onRequestEnd(caller: CallerRequest): Promise<void> {
+    if (!caller.isTrial) return;
+    await this.survivalKnown(caller);
     if (this.trials.endTrial(caller)) this.logRecordChanges();
   }
 
--- a/src/gateway/quarantineRole.ts
+++ b/src/gateway/quarantineRole.ts
@@ -31,6 +31,8 @@
   state.onGone = (replica) => ends.onReplicaRemoved(replica);
   state.onStatus = (status) => quarantine.onStatus(status);
   ends.onEnd = (end) => quarantine.onEnd(end);
+  ends.onCompleted = (caller, isGood) => quarantine.onCompleted(caller, isGood);
   ends.onSurvived = (caller, isGood) => quarantine.onSurvived(caller, isGood);
+  quarantine.survivalKnown = (caller) => ends.survivalKnown(caller);
   return { ends, quarantine };
 };
--- a/src/gateway/replicaEndDetector.ts
+++ b/src/gateway/replicaEndDetector.ts
@@ -5,13 +5,17 @@
  * connections, or if the replica leaves the list soon afterwards.
  */
 import type { IncomingMessage } from "node:http";
+import { setTimeout as setTimeoutPromise } from "node:timers/promises";
 
 import type { SuspectRequest } from "../quarantine/index.js";
 import type { Log, Metrics } from "../telemetry/index.js";
 import type { CallerRequest } from "./callerRequest.js";
 import type { ReplicaSet } from "./replicaSet.js";
+import { Cancellation } from "../shared/cancellation.js";
+import { nextEventLoopTurn } from "../shared/utils.js";
 import type { Replica, UpstreamSend } from "./types.js";
 import type { SendOutcome, UpstreamClient } from "./upstreamClient.js";
+import type { UpstreamReply } from "./upstreamReply.js";
 
 /**
  * A replica removed from the list within this time of an interrupted response
@@ -23,6 +27,11 @@
  * ended may still have run there, ms; most replicas drop it at once.
  */
 const CALLER_LEFT_MS = 1000;
+/**
+ * A replica has survived a run if it has not ended this long after it, ms: one
+ * that ends behind a whole answer ended of it.
+ */
+const SURVIVAL_MS = 100;
 /** Interval between probes of one address, ms; interruptions come in bursts. */
 const PROBE_INTERVAL_MS = 100;
 /** Maximum number of replicas whose interrupted responses are kept. */
@@ -35,6 +44,9 @@
 const logged = (names: readonly string[]): string =>
   [...new Set(names)].slice(0, MAX_LOGGED).join(",");
 
+/** Of a run that was not cancelled before its end. */
+const NOT_CANCELLED = new Cancellation();
+
 /** What confirmed the end of a replica. */
 export type EndEvidence = "nobody listens" | "left the list";
 
@@ -72,9 +84,18 @@
 
 export class ReplicaEndDetector {
   private readonly interrupted = new Map<string, InterruptedResponses>();
+  /** Requests with a run whose replica's survival is not known yet. */
+  private readonly pending = new Map<CallerRequest, Promise<void>>();
   /** Called for each end, and for requests attributed to it later. */
   onEnd: (end: ReplicaEnd) => void = () => undefined;
-  /** Called when a run completed and its replica survived. */
+  /**
+   * Called when a run completed; returns what to call if its replica ended right
+   * behind it.
+   */
+  onCompleted: (caller: CallerRequest, isGood: boolean) => () => void =
+    () => () =>
+      undefined;
+  /** Called when the replica of a completed run did not end behind it. */
   onSurvived: (caller: CallerRequest, isGood: boolean) => void = () =>
     undefined;
 
@@ -103,11 +124,39 @@
       if (kind === "cut") return onInterrupted();
       this.onCompleteAnswer(replica);
       if (phase !== "run" || isRefused(res)) return;
-      const { statusCode = 0 } = res;
-      this.onSurvived(caller, statusCode >= 200 && statusCode < 300);
+      const judged = this.judgeSurvival(caller, replica, outcome);
+      this.pending.set(caller, judged);
+      void judged.then(() => this.pending.delete(caller));
     });
   }
 
+  /**
+   * Resolves once it is known whether a replica survived the request's run; at
+   * once if no run of it has completed lately.
+   */
+  async survivalKnown(caller: CallerRequest): Promise<void> {
+    await this.pending.get(caller);
+  }
+
+  private async judgeSurvival(
+    caller: CallerRequest,
+    replica: Replica,
+    reply: UpstreamReply,
+  ): Promise<void> {
+    const { statusCode = 0 } = reply.res;
+    const isGood = statusCode >= 200 && statusCode < 300;
+    const takeBack = this.onCompleted(caller, isGood);
+    await setTimeoutPromise(SURVIVAL_MS, undefined, { ref: false });
+    // After a stall of this process the end may already be buffered.
+    await nextEventLoopTurn();
+    const record = this.interrupted.get(replica.id);
+    const hasEnded = record?.evidence !== undefined;
+    if (!hasEnded && !(await reply.hasReplicaEnded()))
+      return this.onSurvived(caller, isGood);
+    takeBack();
+    this.onInterrupted(caller, replica, NOT_CANCELLED);
+  }
+
   /** The replica went silent; it may have ended with its connections open. */
   onStalled(caller: CallerRequest, replicaId: string): void {
     const replica = this.options.replicas.get(replicaId);
--- a/src/gateway/upstreamReply.ts
+++ b/src/gateway/upstreamReply.ts
@@ -1,5 +1,6 @@
 /** The response of a replica, and whether its body arrived whole. */
 import type { IncomingMessage } from "node:http";
+import type { Socket } from "node:net";
 
 import { bodyFraming, isHalfJson, onResetAtEnd } from "../http/index.js";
 import type { BodyFraming } from "../http/index.js";
@@ -28,6 +29,8 @@
    */
   contentFault: () => string | undefined = () => undefined;
   private error: string | undefined;
+  /** Node detaches it from the response once that has ended. */
+  private readonly socket: Socket;
   private readonly closed: Promise<unknown>;
   private judged: Promise<BodyEnd> | undefined;
 
@@ -36,6 +39,7 @@
     private readonly options: UpstreamReplyOptions,
   ) {
     this.framing = bodyFraming(res, options.method);
+    this.socket = res.socket;
     this.closed = new Promise((resolve) => res.once("close", resolve));
     res.on("error", ({ message }) => this.onError(message));
     if (this.framing === "connection")
@@ -61,6 +65,14 @@
     return this.judged;
   }
 
+  /**
+   * Whether the replica has ended since, to be asked some time after a whole
+   * answer: its connection was closed, and its address refuses connections.
+   */
+  async hasReplicaEnded(): Promise<boolean> {
+    return this.socket.destroyed && (await this.options.isRefused());
+  }
+
   private async judge(): Promise<BodyEnd> {
     const fault = this.contentFault() ?? this.error;
     if (fault !== undefined) return cut(fault);
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -77,6 +77,14 @@
 
 const FREE: QuarantineVerdict = { kind: "free" };
 
+/** What a completed run has cleared. */
+export interface Completion {
+  at: number;
+  cleared: ReadonlyMap<string, Evidence>;
+  /** When runs with its parts had survived before, ms. */
+  survivedBefore: ReadonlyMap<string, number | undefined>;
+}
+
 interface KnownRecord {
   record: QuarantineRecord;
   /** When this process received this step, ms. */
@@ -155,14 +163,38 @@
   }
 
   /**
-   * Records that a run ended and left its replica alive; returns whether this
-   * changed anything. A barred request is cleared only by its trial, since this
-   * run began before it was barred.
+   * Records that a run completed, which clears its suspects unless it is taken
+   * back. A barred one is cleared only by its trial, since this run began before
+   * it was barred.
    */
-  recordSurvival(key: string): boolean {
-    if (isPartKey(key)) this.survivals.set(key, this.now());
-    if (this.activeRecord(key) !== undefined) return false;
-    return this.suspects.clear(key);
+  recordCompletion(keys: readonly string[]): Completion {
+    const at = this.now();
+    const cleared = new Map<string, Evidence>();
+    const survivedBefore = new Map<string, number | undefined>();
+    for (const key of keys) {
+      if (isPartKey(key)) {
+        survivedBefore.set(key, this.survivals.get(key));
+        this.survivals.set(key, at);
+      }
+      if (this.activeRecord(key) !== undefined) continue;
+      const ends = this.suspects.clear(key);
+      if (ends.size > 0) cleared.set(key, ends);
+    }
+    return { at, cleared, survivedBefore };
+  }
+
+  /** The replica of that run ended right behind it. */
+  takeBack({ at, cleared, survivedBefore }: Completion): void {
+    for (const [key, before] of survivedBefore) {
+      if (this.survivals.get(key) !== at) continue;
+      if (before === undefined) this.survivals.delete(key);
+      else this.survivals.set(key, before);
+    }
+    for (const [key, ends] of cleared) {
+      for (const [incarnation, request] of ends)
+        this.suspects.add([key], incarnation, request);
+    }
+    this.sizes = undefined;
   }
 
   /**
--- a/src/quarantine/suspectTable.ts
+++ b/src/quarantine/suspectTable.ts
@@ -81,9 +81,11 @@
     while (this.suspects.size > MAX_SUSPECTS) this.dropWeakest();
   }
 
-  /** Forgets a suspect; returns whether it was known. */
-  clear(key: string): boolean {
-    return this.suspects.delete(key);
+  /** Forgets a suspect; returns the evidence against it. */
+  clear(key: string): Evidence {
+    const ends = this.evidence(key);
+    this.suspects.delete(key);
+    return ends;
   }
 
   evidence(key: string): Evidence {
--- a/src/shared/utils.ts
+++ b/src/shared/utils.ts
@@ -21,3 +21,10 @@
 /** Returns the message of any thrown value. */
 export const errText = (err: unknown): string =>
   err instanceof Error ? err.message : String(err);
+
+/**
+ * After this process was paused, sockets hold unread data and closes, and timers
+ * are late. One turn of the event loop handles both.
+ */
+export const nextEventLoopTurn = (): Promise<void> =>
+  new Promise((resolve) => setImmediate(resolve));
--- a/tests/quarantine/parts.test.ts
+++ b/tests/quarantine/parts.test.ts
@@ -105,14 +105,14 @@
     const { entry } = newEntry();
     for (let at = 0; at < 20; at += 1) {
       endUnder(entry, PART_ENDS_TO_BAR - 1, SHARED);
-      expect(entry.recordSurvival(SHARED)).to.equal(true);
+      expect(entry.recordCompletion([SHARED]).cleared.size).to.equal(1);
     }
     expect(isBarred(entry, SHARED)).to.equal(false);
   });
 
   it("is not barred where all replicas end at once under runs that did well until then", () => {
     const { clock, entry } = newEntry();
-    entry.recordSurvival(SHARED);
+    entry.recordCompletion([SHARED]);
     clock.now += 50;
     endUnder(entry, 8, SHARED);
     expect(isBarred(entry, SHARED)).to.equal(false);
@@ -122,6 +122,29 @@
   });
 });
 
+describe("a run that completed before its replica ended", () => {
+  it("does not acquit its parts", () => {
+    const { clock, entry } = newEntry();
+    for (let at = 0; at < PART_ENDS_TO_BAR; at += 1) {
+      const completion = entry.recordCompletion([DEADLY]);
+      clock.now += 100;
+      entry.takeBack(completion);
+      endUnder(entry, 1, DEADLY);
+    }
+    expect(isBarred(entry, DEADLY)).to.equal(true);
+  });
+
+  it("leaves the acquittal by another run as it was", () => {
+    const { clock, entry } = newEntry();
+    const completion = entry.recordCompletion([SHARED]);
+    clock.now += 100;
+    entry.recordCompletion([SHARED]);
+    entry.takeBack(completion);
+    endUnder(entry, PART_ENDS_TO_BAR, SHARED);
+    expect(isBarred(entry, SHARED)).to.equal(false);
+  });
+});
+
 describe("a barred part", () => {
   const barred = () => {
     const { clock, entry } = newEntry();
--- a/tests/quarantine/quarantine.test.ts
+++ b/tests/quarantine/quarantine.test.ts
@@ -212,7 +212,7 @@
     const popular = "4.popular";
     for (const incarnation of incarnationIds(20)) {
       entry.recordReplicaEnd(requests([popular]), incarnation);
-      expect(entry.recordSurvival(popular)).to.equal(true);
+      expect(entry.recordCompletion([popular]).cleared.size).to.equal(1);
     }
     expect(entry.activeRecord(popular)).to.equal(undefined);
     expect(entry.mayBeTracked(4)).to.equal(false);
