The end of a replica is looked for more than once

A replica that ends may close its connections before it stops listening. One probe came at that moment, found an open address, and the end was known only once the replica had left the list, 1.5 to 4.5 s later; so late, requests that end engines are barred too late as well.

Three probes now follow an interrupted answer, 0.1 s apart, while nothing confirms the end. Cost: two connections more for an answer that broke off at a replica that lives; a burst of interruptions shares them.

tests/gateway/replicaEndDetector.test.ts: the first case fails with one probe (the end is not found).

--- a/src/gateway/replicaEndDetector.ts
+++ b/src/gateway/replicaEndDetector.ts
@@ -34,6 +34,11 @@
 const SURVIVAL_MS = 100;
 /** Interval between probes of one address, ms; interruptions come in bursts. */
 const PROBE_INTERVAL_MS = 100;
+/**
+ * Probes after an interruption while nothing confirms the end: a replica that
+ * ends may close its connections before it stops listening.
+ */
+const PROBES = 3;
 /** Maximum number of replicas whose interrupted responses are kept. */
 const MAX_REPLICAS = 256;
 /** Maximum number of requests kept per replica, which has no more slots. */
@@ -78,8 +83,8 @@
   evidence: EndEvidence | undefined;
   /** A probe is running, or finished less than an interval ago. */
   isProbing: boolean;
-  /** Another response was interrupted after that probe had begun. */
-  mustProbeAgain: boolean;
+  /** Probes still to be made. */
+  probesLeft: number;
 }
 
 export class ReplicaEndDetector {
@@ -196,7 +201,9 @@
       if (!hasLeft) this.report(record, [request]);
       return;
     }
-    if (!hasLeft) this.probe(record);
+    if (hasLeft) return;
+    record.probesLeft = PROBES;
+    this.probe(record);
   }
 
   private remember(
@@ -225,7 +232,7 @@
       requests: new Map(),
       evidence: undefined,
       isProbing: false,
-      mustProbeAgain: false,
+      probesLeft: 0,
     };
     this.interrupted.set(id, fresh);
     const [oldest] = this.interrupted.keys();
@@ -237,14 +244,14 @@
 
   /** If the address still accepts connections, the list may confirm the end. */
   private probe(record: InterruptedResponses): void {
-    record.mustProbeAgain = record.isProbing;
-    if (record.isProbing) return;
+    if (record.isProbing || record.probesLeft === 0) return;
     record.isProbing = true;
+    record.probesLeft -= 1;
     void this.options.client.probe(record.replica.address).then((found) => {
       if (found === "refused") return this.confirm(record, "nobody listens");
       setTimeout(() => {
         record.isProbing = false;
-        if (record.mustProbeAgain) this.probe(record);
+        this.probe(record);
       }, PROBE_INTERVAL_MS).unref();
     });
   }
