An end is seen though the replica has left the list first

Ends of engines were attributed to nobody where the list's news of the removal was handled before the connection closed: an interruption counted only at a replica that is listed as ready.

The state of a replica that is no longer listed is now the one that it had when it left: a planned leave still counts as none.

--- a/src/gateway/replicaEndDetector.ts
+++ b/src/gateway/replicaEndDetector.ts
@@ -7,12 +7,14 @@
 import type { IncomingMessage } from "node:http";
 import { setTimeout as setTimeoutPromise } from "node:timers/promises";
 
+import { LRUCache } from "lru-cache";
+
 import type { SuspectRequest } from "../quarantine/index.js";
+import { Cancellation } from "../shared/cancellation.js";
+import { nextEventLoopTurn } from "../shared/utils.js";
 import type { Log, Metrics } from "../telemetry/index.js";
 import type { CallerRequest } from "./callerRequest.js";
 import type { ReplicaSet } from "./replicaSet.js";
-import { Cancellation } from "../shared/cancellation.js";
-import { nextEventLoopTurn } from "../shared/utils.js";
 import type { Replica, UpstreamSend } from "./types.js";
 import type { SendOutcome, UpstreamClient } from "./upstreamClient.js";
 import type { UpstreamReply } from "./upstreamReply.js";
@@ -89,6 +91,10 @@
 
 export class ReplicaEndDetector {
   private readonly interrupted = new Map<string, InterruptedResponses>();
+  /** Replicas as they were when they left the list, by id. */
+  private readonly removed = new LRUCache<string, Replica>({
+    max: MAX_REPLICAS,
+  });
   /** Requests with a run whose replica's survival is not known yet. */
   private readonly pending = new Map<CallerRequest, Promise<void>>();
   /** Called for each end, and for requests attributed to it later. */
@@ -170,6 +176,7 @@
 
   /** A replica was removed from the list. */
   onReplicaRemoved(replica: Replica): void {
+    this.removed.set(replica.id, replica);
     const record = this.interrupted.get(replica.id);
     if (record === undefined || replica.state !== "ready") return;
     this.confirm(record, "left the list");
@@ -187,7 +194,8 @@
     cancellation = caller.cancellation,
   ): void {
     // A replica that was leaving has ended as planned.
-    const listed = this.options.replicas.get(replica.id);
+    const { id } = replica;
+    const listed = this.options.replicas.get(id) ?? this.removed.get(id);
     if (listed?.state !== "ready") return;
     const now = this.options.now();
     const record = this.recordFor(replica);
