Parts on replicas that end at once are not barred

Logs: five parts barred at 7.3 s by ends of 5.45 to 5.57 s, 563 requests refused until 40 s on, one part and 117 requests until 23 s on, where its trial then waits a minute.

Evidence against a part names the instant of each interruption, and must span a second: many ends at one moment are the loss of VMs or a failure domain. The instant is the interruption's, not the one at which the end was confirmed. An entry keeps the first ends and the latest one. A part that ends engines spans a second with its next end.

Two cases of tests/quarantine/parts.test.ts; the first failed before.

--- a/src/gateway/replicaEndDetector.ts
+++ b/src/gateway/replicaEndDetector.ts
@@ -73,6 +73,8 @@
 }
 
 interface InterruptedRequest extends SuspectRequest {
+  /** Instant of the interruption, ms. */
+  at: number;
   /** Instant until which an end is attributed to the request, ms. */
   until: number;
 }
@@ -203,7 +205,7 @@
     const hasLeft = cancellation.isCancelled;
     const until = now + (hasLeft ? CALLER_LEFT_MS : CONFIRM_MS);
     const { digest, partKeys: parts } = caller;
-    const request = { digest, parts, until };
+    const request = { digest, parts, at: now, until };
     this.remember(record, request);
     if (record.evidence !== undefined) {
       if (!hasLeft) this.report(record, [request]);
@@ -278,9 +280,10 @@
 
   private report(
     { replica, evidence }: InterruptedResponses,
-    requests: readonly SuspectRequest[],
+    requests: readonly InterruptedRequest[],
   ): void {
     if (evidence === undefined || requests.length === 0) return;
+    const now = this.options.now();
     this.options.log.info("replica ended", {
       replica: replica.id,
       address: replica.address,
@@ -289,6 +292,11 @@
       digests: logged(requests.map(({ digest }) => digest)),
       parts: logged(requests.flatMap(({ parts }) => parts)),
     });
-    this.onEnd({ replica, evidence, requests: [...requests] });
+    const suspects = requests.map(({ digest, parts, at }) => ({
+      digest,
+      parts,
+      agoMs: now - at,
+    }));
+    this.onEnd({ replica, evidence, requests: suspects });
   }
 }
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -30,6 +30,11 @@
  * a request, since a part is in many requests that run beside the cause.
  */
 export const PART_ENDS_TO_BAR = 4;
+/**
+ * Shortest time between the first and the last of them, ms: many replicas that
+ * end at once were lost with their VMs or their failure domain.
+ */
+export const PART_ENDS_SPAN_MS = 1000;
 /** Different requests with a part under which they ended. */
 export const PART_REQUESTS_TO_BAR = 2;
 /**
@@ -94,8 +99,20 @@
 const byAge = (left: QuarantineRecord, right: QuarantineRecord): number =>
   left.at - right.at || left.digest.localeCompare(right.digest);
 
-/** How many requests there are among the evidence. */
-const requestCount = (ends: Evidence): number => new Set(ends.values()).size;
+/** Separates the request of a part's evidence from the time of the end. */
+const TIME_SEPARATOR = "@";
+
+/** How many requests there are among the evidence against a part. */
+const requestCount = (ends: Evidence): number =>
+  new Set([...ends.values()].map((text) => text.split(TIME_SEPARATOR)[0])).size;
+
+/** Time between the first and the last end in the evidence, ms. */
+const spanMs = (ends: Evidence): number => {
+  const times = [...ends.values()]
+    .map((text) => Number(text.split(TIME_SEPARATOR)[1]))
+    .filter((at) => Number.isFinite(at));
+  return times.length === 0 ? 0 : Math.max(...times) - Math.min(...times);
+};
 
 const partTrialDelayMs = ({ sends }: QuarantineRecord): number =>
   PART_TRIAL_DELAYS_MS[Math.min(sends, PART_TRIAL_DELAYS_MS.length - 1)] ?? 0;
@@ -153,9 +170,11 @@
   ): void {
     this.sizes = undefined;
     for (const request of requests) {
-      const { digest, parts } = request;
+      const { digest, parts, agoMs = 0 } = request;
+      const at = Math.round(this.wallNow() - agoMs);
+      const evidence = `${shortDigest(digest)}${TIME_SEPARATOR}${at}`;
       this.suspects.add([digest], incarnation);
-      this.suspects.add(parts, incarnation, shortDigest(digest));
+      this.suspects.add(parts, incarnation, evidence);
       this.endTrials(digest);
     }
     for (const key of new Set(requests.flatMap(keysOf)))
@@ -356,6 +375,7 @@
     const survivedAt = this.survivals.get(key) ?? -Infinity;
     return (
       ends.size >= PART_ENDS_TO_BAR &&
+      spanMs(ends) >= PART_ENDS_SPAN_MS &&
       requestCount(ends) >= PART_REQUESTS_TO_BAR &&
       this.now() - survivedAt >= RECENT_SURVIVAL_MS
     );
--- a/src/quarantine/suspectTable.ts
+++ b/src/quarantine/suspectTable.ts
@@ -23,16 +23,16 @@
  */
 export const PART_RETENTION_MS = 60_000;
 /**
- * Maximum replica incarnations recorded per suspect; more do not affect the
- * decision.
+ * Maximum replica incarnations recorded per suspect: the first ones and the
+ * latest; more do not affect the decision.
  */
 const MAX_INCARNATIONS = 6;
 /** Separates an incarnation from the request of a part's evidence. */
 const SEPARATOR = " ";
 
 /**
- * Replica incarnations that ended under a suspect; for a part, each with a
- * request that had it, else with an empty text.
+ * Replica incarnations that ended under a suspect; for a part, each with the
+ * request that had it and a time, else with an empty text.
  */
 export type Evidence = ReadonlyMap<string, string>;
 
@@ -73,8 +73,11 @@
     this.dropOld(at);
     for (const key of keys) {
       const ends = this.suspects.get(key)?.ends ?? new Map<string, string>();
-      const isFull = ends.size >= MAX_INCARNATIONS;
-      if (!ends.has(incarnation) && !isFull) ends.set(incarnation, request);
+      if (!ends.has(incarnation)) {
+        const latest = [...ends.keys()][MAX_INCARNATIONS - 1];
+        if (latest !== undefined) ends.delete(latest);
+        ends.set(incarnation, request);
+      }
       this.suspects.delete(key);
       this.suspects.set(key, { ends, at });
     }
--- a/src/quarantine/types.ts
+++ b/src/quarantine/types.ts
@@ -7,11 +7,14 @@
   digest: string;
   /** Keys of the prompt parts that it shares with other requests. */
   parts: readonly string[];
+  /** Time since its response was interrupted, ms; absent: just now. */
+  agoMs?: number;
 }
 
 /**
  * Replica incarnations seen to end by one process, by request digest or part
- * key; for a part, each is followed by a space and a request that had it.
+ * key; for a part, each is followed by a space, a request that had it, `@`, and
+ * the wall-clock time, ms.
  */
 export type EndRecord = Record<string, string[]>;
 
--- a/tests/quarantine/parts.test.ts
+++ b/tests/quarantine/parts.test.ts
@@ -14,6 +14,7 @@
 const SHARED = "part:first";
 const [FIRST_DELAY_MS] = PART_TRIAL_DELAYS_MS;
 const MINUTE_MS = 60_000;
+const ENDS_INTERVAL_MS = 500;
 
 const newFleet = (names: readonly string[]) => {
   const clock = { now: 100_000 };
@@ -44,7 +45,9 @@
 ): void => {
   for (let at = 0; at < count; at += 1) {
     sequence += 1;
-    entry.recordReplicaEnd([request(...parts)], `life-${sequence}`);
+    const agoMs = (count - at) * ENDS_INTERVAL_MS;
+    const suspect = { ...request(...parts), agoMs };
+    entry.recordReplicaEnd([suspect], `life-${sequence}`);
   }
 };
 
@@ -122,12 +125,39 @@
   });
 });
 
+describe("a part that was on replicas which ended at once", () => {
+  const endAtOnce = (entry: Quarantine): void => {
+    for (let at = 0; at < 8; at += 1) {
+      const suspect = { ...request(SHARED), agoMs: at * 100 };
+      entry.recordReplicaEnd([suspect], `domain-${at}`);
+    }
+  };
+
+  it("is not barred, however late their ends are known", () => {
+    const { clock, entry } = newEntry();
+    endAtOnce(entry);
+    expect(isBarred(entry, SHARED)).to.equal(false);
+    clock.now += 3000;
+    const late = { ...request(SHARED), agoMs: 3000 };
+    entry.recordReplicaEnd([late], "found-late");
+    expect(isBarred(entry, SHARED)).to.equal(false);
+  });
+
+  it("is barred by one more end after that", () => {
+    const { clock, entry } = newEntry();
+    endAtOnce(entry);
+    clock.now += 3000;
+    endUnder(entry, 1, SHARED);
+    expect(isBarred(entry, SHARED)).to.equal(true);
+  });
+});
+
 describe("a run that completed before its replica ended", () => {
   it("does not acquit its parts", () => {
     const { clock, entry } = newEntry();
     for (let at = 0; at < PART_ENDS_TO_BAR; at += 1) {
       const completion = entry.recordCompletion([DEADLY]);
-      clock.now += 100;
+      clock.now += ENDS_INTERVAL_MS;
       entry.takeBack(completion);
       endUnder(entry, 1, DEADLY);
     }
