--- a/src/gateway/replicaEndDetector.ts
+++ b/src/gateway/replicaEndDetector.ts
@@ -7,12 +7,14 @@
 import type { IncomingMessage } from "node:http";
 import { setTimeout as setTimeoutPromise } from "node:timers/promises";
 
+import { LRUCache } from "lru-cache";
+
 import type { SuspectRequest } from "../quarantine/index.js";
+import { Cancellation } from "../shared/cancellation.js";
+import { nextEventLoopTurn } from "../shared/utils.js";
 import type { Log, Metrics } from "../telemetry/index.js";
 import type { CallerRequest } from "./callerRequest.js";
 import type { ReplicaSet } from "./replicaSet.js";
-import { Cancellation } from "../shared/cancellation.js";
-import { nextEventLoopTurn } from "../shared/utils.js";
 import type { Replica, UpstreamSend } from "./types.js";
 import type { SendOutcome, UpstreamClient } from "./upstreamClient.js";
 import type { UpstreamReply } from "./upstreamReply.js";
@@ -71,6 +73,8 @@
 }
 
 interface InterruptedRequest extends SuspectRequest {
+  /** Instant of the interruption, ms. */
+  at: number;
   /** Instant until which an end is attributed to the request, ms. */
   until: number;
 }
@@ -89,6 +93,10 @@
 
 export class ReplicaEndDetector {
   private readonly interrupted = new Map<string, InterruptedResponses>();
+  /** Replicas as they were when they left the list, by id. */
+  private readonly removed = new LRUCache<string, Replica>({
+    max: MAX_REPLICAS,
+  });
   /** Requests with a run whose replica's survival is not known yet. */
   private readonly pending = new Map<CallerRequest, Promise<void>>();
   /** Called for each end, and for requests attributed to it later. */
@@ -170,6 +178,7 @@
 
   /** A replica was removed from the list. */
   onReplicaRemoved(replica: Replica): void {
+    this.removed.set(replica.id, replica);
     const record = this.interrupted.get(replica.id);
     if (record === undefined || replica.state !== "ready") return;
     this.confirm(record, "left the list");
@@ -187,7 +196,8 @@
     cancellation = caller.cancellation,
   ): void {
     // A replica that was leaving has ended as planned.
-    const listed = this.options.replicas.get(replica.id);
+    const { id } = replica;
+    const listed = this.options.replicas.get(id) ?? this.removed.get(id);
     if (listed?.state !== "ready") return;
     const now = this.options.now();
     const record = this.recordFor(replica);
@@ -195,7 +205,7 @@
     const hasLeft = cancellation.isCancelled;
     const until = now + (hasLeft ? CALLER_LEFT_MS : CONFIRM_MS);
     const { digest, partKeys: parts } = caller;
-    const request = { digest, parts, until };
+    const request = { digest, parts, at: now, until };
     this.remember(record, request);
     if (record.evidence !== undefined) {
       if (!hasLeft) this.report(record, [request]);
@@ -270,9 +280,10 @@
 
   private report(
     { replica, evidence }: InterruptedResponses,
-    requests: readonly SuspectRequest[],
+    requests: readonly InterruptedRequest[],
   ): void {
     if (evidence === undefined || requests.length === 0) return;
+    const now = this.options.now();
     this.options.log.info("replica ended", {
       replica: replica.id,
       address: replica.address,
@@ -281,6 +292,11 @@
       digests: logged(requests.map(({ digest }) => digest)),
       parts: logged(requests.flatMap(({ parts }) => parts)),
     });
-    this.onEnd({ replica, evidence, requests: [...requests] });
+    const suspects = requests.map(({ digest, parts, at }) => ({
+      digest,
+      parts,
+      agoMs: now - at,
+    }));
+    this.onEnd({ replica, evidence, requests: suspects });
   }
 }
