--- a/tests/gateway/engineCalls.test.ts
+++ b/tests/gateway/engineCalls.test.ts
@@ -14,20 +14,11 @@
 import { ReplicaSet } from "../../src/gateway/replicaSet.js";
 import type { UpstreamRequest } from "../../src/gateway/upstreamClient.js";
 import { Cancellation } from "../../src/shared/cancellation.js";
+import { DECODE_ENGINE } from "../support/decodeEngine.js";
 
 const setUp = (leftMs: number) => {
   const replicas = new ReplicaSet();
-  replicas.put({
-    id: "dec-1",
-    name: "dec-1",
-    startedAt: undefined,
-    service: "model",
-    address: "10.0.0.1:1",
-    domain: "domain-1",
-    slots: 1,
-    state: "ready",
-    stage: "decode",
-  });
+  replicas.put(DECODE_ENGINE);
   const sent: unknown[] = [];
   const upstream = {
     send: async (order: UpstreamRequest) => {
--- a/tests/gateway/replicaEndDetector.test.ts
+++ b/tests/gateway/replicaEndDetector.test.ts
@@ -5,22 +5,11 @@
 import { ReplicaEndDetector } from "../../src/gateway/replicaEndDetector.js";
 import type { ReplicaEndDetectorOptions } from "../../src/gateway/replicaEndDetector.js";
 import { ReplicaSet } from "../../src/gateway/replicaSet.js";
-import type { Replica } from "../../src/gateway/types.js";
 import type { ProbeResult } from "../../src/gateway/upstreamClient.js";
 import { Cancellation } from "../../src/shared/cancellation.js";
+import { DECODE_ENGINE } from "../support/decodeEngine.js";
 import { until } from "../support/until.js";
 
-const REPLICA: Replica = {
-  id: "dec-1",
-  name: "dec-1",
-  startedAt: undefined,
-  service: "model",
-  address: "10.0.0.1:1",
-  domain: "domain-1",
-  slots: 1,
-  state: "ready",
-  stage: "decode",
-};
 /** Three after the last interruption, and one that had begun before. */
 const MAX_PROBES = 4;
 /** Longer than the time in which all probes are made, ms. */
@@ -29,7 +18,7 @@
 describe("the end of a replica behind an interrupted response", () => {
   const setUp = (found: readonly ProbeResult[]) => {
     const replicas = new ReplicaSet();
-    replicas.put(REPLICA);
+    replicas.put(DECODE_ENGINE);
     let probes = 0;
     const client = {
       probe: async () => found[probes++] ?? "listening",
@@ -49,7 +38,7 @@
       const caller = { digest, partKeys: [], cancellation };
       detector.track(
         caller as unknown as CallerRequest,
-        REPLICA,
+        DECODE_ENGINE,
         "run",
         { kind: "failed", verdict: "may-have-run", why: "cut" },
         () => false,
