The retries charged to the budget stand in the lines of a request

No line said what a request had taken from the retry budget, so that the retries of a process could only be derived from placed and sentTo, and those of killed processes not at all. The lines request and placed name it now. retryBudget.test checks that the sum over all lines is the number of arrivals beyond the first at the replicas: passes.

--- a/src/gateway/callerRequest.ts
+++ b/src/gateway/callerRequest.ts
@@ -67,6 +67,8 @@
   onWritten: () => void = () => undefined;
   /** Ids of the replicas that it was sent to, in order. */
   readonly sentTo: string[] = [];
+  /** How many retries were taken from the budget for it. */
+  retries = 0;
 
   constructor(private readonly options: CallerRequestOptions) {
     const { head, route, service, body, arrivedAt, res, now } = options;
@@ -228,6 +230,7 @@
       deadlineLeftMs: Math.round(this.leftMs()),
       configuration: this.options.configVersion,
       sentTo: this.sentTo.join(","),
+      retries: this.retries,
       // Computed on demand: set for requests that were on a replica that ended.
       digest: this.knownDigest,
       ...fields,
--- a/src/gateway/plainFlow.ts
+++ b/src/gateway/plainFlow.ts
@@ -111,6 +111,7 @@
       const retry = isRetry ? budgets.acquire(caller.service) : undefined;
       if (isRetry && retry === undefined)
         return unavailable("no retry is left");
+      if (isRetry) caller.retries += 1;
       try {
         return await this.sender.send(caller, replica, permitAt, cancellation);
       } finally {
--- a/src/gateway/streamFlow.ts
+++ b/src/gateway/streamFlow.ts
@@ -177,7 +177,9 @@
     const sends = caller.sentTo.length + (isSplit ? 2 : 1);
     const needed = retriesIn(sends, hasPrefilled || isSplit) - chargedRetries;
     if (needed <= 0) return NO_RETRIES;
-    return this.options.budgets.acquire(caller.service, needed);
+    const permit = this.options.budgets.acquire(caller.service, needed);
+    if (permit !== undefined) caller.retries = chargedRetries + needed;
+    return permit;
   }
 
   /** Gives back what a round that ended early has not sent. */
@@ -186,6 +188,7 @@
     const charged = retriesIn(caller.sentTo.length, hasPrefilled);
     retries.settle(Math.max(0, charged - chargedRetries));
     progress.chargedRetries = Math.max(charged, chargedRetries);
+    caller.retries = progress.chargedRetries;
   }
 
   /**
@@ -327,6 +330,7 @@
       outputTokens: caller.head.prompt?.outputTokens,
       elapsedMs: Math.round(caller.elapsedMs()),
       round: rounds,
+      retries: caller.retries,
     });
   }
 }
