Retries of all processes on a VM stay within one budget

Cause: the budget bounds a sum over all entries and all their processes, but each process counted from nothing. Each one had its share of the burst at once, and could send what it had saved up of the ratio; the next one on the same VM could do so again in the same window.

Change: a request adds 0.7 of the ratio; what is saved is bounded by 0.25 of the ratio for the requests of one window and by a part of the share; a process begins with nothing saved, and with its share of the burst one window after its start, unless the fleet starts for the first time (the settings' bootstrap, which the line started names as isFirstStart). So in any window all processes send at most what was saved at its start and what the requests of the window add: burst + 0.95 ratio * requests.

--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -64,6 +64,8 @@
   /** How long a lease is valid after its last renewal, ms. */
   leaseMs: number;
   retry: RetryLimits;
+  /** Whether the fleet starts for the first time. */
+  isFirstStart: boolean;
   /** Limit on the time to catch up once the store is reachable again, ms. */
   catchUpMs: number;
   keyBounds: KeyBounds;
@@ -140,7 +142,7 @@
     placement.countedMaxEntries(state.engineServices());
   const budgets = new RetryBudgets(
     settings.retry,
-    countedEntries,
+    { entries: countedEntries, isFirstStart: settings.isFirstStart },
     now,
     metrics,
   );
@@ -226,7 +228,8 @@
       return "";
     });
   }
-  log.info("started", { domain, ...addresses });
+  const { isFirstStart } = settings;
+  log.info("started", { domain, isFirstStart, ...addresses });
   const stop = async () => {
     isStopping = true;
     log.info("stopping", { inFlight: server.inFlight });
--- a/src/gateway/retryBudgets.ts
+++ b/src/gateway/retryBudgets.ts
@@ -1,25 +1,29 @@
 /**
- * Limits the retries (sends beyond the first of a request) of this entry, per
- * service. The limit applies to the sum over all entries in any time window.
- * Entries do not coordinate: each applies the same ratio to its own requests
- * and its share of the fleet's burst, so that the sum holds. No budget is
- * carried over beyond a window: savings of sixty entries could otherwise be
- * spent within one window.
+ * Limits the retries (sends beyond the first of a request) of this process, per
+ * service. The limit applies to the sum over all entries and all their
+ * processes, in any time window. Entries do not coordinate: each applies the
+ * same ratio to its own requests and its share of the fleet's burst, so that
+ * the sum holds. Little is carried over beyond a window: savings of sixty
+ * entries could otherwise be spent within one window.
  *
- * The limit is on arrivals at replicas. A retry counts from before it is sent
- * until one window after its answer, as it may arrive at any time in between:
- * what is sent over several windows to replicas that stand still arrives at once.
+ * A process that was started again on its VM does not know what the one before
+ * it has sent. In its first window it has none of the burst, and of the ratio
+ * only what its own requests add.
  */
-import { SlidingCount } from "../shared/slidingCount.js";
 import type { Metrics } from "../telemetry/index.js";
+import { EarnedRetries } from "./earnedRetries.js";
+import { RetriesInWindow } from "./retriesInWindow.js";
 
-/** Fraction of the allowed ratio that is used; the rest is safety margin. */
-const USED_FRACTION = 0.75;
 /**
  * The fleet's burst is divided among at least this many entries: during a
  * spike, spending the whole burst at once only delays other requests.
  */
 const MIN_ENTRIES = 32;
+/**
+ * Fraction of the allowed ratio that may be used in a window by one process;
+ * the rest is safety margin.
+ */
+const USED_FRACTION = 0.75;
 
 export interface RetryLimits {
   /** Retries allowed per request. */
@@ -38,29 +42,39 @@
   settle(sent?: number): void;
 }
 
-/** Requests and retries of one service in the last window. */
-interface Counts {
-  requests: SlidingCount;
-  /** Settled retries. */
-  retries: SlidingCount;
-  /** Retries that are not settled. */
-  open: number;
+/** This process among those that share the limits. */
+export interface BudgetOwner {
+  /** Number of entries that share the burst; undefined while unknown. */
+  entries: () => number | undefined;
+  /** Whether no process ran on its VM before this one. */
+  isFirstStart: boolean;
+}
+
+/** Budget of one service. */
+interface ServiceBudget {
+  earned: EarnedRetries;
+  /** Those taken from the share of the burst. */
+  burst: RetriesInWindow;
+  /** All of them. */
+  retries: RetriesInWindow;
 }
 
 export class RetryBudgets {
-  private readonly counts = new Map<string, Counts>();
+  private readonly services = new Map<string, ServiceBudget>();
+  private readonly startedAt: number;
 
-  /** `entries`: number that share the burst; undefined while unknown. */
   constructor(
     private readonly limits: RetryLimits,
-    private readonly entries: () => number | undefined,
+    private readonly owner: BudgetOwner,
     private readonly now: () => number,
     private readonly metrics?: Pick<Metrics, "count">,
-  ) {}
+  ) {
+    this.startedAt = now();
+  }
 
-  /** Counts a new request, which adds `ratio` retries to the budget. */
+  /** Counts a new request, which adds a part of `ratio` to the budget. */
   recordRequest(service: string): void {
-    this.countsOf(service).requests.add(1, this.now());
+    this.budgetOf(service).earned.recordRequest(this.now());
   }
 
   /**
@@ -72,39 +86,77 @@
     const event = isLeft ? "taken" : "refused";
     this.metrics?.count("retry_budget", { service, event });
     if (!isLeft) return undefined;
-    const counts = this.countsOf(service);
-    counts.open += sends;
+    const { earned, burst, retries } = this.budgetOf(service);
+    const now = this.now();
+    const fromEarned = Math.min(sends, earned.left(now));
+    const fromBurst = sends - fromEarned;
+    earned.take(fromEarned, now);
+    burst.take(fromBurst);
+    retries.take(sends);
     let isSettled = false;
     const settle = (sent = sends): void => {
       if (isSettled) return;
       isSettled = true;
-      counts.open -= sends;
-      counts.retries.add(sent, this.now());
+      const endedAt = this.now();
+      const burstSent = Math.max(0, sent - fromEarned);
+      earned.add(fromEarned - (sent - burstSent), endedAt);
+      burst.settle(fromBurst, burstSent, endedAt);
+      retries.settle(sends, sent, endedAt);
     };
     return { settle };
   }
 
   /** Whether `acquire` would succeed now; takes nothing. */
   hasRetry(service: string, sends = 1, usable = 1): boolean {
-    const { ratio, burst } = this.limits;
-    const { requests, retries, open } = this.countsOf(service);
+    const { earned, burst, retries } = this.budgetOf(service);
     const now = this.now();
-    const burstShare = burst / Math.max(MIN_ENTRIES, this.entries() ?? 0);
-    const allowed =
-      requests.lowerBound(now) * ratio * USED_FRACTION + burstShare;
-    return open + retries.upperBound(now) + sends <= allowed * usable;
+    const { ratio } = this.limits;
+    const ofRequests = earned.requestsInWindow(now) * ratio * USED_FRACTION;
+    const allowed = ofRequests + this.burstShare();
+    if (retries.count(now) + sends > allowed * usable) return false;
+    const burstLeft = Math.max(0, this.burstInWindow(now) - burst.count(now));
+    return sends <= (earned.left(now) + burstLeft) * usable;
+  }
+
+  private burstInWindow(now: number): number {
+    return this.isShareFree(now) ? this.burstShare() - this.savedShare() : 0;
+  }
+
+  /** Whether no earlier process can have used the share in the last window. */
+  private isShareFree(now: number): boolean {
+    const isOld = now - this.startedAt >= this.limits.windowMs;
+    return this.owner.isFirstStart || isOld;
+  }
+
+  private burstShare(): number {
+    const entries = Math.max(MIN_ENTRIES, this.owner.entries() ?? 0);
+    return this.limits.burst / entries;
+  }
+
+  /**
+   * Part of the share that requests must earn again once it is used, as it lets
+   * a process with few requests save up a whole retry; one retry comes back
+   * with each window.
+   */
+  private savedShare(): number {
+    return Math.min(1, Math.max(0, this.burstShare() - 1));
   }
 
-  private countsOf(service: string): Counts {
-    const known = this.counts.get(service);
+  private budgetOf(service: string): ServiceBudget {
+    const known = this.services.get(service);
     if (known !== undefined) return known;
-    const { windowMs } = this.limits;
+    const { ratio, windowMs } = this.limits;
     const fresh = {
-      requests: new SlidingCount(windowMs),
-      retries: new SlidingCount(windowMs),
-      open: 0,
+      earned: new EarnedRetries({
+        ratio,
+        windowMs,
+        minSaved: () => this.savedShare(),
+        isSaved: this.isShareFree(this.now()),
+      }),
+      burst: new RetriesInWindow(windowMs),
+      retries: new RetriesInWindow(windowMs),
     };
-    this.counts.set(service, fresh);
+    this.services.set(service, fresh);
     return fresh;
   }
 }
