Soak: entries that end again and again while replicas refuse

A run prints the worst window of each service; the check moves to retryChecks.ts and takes its limits from the run.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -2,12 +2,13 @@
  * Checks the promises of the system against what callers and upstreams
  * recorded. Pure functions from records to violations.
  */
+import { groupBy } from "./groupBy.js";
 import { PART_CHECKS } from "./partChecks.js";
+import { RETRY_CHECKS } from "./retryChecks.js";
 import { SIGNAL_CHECKS } from "./signalChecks.js";
 import { STREAM_CHECKS } from "./streamChecks.js";
 import { IS_STREAM, IS_RETRYABLE } from "./types.js";
 import type {
-  ArrivalRecord,
   CallRecord,
   ChangeRecord,
   Check,
@@ -29,26 +30,12 @@
  * machine.
  */
 const MAX_PROPAGATION_MS = 4000;
-/** Retry budget, as in the settings of the processes. */
-const RETRY_BUDGET_RATIO = 0.2;
-const RETRY_BURST = 64;
-const RETRY_WINDOW_MS = 10_000;
 /** Statuses that state that the request did not run and will not. */
 const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
 
 const isSuccess = ({ status }: CallRecord): boolean =>
   status >= 200 && status < 300;
 
-const groupBy = <T>(items: readonly T[], key: (item: T) => string) => {
-  const groups = new Map<string, T[]>();
-  for (const item of items) {
-    const group = groups.get(key(item)) ?? [];
-    group.push(item);
-    groups.set(key(item), group);
-  }
-  return groups;
-};
-
 /** Whether no unplanned fault overlaps the given period. */
 const isCalm = (records: SoakRecords, from: number, until: number): boolean =>
   records.faults.every(
@@ -165,54 +152,6 @@
   return violations;
 };
 
-const boundedRetries: Check = ({ calls, probes, runs }) => {
-  const further = [...groupBy(runs, (run) => run.requestId).values()].reduce(
-    (sum, ran) => sum + ran.length - 1,
-    0,
-  );
-  const requests = calls.length + probes.length;
-  const maxFurther = requests * RETRY_BUDGET_RATIO + RETRY_BURST;
-  if (further <= maxFurther) return [];
-  const what = `${further} further sends for ${requests} requests`;
-  return [{ promise: "bounded retries", what }];
-};
-
-/** When arrivals beyond the first, and the first prefill, of requests came. */
-const retryTimes = (arrivals: readonly ArrivalRecord[]): number[] =>
-  [...groupBy(arrivals, ({ requestId }) => requestId).values()].flatMap(
-    (reached) => {
-      const ordered = [...reached].sort((a, b) => a.at - b.at);
-      const prefill = ordered.find(({ phase }) => phase === "read");
-      const counted = ordered.filter((arrival) => arrival !== prefill);
-      return counted.slice(1).map(({ at }) => at);
-    },
-  );
-
-/** As the users count: in any window, for the requests of it or shortly before. */
-const boundedRetriesInWindows: Check = ({ calls, probes, arrivals }) => {
-  const isStream = new Map(calls.map(({ id, kind }) => [id, IS_STREAM[kind]]));
-  return [true, false].flatMap((isModel) => {
-    const own = ({ id }: { id: string }) =>
-      (isStream.get(id) ?? false) === isModel;
-    const sent = [...calls, ...probes].filter(own).map(({ sentAt }) => sentAt);
-    const reached = arrivals.filter(({ requestId: id }) => own({ id }));
-    const retries = retryTimes(reached);
-    const countIn = (times: readonly number[], from: number) =>
-      times.filter((at) => at >= from && at < from + RETRY_WINDOW_MS).length;
-    const excess = retries.find((from) => {
-      const starts = [from, from - RETRY_WINDOW_MS / 2, from - RETRY_WINDOW_MS];
-      const requests = Math.max(...starts.map((start) => countIn(sent, start)));
-      const allowed = requests * RETRY_BUDGET_RATIO + RETRY_BURST;
-      return countIn(retries, from) > allowed;
-    });
-    if (excess === undefined) return [];
-    const count = countIn(retries, excess);
-    const service = isModel ? "model" : "plain";
-    const what = `${count} retries at ${service} in a window from ${excess}`;
-    return [{ promise: "bounded retries in windows", what }];
-  });
-};
-
 /**
  * A request that ran nowhere because its connection closed as it was sent does
  * not count as cut. Nor does one past its deadline: a machine that hangs for
@@ -263,13 +202,12 @@
   onlySentRequestsRun,
   configNeverGoesBack,
   changesTakeEffect,
-  boundedRetries,
-  boundedRetriesInWindows,
   plannedStopCutsNothing,
   fencesHaveOneHolder,
   ...SIGNAL_CHECKS,
   ...STREAM_CHECKS,
   ...PART_CHECKS,
+  ...RETRY_CHECKS,
 ];
 
 /** Returns every violation that the records prove. */
--- a/soak/daemonProcess.ts
+++ b/soak/daemonProcess.ts
@@ -33,7 +33,7 @@
   isPaused = false;
 
   constructor(
-    readonly machine: MachineSettings,
+    readonly machine: Omit<MachineSettings, "isFirstStart">,
     private readonly folder: string,
   ) {}
 
@@ -49,7 +49,8 @@
   async start(): Promise<void> {
     await this.exited;
     const file = path.join(this.folder, `${this.id}.yaml`);
-    writeFileSync(file, settingsText(this.machine));
+    const isFirstStart = this.life === 0;
+    writeFileSync(file, settingsText({ ...this.machine, isFirstStart }));
     const child = spawn(process.execPath, [DAEMON_SCRIPT], {
       env: { PATH: process.env.PATH, ...settingsEnvironment(file) },
       stdio: ["ignore", "pipe", "pipe"],
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -73,6 +73,8 @@
 const MISBEHAVING_SHARE = 0.4;
 /** How long a leaving replica continues to serve, ms. */
 const LEAVING_MS = 4500;
+/** How often one entry ends in a series. */
+const SHORT_LIVES_IN_SERIES = 5;
 
 const processId = ({ id }: DaemonProcess): string => id;
 const replicaId = ({ standin }: SoakReplica): string => standin.options.id;
@@ -386,6 +388,38 @@
   }),
 ];
 
+/** Entries end again and again while replicas refuse most requests. */
+const SHORT_LIVES: readonly AnyFault[] = [
+  defineFault({
+    name: "entry ends again and again",
+    isPlanned: false,
+    target: ({ fleet, draw }) => draw(fleet.entries),
+    nameOf: processId,
+    run: async (target, { draw, wait, setVariant }) => {
+      const how = draw(["kill", "stop"] as const) ?? "kill";
+      setVariant(how);
+      for (let life = 0; life < SHORT_LIVES_IN_SERIES; life += 1) {
+        await (how === "kill" ? target.kill() : target.stop());
+        await target.start();
+        await wait(100, 900);
+      }
+    },
+  }),
+  defineFault({
+    name: "all replicas refuse",
+    isPlanned: false,
+    target: () => "replicas",
+    nameOf: (name) => name,
+    run: async (_target, { fleet, wait }) => {
+      const struck = [...fleet.replicas];
+      const misbehaviour = { behaviour: "refuse", share: 0.9 } as const;
+      for (const replica of struck) replica.misbehaviour = misbehaviour;
+      await wait(2000, 8000);
+      for (const replica of struck) replica.misbehaviour = undefined;
+    },
+  }),
+];
+
 /**
  * `planned`: planned work only; the others: those faults in addition to the ones of `all`.
  */
@@ -397,7 +431,8 @@
   | "silent"
   | "streams"
   | "endings"
-  | "parts";
+  | "parts"
+  | "lives";
 
 const FAULTS: Readonly<Record<FaultProfile, readonly AnyFault[]>> = {
   planned: PLANNED,
@@ -408,6 +443,7 @@
   streams: [...PLANNED, ...UNPLANNED, ...Array(3).fill(CUT_STREAMS).flat()],
   endings: [...PLANNED, ...UNPLANNED, ...Array(12).fill(ENDINGS).flat()],
   parts: [...PLANNED, ...UNPLANNED, ...Array(12).fill(DEADLY_PARTS).flat()],
+  lives: [...PLANNED, ...UNPLANNED, ...Array(12).fill(SHORT_LIVES).flat()],
 };
 
 export const faultsOf = (profile: FaultProfile): readonly AnyFault[] =>
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -19,6 +19,7 @@
 import { STREAM_EVENTS } from "./checks.js";
 import { DaemonProcess } from "./daemonProcess.js";
 import { drawOne } from "./draw.js";
+import { retryLimitsOf } from "./profile.js";
 import type { SoakRecords } from "./types.js";
 
 export interface FleetSizes {
@@ -72,6 +73,7 @@
     faults: [],
     news: [],
     stalls: [],
+    retryLimits: retryLimitsOf("all"),
   };
   version = 0;
   /** Software versions that new engines run, in turn. */
@@ -271,6 +273,7 @@
       graceMs: GRACE_MS,
       leaseMs: LEASE_MS,
       contactMs: CONTACT_MS,
+      retryLimits: this.records.retryLimits,
     };
     this.processes.push(new DaemonProcess(machine, this.folder));
   }
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -11,6 +11,7 @@
 import { partCounts } from "./partChecks.js";
 import { profileOf } from "./profile.js";
 import { DEFAULT_SIZES, runSoak } from "./runSoak.js";
+import { retryPeaks } from "./retryChecks.js";
 import { streamShares } from "./streamChecks.js";
 import type { SoakOptions, SoakResult } from "./runSoak.js";
 
@@ -56,6 +57,15 @@
     )
     .join("");
 
+/** Retries of those allowed, in the worst window of each service. */
+const retriesLine = ({ records }: SoakResult): string =>
+  retryPeaks(records)
+    .map(
+      ({ service, retries, allowed }) =>
+        ` ${service} ${retries} of ${allowed.toFixed(0)}`,
+    )
+    .join(",");
+
 const report = (options: SoakOptions, result: SoakResult): void => {
   const { calls, runs, orders } = result.records;
   const served = calls.filter(
@@ -67,6 +77,7 @@
       ` faults: ${faultCounts(result)}; stalled ${stalledMs(result)} ms;` +
       ` streams taken up ${streamsLine(result)};` +
       partsLine(result) +
+      ` retries${retriesLine(result)};` +
       ` ${result.violations.length} violations`,
   );
   for (const { promise, what } of result.violations.slice(0, 20)) {
--- a/soak/profile.ts
+++ b/soak/profile.ts
@@ -1,4 +1,5 @@
 /** Selects the fault profile of a seed. */
+import type { RetryLimits } from "../src/gateway/index.js";
 import type { FaultProfile } from "./faults.js";
 
 /**
@@ -24,6 +25,8 @@
 const ENDINGS_REMAINDER = 17;
 const PARTS_INTERVAL = 20;
 const PARTS_REMAINDER = 11;
+const LIVES_INTERVAL = 20;
+const LIVES_REMAINDER = 13;
 
 export const profileOf = (seed: number): FaultProfile => {
   if (seed % PLANNED_INTERVAL === 0) return "planned";
@@ -32,6 +35,7 @@
   if (seed % STREAMS_INTERVAL === STREAMS_REMAINDER) return "streams";
   if (seed % ENDINGS_INTERVAL === ENDINGS_REMAINDER) return "endings";
   if (seed % PARTS_INTERVAL === PARTS_REMAINDER) return "parts";
+  if (seed % LIVES_INTERVAL === LIVES_REMAINDER) return "lives";
   return seed % SIGNALS_INTERVAL === SIGNALS_REMAINDER ? "signals" : "all";
 };
 
@@ -43,3 +47,15 @@
 
 export const extraEngines = (profile: FaultProfile): number =>
   EXTRA_ENGINES[profile] ?? 0;
+
+const RETRY_LIMITS: RetryLimits = { ratio: 0.2, burst: 64, windowMs: 10_000 };
+/** All processes of a run fall into one window, and most retries are of the burst. */
+const LIVES_RETRY_LIMITS: RetryLimits = {
+  ratio: 0.05,
+  burst: 160,
+  windowMs: 60_000,
+};
+
+/** Settings of the entries. */
+export const retryLimitsOf = (profile: FaultProfile): RetryLimits =>
+  profile === "lives" ? LIVES_RETRY_LIMITS : RETRY_LIMITS;
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -5,7 +5,7 @@
 import { findViolations } from "./checks.js";
 import { FaultInjector, faultsOf } from "./faults.js";
 import type { FaultProfile } from "./faults.js";
-import { extraEngines } from "./profile.js";
+import { extraEngines, retryLimitsOf } from "./profile.js";
 import { SoakFleet } from "./fleet.js";
 import type { FleetSizes } from "./fleet.js";
 import type { SoakRecords, StallRecord, Violation } from "./types.js";
@@ -65,6 +65,7 @@
   const onSignal = () => void fleet.stop().then(() => process.exit(1));
   process.once("SIGINT", onSignal).once("SIGTERM", onSignal);
   const stopWatching = watchStalls(fleet.records.stalls);
+  fleet.records.retryLimits = retryLimitsOf(profile);
   fleet.hasAllFramings = profile === "endings" || profile === "parts";
   try {
     await fleet.start({
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -1,5 +1,6 @@
 /** Records that a soak run collects, and the violations found in them. */
 import type { AnnouncedSignals } from "../platform/standins/replica.js";
+import type { RetryLimits } from "../src/gateway/index.js";
 
 /** Kinds of request that callers send: plain requests and streams. */
 export const CALL_KINDS = ["safe", "unsafe", "resumable", "draft"] as const;
@@ -170,6 +171,8 @@
   faults: FaultRecord[];
   news: ChangeRecord[];
   stalls: StallRecord[];
+  /** As in the settings of the entries. */
+  retryLimits: RetryLimits;
 }
 
 /** Finds the violations of one promise. */
--- a/tests/soak/checks.test.ts
+++ b/tests/soak/checks.test.ts
@@ -6,6 +6,7 @@
   findViolations,
   STREAM_EVENTS,
 } from "../../soak/checks.js";
+import { retryLimitsOf } from "../../soak/profile.js";
 import { eventsIn } from "../../platform/standins/caller.js";
 import type { AnnouncedSignals } from "../../platform/standins/replica.js";
 import type {
@@ -86,6 +87,7 @@
   faults: [],
   news: [],
   stalls: [],
+  retryLimits: retryLimitsOf("all"),
   ...overrides,
 });
 
