A side does not take its own write for another side's claim

Cause found by reading: if all four attempts to write the status of an upstream get no answer, the side keeps the version before it, although the write may have taken effect. Its next write conflicts with its own, the side takes that for the claim of another side, and stops for good.

Evidence: authority.test 'a side that does not learn that its write took effect' loses the eight answers of one write; before, the side counted as superseded and the order never ended.

Change: after a conflict the status is read; if this side wrote it, its version is the one to expect.

--- a/src/side/orderExecutor.ts
+++ b/src/side/orderExecutor.ts
@@ -239,7 +239,7 @@
 
   /**
    * Writes the status and returns its version, the fencing token. Throws a
-   * SupersededError on a conflict: another side has claimed the upstream.
+   * SupersededError if another side has claimed the upstream.
    */
   private async write(
     order: Order,
@@ -249,9 +249,25 @@
     const { control, upstream, incarnation } = this.options;
     const value = { incarnation, seq: order.seq, phase, detail };
     const expected = this.status?.version ?? ABSENT;
-    const version = await control.writeStatus(upstream, value, expected);
+    const version =
+      (await control.writeStatus(upstream, value, expected)) ??
+      (await this.writeAfterOwn(value));
     if (version === undefined) throw new SupersededError();
     this.status = { value, version };
     return version;
   }
+
+  /**
+   * Writes the status after a conflict, which an earlier write of this side may
+   * be the cause of: it can take effect although its answer was lost. Undefined
+   * if another side has claimed the upstream.
+   */
+  private async writeAfterOwn(
+    value: UpstreamStatus,
+  ): Promise<number | undefined> {
+    const { control, upstream, incarnation } = this.options;
+    const current = await control.readStatus(upstream);
+    if (current?.value.incarnation !== incarnation) return undefined;
+    return control.writeStatus(upstream, value, current.version);
+  }
 }
--- a/tests/promises/authority.test.ts
+++ b/tests/promises/authority.test.ts
@@ -21,6 +21,7 @@
   EngineState,
   ModelEngine,
 } from "../../src/side/engineAdmin.js";
+import type { WriteResult } from "../../src/store/index.js";
 import { Fleet, SECRET } from "../support/fleet.js";
 import { MemoryStore } from "../support/memoryStore.js";
 import { stopAll } from "../support/processes.js";
@@ -62,6 +63,35 @@
   }
 }
 
+/** Does what it is told, and loses answers about the status of upstreams. */
+class AnswerLosingStore extends MemoryStore {
+  /** How many answers are still to be lost. */
+  left = 0;
+
+  override async get<T>(kind: string, name: string) {
+    if (this.isLost(kind)) throw new Error("no answer");
+    return super.get<T>(kind, name);
+  }
+
+  override async put<T>(
+    kind: string,
+    name: string,
+    value: T,
+    expected: number,
+    writeId: string,
+  ): Promise<WriteResult<T>> {
+    const result = await super.put(kind, name, value, expected, writeId);
+    if (!this.isLost(kind)) return result;
+    return { kind: "unknown", why: "no answer" };
+  }
+
+  private isLost(kind: string): boolean {
+    if (kind !== "status" || this.left === 0) return false;
+    this.left -= 1;
+    return true;
+  }
+}
+
 /** Ends a process at its n-th call of the outside, before or after it. */
 interface Crash {
   left: number;
@@ -349,6 +379,45 @@
     });
   });
 
+  describe("a side that does not learn that its write took effect", () => {
+    /** Four attempts of a write, each read back. */
+    const CALLS_OF_WRITE = 8;
+
+    it("goes on, and finishes the order once", async () => {
+      const store = new AnswerLosingStore();
+      const control = new ControlStore(store);
+      const engine = new FakeEngine();
+      const side = new OrderExecutor({
+        upstream: "e1",
+        service: "s",
+        incarnation: "first",
+        control,
+        engine,
+        gate: new SideGate(() => 0),
+        log: SILENT,
+        now: () => 0,
+        windowMs: 1,
+        pollMs: 1,
+      });
+      await side.reconcile();
+      await control.order("s", {
+        id: "o1",
+        upstream: "e1",
+        action: { kind: "role", value: "decode" },
+        by: "test",
+      });
+      store.left = CALLS_OF_WRITE;
+      await side.reconcile();
+      expect(store.left, "answers lost").to.equal(0);
+      await side.reconcile();
+      expect(side.superseded).to.equal(false);
+      const status = await control.readStatus("e1");
+      expect(status?.value.phase).to.equal("done");
+      const ids = engine.orders.map((order) => order.orderId);
+      expect(ids).to.deep.equal(["o1"]);
+    });
+  });
+
   describe("a side that crashes between any two steps of an order", () => {
     const STEPS = 14;
     for (let crashAt = 0; crashAt < STEPS; crashAt += 1) {
