--- a/tests/support/fleet.ts
+++ b/tests/support/fleet.ts
@@ -66,6 +66,15 @@
   upstreamProxy?: Program;
 }
 
+/**
+ * A loopback address that no other run of the tests listens at, so that what
+ * starts again finds its port free.
+ */
+const OWN_ADDRESS = ((): string => {
+  const run = process.pid % 0xfffff;
+  return `127.${64 + (run >> 16)}.${(run >> 8) & 0xff}.${run & 0xff}:0`;
+})();
+
 const post = async (address: string, where: string, body: unknown) => {
   const url = `http://${address}${where}`;
   const answer = await exchange({
@@ -162,7 +171,8 @@
 
   async addUpstream(spec: UpstreamSpec): Promise<void> {
     const script = spec.kind === "engine" ? "engine" : "plainService";
-    const standin = await startStandin(script, spec.options);
+    const options = { address: OWN_ADDRESS, ...spec.options };
+    const standin = await startStandin(script, options);
     let target = standin.at.listening ?? "";
     let upstreamProxy: Program | undefined;
     if (spec.proxiedUpstream) {
@@ -191,7 +201,7 @@
     const settings = {
       role: "side",
       ...this.common(`side-${spec.id}`, spec.site),
-      listen: listenAt ?? { data: "127.0.0.1:0", peers: "127.0.0.1:0" },
+      listen: listenAt ?? { data: OWN_ADDRESS, peers: OWN_ADDRESS },
       upstream: {
         id: spec.id,
         service: spec.service,
