The command line shows the worst window of retries from logs

'snowgate retries FILES' reads the logs of all entries and prints, for each service, the window in which it got most of what is allowed. The soak and the tests of lives count with the same function.

--- a/soak/retryChecks.ts
+++ b/soak/retryChecks.ts
@@ -2,17 +2,15 @@
  * Checks the retries that replicas received against the budget, summed over all
  * entries and all their processes.
  */
+import { worstWindow } from "../src/shared/worstWindow.js";
+import type { RetryWindow } from "../src/shared/worstWindow.js";
 import { groupBy } from "./groupBy.js";
 import { IS_STREAM } from "./types.js";
 import type { ArrivalRecord, Check, SoakRecords } from "./types.js";
 
 /** The window in which a service received most retries of what is allowed. */
-export interface RetryPeak {
+export interface RetryPeak extends RetryWindow {
   service: "model" | "plain";
-  /** Start of the window, ms. */
-  from: number;
-  retries: number;
-  allowed: number;
 }
 
 /** When arrivals beyond the first, and the first prefill, of requests came. */
@@ -30,27 +28,13 @@
   { calls, probes, arrivals, retryLimits }: SoakRecords,
   service: RetryPeak["service"],
 ): RetryPeak | undefined => {
-  const { ratio, burst, windowMs } = retryLimits;
   const isStream = new Map(calls.map(({ id, kind }) => [id, IS_STREAM[kind]]));
   const own = ({ id }: { id: string }) =>
     (isStream.get(id) ?? false) === (service === "model");
   const sent = [...calls, ...probes].filter(own).map(({ sentAt }) => sentAt);
   const reached = arrivals.filter(({ requestId: id }) => own({ id }));
-  const retries = retryTimes(reached);
-  const countIn = (times: readonly number[], from: number) =>
-    times.filter((at) => at >= from && at < from + windowMs).length;
-  let peak: RetryPeak | undefined;
-  for (const from of retries) {
-    const starts = [from, from - windowMs / 2, from - windowMs];
-    const requests = Math.max(...starts.map((start) => countIn(sent, start)));
-    const allowed = requests * ratio + burst;
-    const window = { service, from, retries: countIn(retries, from), allowed };
-    const isMore =
-      peak === undefined ||
-      window.retries / allowed > peak.retries / peak.allowed;
-    if (isMore) peak = window;
-  }
-  return peak;
+  const window = worstWindow(sent, retryTimes(reached), retryLimits);
+  return window === undefined ? undefined : { ...window, service };
 };
 
 /** As the users count: in any window, for the requests of it or shortly before. */
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -10,7 +10,9 @@
 import { sendToEntry } from "./operatorClient.js";
 import type { OperatorTarget } from "./operatorClient.js";
 import { renderSyntax, renderTable } from "./render.js";
+import { buildRetryReport, renderRetryReport } from "./retryReport.js";
 import { buildStory, parseLog, renderStory } from "./requestStory.js";
+import type { LogLine } from "./requestStory.js";
 
 /** Exit codes that scripts can rely on. */
 const EXIT = {
@@ -25,6 +27,7 @@
 } as const;
 
 const WATCH_PERIOD_MS = 200;
+const MS_PER_SECOND = 1000;
 
 interface Flags {
   entry?: string;
@@ -33,6 +36,13 @@
   json?: boolean;
 }
 
+interface RetryFlags {
+  json?: boolean;
+  ratio: unknown;
+  burst: unknown;
+  window: unknown;
+}
+
 const targetOf = (flags: Flags): OperatorTarget => {
   const entry = flags.entry ?? process.env.SNOWGATE_ENTRY;
   if (entry === undefined) {
@@ -135,14 +145,18 @@
     }
   });
 
+const readLogs = (files: string[]): LogLine[] => {
+  if (files.length === 0) throw new TypeError("a log file is needed");
+  const logs = files.map((file) => parseLog(readFile(file)));
+  const unreadable = logs.reduce((sum, log) => sum + log.unreadable, 0);
+  if (unreadable > 0) printError(`${unreadable} lines can't be read`);
+  return logs.flatMap((log) => log.lines);
+};
+
 /** Prints the log lines of a request, collected from several log files. */
 const runStory = (requestId: string, files: string[], flags: Flags) =>
   runCommand(async () => {
-    if (files.length === 0) throw new TypeError("a log file is needed");
-    const logs = files.map((file) => parseLog(readFile(file)));
-    const lines = logs.flatMap((log) => log.lines);
-    const unreadable = logs.reduce((sum, log) => sum + log.unreadable, 0);
-    if (unreadable > 0) printError(`${unreadable} lines can't be read`);
+    const lines = readLogs(files);
     const story = buildStory(lines, requestId);
     if (story.own.length === 0) {
       printError(`no line names request ${requestId}`);
@@ -152,6 +166,26 @@
     return EXIT.ok;
   });
 
+const positiveNumber = (name: string, value: unknown): number => {
+  const number = Number(value);
+  if (Number.isFinite(number) && number > 0) return number;
+  throw new TypeError(`--${name} must be a number above 0`);
+};
+
+/** Prints the window in which each service got most of its retries. */
+const runRetries = (files: string[], flags: RetryFlags) =>
+  runCommand(async () => {
+    const limits = {
+      ratio: positiveNumber("ratio", flags.ratio),
+      burst: positiveNumber("burst", flags.burst),
+      windowMs: positiveNumber("window", flags.window) * MS_PER_SECOND,
+    };
+    const report = buildRetryReport(readLogs(files), limits);
+    if (flags.json) print(JSON.stringify(Object.fromEntries(report)));
+    else print(renderRetryReport(report));
+    return EXIT.ok;
+  });
+
 const cli = cac("snowgate");
 cli.option("--entry <address>", "Operators' address of an entry, IP:port");
 cli.option("--token <token>", "Operator token (or SNOWGATE_TOKEN)");
@@ -168,6 +202,12 @@
   .action((requestId: string, files: string[], flags: Flags) =>
     runStory(requestId, files, flags),
   );
+cli
+  .command("retries [...files]", "Show most retries of a window from logs")
+  .option("--ratio <n>", "Retries allowed per request", { default: 0.2 })
+  .option("--burst <n>", "Retries allowed besides", { default: 64 })
+  .option("--window <s>", "Length of a window", { default: 10 })
+  .action((files: string[], flags: RetryFlags) => runRetries(files, flags));
 cli
   .command("[...statement]", "Run one statement of the language")
   .action((words: string[], flags: Flags) => runStatement(words, flags));
--- a/src/gateway/retryBudgets.ts
+++ b/src/gateway/retryBudgets.ts
@@ -10,10 +10,13 @@
  * it has sent. In its first window it has none of the burst, and of the ratio
  * only what its own requests add.
  */
+import type { RetryLimits } from "../shared/worstWindow.js";
 import type { Metrics } from "../telemetry/index.js";
 import { EarnedRetries } from "./earnedRetries.js";
 import { RetriesInWindow } from "./retriesInWindow.js";
 
+export type { RetryLimits };
+
 /**
  * The fleet's burst is divided among at least this many entries: during a
  * spike, spending the whole burst at once only delays other requests.
@@ -25,14 +28,6 @@
  */
 const USED_FRACTION = 0.75;
 
-export interface RetryLimits {
-  /** Retries allowed per request. */
-  ratio: number;
-  /** Additional retries allowed per window, over all entries together. */
-  burst: number;
-  windowMs: number;
-}
-
 /** Retries that the budget allows, taken from it before they are sent. */
 export interface RetryPermit {
   /**
--- a/tests/gateway/retryLives.test.ts
+++ b/tests/gateway/retryLives.test.ts
@@ -2,7 +2,8 @@
 import { expect } from "chai";
 import fc from "fast-check";
 
-import { RetryFleet, mostExcess } from "../support/retryFleet.js";
+import { worstWindow } from "../../src/shared/worstWindow.js";
+import { RetryFleet } from "../support/retryFleet.js";
 
 const LIMITS = { ratio: 0.2, burst: 96, windowMs: 10_000 };
 const SECOND_MS = 1000;
@@ -43,6 +44,12 @@
   return fleet;
 };
 
+/** Of the allowed retries, the part that was sent in the worst window. */
+const mostUsed = ({ requests, retries }: RetryFleet): number => {
+  const worst = worstWindow(requests, retries, LIMITS);
+  return worst === undefined ? 0 : worst.retries / worst.allowed;
+};
+
 describe("retries over all processes of all entries", () => {
   for (const entries of [5, 22, 28, 32, 60]) {
     for (const livesInWindow of [1, 2, 3, 4, 6]) {
@@ -50,7 +57,7 @@
       it(`stay within the limit: ${name}`, () => {
         const lifeMs = LIMITS.windowMs / livesInWindow;
         const fleet = playLives({ entries, lifeMs, requestsPerS: 40 });
-        expect(mostExcess(fleet, LIMITS)).to.be.at.most(0);
+        expect(mostUsed(fleet)).to.be.at.most(1);
       });
     }
   }
@@ -58,7 +65,7 @@
   it("stay within the limit when all entries are killed just after failures begin", () => {
     const lives = { entries: 28, lifeMs: 1500, requestsPerS: 600, calmS: 10 };
     const fleet = playLives(lives);
-    expect(mostExcess(fleet, LIMITS)).to.be.at.most(0);
+    expect(mostUsed(fleet)).to.be.at.most(1);
   });
 
   it("are not lost to callers of a process that was started again", () => {
@@ -111,7 +118,7 @@
             }
           }
         }
-        return mostExcess(fleet, LIMITS) <= 0;
+        return mostUsed(fleet) <= 1;
       },
     );
     fc.assert(property, { numRuns: 60, seed: 64 });
--- a/tests/support/retryFleet.ts
+++ b/tests/support/retryFleet.ts
@@ -63,21 +63,3 @@
     return new RetryBudgets(limits, owner, () => this.now);
   }
 }
-
-/**
- * Most retries of a window beyond what is allowed for it; the requests are those
- * of the window, of the one before it or half before it, whichever are most.
- */
-export const mostExcess = (
-  { requests, retries }: Pick<RetryFleet, "requests" | "retries">,
-  { ratio, burst, windowMs }: RetryLimits,
-): number => {
-  const countIn = (times: readonly number[], from: number): number =>
-    times.filter((at) => at >= from && at < from + windowMs).length;
-  const excesses = [...new Set(retries)].map((from) => {
-    const starts = [from, from - windowMs / 2, from - windowMs];
-    const counted = Math.max(...starts.map((at) => countIn(requests, at)));
-    return countIn(retries, from) - counted * ratio - burst;
-  });
-  return Math.max(-burst, ...excesses);
-};
