--- a/src/gateway/retryBudgets.ts
+++ b/src/gateway/retryBudgets.ts
@@ -109,11 +109,12 @@
     const ofRequests = earned.requestsInWindow(now) * ratio * USED_FRACTION;
     const allowed = ofRequests + this.burstShare();
     if (retries.count(now) + sends > allowed * usable) return false;
-    const burstLeft = Math.max(0, this.burstInWindow(now) - burst.count(now));
+    const burstLeft = Math.max(0, this.freeBurst(now) - burst.count(now));
     return sends <= (earned.left(now) + burstLeft) * usable;
   }
 
-  private burstInWindow(now: number): number {
+  /** Part of the share that may be used in a window without being earned. */
+  private freeBurst(now: number): number {
     return this.isShareFree(now) ? this.burstShare() - this.savedShare() : 0;
   }
 
@@ -129,9 +130,9 @@
   }
 
   /**
-   * Part of the share that requests must earn again once it is used, as it lets
-   * a process with few requests save up a whole retry; one retry comes back
-   * with each window.
+   * Part of the share that requests must earn again once it is used. It lets a
+   * process with few requests save up a whole retry; at least one retry of the
+   * share, if it has that many, comes back with each window.
    */
   private savedShare(): number {
     return Math.min(1, Math.max(0, this.burstShare() - 1));
