review: an answer that switches protocols leaves its request unanswered for good

Cause: UpstreamClient.send settles on a response or an error. For a status 101 with an Upgrade header Node emits only close, which also takes away the listener for cancellation, so that the caller's deadline has no effect.

--- a/review/lib/client.mjs
+++ b/review/lib/client.mjs
@@ -5,9 +5,12 @@
 
 /**
  * Resolves with `status` (0: no answer), `body`, and `isWhole`: the answer
- * ended as a complete one.
+ * ended as a complete one. A client that is given `waitMs` leaves after it.
  */
-export const send = (address, { path, method = "POST", headers, body = "" }) =>
+export const send = (
+  address,
+  { path, method = "POST", headers, body = "", waitMs },
+) =>
   new Promise((resolve) => {
     const chunks = [];
     const req = http.request({
@@ -17,8 +20,14 @@
       headers: { ...headers, "Content-Length": Buffer.byteLength(body) },
       agent: false,
     });
-    req.on("error", (err) => resolve({ status: 0, why: err.message }));
+    const leave = () => req.destroy(new Error("the client left"));
+    const timer = waitMs === undefined ? undefined : setTimeout(leave, waitMs);
+    req.on("error", (err) => {
+      clearTimeout(timer);
+      resolve({ status: 0, why: err.message });
+    });
     req.on("response", (res) => {
+      clearTimeout(timer);
       res.on("data", (chunk) => chunks.push(chunk));
       res.on("error", () => undefined);
       res.on("close", () =>
