review: one spoilt answer makes its entry stand still

Cause: EventSplitter.isInsideEvent searches the unfinished rest of a stream with a pattern that is tried from every position where the rest has no line end; its time grows with the square of the rest (45.7 s for 400 kB, measured alone). Ports come from below those of outgoing connections: one play could not start for a taken port.

--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -115,6 +115,7 @@
     const isRead = headers.stage === "prefill";
     const run = {
       id: headers["request-id"],
+      target: req.url,
       socket: req.socket,
       lastEventId: Number(headers["last-event-id"] ?? 0),
       named,
@@ -153,7 +154,7 @@
 const EVENTS = 5;
 const EVENT_GAP_MS = 20;
 
-const writeStream = async (res, run) => {
+export const writeStream = async (res, run) => {
   res.writeHead(200, streamHead(run));
   for (let id = run.lastEventId + 1; id <= EVENTS; id += 1) {
     await sleep(EVENT_GAP_MS);
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -141,6 +141,8 @@
   }
 
   async #areReady() {
+    const gone = this.processes.find(({ ended }) => ended !== undefined);
+    if (gone !== undefined) throw new Error(`${gone.node} has ended`);
     for (const { ready } of this.entries()) {
       if ((await statusOf(ready)) !== 200) return false;
     }
--- a/review/lib/http.mjs
+++ b/review/lib/http.mjs
@@ -15,12 +15,27 @@
     });
   });
 
-/** Finds a port that is free now. */
+/** Ports below those that the system gives to outgoing connections. */
+const FIRST_PORT = 12_000;
+const LAST_PORT = 30_000;
+const givenPorts = new Set();
+
+/** Finds a port that is free now, and gives each only once. */
 export const freePort = async () => {
-  const server = net.createServer();
-  const address = await listen(server);
-  await new Promise((resolve) => server.close(resolve));
-  return Number(address.split(":")[1]);
+  for (;;) {
+    const span = LAST_PORT - FIRST_PORT;
+    const port = FIRST_PORT + Math.floor(Math.random() * span);
+    if (givenPorts.has(port)) continue;
+    const server = net.createServer();
+    const isFree = await listen(server, port).then(
+      () => true,
+      () => false,
+    );
+    if (!isFree) continue;
+    await new Promise((resolve) => server.close(resolve));
+    givenPorts.add(port);
+    return port;
+  }
 };
 
 export const readBody = async (req) => {
