A reply with another request's id, or with none, is logged

Change: one line and a counter (foreign_reply) for each reply whose id is not that of the request it came for.

--- a/src/gateway/replicaClient.ts
+++ b/src/gateway/replicaClient.ts
@@ -13,7 +13,7 @@
 import type { Log, LogFields, Metrics } from "../telemetry/index.js";
 import type { ReplicaSet } from "./replicaSet.js";
 import type { RequestCodec } from "./requestCodec.js";
-import type { Replica, ReplicaSignal } from "./types.js";
+import type { Replica, ReplicaSignal, ReplyHead } from "./types.js";
 import { UnknownHeaders } from "./unknownHeaders.js";
 import type {
   SendOutcome,
@@ -160,6 +160,8 @@
       reply.requestId !== undefined && reply.requestId !== requestId;
     const isProven = requestId === undefined || !isOther;
     const { id, service, address } = replica;
+    if (reply.requestId !== requestId)
+      this.logForeign(replica, requestId, reply);
     this.logUnparsed(id, signal);
     this.unknownHeaders.report(codec.unknownHeaders(res.headers), id);
     const fields = { replica: id, service, address, status, isProven };
@@ -173,6 +175,18 @@
     if (change === "leaving" && isProven) this.onLeaving(replica);
   }
 
+  /** The reply has another request's id than the one it came for, or none. */
+  private logForeign(
+    { id: replica }: Replica,
+    requestId: string | undefined,
+    { requestId: replyId, status, isNotRun }: ReplyHead,
+  ): void {
+    const { log, metrics } = this.options;
+    metrics.count("foreign_reply", { isNotRun: String(isNotRun) });
+    const fields = { requestId, replica, replyId, status, isNotRun };
+    log.info("reply is not that of its request", fields);
+  }
+
   /**
    * The connection was refused. The entry stays listed for seconds, and if it
    * is the last of its stage, every request would try it.
