An answer that switches protocols ends its request

What callers saw: nothing at all. A replica that answered with 101 and an Upgrade header left the request unanswered beyond its route's time (CONFIG). Cause: UpstreamClient.send settles on `response` or `error`. For a 101 Node emits `upgrade`, and without a listener only `close`, which also took away the listener for cancellation. Change: `upgrade` closes the connection and fails the send; it may have run.

--- a/src/gateway/upstreamClient.ts
+++ b/src/gateway/upstreamClient.ts
@@ -150,6 +150,10 @@
         reply = new UpstreamReply(res, { address, method, isRefused });
         resolve(reply);
       });
+      req.once("upgrade", (_res, socket) => {
+        socket.destroy();
+        fail("the answer switches protocols");
+      });
       req.on("error", (err: NodeJS.ErrnoException) => {
         reply?.onError(err.message);
         fail(err.message, err.code === REFUSED_CODE);
--- a/tests/gateway/upstreamClient.test.ts
+++ b/tests/gateway/upstreamClient.test.ts
@@ -1,5 +1,6 @@
 /** Connections to replicas: limits, and whether a failed request may have run. */
 import { expect } from "chai";
+import { once } from "node:events";
 import http from "node:http";
 import type { ServerResponse } from "node:http";
 
@@ -134,6 +135,16 @@
     expect(waiting).to.have.length(1);
   });
 
+  it("report that a request whose answer switches protocols may have run, and are closed", async () => {
+    const sent = send();
+    await untilWaiting(1);
+    const socket = waiting[0]?.socket;
+    const fields = "Connection: Upgrade\r\nUpgrade: other\r\n";
+    socket?.write(`HTTP/1.1 101 Switching Protocols\r\n${fields}\r\n`);
+    expect(await sent).to.include({ kind: "failed", verdict: "may-have-run" });
+    if (socket?.destroyed === false) await once(socket, "close");
+  });
+
   it("report that a request to a port without a listener has not run", async () => {
     const closedServer = http.createServer();
     const unusedAddress = await listen(closedServer, "127.0.0.1:0");
