A reply counts for a request only if it is that request's

What callers saw: a request that may run once ran on two engines (TWICE), on a resumable route on more than its route allows (BUDGET), or was told 503 while an engine ran it (REFUSED). Cause: three places judged a reply in three orders. EngineRun and PromptPrefiller took 421 and Not-Executed as proof before they compared the Request-Id, so that a surplus refusal of another request, or one without an id, sent the request on while the first engine ran it; no run was counted. They also kept the connection, on which each later request then got the answer of the one before. PlainSender compared the id first but trusted a refusal without one. Ruled out: a send that was wrongly taken for unsent (UpstreamClient). Change: ReplicaClient judges the head of every reply (replyJudgement.ts) before anyone reads it, with a typed result: answered, refused, or failed. An id that is missing or another's proves nothing and costs its connection; bytes on a connection that rests close it; the body of a refusal is read to 16 kB or 1 s.

--- a/src/gateway/cacheListLoader.ts
+++ b/src/gateway/cacheListLoader.ts
@@ -17,6 +17,7 @@
 const LIST_TIMEOUT_MS = 1000;
 /** Room for about ten thousand prompt parts of 50 bytes each. */
 const MAX_LIST_BYTES = 512 * 1024;
+const HTTP_OK = 200;
 
 export interface CacheListLoaderOptions {
   replicas: ReplicaSet;
@@ -59,9 +60,9 @@
       const purpose = "question";
       const request = { ...call, purpose, cancellation } as const;
       const sent = await client.send(engine, request);
-      if (sent.kind === "failed") return 0;
-      const whole = await readWholeBody(sent, MAX_LIST_BYTES);
-      if (whole.kind === "cut" || sent.res.statusCode !== 200) return 0;
+      if (sent.kind !== "answered") return 0;
+      const whole = await readWholeBody(sent.reply, MAX_LIST_BYTES);
+      if (whole.kind === "cut" || sent.head.status !== HTTP_OK) return 0;
       const parts = codec.readCacheList(whole.body.toString("utf8"));
       local.recordCachedParts(service, id, parts);
       return parts.length;
--- a/src/gateway/engineCalls.ts
+++ b/src/gateway/engineCalls.ts
@@ -2,7 +2,6 @@
 import { BoundedCancellation } from "../shared/cancellation.js";
 import type { Cancellation } from "../shared/cancellation.js";
 import { errText, nextEventLoopTurn } from "../shared/utils.js";
-import type { Verdict } from "../shared/verdict.js";
 import type { Log } from "../telemetry/index.js";
 import type { CallerRequest } from "./callerRequest.js";
 import type { QuarantineManager } from "./quarantineManager.js";
@@ -10,29 +9,22 @@
 import type { ReplicaSet } from "./replicaSet.js";
 import type { RequestCodec } from "./requestCodec.js";
 import type { PrefillHandle, UpstreamSend } from "./types.js";
-import type { ReplicaClient } from "./replicaClient.js";
-import type { UpstreamClient } from "./upstreamClient.js";
-import type { UpstreamReply } from "./upstreamReply.js";
+import type { ReplicaClient, ReplicaOutcome } from "./replicaClient.js";
+import type { SendFailure, UpstreamClient } from "./upstreamClient.js";
 
 /** Limit for handle responses, engine reports and error bodies, bytes. */
 export const MAX_SHORT_RESPONSE_BYTES = 16 * 1024;
 /** Timeout of the call that releases a KV handle, ms. */
 const RELEASE_TIMEOUT_MS = 1000;
 
-/** The response head, or the failure. */
-export type EngineReply =
-  | UpstreamReply
-  | {
-      kind: "failed";
-      verdict: Verdict;
-      why: string;
+export type EngineOutcome =
+  | Exclude<ReplicaOutcome, SendFailure>
+  | (SendFailure & {
       /** Set if the failure is not a fault of the engine. */
       isNotEngineFault?: boolean;
-      /** Nothing was sent, because the engine accepts no requests for now. */
-      isUnavailable?: boolean;
-    };
+    });
 
-const unavailable = (why: string): EngineReply => ({
+const unavailable = (why: string): SendFailure => ({
   kind: "failed",
   verdict: "not-run",
   why,
@@ -70,13 +62,13 @@
       : this.options.replicas.get(id)?.address;
   }
 
-  /** Sends one phase of a request; resolves with the response head. */
+  /** Sends one phase of a request; resolves with the judged reply. */
   async send(
     caller: CallerRequest,
     id: string,
     cancellation: Cancellation,
     send: EngineSend,
-  ): Promise<EngineReply> {
+  ): Promise<EngineOutcome> {
     const { replicas, client, codec } = this.options;
     const replica = replicas.get(id);
     if (replica === undefined) {
@@ -112,6 +104,8 @@
     const outcome = await client.send(replica, {
       purpose: "work",
       requestId: head.id,
+      // The reply to a prefill is for this process alone and has no signature.
+      mustBeSigned: send.phase === "run",
       permitAt: grantedAt,
       method: head.method,
       target: head.target,
@@ -120,13 +114,7 @@
       cancellation,
       onWritten: () => caller.onWritten(),
     });
-    this.options.ends.track(
-      caller,
-      replica,
-      send.phase,
-      outcome,
-      (res) => codec.readReply(res.statusCode ?? 0, res.headers).isNotRun,
-    );
+    this.options.ends.track(caller, replica, send.phase, outcome);
     return outcome;
   }
 
@@ -152,7 +140,7 @@
       })
       .then((outcome) => {
         cancellation.dispose();
-        if (outcome.kind === "reply") outcome.res.resume();
+        if (outcome.kind === "reply") outcome.discard();
         else {
           const tookMs = Math.round(now() - begun);
           log.debug("KV handle release failed", { why: outcome.why, tookMs });
--- a/src/gateway/engineRun.ts
+++ b/src/gateway/engineRun.ts
@@ -9,7 +9,6 @@
 import type { PrefillHandle } from "./types.js";
 import type { UpstreamReply } from "./upstreamReply.js";
 import { readWholeBody } from "./upstreamReply.js";
-import { replyFault } from "./verdicts.js";
 
 /**
  * An engine that has not started its response by then is probed, ms. Requests
@@ -74,15 +73,11 @@
       return { ...sent, avoid: runner };
     }
     progress.retries?.settle();
-    const { res } = sent;
-    const reply = codec.readReply(res.statusCode ?? 0, res.headers);
-    if (reply.isMisdirected) {
-      res.resume();
-      return this.failures.onWrongStage(progress, runner);
-    }
-    if (reply.isNotRun) {
-      res.resume();
-      const why = `engine refused with ${reply.status}`;
+    const { head, reply } = sent;
+    if (sent.kind === "refused") {
+      if (head.isMisdirected)
+        return this.failures.onWrongStage(progress, runner);
+      const why = `engine refused with ${head.status}`;
       if (this.options.replicas.signals.isUnavailable(runner, now()))
         return this.failures.onRejected(progress, runner, "run", why);
       const isHandleRefused = handle !== undefined;
@@ -99,19 +94,12 @@
       };
     }
     progress.runs += 1;
-    const fault = replyFault(reply, caller.head.id);
-    if (fault !== undefined) {
-      res.destroy();
-      this.failures.logSendFailure(caller, runner, "run", fault);
-      const verdict = "may-have-run";
-      return { kind: "failed", verdict, why: fault, avoid: runner };
-    }
-    const isGood = reply.status >= 200 && reply.status < 300;
-    if (!isGood) return this.relayErrorResponse(progress, sent, runner);
-    if (!reply.isEventStream) return this.relayWhole(progress, sent, runner);
-    const headers = codec.responseHeaders(res.rawHeaders);
-    caller.startStream(reply.status, headers);
-    const end = await relay.run(sent);
+    const isGood = head.status >= 200 && head.status < 300;
+    if (!isGood) return this.relayErrorResponse(progress, reply, runner);
+    if (!head.isEventStream) return this.relayWhole(progress, reply, runner);
+    const headers = codec.responseHeaders(reply.res.rawHeaders);
+    caller.startStream(head.status, headers);
+    const end = await relay.run(reply);
     const stats = { ...relay.stats() };
     switch (end.kind) {
       case "complete":
@@ -129,12 +117,12 @@
   /** Passes on a successful response that is no event stream. */
   private async relayWhole(
     progress: RequestProgress,
-    sent: UpstreamReply,
+    reply: UpstreamReply,
     runner: string,
   ): Promise<RoundResult> {
-    const whole = await readWholeBody(sent, MAX_WHOLE_RESPONSE_BYTES);
+    const whole = await readWholeBody(reply, MAX_WHOLE_RESPONSE_BYTES);
     if (whole.kind === "whole" && !progress.caller.isResponseStarted)
-      return this.respond(progress, sent, whole.body);
+      return this.respond(progress, reply, whole.body);
     const why = whole.kind === "cut" ? whole.why : "the answer is no stream";
     return this.runFailed(progress, runner, why);
   }
@@ -157,16 +145,16 @@
    */
   private async relayErrorResponse(
     progress: RequestProgress,
-    sent: UpstreamReply,
+    reply: UpstreamReply,
     runner: string,
   ): Promise<RoundResult> {
-    const whole = await readWholeBody(sent, MAX_SHORT_RESPONSE_BYTES);
+    const whole = await readWholeBody(reply, MAX_SHORT_RESPONSE_BYTES);
     const isFinal =
       !progress.caller.isResponseStarted &&
       !canRetry({ ...progress, verdict: "may-have-run" });
     if (isFinal && whole.kind === "whole")
-      return this.respond(progress, sent, whole.body);
-    const why = `engine failed with ${sent.res.statusCode ?? 0}`;
+      return this.respond(progress, reply, whole.body);
+    const why = `engine failed with ${reply.res.statusCode ?? 0}`;
     return { kind: "failed", verdict: "may-have-run", why, avoid: runner };
   }
 
--- a/src/gateway/engineWatch.ts
+++ b/src/gateway/engineWatch.ts
@@ -63,8 +63,8 @@
         purpose,
         cancellation,
       });
-      if (sent.kind === "failed") return "silent";
-      const whole = await readWholeBody(sent, MAX_SHORT_RESPONSE_BYTES);
+      if (sent.kind !== "answered") return "silent";
+      const whole = await readWholeBody(sent.reply, MAX_SHORT_RESPONSE_BYTES);
       if (whole.kind === "cut") return "silent";
       const report = codec.readReport(whole.body.toString("utf8"));
       const { running, waiting } = report;
--- a/src/gateway/plainSender.ts
+++ b/src/gateway/plainSender.ts
@@ -19,7 +19,6 @@
 import type { RequestCodec } from "./requestCodec.js";
 import type { Replica, ReplyHead } from "./types.js";
 import { readWholeBody } from "./upstreamReply.js";
-import { replyFault } from "./verdicts.js";
 
 /** Maximum size of a buffered response, bytes. */
 const MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
@@ -137,6 +136,7 @@
       const outcome = await client.send(replica, {
         purpose: "work",
         requestId: head.id,
+        mustBeSigned: true,
         permitAt,
         method: head.method,
         target: head.target,
@@ -144,38 +144,19 @@
         body,
         cancellation,
       });
-      this.options.ends.track(
-        caller,
-        replica,
-        "run",
-        outcome,
-        (res) => codec.readReply(res.statusCode ?? 0, res.headers).isNotRun,
-        parent,
-      );
+      this.options.ends.track(caller, replica, "run", outcome, parent);
       if (outcome.kind === "failed") {
         if (outcome.isUnavailable === true) return unavailable(outcome.why);
         const isSent = outcome.verdict !== "not-run";
         return { ...outcome, fault: isSent ? "broken" : "unreachable" };
       }
-      const { res } = outcome;
-      const reply = codec.readReply(res.statusCode ?? 0, res.headers);
-      const wrong = replyFault(reply, head.id);
-      if (wrong !== undefined) {
-        res.destroy();
-        return {
-          kind: "failed",
-          verdict: "may-have-run",
-          why: wrong,
-          fault: "broken",
-        };
-      }
-      if (reply.isNotRun) {
-        res.resume();
-        const why = `replica refused with ${reply.status}`;
-        const fault = this.faultOf(replica, reply);
+      const { head: replyHead, reply } = outcome;
+      if (outcome.kind === "refused") {
+        const why = `replica refused with ${replyHead.status}`;
+        const fault = this.faultOf(replica, replyHead);
         return { kind: "failed", verdict: "not-run", why, fault };
       }
-      const whole = await readWholeBody(outcome, MAX_RESPONSE_BYTES);
+      const whole = await readWholeBody(reply, MAX_RESPONSE_BYTES);
       if (whole.kind === "cut") {
         return {
           kind: "failed",
@@ -184,8 +165,8 @@
           fault: "broken",
         };
       }
-      const headers = codec.responseHeaders(res.rawHeaders);
-      return { kind: "answer", head: reply, headers, body: whole.body };
+      const headers = codec.responseHeaders(reply.res.rawHeaders);
+      return { kind: "answer", head: replyHead, headers, body: whole.body };
     } finally {
       cancellation.dispose();
     }
--- a/src/gateway/promptPrefiller.ts
+++ b/src/gateway/promptPrefiller.ts
@@ -18,6 +18,7 @@
 const PREFILL_PROBE_FACTOR = 2;
 /** Allows for network hops and the error of the estimate, ms. */
 const PREFILL_SLACK_MS = 250;
+const HTTP_OK = 200;
 
 export type PrefillOutcome =
   | { kind: "read"; handle: PrefillHandle }
@@ -92,22 +93,19 @@
       const kind = sent.isUnavailable === true ? "unavailable" : "failed";
       return { kind, why: sent.why };
     }
-    const { res, address } = sent;
-    const reply = codec.readReply(res.statusCode ?? 0, res.headers);
-    const whole = await readWholeBody(sent, MAX_SHORT_RESPONSE_BYTES);
-    if (reply.isMisdirected) return { kind: "wrong-stage" };
-    if (reply.isNotRun || reply.status !== 200) {
-      const why = `read refused with ${reply.status}`;
+    const { head, reply } = sent;
+    if (sent.kind === "refused") {
+      if (head.isMisdirected) return { kind: "wrong-stage" };
+      const why = `read refused with ${head.status}`;
       const { replicas, now } = this.options;
-      const isUnavailable =
-        reply.isNotRun && replicas.signals.isUnavailable(reader, now());
+      const isUnavailable = replicas.signals.isUnavailable(reader, now());
       return { kind: isUnavailable ? "unavailable" : "failed", why };
     }
-    if (reply.requestId !== undefined && reply.requestId !== caller.head.id) {
-      return { kind: "failed", why: "the answer belongs to another request" };
-    }
+    const whole = await readWholeBody(reply, MAX_SHORT_RESPONSE_BYTES);
+    if (head.status !== HTTP_OK)
+      return { kind: "failed", why: `read failed with ${head.status}` };
     if (whole.kind === "cut") return { kind: "failed", why: whole.why };
-    const handle = codec.readHandle(address, whole.body.toString("utf8"));
+    const handle = codec.readHandle(reply.address, whole.body.toString("utf8"));
     if (handle !== undefined) return { kind: "read", handle };
     return { kind: "failed", why: "the answer names no handle" };
   }
--- a/src/gateway/replicaClient.ts
+++ b/src/gateway/replicaClient.ts
@@ -5,21 +5,21 @@
  * still being prefilled on another engine, and a request may wait for a
  * connection.
  */
-import type { IncomingMessage } from "node:http";
-
 import { LRUCache } from "lru-cache";
 
 import type { RateLimits, RateNews } from "../rateLimits/index.js";
 import type { Log, LogFields, Metrics } from "../telemetry/index.js";
 import type { ReplicaSet } from "./replicaSet.js";
+import { judgeReply } from "./replyJudgement.js";
 import type { RequestCodec } from "./requestCodec.js";
 import type { Replica, ReplicaSignal, ReplyHead } from "./types.js";
 import { UnknownHeaders } from "./unknownHeaders.js";
 import type {
-  SendOutcome,
+  SendFailure,
   UpstreamClient,
   UpstreamRequest,
 } from "./upstreamClient.js";
+import type { UpstreamReply } from "./upstreamReply.js";
 
 /**
  * How long a replica is left out after a refused connection, ms, before one
@@ -50,8 +50,10 @@
   "service" | "address"
 > {
   purpose: SendPurpose;
-  /** Id that the response must carry; absent if it need not carry one. */
+  /** Id that the reply must carry; absent for calls that carry none. */
   requestId?: string;
+  /** Whether a success must bear the replica's signature; false if absent. */
+  mustBeSigned?: boolean;
   /**
    * Instant of the permit acquired when the replica was chosen, ms; absent if
    * there is none. This process then needs its own if the replica is limited.
@@ -59,10 +61,19 @@
   permitAt?: number;
 }
 
-/** The facts about a sent request that its response is checked against. */
+/** How a send ended, as far as the head of its reply shows. */
+export type ReplicaOutcome =
+  | SendFailure
+  /** The replica proved that it did not run the request. */
+  | { kind: "refused"; head: ReplyHead; reply: UpstreamReply }
+  /** The request's own answer, with a body that is still to be read. */
+  | { kind: "answered"; head: ReplyHead; reply: UpstreamReply };
+
+/** The facts about a sent request that its reply is checked against. */
 interface SentRequest {
   purpose: SendPurpose;
   requestId: string | undefined;
+  mustBeSigned: boolean;
   /** Instant at which it was sent, ms. */
   sentAt: number;
 }
@@ -92,11 +103,11 @@
     this.unknownHeaders = new UnknownHeaders(log, metrics);
   }
 
-  /** Resolves with the response head, or with what is known of the failure. */
-  async send(replica: Replica, send: ReplicaSend): Promise<SendOutcome> {
+  /** Resolves with the judged reply, or with what is known of the failure. */
+  async send(replica: Replica, send: ReplicaSend): Promise<ReplicaOutcome> {
     const { client, now } = this.options;
     const { service, address } = replica;
-    const { purpose, requestId, permitAt, ...request } = send;
+    const { purpose, requestId, permitAt, mustBeSigned, ...request } = send;
     const isWork = purpose === "work";
     const why = isWork ? this.refusal(replica) : undefined;
     if (why !== undefined) {
@@ -114,11 +125,40 @@
       refusal,
     });
     if (outcome.kind === "reply")
-      this.handleReply(replica, { purpose, requestId, sentAt }, outcome.res);
-    else if (outcome.isRefused === true) this.onConnectionRefused(replica);
+      return this.judge(
+        replica,
+        { purpose, requestId, mustBeSigned: mustBeSigned === true, sentAt },
+        outcome,
+      );
+    if (outcome.isRefused === true) this.onConnectionRefused(replica);
     return outcome;
   }
 
+  private judge(
+    replica: Replica,
+    sent: SentRequest,
+    reply: UpstreamReply,
+  ): ReplicaOutcome {
+    const { statusCode = 0, headers } = reply.res;
+    const head = this.options.codec.readReply(statusCode, headers);
+    this.handleReply(replica, sent, reply, head);
+    const judgement = judgeReply(head, sent);
+    switch (judgement.kind) {
+      case "own":
+        return { kind: "answered", head, reply };
+      case "refused":
+        reply.discard();
+        return { kind: "refused", head, reply };
+      case "unusable":
+        reply.res.destroy();
+        return {
+          kind: "failed",
+          verdict: "may-have-run",
+          why: judgement.why,
+        };
+    }
+  }
+
   /** Why it gets no work at the moment; undefined if it may. */
   refusal({ id }: Replica): string | undefined {
     const { replicas, now } = this.options;
@@ -149,19 +189,15 @@
   private handleReply(
     replica: Replica,
     sent: SentRequest,
-    res: IncomingMessage,
+    { res }: UpstreamReply,
+    head: ReplyHead,
   ): void {
     const { replicas, codec, log, metrics, now } = this.options;
-    const status = res.statusCode ?? 0;
+    const { status } = head;
     const signal = codec.readSignal(status, res.headers);
-    const reply = codec.readReply(status, res.headers);
-    const { requestId } = sent;
-    const isOther =
-      reply.requestId !== undefined && reply.requestId !== requestId;
-    const isProven = requestId === undefined || !isOther;
+    const isProven = head.requestId === sent.requestId;
     const { id, service, address } = replica;
-    if (reply.requestId !== requestId)
-      this.logForeign(replica, requestId, reply);
+    if (!isProven) this.logForeign(replica, sent, head);
     this.logUnparsed(id, signal);
     this.unknownHeaders.report(codec.unknownHeaders(res.headers), id);
     const fields = { replica: id, service, address, status, isProven };
@@ -178,7 +214,7 @@
   /** The reply has another request's id than the one it came for, or none. */
   private logForeign(
     { id: replica }: Replica,
-    requestId: string | undefined,
+    { requestId }: SentRequest,
     { requestId: replyId, status, isNotRun }: ReplyHead,
   ): void {
     const { log, metrics } = this.options;
--- a/src/gateway/replicaEndDetector.ts
+++ b/src/gateway/replicaEndDetector.ts
@@ -4,7 +4,6 @@
  * connections reset. An end is confirmed if the replica's address refuses
  * connections, or if the replica leaves the list soon afterwards.
  */
-import type { IncomingMessage } from "node:http";
 import { setTimeout as setTimeoutPromise } from "node:timers/promises";
 
 import { LRUCache } from "lru-cache";
@@ -16,7 +15,8 @@
 import type { CallerRequest } from "./callerRequest.js";
 import type { ReplicaSet } from "./replicaSet.js";
 import type { Replica, UpstreamSend } from "./types.js";
-import type { SendOutcome, UpstreamClient } from "./upstreamClient.js";
+import type { ReplicaOutcome } from "./replicaClient.js";
+import type { UpstreamClient } from "./upstreamClient.js";
 import type { UpstreamReply } from "./upstreamReply.js";
 
 /**
@@ -115,15 +115,14 @@
   constructor(private readonly options: ReplicaEndDetectorOptions) {}
 
   /**
-   * Watches one send until its end. `isRefused`: the replica did not run it.
-   * `cancellation`: cancelled once this process has closed the connection.
+   * Watches one send until its end. `cancellation`: cancelled once this process
+   * has closed the connection.
    */
   track(
     caller: CallerRequest,
     replica: Replica,
     phase: UpstreamSend["phase"],
-    outcome: SendOutcome,
-    isRefused: (res: IncomingMessage) => boolean,
+    outcome: ReplicaOutcome,
     cancellation = caller.cancellation,
   ): void {
     const onInterrupted = () =>
@@ -132,12 +131,12 @@
       if (outcome.verdict !== "not-run") onInterrupted();
       return;
     }
-    const { res } = outcome;
-    void outcome.ended().then(({ kind }) => {
-      if (kind === "cut") return onInterrupted();
+    const { kind, reply } = outcome;
+    void reply.ended().then((end) => {
+      if (end.kind === "cut") return onInterrupted();
       this.onCompleteAnswer(replica);
-      if (phase !== "run" || isRefused(res)) return;
-      const judged = this.judgeSurvival(caller, replica, outcome);
+      if (phase !== "run" || kind === "refused") return;
+      const judged = this.judgeSurvival(caller, replica, reply);
       this.pending.set(caller, judged);
       void judged.then(() => this.pending.delete(caller));
     });
--- a/src/gateway/stageController.ts
+++ b/src/gateway/stageController.ts
@@ -229,8 +229,12 @@
       const kind = sent.verdict === "not-run" ? "refused" : "unknown";
       return { kind, why: sent.why };
     }
-    const status = sent.res.statusCode ?? 0;
-    const whole = await readWholeBody(sent, MAX_RESPONSE_BYTES);
+    const { status } = sent.head;
+    if (sent.kind === "refused") {
+      cancellation.dispose();
+      return { kind: "refused", why: `status ${status}` };
+    }
+    const whole = await readWholeBody(sent.reply, MAX_RESPONSE_BYTES);
     cancellation.dispose();
     const text = whole.kind === "whole" ? whole.body.toString("utf8") : "";
     const isGood = status >= 200 && status < 300;
--- a/src/gateway/upstreamClient.ts
+++ b/src/gateway/upstreamClient.ts
@@ -42,17 +42,17 @@
   onWritten?: () => void;
 }
 
-export type SendOutcome =
-  | UpstreamReply
-  | {
-      kind: "failed";
-      verdict: Verdict;
-      why: string;
-      /** Nothing was sent: the replica accepts no requests now. */
-      isUnavailable?: boolean;
-      /** The address refused the connection. */
-      isRefused?: boolean;
-    };
+export type SendOutcome = UpstreamReply | SendFailure;
+
+export interface SendFailure {
+  kind: "failed";
+  verdict: Verdict;
+  why: string;
+  /** Nothing was sent: the replica accepts no requests now. */
+  isUnavailable?: boolean;
+  /** The address refused the connection. */
+  isRefused?: boolean;
+}
 
 /** Result of probing an address. */
 export type ProbeResult = "listening" | "refused" | "unknown";
@@ -70,8 +70,19 @@
     socket.setKeepAlive(true, IDLE_TIMEOUT_MS);
     socket.unref();
     socket.setTimeout(idleMs);
+    socket.on("data", closeOnSurplus);
     return true;
   }
+
+  override reuseSocket(socket: Socket, req: http.ClientRequest): void {
+    socket.off("data", closeOnSurplus);
+    super.reuseSocket(socket, req);
+  }
+}
+
+/** No answer is due: what follows on the connection belongs to no request. */
+function closeOnSurplus(this: Socket): void {
+  this.destroy();
 }
 
 /** What the client reports about the use of the network. */
--- a/src/gateway/upstreamReply.ts
+++ b/src/gateway/upstreamReply.ts
@@ -10,6 +10,10 @@
 const WHOLE: BodyEnd = { kind: "whole" };
 const cut = (why: string) => ({ kind: "cut", why }) as const;
 
+/** Longest body that is read only to keep its connection, bytes and ms. */
+const MAX_DISCARDED_BYTES = 16 * 1024;
+const DISCARD_TIMEOUT_MS = 1000;
+
 export interface UpstreamReplyOptions {
   /** Address of the replica. */
   address: string;
@@ -55,6 +59,18 @@
     this.error ??= why;
   }
 
+  /** Reads the rest of the body unseen; a long one costs its connection. */
+  discard(): void {
+    let size = 0;
+    const timer = setTimeout(() => this.res.destroy(), DISCARD_TIMEOUT_MS);
+    timer.unref();
+    this.res.on("data", (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > MAX_DISCARDED_BYTES) this.res.destroy();
+    });
+    this.res.once("close", () => clearTimeout(timer));
+  }
+
   /**
    * Resolves once the body has ended and it is known whether it is whole. To be
    * used instead of `res.complete`: Node counts a body that ends with its
--- a/src/gateway/verdicts.ts
+++ b/src/gateway/verdicts.ts
@@ -1,8 +1,7 @@
-/** Validates replies of replicas and builds the failures that callers get. */
+/** Builds the failures that callers get. */
 import type { RequestFailure } from "../shared/errors.js";
 import type { Rng } from "../shared/rng.js";
 import type { Verdict } from "../shared/verdict.js";
-import type { ReplyHead } from "./types.js";
 
 /** Retry delay for callers when no replica accepted the request, ms. */
 const BUSY_RETRY_MS = 400;
@@ -11,23 +10,6 @@
 /** Retry delay after a deadline that passed before the request ran, ms. */
 const DEADLINE_RETRY_MS = 1000;
 
-/** Why the head of a reply can't be accepted; undefined if it can. */
-export const replyFault = (
-  reply: ReplyHead,
-  requestId: string,
-): string | undefined => {
-  if (reply.requestId !== undefined && reply.requestId !== requestId) {
-    return "the answer belongs to another request";
-  }
-  const isSuccess = reply.status >= 200 && reply.status < 300;
-  if (isSuccess && !reply.isSigned) return "the answer is not signed";
-  if (reply.isEncoded) return "the body is encoded";
-  if (!reply.isNotRun && reply.statusMeansNotRun) {
-    return `status ${reply.status} without proof that nothing ran`;
-  }
-  return undefined;
-};
-
 /**
  * Retry delay for a caller refused because replicas back off, ms. It lies past
  * the end of the back-off, when a single probe is sent first, and has jitter
--- a/tests/gateway/replicaEndDetector.test.ts
+++ b/tests/gateway/replicaEndDetector.test.ts
@@ -41,7 +41,6 @@
         DECODE_ENGINE,
         "run",
         { kind: "failed", verdict: "may-have-run", why: "cut" },
-        () => false,
       );
     };
     return { interrupt, ends, probes: () => probes };
