What a peer sends without end is bounded in bytes and in work

Cause: EventSplitter.isInsideEvent searched the unfinished rest with a regular expression from each of its positions, and push searched and copied the rest again for each chunk: time by the square of the rest, which may hold 1 MB. The same class elsewhere: bodies kept as one object a chunk; control calls that read a body of any length; informational replies, the digits of a chunk's size and bytes on a resting connection, which nothing counted. Change: the splitter keeps its place and looks at each byte a constant number of times; bytes are collected in one growing buffer. Control calls read 16 MB with all framing. All are bounded in time as before, by the route or the call.

--- a/src/gateway/eventSplitter.ts
+++ b/src/gateway/eventSplitter.ts
@@ -1,14 +1,14 @@
 /**
  * Splits the bytes of an event stream into whole events, so that an event that
- * a replica left incomplete never reaches a caller.
+ * a replica left incomplete never reaches a caller. Received bytes are not
+ * searched again when more arrive.
  */
+import { ByteBuffer } from "../shared/byteBuffer.js";
 
-/** A line ends with CR LF, LF or CR; the last two bytes of CR LF are one end. */
-const LINE_END = "(?:\\r\\n|\\r(?!\\n)|\\n)";
-const LINE = new RegExp(`(.*?)${LINE_END}`, "gs");
-const EVENT_END = new RegExp(`${LINE_END}{2}`, "g");
+const LF = 0x0a;
+const CR = 0x0d;
+const COMMENT_START = 0x3a;
 const ID_LINE = /^id: ?(.*)$/gm;
-const COMMENT_START = ":";
 
 /** The whole events that one chunk of the stream completed. */
 export interface WholeEvents {
@@ -18,12 +18,41 @@
   lastId: string | undefined;
 }
 
+/** Finds the line ends of a chunk, each of its bytes being searched once. */
+class LineEnds {
+  private lf = -1;
+  private cr = -1;
+
+  constructor(private readonly chunk: Buffer) {}
+
+  /** Position of the first line end from `from` on; the length if there is none. */
+  next(from: number): number {
+    this.lf = this.find(LF, this.lf, from);
+    this.cr = this.find(CR, this.cr, from);
+    return Math.min(this.lf, this.cr);
+  }
+
+  private find(byte: number, known: number, from: number): number {
+    if (known >= from) return known;
+    const at = this.chunk.indexOf(byte, from);
+    return at < 0 ? this.chunk.length : at;
+  }
+}
+
 export class EventSplitter {
-  private pending: Buffer = Buffer.alloc(0);
+  private readonly pending = new ByteBuffer();
+  /** Consecutive line ends so far; two end an event. */
+  private lineEnds = 0;
+  private isAtLineStart = true;
+  private isComment = false;
+  /** Whether a whole line of the buffered rest is neither blank nor a comment. */
+  private hasField = false;
+  /** The last byte was a CR: an LF that follows belongs to the same line end. */
+  private isAfterCr = false;
 
   /** Size of the incomplete event in the buffer, bytes. */
   get pendingBytes(): number {
-    return this.pending.length;
+    return this.pending.size;
   }
 
   /**
@@ -31,36 +60,70 @@
    * lines and comments.
    */
   get isInsideEvent(): boolean {
-    const text = this.pending.toString("latin1");
-    let end = 0;
-    for (const { 0: line, 1: content = "" } of text.matchAll(LINE)) {
-      end += line.length;
-      if (content !== "" && !content.startsWith(COMMENT_START)) return true;
-    }
-    return end < text.length;
+    return this.hasField || !this.isAtLineStart;
   }
 
   /** Adds a chunk; returns the events that are now complete. */
   push(chunk: Buffer): WholeEvents {
-    const all =
-      this.pending.length === 0 ? chunk : Buffer.concat([this.pending, chunk]);
-    const text = all.toString("latin1");
+    const lineEnds = new LineEnds(chunk);
     let count = 0;
     let end = 0;
-    for (const { 0: blank, index } of text.matchAll(EVENT_END)) {
+    let at = 0;
+    if (this.isAfterCr && chunk[0] === LF) at = 1;
+    if (chunk.length > 0) this.isAfterCr = false;
+    while (at < chunk.length) {
+      const lineEnd = lineEnds.next(at);
+      if (lineEnd > at) this.addToLine(chunk[at]);
+      if (lineEnd === chunk.length) break;
+      at = this.skipLineEnd(chunk, lineEnd);
+      if (!this.endLine()) continue;
       count += 1;
-      end = index + blank.length;
+      end = at;
     }
-    this.pending = all.subarray(end);
-    const lastId = lastIdOf(text.slice(0, end));
-    return { bytes: all.subarray(0, end), count, lastId };
+    if (end === 0) {
+      this.pending.append(chunk);
+      return { bytes: Buffer.alloc(0), count, lastId: undefined };
+    }
+    const bytes = this.takeThrough(chunk.subarray(0, end));
+    this.pending.append(chunk.subarray(end));
+    return { bytes, count, lastId: lastIdOf(bytes.toString("latin1")) };
   }
 
   /** Returns and clears the buffered rest, at the regular end of the stream. */
   flush(): Buffer {
-    const { pending } = this;
-    this.pending = Buffer.alloc(0);
-    return pending;
+    return this.pending.take();
+  }
+
+  /** `first`: the first of the bytes that are added to the line. */
+  private addToLine(first: number | undefined): void {
+    if (this.isAtLineStart) this.isComment = first === COMMENT_START;
+    this.isAtLineStart = false;
+    this.lineEnds = 0;
+  }
+
+  /** Returns the position behind the line end at `at`. */
+  private skipLineEnd(chunk: Buffer, at: number): number {
+    if (chunk[at] === LF) return at + 1;
+    if (chunk[at + 1] === LF) return at + 2;
+    this.isAfterCr = at + 1 === chunk.length;
+    return at + 1;
+  }
+
+  /** Whether an event ends with the line. */
+  private endLine(): boolean {
+    if (!this.isAtLineStart && !this.isComment) this.hasField = true;
+    this.isAtLineStart = true;
+    this.lineEnds += 1;
+    if (this.lineEnds < 2) return false;
+    this.lineEnds = 0;
+    this.hasField = false;
+    return true;
+  }
+
+  private takeThrough(bytes: Buffer): Buffer {
+    if (this.pending.size === 0) return bytes;
+    this.pending.append(bytes);
+    return this.pending.take();
   }
 }
 
--- a/src/gateway/streamRelay.ts
+++ b/src/gateway/streamRelay.ts
@@ -95,9 +95,10 @@
       const isEmpty = this.events === 0 && !canBeEmpty;
       return isEmpty ? "the stream ended before its first event" : undefined;
     };
-    res.on("data", (chunk: Buffer) => {
+    reply.read((chunk) => {
       const whole = splitter.push(chunk);
       if (whole.bytes.length > 0) this.forward(res, whole);
+      reply.setBuffered(splitter.pendingBytes);
       if (splitter.pendingBytes > MAX_EVENT_BYTES) res.destroy();
     });
     const end = await reply.ended();
--- a/src/gateway/upstreamClient.ts
+++ b/src/gateway/upstreamClient.ts
@@ -6,9 +6,10 @@
 import net from "node:net";
 import type { Socket } from "node:net";
 
-import { splitAddress } from "../http/index.js";
+import { boundInformational, splitAddress } from "../http/index.js";
 import type { Cancellation } from "../shared/cancellation.js";
 import type { Verdict } from "../shared/verdict.js";
+import { ReplyBuffers } from "./replyBuffers.js";
 import { UpstreamReply } from "./upstreamReply.js";
 
 /** Timeout for establishing a connection, ms. */
@@ -20,6 +21,8 @@
 const REFUSED_CODE = "ECONNREFUSED";
 const KEEP_ALIVE_HINT = /timeout=(\d+)/;
 const MAX_IDLE_SOCKETS = 128;
+/** What all replies together may keep in memory, bytes. */
+const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
 
 /** One request to a replica. */
 export interface UpstreamRequest {
@@ -96,6 +99,7 @@
 export class UpstreamClient {
   /** Connection pools, by service. */
   private readonly agents = new Map<string, http.Agent>();
+  private readonly buffers = new ReplyBuffers(MAX_BUFFERED_BYTES);
 
   constructor(private readonly observer?: SendObserver) {}
 
@@ -105,6 +109,7 @@
       const { host, port } = splitAddress(request.address);
       const isUnavailable = true;
       let isConnected = false;
+      let reply: UpstreamReply | undefined;
       let timer: NodeJS.Timeout | undefined;
       const fail = (why: string, isRefused = false) => {
         clearTimeout(timer);
@@ -154,17 +159,18 @@
         };
         timer = setTimeout(giveUp, CONNECT_TIMEOUT_MS);
       });
-      let reply: UpstreamReply | undefined;
       req.once("response", (res) => {
         const { address, method } = request;
         const isRefused = async () => (await this.probe(address)) === "refused";
-        reply = new UpstreamReply(res, { address, method, isRefused });
+        const { buffers } = this;
+        reply = new UpstreamReply(res, { address, method, isRefused, buffers });
         resolve(reply);
       });
       req.once("upgrade", (_res, socket) => {
         socket.destroy();
         fail("the answer switches protocols");
       });
+      boundInformational(req);
       req.on("error", (err: NodeJS.ErrnoException) => {
         reply?.onError(err.message);
         fail(err.message, err.code === REFUSED_CODE);
--- a/src/gateway/upstreamReply.ts
+++ b/src/gateway/upstreamReply.ts
@@ -4,6 +4,8 @@
 
 import { bodyFraming, isHalfJson, onResetAtEnd } from "../http/index.js";
 import type { BodyFraming } from "../http/index.js";
+import { ByteBuffer } from "../shared/byteBuffer.js";
+import type { BufferedReply, ReplyBuffers } from "./replyBuffers.js";
 
 export type BodyEnd = { kind: "whole" } | { kind: "cut"; why: string };
 
@@ -13,6 +15,8 @@
 /** Longest body that is read only to keep its connection, bytes and ms. */
 const MAX_DISCARDED_BYTES = 16 * 1024;
 const DISCARD_TIMEOUT_MS = 1000;
+/** Largest number of bytes in a row that bring nothing of the body. */
+const MAX_FRAMING_BYTES = 256 * 1024;
 
 export interface UpstreamReplyOptions {
   /** Address of the replica. */
@@ -21,10 +25,11 @@
   method: string;
   /** Whether the replica's address refuses connections now. */
   isRefused(): Promise<boolean>;
+  buffers: ReplyBuffers;
 }
 
 /** The head of a response, and its body as a stream. */
-export class UpstreamReply {
+export class UpstreamReply implements BufferedReply {
   readonly kind = "reply";
   readonly framing: BodyFraming;
   /**
@@ -37,6 +42,10 @@
   private readonly socket: Socket;
   private readonly closed: Promise<unknown>;
   private judged: Promise<BodyEnd> | undefined;
+  /** Bytes that its reader keeps until they are whole. */
+  private bufferedBytes = 0;
+  /** Bytes received since the last ones of the body. */
+  private framingBytes = 0;
 
   constructor(
     readonly res: IncomingMessage,
@@ -45,6 +54,13 @@
     this.framing = bodyFraming(res, options.method);
     this.socket = res.socket;
     this.closed = new Promise((resolve) => res.once("close", resolve));
+    const { socket } = this;
+    const onReceived = ({ length }: Buffer) => this.onReceived(length);
+    socket.on("data", onReceived);
+    res.once("close", () => {
+      socket.off("data", onReceived);
+      this.setBuffered(0);
+    });
     res.on("error", ({ message }) => this.onError(message));
     if (this.framing === "connection")
       onResetAtEnd(res, () => this.onError("the connection was reset"));
@@ -59,18 +75,39 @@
     this.error ??= why;
   }
 
+  /** Reads the body, as far as it arrives. */
+  read(onChunk: (chunk: Buffer) => void): void {
+    this.res.on("data", (chunk: Buffer) => {
+      this.framingBytes = 0;
+      onChunk(chunk);
+    });
+  }
+
+  /** Ends the reply as cut, though its body may have arrived whole. */
+  drop(why: string): void {
+    this.onError(why);
+    this.res.destroy();
+  }
+
   /** Reads the rest of the body unseen; a long one costs its connection. */
   discard(): void {
     let size = 0;
     const timer = setTimeout(() => this.res.destroy(), DISCARD_TIMEOUT_MS);
     timer.unref();
-    this.res.on("data", (chunk: Buffer) => {
+    this.read((chunk) => {
       size += chunk.length;
       if (size > MAX_DISCARDED_BYTES) this.res.destroy();
     });
     this.res.once("close", () => clearTimeout(timer));
   }
 
+  /** To be called by the reader of the body with what it keeps, bytes. */
+  setBuffered(bytes: number): void {
+    if (bytes === this.bufferedBytes) return;
+    this.bufferedBytes = bytes;
+    this.options.buffers.set(this, bytes);
+  }
+
   /**
    * Resolves once the body has ended and it is known whether it is whole. To be
    * used instead of `res.complete`: Node counts a body that ends with its
@@ -89,6 +126,13 @@
     return this.socket.destroyed && (await this.options.isRefused());
   }
 
+  /** Node has parsed these bytes, and `read` has got what they brought. */
+  private onReceived(bytes: number): void {
+    this.framingBytes += bytes;
+    if (this.framingBytes > MAX_FRAMING_BYTES)
+      this.drop("too many bytes without any of the body");
+  }
+
   private async judge(): Promise<BodyEnd> {
     const fault = this.contentFault() ?? this.error;
     if (fault !== undefined) return cut(fault);
@@ -109,21 +153,20 @@
   maxBytes: number,
 ): Promise<WholeBody> => {
   const { res, framing } = reply;
-  const chunks: Buffer[] = [];
-  let size = 0;
+  const received = new ByteBuffer();
+  let body: Buffer = Buffer.alloc(0);
   reply.contentFault = () => {
-    if (size > maxBytes) return `answer is over ${maxBytes} bytes`;
+    if (received.size > maxBytes) return `answer is over ${maxBytes} bytes`;
+    body = received.take();
     const mayBeHalf = framing === "connection";
-    const isHalf = mayBeHalf && isHalfJson(res, Buffer.concat(chunks));
+    const isHalf = mayBeHalf && isHalfJson(res, body);
     return isHalf ? "the answer ends inside its JSON" : undefined;
   };
-  res.on("data", (chunk: Buffer) => {
-    size += chunk.length;
-    chunks.push(chunk);
-    if (size > maxBytes) res.destroy();
+  reply.read((chunk) => {
+    received.append(chunk);
+    reply.setBuffered(received.size);
+    if (received.size > maxBytes) res.destroy();
   });
   const end = await reply.ended();
-  return end.kind === "cut"
-    ? end
-    : { kind: "whole", body: Buffer.concat(chunks) };
+  return end.kind === "cut" ? end : { kind: "whole", body };
 };
--- a/src/http/request.ts
+++ b/src/http/request.ts
@@ -1,12 +1,17 @@
 /** HTTP client for requests with small JSON bodies, on Node's `http`. */
 import http from "node:http";
 
+import { ByteBuffer } from "../shared/byteBuffer.js";
 import type { Cancellation } from "../shared/cancellation.js";
+import { boundInformational } from "./informational.js";
 import { KeptConnections } from "./keptConnections.js";
 
 /** Connection pool for control traffic. */
 const agent = new KeptConnections({ keepAlive: true, maxSockets: 64 });
 
+/** Largest response with all of its framing, bytes; a page of a list has 1 MB. */
+const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
+
 /** A complete response; the body is not parsed. */
 export interface JsonResponse {
   status: number;
@@ -67,22 +72,36 @@
       );
     const timer = setTimeout(onTimeout, options.timeoutMs);
     const detach = options.cancellation?.onCancel(() => giveUp("cancelled"));
+    let stopCounting = () => undefined as void;
     const settled = () => {
       clearTimeout(timer);
       detach?.();
+      stopCounting();
     };
     const fail = (err: Error) => {
       settled();
       reject(new ExchangeError(err.message, connected));
     };
     req.on("socket", (socket) => {
+      const readBefore = socket.bytesRead;
+      const count = () => {
+        if (socket.bytesRead - readBefore > MAX_RESPONSE_BYTES)
+          req.destroy(new Error(`answer is over ${MAX_RESPONSE_BYTES} bytes`));
+      };
+      socket.on("data", count);
+      stopCounting = () => void socket.off("data", count);
       if (!socket.connecting) connected = true;
       else socket.once("connect", () => (connected = true));
     });
     req.on("error", fail);
+    boundInformational(req);
+    req.once("upgrade", (_res, socket) => {
+      socket.destroy();
+      fail(new Error("answer switches protocols"));
+    });
     req.on("response", (res) => {
-      const chunks: Buffer[] = [];
-      res.on("data", (chunk: Buffer) => chunks.push(chunk));
+      const received = new ByteBuffer();
+      res.on("data", (chunk: Buffer) => received.append(chunk));
       res.on("error", fail);
       res.on("close", () => {
         if (!res.complete) return fail(new Error("answer was cut"));
@@ -90,7 +109,7 @@
         resolve({
           status: res.statusCode ?? 0,
           headers: res.headers,
-          text: Buffer.concat(chunks).toString("utf8"),
+          text: received.take().toString("utf8"),
         });
       });
     });
--- a/tests/gateway/eventSplitter.test.ts
+++ b/tests/gateway/eventSplitter.test.ts
@@ -4,6 +4,45 @@
 
 import { EventSplitter } from "../../src/gateway/eventSplitter.js";
 
+const SPLIT_BYTES = 20_000;
+/** Bytes may be searched for two line ends, copied twice and read as text. */
+const MAX_STEPS_PER_BYTE = 8;
+
+/** Bytes that `Buffer` methods went over while `work` ran. */
+const countSteps = (work: () => void): number => {
+  const { indexOf, copy, toString } = Buffer.prototype;
+  const { concat } = Buffer;
+  let steps = 0;
+  Object.assign(Buffer.prototype, {
+    indexOf(this: Buffer, value: number, from: number) {
+      const found = indexOf.call(this, value, from);
+      steps += (found < 0 ? this.length : found + 1) - from;
+      return found;
+    },
+    copy(this: Buffer, ...args: Parameters<Buffer["copy"]>) {
+      const copied = copy.apply(this, args);
+      steps += copied;
+      return copied;
+    },
+    toString(this: Buffer, ...args: Parameters<Buffer["toString"]>) {
+      steps += this.length;
+      return toString.apply(this, args);
+    },
+  });
+  Buffer.concat = (list, length) => {
+    const all = concat(list, length);
+    steps += all.length;
+    return all;
+  };
+  try {
+    work();
+  } finally {
+    Object.assign(Buffer.prototype, { indexOf, copy, toString });
+    Buffer.concat = concat;
+  }
+  return steps;
+};
+
 const LINE_ENDS = ["\n", "\r\n", "\r"] as const;
 
 const isInside = (text: string): boolean => {
@@ -35,6 +74,29 @@
     });
   }
 
+  const fills = {
+    "one line": "x",
+    "lines of one event": "data: x\n",
+    "line ends": "\n",
+    "carriage returns": "\r",
+    comments: ": x\r\n",
+  };
+  for (const [title, fill] of Object.entries(fills)) {
+    for (const chunkBytes of [1, 100, SPLIT_BYTES]) {
+      it(`cost constant work for each byte of ${title} in chunks of ${chunkBytes} bytes`, () => {
+        const text = fill.repeat(SPLIT_BYTES / fill.length);
+        const bytes = Buffer.from(text);
+        const splitter = new EventSplitter();
+        const steps = countSteps(() => {
+          for (let at = 0; at < bytes.length; at += chunkBytes)
+            splitter.push(bytes.subarray(at, at + chunkBytes));
+          void splitter.isInsideEvent;
+        });
+        expect(steps).to.be.at.most(MAX_STEPS_PER_BYTE * bytes.length);
+      });
+    }
+  }
+
   const lineEnd = fc.constantFrom(...LINE_ENDS);
   const word = fc.stringMatching(/^[a-z]{0,8}$/);
   const streams = fc
--- a/tests/gateway/replicaEndDetector.test.ts
+++ b/tests/gateway/replicaEndDetector.test.ts
@@ -36,12 +36,11 @@
     const interrupt = (digest: string): void => {
       const cancellation = new Cancellation();
       const caller = { digest, partKeys: [], cancellation };
-      detector.track(
-        caller as unknown as CallerRequest,
-        DECODE_ENGINE,
-        "run",
-        { kind: "failed", verdict: "may-have-run", why: "cut" },
-      );
+      detector.track(caller as unknown as CallerRequest, DECODE_ENGINE, "run", {
+        kind: "failed",
+        verdict: "may-have-run",
+        why: "cut",
+      });
     };
     return { interrupt, ends, probes: () => probes };
   };
