A reply whose send was cancelled is never whole

What callers saw: a slow reader's stream whose route's time ended was ended as complete, without its last events (ORDER). Cause: Node had parsed the reply to its end while the relay paused it. The cancellation made Node drop the unread rest without an error, and the reply counted as whole, since `res.complete` speaks of what was received, not of what was read. The cancellation was not heard at all once the connection of a paused reply had ended. Change: a cancelled send ends its reply as cut, until that has been read to its end; a reply is whole only if all of it was read (`readableEnded`).

--- a/src/gateway/upstreamClient.ts
+++ b/src/gateway/upstreamClient.ts
@@ -129,11 +129,15 @@
         // A reset instead of a regular close drops the bytes in transit, so
         // that a peer that was unreachable or stalled does not get them.
         if (isConnected) req.socket?.resetAndDestroy();
+        reply?.drop("cancelled");
         req.destroy(new Error("cancelled"));
         // Before the connection is up, Node emits no error until it is.
         if (!isConnected) fail("cancelled");
       });
-      req.once("close", stopListening);
+      // A reply that is not read to its end can outlast its connection.
+      req.once("close", () => {
+        if (reply === undefined) stopListening();
+      });
       // The head is written after these listeners have run.
       const onConnected = () => {
         clearTimeout(timer);
@@ -164,6 +168,8 @@
         const isRefused = async () => (await this.probe(address)) === "refused";
         const { buffers } = this;
         reply = new UpstreamReply(res, { address, method, isRefused, buffers });
+        res.once("end", stopListening);
+        res.once("close", stopListening);
         resolve(reply);
       });
       req.once("upgrade", (_res, socket) => {
--- a/src/gateway/upstreamReply.ts
+++ b/src/gateway/upstreamReply.ts
@@ -136,7 +136,10 @@
   private async judge(): Promise<BodyEnd> {
     const fault = this.contentFault() ?? this.error;
     if (fault !== undefined) return cut(fault);
-    if (!this.res.complete) return cut("the answer was cut");
+    const { complete, readableEnded } = this.res;
+    if (!complete) return cut("the answer was cut");
+    // Received to its end, but dropped before all of it was read.
+    if (!readableEnded) return cut("the answer was not read to its end");
     if (this.framing !== "connection") return WHOLE;
     // A process that ends closes its connections like one that has answered.
     const hasEnded = await this.options.isRefused();
