A plain replica's event stream that breaks off inside an event is cut

Cause: readWholeBody looked for half answers in JSON alone. Change: a body of events that ends with its connection is judged as relayed streams are, by the splitter.

--- a/src/gateway/upstreamReply.ts
+++ b/src/gateway/upstreamReply.ts
@@ -5,6 +5,7 @@
 import { bodyFraming, isHalfJson, onResetAtEnd } from "../http/index.js";
 import type { BodyFraming } from "../http/index.js";
 import { ByteBuffer } from "../shared/byteBuffer.js";
+import { EventSplitter } from "./eventSplitter.js";
 import type { BufferedReply, ReplyBuffers } from "./replyBuffers.js";
 
 export type BodyEnd = { kind: "whole" } | { kind: "cut"; why: string };
@@ -150,6 +151,17 @@
 export type WholeBody = { kind: "whole"; body: Buffer } | BodyCut;
 type BodyCut = Extract<BodyEnd, { kind: "cut" }>;
 
+const EVENT_STREAM = /^text\/event-stream\b/i;
+
+const isEventStream = ({ headers }: IncomingMessage): boolean =>
+  EVENT_STREAM.test(headers["content-type"] ?? "");
+
+const endsInsideEvent = (body: Buffer): boolean => {
+  const splitter = new EventSplitter();
+  splitter.push(body);
+  return splitter.isInsideEvent;
+};
+
 /** Reads a whole response body; `cut` if it was truncated or is too large. */
 export const readWholeBody = async (
   reply: UpstreamReply,
@@ -161,9 +173,10 @@
   reply.contentFault = () => {
     if (received.size > maxBytes) return `answer is over ${maxBytes} bytes`;
     body = received.take();
-    const mayBeHalf = framing === "connection";
-    const isHalf = mayBeHalf && isHalfJson(res, body);
-    return isHalf ? "the answer ends inside its JSON" : undefined;
+    if (framing !== "connection") return undefined;
+    if (isHalfJson(res, body)) return "the answer ends inside its JSON";
+    const isInside = isEventStream(res) && endsInsideEvent(body);
+    return isInside ? "the stream ended inside an event" : undefined;
   };
   reply.read((chunk) => {
     received.append(chunk);
