Requests that wait for their turn on a connection end with it

What callers saw: after two requests in a row and a reset, a planned stop waited to the end of its grace, and the second request was still run. Cause: Node closes only the response whose turn it is when a connection ends; the ones behind it emit nothing, so that their requests stayed in flight. Change: the server closes them when the connection does.

--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -118,10 +118,15 @@
 
   private onRequest(req: IncomingMessage, res: ServerResponse): void {
     this.inFlight += 1;
-    let isClosed = false;
+    const { socket } = req;
+    // Node closes only the response whose turn it is on the connection.
+    const closeWaiting = () => {
+      if (res.socket === null) res.emit("close");
+    };
+    socket.once("close", closeWaiting);
     res.once("close", () => {
-      if (!isClosed) this.inFlight -= 1;
-      isClosed = true;
+      this.inFlight -= 1;
+      socket.off("close", closeWaiting);
     });
     if (this.drain !== undefined) res.setHeader("Connection", "close");
     this.serve(req, res).catch((err) => {
