Soak: replicas that each request ran on; replies of other requests, endless bytes

Cause: the soak counted runs of what may run once, but not on how many replicas a resumable or safe request ran, and no stand-in sent a surplus refusal or bytes without end.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -2,6 +2,7 @@
  * Checks the promises of the system against what callers and upstreams
  * recorded. Pure functions from records to violations.
  */
+import { ATTEMPT_CHECKS } from "./attemptChecks.js";
 import { groupBy } from "./groupBy.js";
 import { PART_CHECKS } from "./partChecks.js";
 import { RETRY_CHECKS } from "./retryChecks.js";
@@ -204,6 +205,7 @@
   changesTakeEffect,
   plannedStopCutsNothing,
   fencesHaveOneHolder,
+  ...ATTEMPT_CHECKS,
   ...SIGNAL_CHECKS,
   ...STREAM_CHECKS,
   ...PART_CHECKS,
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -374,6 +374,31 @@
   }),
 ];
 
+const FOREIGN_REPLIES: readonly NamedBehaviour[] = [
+  "foreign-refusal",
+  "foreign-refusal",
+  "crossed",
+  "endless-head",
+  "endless-body",
+];
+
+/** Replies of other requests, and bytes that are no reply and do not end. */
+const REPLIES: readonly AnyFault[] = [
+  defineFault({
+    name: "replica sends what is no reply of its request",
+    isPlanned: false,
+    target: anyReplica,
+    nameOf: replicaId,
+    run: async (target, { draw, wait, setVariant }) => {
+      const behaviour = draw(FOREIGN_REPLIES) ?? "crossed";
+      setVariant(behaviour);
+      target.misbehaviour = { behaviour, share: MISBEHAVING_SHARE };
+      await wait(500, 3000);
+      target.misbehaviour = undefined;
+    },
+  }),
+];
+
 /** A prompt part that ends each engine that writes an answer on it. */
 const DEADLY_PARTS: readonly AnyFault[] = [
   defineFault({
@@ -431,6 +456,7 @@
   | "silent"
   | "streams"
   | "endings"
+  | "replies"
   | "parts"
   | "lives";
 
@@ -442,6 +468,7 @@
   silent: [...PLANNED, ...UNPLANNED, ...SILENCED, ...SILENCED],
   streams: [...PLANNED, ...UNPLANNED, ...Array(3).fill(CUT_STREAMS).flat()],
   endings: [...PLANNED, ...UNPLANNED, ...Array(12).fill(ENDINGS).flat()],
+  replies: [...PLANNED, ...UNPLANNED, ...Array(12).fill(REPLIES).flat()],
   parts: [...PLANNED, ...UNPLANNED, ...Array(12).fill(DEADLY_PARTS).flat()],
   lives: [...PLANNED, ...UNPLANNED, ...Array(12).fill(SHORT_LIVES).flat()],
 };
--- a/soak/profile.ts
+++ b/soak/profile.ts
@@ -23,6 +23,8 @@
 /** Of the other seeds, those with these remainders. */
 const ENDINGS_INTERVAL = 20;
 const ENDINGS_REMAINDER = 17;
+const REPLIES_INTERVAL = 20;
+const REPLIES_REMAINDER = 12;
 const PARTS_INTERVAL = 20;
 const PARTS_REMAINDER = 11;
 const LIVES_INTERVAL = 20;
@@ -34,6 +36,7 @@
   if (seed % SILENT_INTERVAL === SILENT_REMAINDER) return "silent";
   if (seed % STREAMS_INTERVAL === STREAMS_REMAINDER) return "streams";
   if (seed % ENDINGS_INTERVAL === ENDINGS_REMAINDER) return "endings";
+  if (seed % REPLIES_INTERVAL === REPLIES_REMAINDER) return "replies";
   if (seed % PARTS_INTERVAL === PARTS_REMAINDER) return "parts";
   if (seed % LIVES_INTERVAL === LIVES_REMAINDER) return "lives";
   return seed % SIGNALS_INTERVAL === SIGNALS_REMAINDER ? "signals" : "all";
--- a/tests/soak/checks.test.ts
+++ b/tests/soak/checks.test.ts
@@ -104,6 +104,40 @@
     );
   });
 
+  describe("replicas that run a request", () => {
+    const PROMISE = "no more replicas than allowed";
+    const resumable = stream({ kind: "resumable" });
+    const runs = [1, 2, 3].map((at) => run("a", `engine-${at}`, 10_000 + at));
+
+    it("may not be more than its route allows", () => {
+      expect(violatedPromises({ calls: [resumable], runs })).to.eql([PROMISE]);
+    });
+
+    it("may be as many as its route allows, each more than once", () => {
+      const twice = [...runs.slice(1), ...runs.slice(1)];
+      const found = violatedPromises({ calls: [resumable], runs: twice });
+      expect(found).to.eql([]);
+    });
+
+    for (const name of ["replica crashed", "replica link"]) {
+      it(`do not count after a fault (${name}) of theirs`, () => {
+        const target = "engine-2";
+        const lost = fault({ name, target, isPlanned: false });
+        const faults = [{ ...lost, from: 10_010, until: 10_020 }];
+        const calls = [resumable];
+        expect(violatedPromises({ calls, runs, faults })).to.eql([]);
+      });
+    }
+
+    it("count after a fault of another one", () => {
+      const other = fault({ name: "replica link", target: "engine-9" });
+      const calls = [resumable];
+      expect(violatedPromises({ calls, runs, faults: [other] })).to.eql([
+        PROMISE,
+      ]);
+    });
+  });
+
   describe("parts that end engines", () => {
     const PROMISE = "parts that end engines are held back";
     const told = { isLimited: false, isLeaving: false, backOff: undefined };
--- a/tests/soak/seeds.test.ts
+++ b/tests/soak/seeds.test.ts
@@ -23,6 +23,7 @@
   { seed: 8, why: "replicas that name limits" },
   { seed: 11, why: "a prompt part that ends each engine that writes on it" },
   { seed: 17, why: "answers of every framing that break off anywhere" },
+  { seed: 32, why: "replies of other requests, and bytes without end" },
   { seed: 13, why: "entries that end again and again while replicas refuse" },
   { seed: 4, why: "signals of replicas, and a store back from a copy" },
 ];
