Bench: the gateway's settings name the window of its budget

Cause: gatewayLoad waited for ever for a gateway that ended at its settings, since these must name budgetWindowS.

--- a/bench/gatewayLoad.ts
+++ b/bench/gatewayLoad.ts
@@ -58,6 +58,7 @@
   contactMs: 3000
   retryBudgetRatio: 0.2
   retryBurst: 50
+  budgetWindowS: 10
 platform: { address: "${deployment.store.address}" }
 `,
 );
