--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -93,6 +93,25 @@
     run,
   });
 
+/** For a while, a replica treats a share of its requests in one of these ways. */
+const misbehaviourFault = (
+  name: string,
+  behaviours: readonly NamedBehaviour[],
+): AnyFault =>
+  defineFault({
+    name,
+    isPlanned: false,
+    target: anyReplica,
+    nameOf: replicaId,
+    run: async (target, { draw, wait, setVariant }) => {
+      const behaviour = draw(behaviours) ?? "fail";
+      setVariant(behaviour);
+      target.misbehaviour = { behaviour, share: MISBEHAVING_SHARE };
+      await wait(300, 3000);
+      target.misbehaviour = undefined;
+    },
+  });
+
 const killForAWhile = async (
   target: DaemonProcess,
   { wait }: FaultContext,
@@ -176,19 +195,7 @@
       link.set({ mode: "pass" });
     },
   }),
-  defineFault({
-    name: "replica misbehaves",
-    isPlanned: false,
-    target: anyReplica,
-    nameOf: replicaId,
-    run: async (target, { draw, wait, setVariant }) => {
-      const behaviour = draw(MISBEHAVIOURS) ?? "fail";
-      setVariant(behaviour);
-      target.misbehaviour = { behaviour, share: MISBEHAVING_SHARE };
-      await wait(300, 3000);
-      target.misbehaviour = undefined;
-    },
-  }),
+  misbehaviourFault("replica misbehaves", MISBEHAVIOURS),
   defineFault({
     name: "replica crashed",
     isPlanned: false,
@@ -384,19 +391,10 @@
 
 /** Replies of other requests, and bytes that are no reply and do not end. */
 const REPLIES: readonly AnyFault[] = [
-  defineFault({
-    name: "replica sends what is no reply of its request",
-    isPlanned: false,
-    target: anyReplica,
-    nameOf: replicaId,
-    run: async (target, { draw, wait, setVariant }) => {
-      const behaviour = draw(FOREIGN_REPLIES) ?? "crossed";
-      setVariant(behaviour);
-      target.misbehaviour = { behaviour, share: MISBEHAVING_SHARE };
-      await wait(500, 3000);
-      target.misbehaviour = undefined;
-    },
-  }),
+  misbehaviourFault(
+    "replica sends what is no reply of its request",
+    FOREIGN_REPLIES,
+  ),
 ];
 
 /** A prompt part that ends each engine that writes an answer on it. */
--- a/src/gateway/upstreamReply.ts
+++ b/src/gateway/upstreamReply.ts
@@ -169,13 +169,12 @@
 ): Promise<WholeBody> => {
   const { res, framing } = reply;
   const received = new ByteBuffer();
-  let body: Buffer = Buffer.alloc(0);
   reply.contentFault = () => {
     if (received.size > maxBytes) return `answer is over ${maxBytes} bytes`;
-    body = received.take();
     if (framing !== "connection") return undefined;
-    if (isHalfJson(res, body)) return "the answer ends inside its JSON";
-    const isInside = isEventStream(res) && endsInsideEvent(body);
+    const { bytes } = received;
+    if (isHalfJson(res, bytes)) return "the answer ends inside its JSON";
+    const isInside = isEventStream(res) && endsInsideEvent(bytes);
     return isInside ? "the stream ended inside an event" : undefined;
   };
   reply.read((chunk) => {
@@ -184,5 +183,5 @@
     if (received.size > maxBytes) res.destroy();
   });
   const end = await reply.ended();
-  return end.kind === "cut" ? end : { kind: "whole", body };
+  return end.kind === "cut" ? end : { kind: "whole", body: received.take() };
 };
--- a/src/shared/byteBuffer.ts
+++ b/src/shared/byteBuffer.ts
@@ -17,6 +17,11 @@
     return this.used;
   }
 
+  /** What was collected; valid until the next call of another method. */
+  get bytes(): Buffer {
+    return this.store.subarray(0, this.used);
+  }
+
   /** Keeps a single chunk by reference; it must not be changed afterwards. */
   append(chunk: Buffer): void {
     if (chunk.length === 0) return;
@@ -32,7 +37,7 @@
 
   /** Returns and clears what was collected. */
   take(): Buffer {
-    const bytes = this.store.subarray(0, this.used);
+    const { bytes } = this;
     this.store = EMPTY;
     this.isOwn = false;
     this.used = 0;
