Read again: one place for what is no answer, state that could be derived

Cause: the change had written the same thing more than once. A switch of protocols was handled in three places beside the bound on informational answers; the id of a reply was compared for the judgement and again for its signals; what a reply keeps in memory was counted in it and in ReplyBuffers; EventSplitter had a case of its own for what ByteBuffer does by itself; an order's time-out was released on two of four ways out. Change: failOnNonAnswers serves all three clients; isOwnReply both comparisons; the others are gone or, for orders, a finally. A foreign reply is dropped with its reason. No behaviour, bound or test changed.

--- a/src/gateway/eventSplitter.ts
+++ b/src/gateway/eventSplitter.ts
@@ -84,7 +84,8 @@
       this.pending.append(chunk);
       return { bytes: Buffer.alloc(0), count, lastId: undefined };
     }
-    const bytes = this.takeThrough(chunk.subarray(0, end));
+    this.pending.append(chunk.subarray(0, end));
+    const bytes = this.pending.take();
     this.pending.append(chunk.subarray(end));
     return { bytes, count, lastId: lastIdOf(bytes.toString("latin1")) };
   }
@@ -119,12 +120,6 @@
     this.hasField = false;
     return true;
   }
-
-  private takeThrough(bytes: Buffer): Buffer {
-    if (this.pending.size === 0) return bytes;
-    this.pending.append(bytes);
-    return this.pending.take();
-  }
 }
 
 const lastIdOf = (text: string): string | undefined => {
--- a/src/gateway/replicaClient.ts
+++ b/src/gateway/replicaClient.ts
@@ -10,7 +10,7 @@
 import type { RateLimits, RateNews } from "../rateLimits/index.js";
 import type { Log, LogFields, Metrics } from "../telemetry/index.js";
 import type { ReplicaSet } from "./replicaSet.js";
-import { judgeReply } from "./replyJudgement.js";
+import { isOwnReply, judgeReply } from "./replyJudgement.js";
 import type { RequestCodec } from "./requestCodec.js";
 import type { Replica, ReplicaSignal, ReplyHead } from "./types.js";
 import { UnknownHeaders } from "./unknownHeaders.js";
@@ -107,7 +107,13 @@
   async send(replica: Replica, send: ReplicaSend): Promise<ReplicaOutcome> {
     const { client, now } = this.options;
     const { service, address } = replica;
-    const { purpose, requestId, permitAt, mustBeSigned, ...request } = send;
+    const {
+      purpose,
+      requestId,
+      permitAt,
+      mustBeSigned = false,
+      ...request
+    } = send;
     const isWork = purpose === "work";
     const why = isWork ? this.refusal(replica) : undefined;
     if (why !== undefined) {
@@ -127,7 +133,7 @@
     if (outcome.kind === "reply")
       return this.judge(
         replica,
-        { purpose, requestId, mustBeSigned: mustBeSigned === true, sentAt },
+        { purpose, requestId, mustBeSigned, sentAt },
         outcome,
       );
     if (outcome.isRefused === true) this.onConnectionRefused(replica);
@@ -150,7 +156,7 @@
         reply.discard();
         return { kind: "refused", head, reply };
       case "unusable":
-        reply.res.destroy();
+        reply.drop(judgement.why);
         return {
           kind: "failed",
           verdict: "may-have-run",
@@ -195,7 +201,7 @@
     const { replicas, codec, log, metrics, now } = this.options;
     const { status } = head;
     const signal = codec.readSignal(status, res.headers);
-    const isProven = head.requestId === sent.requestId;
+    const isProven = isOwnReply(head, sent);
     const { id, service, address } = replica;
     if (!isProven) this.logForeign(replica, sent, head);
     this.logUnparsed(id, signal);
--- a/src/gateway/replyBuffers.ts
+++ b/src/gateway/replyBuffers.ts
@@ -20,7 +20,9 @@
 
   /** `bytes`: kept for the reply by now; 0 once it has ended. */
   set(reply: BufferedReply, bytes: number): void {
-    this.total += bytes - (this.sizes.get(reply) ?? 0);
+    const before = this.sizes.get(reply) ?? 0;
+    if (bytes === before) return;
+    this.total += bytes - before;
     if (bytes > 0) this.sizes.set(reply, bytes);
     else this.sizes.delete(reply);
     if (this.total > this.maxBytes) this.dropLargest();
--- a/src/gateway/replyJudgement.ts
+++ b/src/gateway/replyJudgement.ts
@@ -22,21 +22,27 @@
 
 const unusable = (why: string): ReplyJudgement => ({ kind: "unusable", why });
 
+/** Whether it is the reply of the request that it came for. */
+export const isOwnReply = (
+  reply: ReplyHead,
+  { requestId }: Pick<ReplyExpectation, "requestId">,
+): boolean => reply.requestId === requestId;
+
 export const judgeReply = (
   reply: ReplyHead,
-  { requestId, mustBeSigned }: ReplyExpectation,
+  expected: ReplyExpectation,
 ): ReplyJudgement => {
   // Before all else: any other part of a foreign reply speaks of another request.
-  if (reply.requestId !== requestId)
+  if (!isOwnReply(reply, expected))
     return unusable(
       reply.requestId === undefined
         ? "the answer names no request"
         : "the answer belongs to another request",
     );
   if (reply.isNotRun) return { kind: "refused" };
-  if (requestId === undefined) return { kind: "own" };
+  if (expected.requestId === undefined) return { kind: "own" };
   const isSuccess = reply.status >= 200 && reply.status < 300;
-  if (isSuccess && mustBeSigned && !reply.isSigned)
+  if (isSuccess && expected.mustBeSigned && !reply.isSigned)
     return unusable("the answer is not signed");
   if (reply.isEncoded) return unusable("the body is encoded");
   if (reply.statusMeansNotRun)
--- a/src/gateway/stageController.ts
+++ b/src/gateway/stageController.ts
@@ -224,21 +224,22 @@
   ): Promise<OrderOutcome> {
     const cancellation = new BoundedCancellation(undefined, ORDER_TIMEOUT_MS);
     const request = { ...call, purpose, cancellation };
-    const sent = await this.options.client.send(replica, request);
-    if (sent.kind === "failed") {
-      const kind = sent.verdict === "not-run" ? "refused" : "unknown";
-      return { kind, why: sent.why };
-    }
-    const { status } = sent.head;
-    if (sent.kind === "refused") {
+    try {
+      const sent = await this.options.client.send(replica, request);
+      if (sent.kind === "failed") {
+        const kind = sent.verdict === "not-run" ? "refused" : "unknown";
+        return { kind, why: sent.why };
+      }
+      const { status } = sent.head;
+      if (sent.kind === "refused")
+        return { kind: "refused", why: `status ${status}` };
+      const whole = await readWholeBody(sent.reply, MAX_RESPONSE_BYTES);
+      const text = whole.kind === "whole" ? whole.body.toString("utf8") : "";
+      const isGood = status >= 200 && status < 300;
+      if (isGood) return { kind: "accepted", why: text };
+      return { kind: "refused", why: `status ${status} ${text}`.trim() };
+    } finally {
       cancellation.dispose();
-      return { kind: "refused", why: `status ${status}` };
     }
-    const whole = await readWholeBody(sent.reply, MAX_RESPONSE_BYTES);
-    cancellation.dispose();
-    const text = whole.kind === "whole" ? whole.body.toString("utf8") : "";
-    const isGood = status >= 200 && status < 300;
-    if (isGood) return { kind: "accepted", why: text };
-    return { kind: "refused", why: `status ${status} ${text}`.trim() };
   }
 }
--- a/src/gateway/upstreamClient.ts
+++ b/src/gateway/upstreamClient.ts
@@ -6,7 +6,7 @@
 import net from "node:net";
 import type { Socket } from "node:net";
 
-import { boundInformational, splitAddress } from "../http/index.js";
+import { failOnNonAnswers, splitAddress } from "../http/index.js";
 import type { Cancellation } from "../shared/cancellation.js";
 import type { Verdict } from "../shared/verdict.js";
 import { ReplyBuffers } from "./replyBuffers.js";
@@ -172,11 +172,7 @@
         res.once("close", stopListening);
         resolve(reply);
       });
-      req.once("upgrade", (_res, socket) => {
-        socket.destroy();
-        fail("the answer switches protocols");
-      });
-      boundInformational(req);
+      failOnNonAnswers(req);
       req.on("error", (err: NodeJS.ErrnoException) => {
         reply?.onError(err.message);
         fail(err.message, err.code === REFUSED_CODE);
--- a/src/gateway/upstreamReply.ts
+++ b/src/gateway/upstreamReply.ts
@@ -43,8 +43,6 @@
   private readonly socket: Socket;
   private readonly closed: Promise<unknown>;
   private judged: Promise<BodyEnd> | undefined;
-  /** Bytes that its reader keeps until they are whole. */
-  private bufferedBytes = 0;
   /** Bytes received since the last ones of the body. */
   private framingBytes = 0;
 
@@ -104,8 +102,6 @@
 
   /** To be called by the reader of the body with what it keeps, bytes. */
   setBuffered(bytes: number): void {
-    if (bytes === this.bufferedBytes) return;
-    this.bufferedBytes = bytes;
     this.options.buffers.set(this, bytes);
   }
 
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -1,6 +1,6 @@
 export { bodyFraming, isHalfJson, onResetAtEnd } from "./bodyFraming.js";
 export type { BodyFraming } from "./bodyFraming.js";
-export { boundInformational } from "./informational.js";
+export { failOnNonAnswers } from "./nonAnswers.js";
 export { forwardedHeaders } from "./headers.js";
 export { exchange, ExchangeError } from "./request.js";
 export type { ExchangeOptions, JsonResponse } from "./request.js";
--- a/src/http/request.ts
+++ b/src/http/request.ts
@@ -3,8 +3,8 @@
 
 import { ByteBuffer } from "../shared/byteBuffer.js";
 import type { Cancellation } from "../shared/cancellation.js";
-import { boundInformational } from "./informational.js";
 import { KeptConnections } from "./keptConnections.js";
+import { failOnNonAnswers } from "./nonAnswers.js";
 
 /** Connection pool for control traffic. */
 const agent = new KeptConnections({ keepAlive: true, maxSockets: 64 });
@@ -94,11 +94,7 @@
       else socket.once("connect", () => (connected = true));
     });
     req.on("error", fail);
-    boundInformational(req);
-    req.once("upgrade", (_res, socket) => {
-      socket.destroy();
-      fail(new Error("answer switches protocols"));
-    });
+    failOnNonAnswers(req);
     req.on("response", (res) => {
       const received = new ByteBuffer();
       res.on("data", (chunk: Buffer) => received.append(chunk));
--- a/src/side/upstreamCall.ts
+++ b/src/side/upstreamCall.ts
@@ -1,7 +1,7 @@
 /** Sends a request from a side to its upstream. */
 import http from "node:http";
 
-import { boundInformational, forwardedHeaders } from "../http/index.js";
+import { failOnNonAnswers, forwardedHeaders } from "../http/index.js";
 import { HEADERS } from "../shared/constants.js";
 import type { RequestFailure } from "../shared/errors.js";
 import { errText } from "../shared/utils.js";
@@ -59,12 +59,7 @@
         : unreachable(errText(err));
       resolve({ kind: "failure", failure });
     });
-    boundInformational(upstreamReq);
-    upstreamReq.once("upgrade", (_res, socket) => {
-      socket.destroy();
-      const failure = connectionLost("the answer switches protocols");
-      resolve({ kind: "failure", failure });
-    });
+    failOnNonAnswers(upstreamReq);
     upstreamReq.on("response", (res) => {
       const echoed = res.headers[HEADERS.requestId];
       if (options.echoesRequestId && echoed !== requestId) {
