--- a/soak/attemptChecks.ts
+++ b/soak/attemptChecks.ts
@@ -1,17 +1,21 @@
 /** Checks on how many replicas a request runs. */
+import { testConfig } from "../platform/standins/deployment.js";
 import { groupBy } from "./groupBy.js";
+import { CALL_PATHS } from "./types.js";
 import type { CallKind, Check, FaultRecord, RunRecord } from "./types.js";
 
-/** As in the routes of the stand-in configuration. */
-const MAX_ATTEMPTS: Readonly<Record<CallKind, number>> = {
-  safe: 2,
-  unsafe: 2,
-  resumable: 2,
-  draft: 1,
-};
 /** Faults in which a replica ends or is cut off. */
 const LOSSES: readonly string[] = ["replica crashed", "replica link"];
 
+const { routes } = testConfig(1);
+
+/** Attempts of its route; none if no route fits. */
+const maxAttemptsOf = (kind: CallKind): number => {
+  const path = CALL_PATHS[kind];
+  const route = routes.find(({ pathPrefix }) => path.startsWith(pathPrefix));
+  return route?.maxAttempts ?? 0;
+};
+
 const hasBeenLost = (
   { replica, at }: RunRecord,
   until: number,
@@ -31,7 +35,7 @@
       (run) => !ended.has(run.replica) && !hasBeenLost(run, endedAt, faults),
     );
     const replicas = new Set(counted.map(({ replica }) => replica));
-    if (replicas.size <= MAX_ATTEMPTS[kind]) return [];
+    if (replicas.size <= maxAttemptsOf(kind)) return [];
     const what = `${id} (${kind}) ran on ${[...replicas].join(", ")}`;
     return [{ promise: "no more replicas than allowed", what }];
   });
--- a/soak/callers.ts
+++ b/soak/callers.ts
@@ -19,15 +19,9 @@
 import { drawOne } from "./draw.js";
 import type { DaemonProcess } from "./daemonProcess.js";
 import type { SoakFleet } from "./fleet.js";
-import { CALL_KINDS, IS_STREAM } from "./types.js";
+import { CALL_KINDS, CALL_PATHS, IS_STREAM } from "./types.js";
 import type { CallKind, CallRecord, ResumptionRecord } from "./types.js";
 
-const PATHS: Readonly<Record<CallKind, string>> = {
-  safe: "/safe/a",
-  unsafe: "/unsafe/a",
-  resumable: "/resume/a",
-  draft: "/draft/a",
-};
 /** Time past the deadline after which a caller gives up, ms. */
 const TIMEOUT_MARGIN_MS = 1000;
 /** Longest pause of a caller between two requests, ms. */
@@ -208,7 +202,7 @@
     const headers = { ...callHeaders(id, Math.round(deadlineMs)), ...more };
     const { life } = entry;
     const sentAt = now();
-    const target = PATHS[kind];
+    const target = CALL_PATHS[kind];
     const parts = partIds(headers);
     const body = this.fleet.deadlyPart === undefined ? "" : id;
     const answer = await sendRequest(
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -7,6 +7,14 @@
 
 export type CallKind = (typeof CALL_KINDS)[number];
 
+/** Path of the requests of a kind, on a route of the stand-in configuration. */
+export const CALL_PATHS: Readonly<Record<CallKind, string>> = {
+  safe: "/safe/a",
+  unsafe: "/unsafe/a",
+  resumable: "/resume/a",
+  draft: "/draft/a",
+};
+
 /** Whether a request of the kind may run more than once. */
 export const IS_RETRYABLE: Readonly<Record<CallKind, boolean>> = {
   safe: true,
--- a/tests/exchange.test.ts
+++ b/tests/exchange.test.ts
@@ -5,9 +5,9 @@
 import { expect } from "chai";
 
 import { exchange, ExchangeError } from "../src/http/index.js";
+import { FILL, writeEndlessly } from "../standins/endlessBytes.js";
 import { until } from "./support/until.js";
 
-const FILL = "x".repeat(64 * 1024);
 const TIMEOUT_MS = 20_000;
 const MAX_READ_BYTES = 32 * 1024 * 1024;
 
@@ -43,14 +43,10 @@
     server = net.createServer((accepted) => {
       socket = accepted;
       accepted.on("error", () => undefined);
-      const fill = () => {
-        while (!accepted.destroyed && accepted.write(endless));
-      };
       accepted.once("data", () => {
         accepted.write(begin);
-        fill();
+        writeEndlessly(accepted, endless);
       });
-      accepted.on("drain", fill);
     });
     await new Promise<void>((resolve) =>
       server.listen(0, "127.0.0.1", resolve),
--- a/tests/gossip.test.ts
+++ b/tests/gossip.test.ts
@@ -5,15 +5,10 @@
 import { Gossip } from "../src/peers/index.js";
 import { seededRng } from "../src/shared/rng.js";
 import { MemoryStore } from "./support/memoryStore.js";
+import { SILENT_LOG } from "./support/silentLog.js";
 
 const SIZE = 12;
 const ROUND_MS = 1000;
-const SILENT = {
-  info: () => undefined,
-  warn: () => undefined,
-  error: () => undefined,
-  debug: () => undefined,
-};
 
 /** Processes that talk directly, in two halves that can be parted. */
 const startNet = () => {
@@ -47,7 +42,7 @@
         fetchConfig: async (to, request) => reach(to).fetchConfig(request),
         fetchMembers: async (to) => reach(to).fetchMembers(),
       },
-      log: SILENT,
+      log: SILENT_LOG,
       rng: seededRng(Number(address) + 1),
       now: () => clock.now,
       fanout: 2,
--- a/tests/promises/authority.test.ts
+++ b/tests/promises/authority.test.ts
@@ -27,17 +27,11 @@
 import { stopAll } from "../support/processes.js";
 import { engineSpec, MODEL_SERVICE } from "../support/specs.js";
 import { until } from "../support/until.js";
+import { SILENT_LOG } from "../support/silentLog.js";
 
 /** Without a size, generated lists are about ten long: too short to fail. */
 const LONG = { minLength: 20, maxLength: 200, size: "max" } as const;
 
-const SILENT = {
-  info: () => undefined,
-  warn: () => undefined,
-  error: () => undefined,
-  debug: () => undefined,
-};
-
 /** An engine that does at once what it is told, and ignores fences. */
 class FakeEngine implements ModelEngine {
   readonly orders: EngineOrder[] = [];
@@ -238,7 +232,7 @@
           report,
           nudge: async () => ({ accepted: true, reason: "" }),
         },
-        log: SILENT,
+        log: SILENT_LOG,
         now: () => clock.now,
         wallClock: () => clock.now,
       });
@@ -314,7 +308,7 @@
           control,
           engine,
           gate: new SideGate(() => 0),
-          log: SILENT,
+          log: SILENT_LOG,
           now: () => clock.now,
           windowMs: 10,
           pollMs: 1,
@@ -394,7 +388,7 @@
         control,
         engine,
         gate: new SideGate(() => 0),
-        log: SILENT,
+        log: SILENT_LOG,
         now: () => 0,
         windowMs: 1,
         pollMs: 1,
@@ -441,7 +435,7 @@
               control: new ControlStore(crashing(store, crash)),
               engine: crashing(engine, crash),
               gate: new SideGate(() => 0),
-              log: SILENT,
+              log: SILENT_LOG,
               now: () => 0,
               windowMs: 1,
               pollMs: 1,
