Tests: the end of a stream is judged without a search of its rest

Only the test with real sockets in endlessBytes.test.ts met it, by standing still.

The new rows count the bytes that are gone over when the end of the stream is judged: none, since each byte was looked at when it arrived.

--- a/tests/gateway/eventSplitter.test.ts
+++ b/tests/gateway/eventSplitter.test.ts
@@ -97,6 +97,14 @@
     }
   }
 
+  for (const [title, fill] of Object.entries(fills)) {
+    it(`are judged at the end of the stream without a search of ${title}`, () => {
+      const splitter = new EventSplitter();
+      splitter.push(Buffer.from(fill.repeat(SPLIT_BYTES / fill.length)));
+      expect(countSteps(() => void splitter.isInsideEvent)).to.equal(0);
+    });
+  }
+
   const lineEnd = fc.constantFrom(...LINE_ENDS);
   const word = fc.stringMatching(/^[a-z]{0,8}$/);
   const streams = fc
