--- /dev/null
+++ b/tests/gateway/streamRelay.test.ts
@@ -0,0 +1,101 @@
+/** A stream whose caller reads slowly is complete only with its last event. */
+import http from "node:http";
+import type { ServerResponse } from "node:http";
+import { Writable } from "node:stream";
+
+import { expect } from "chai";
+
+import { monotonicNow } from "../../src/daemon/clock.js";
+import type { CallerRequest } from "../../src/gateway/callerRequest.js";
+import { StreamRelay } from "../../src/gateway/streamRelay.js";
+import type { RunEnd } from "../../src/gateway/streamRelay.js";
+import { UpstreamClient } from "../../src/gateway/upstreamClient.js";
+import type { UpstreamReply } from "../../src/gateway/upstreamReply.js";
+import { listen } from "../../src/http/index.js";
+import { Cancellation } from "../../src/shared/cancellation.js";
+import { until } from "../support/until.js";
+
+const FIRST_EVENT = "id: 1\ndata: first\n\n";
+const LAST_EVENTS = "id: 2\ndata: second\n\nid: 3\ndata: last\n\n";
+
+/** A caller's connection that takes nothing more until it reads on. */
+class SlowReader extends Writable {
+  received = "";
+  private isReading = false;
+  private release: () => void = () => undefined;
+
+  constructor() {
+    super({ highWaterMark: 1 });
+  }
+
+  override _write(chunk: Buffer, _encoding: string, done: () => void): void {
+    this.received += chunk.toString();
+    if (this.isReading) return done();
+    this.release = done;
+  }
+
+  readOn(): void {
+    this.isReading = true;
+    this.release();
+  }
+}
+
+describe("a stream whose caller reads slowly", () => {
+  let server: http.Server;
+  let client: UpstreamClient;
+  let cancellation: Cancellation;
+  let reader: SlowReader;
+  let reply: UpstreamReply;
+  let ended: Promise<RunEnd>;
+
+  beforeEach(async () => {
+    let sendRest: () => void = () => undefined;
+    server = http.createServer((_req, res) => {
+      res.write(FIRST_EVENT);
+      sendRest = () => res.end(LAST_EVENTS);
+    });
+    client = new UpstreamClient();
+    cancellation = new Cancellation();
+    reader = new SlowReader();
+    const sent = await client.send({
+      service: "model",
+      address: await listen(server, "127.0.0.1:0"),
+      method: "GET",
+      target: "/",
+      headers: ["Host", "x"],
+      body: Buffer.alloc(0),
+      cancellation,
+    });
+    if (sent.kind === "failed") throw new Error(sent.why);
+    reply = sent;
+    const caller = {
+      head: {},
+      isCallerGone: false,
+      res: reader as unknown as ServerResponse,
+      writePart: (bytes: Buffer) => reader.write(bytes),
+    } as unknown as CallerRequest;
+    const relay = new StreamRelay(caller, () => undefined, monotonicNow);
+    ended = relay.run(reply);
+    await until(() => reader.writableNeedDrain, "the relay waits for it");
+    sendRest();
+    await until(() => reply.res.complete, "all events have arrived");
+  });
+
+  afterEach(() => {
+    client.close();
+    server.closeAllConnections();
+    server.close();
+  });
+
+  it("is cut if its time ends before its last events were passed on", async () => {
+    cancellation.cancel();
+    expect((await ended).kind).to.equal("cut");
+    expect(reader.received).to.equal(FIRST_EVENT);
+  });
+
+  it("is complete with all events once the caller reads on", async () => {
+    reader.readOn();
+    expect((await ended).kind).to.equal("complete");
+    expect(reader.received).to.equal(FIRST_EVENT + LAST_EVENTS);
+  });
+});
