Tests: the reader of a body is a process of its own

A worker that runs out of memory may take the test run with it; a process can't. Same body, same heap, same assertion.

--- a/tests/readBody.test.ts
+++ b/tests/readBody.test.ts
@@ -1,42 +1,36 @@
 /** What the body of a request costs in memory. */
 import http from "node:http";
-import path from "node:path";
 import { text } from "node:stream/consumers";
-import { Worker } from "node:worker_threads";
 
 import { expect } from "chai";
 
-import { DIST } from "./support/processes.js";
+import { startProgram } from "./support/processes.js";
+import type { Program } from "./support/processes.js";
 
-const READER = path.join(DIST, "tests/support/bodyServer.js");
 const BODY_BYTES = 1024 * 1024;
 /** An entry serves bodies of up to 4 MB with a heap of 160 MB. */
 const HEAP_MB = 40;
 
 describe("the body of a request", () => {
-  let worker: Worker;
-  let address: string;
-  /** Why the reader ended. */
-  let ended: Promise<string>;
+  let reader: Program;
 
   beforeEach(async () => {
-    const resourceLimits = { maxOldGenerationSizeMb: HEAP_MB };
-    worker = new Worker(READER, { resourceLimits });
-    ended = new Promise((resolve) =>
-      worker.once("error", ({ message }) => resolve(message)),
-    );
-    address = await new Promise((resolve) => worker.once("message", resolve));
+    const script = "tests/support/bodyServer.js";
+    const nodeArgs = [`--max-old-space-size=${HEAP_MB}`];
+    reader = await startProgram("reader", script, [], 1, nodeArgs);
   });
 
-  afterEach(() => worker.terminate());
+  afterEach(() => reader.signal("SIGKILL"));
 
-  /** What the reader answers, or why it ended. */
+  /** What the reader answers, or that it has ended. */
   const sendInChunksOf = async (chunkBytes: number): Promise<string> => {
-    const req = http.request(`http://${address}`, { method: "POST" });
+    const url = `http://${reader.at.callers}`;
+    const req = http.request(url, { method: "POST" });
     req.on("error", () => undefined);
     const answered = new Promise<string>((resolve) =>
       req.once("response", (res) => resolve(text(res))),
     );
+    const ended = reader.ended.then(() => "the reader has ended");
     const outcome = Promise.race([answered, ended]);
     let isOver = false;
     void outcome.then(() => (isOver = true));
--- a/tests/support/bodyServer.ts
+++ b/tests/support/bodyServer.ts
@@ -1,6 +1,5 @@
-/** Worker: answers each request with the size of its body, in bytes. */
+/** Program: answers each request with the size of its body, in bytes. */
 import http from "node:http";
-import { parentPort } from "node:worker_threads";
 
 import { listen, readBody } from "../../src/http/index.js";
 
@@ -11,4 +10,5 @@
     res.end(String(length)),
   );
 });
-parentPort?.postMessage(await listen(server, "127.0.0.1:0"));
+const callers = await listen(server, "127.0.0.1:0");
+process.stdout.write(`${JSON.stringify({ callers })}\n`);
--- a/tests/support/processes.ts
+++ b/tests/support/processes.ts
@@ -37,9 +37,11 @@
   script: string,
   args: string[],
   lines = 1,
+  nodeArgs: string[] = [],
 ): Promise<Program> =>
   new Promise((resolve, reject) => {
-    const child = spawn(process.execPath, [path.join(DIST, script), ...args], {
+    const command = [...nodeArgs, path.join(DIST, script), ...args];
+    const child = spawn(process.execPath, command, {
       stdio: ["ignore", "pipe", "pipe"],
     });
     let output = "";
