--- a/tests/gateway/streamRelay.test.ts
+++ b/tests/gateway/streamRelay.test.ts
@@ -11,9 +11,9 @@
 import type { RunEnd } from "../../src/gateway/streamRelay.js";
 import { UpstreamClient } from "../../src/gateway/upstreamClient.js";
 import type { UpstreamReply } from "../../src/gateway/upstreamReply.js";
-import { listen } from "../../src/http/index.js";
 import { Cancellation } from "../../src/shared/cancellation.js";
 import { until } from "../support/until.js";
+import { sendTo } from "../support/upstreamSend.js";
 
 const FIRST_EVENT = "id: 1\ndata: first\n\n";
 const LAST_EVENTS = "id: 2\ndata: second\n\nid: 3\ndata: last\n\n";
@@ -57,17 +57,7 @@
     client = new UpstreamClient();
     cancellation = new Cancellation();
     reader = new SlowReader();
-    const sent = await client.send({
-      service: "model",
-      address: await listen(server, "127.0.0.1:0"),
-      method: "GET",
-      target: "/",
-      headers: ["Host", "x"],
-      body: Buffer.alloc(0),
-      cancellation,
-    });
-    if (sent.kind === "failed") throw new Error(sent.why);
-    reply = sent;
+    reply = await sendTo(server, client, cancellation);
     const caller = {
       head: {},
       isCallerGone: false,
--- a/tests/gateway/upstreamReply.test.ts
+++ b/tests/gateway/upstreamReply.test.ts
@@ -7,9 +7,9 @@
 import { UpstreamClient } from "../../src/gateway/upstreamClient.js";
 import type { UpstreamReply } from "../../src/gateway/upstreamReply.js";
 import { readWholeBody } from "../../src/gateway/upstreamReply.js";
-import { listen } from "../../src/http/index.js";
 import { Cancellation } from "../../src/shared/cancellation.js";
 import { until } from "../support/until.js";
+import { sendTo } from "../support/upstreamSend.js";
 
 const BODY = "data: a whole event\n\n".repeat(500);
 const MAX_BYTES = 1_000_000;
@@ -45,17 +45,7 @@
         });
         client = new UpstreamClient();
         cancellation = new Cancellation();
-        const sent = await client.send({
-          service: "model",
-          address: await listen(server, "127.0.0.1:0"),
-          method: "GET",
-          target: "/",
-          headers: ["Host", "x"],
-          body: Buffer.alloc(0),
-          cancellation,
-        });
-        if (sent.kind === "failed") throw new Error(sent.why);
-        return sent;
+        return sendTo(server, client, cancellation);
       };
 
       /** Reads one chunk and pauses, as for a slow caller. */
