--- a/tests/gateway/streamRelay.test.ts
+++ b/tests/gateway/streamRelay.test.ts
@@ -10,7 +10,6 @@
 import { StreamRelay } from "../../src/gateway/streamRelay.js";
 import type { RunEnd } from "../../src/gateway/streamRelay.js";
 import { UpstreamClient } from "../../src/gateway/upstreamClient.js";
-import type { UpstreamReply } from "../../src/gateway/upstreamReply.js";
 import { Cancellation } from "../../src/shared/cancellation.js";
 import { until } from "../support/until.js";
 import { sendTo } from "../support/upstreamSend.js";
@@ -45,7 +44,6 @@
   let client: UpstreamClient;
   let cancellation: Cancellation;
   let reader: SlowReader;
-  let reply: UpstreamReply;
   let ended: Promise<RunEnd>;
 
   beforeEach(async () => {
@@ -57,7 +55,7 @@
     client = new UpstreamClient();
     cancellation = new Cancellation();
     reader = new SlowReader();
-    reply = await sendTo(server, client, cancellation);
+    const reply = await sendTo(server, client, cancellation);
     const caller = {
       head: {},
       isCallerGone: false,
