A body in chunks of one byte takes memory by its size

Callers saw: an entry that got 1 MB in chunks of one byte ran out of memory and took all other requests with it.

Cause: readBody kept an object for each chunk until the body had ended, some 200 bytes for each byte, and read a body up to the limit before it refused one whose length says that it is over it.

Change: ByteBuffer collects the chunks; a body whose length is over the limit is refused before it is read; what was collected is let go with the refusal, where the listeners of the request kept it; a reader may follow the chunks and end the reading.

--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -2,6 +2,8 @@
 import type http from "node:http";
 import type { AddressInfo, Server } from "node:net";
 
+import { ByteBuffer } from "../shared/byteBuffer.js";
+
 /** Splits "IP:port"; removes the brackets of an IPv6 address. */
 export const splitAddress = (text: string): { host: string; port: number } => {
   const at = text.lastIndexOf(":");
@@ -24,30 +26,48 @@
 /** Thrown if a request body exceeds the limit. */
 export class BodyTooLargeError extends Error {}
 
+export interface ReadBodyOptions {
+  /** Called for each chunk with its size and that of the body so far, bytes. */
+  onChunk?(chunkBytes: number, bodyBytes: number): void;
+  /** Ends the reading; it then rejects with the signal's reason. */
+  signal?: AbortSignal;
+}
+
 /**
  * Buffers a request body. Rejects with `BodyTooLargeError` above `maxBytes`,
- * and with `Error` if the connection closes early.
+ * and with `Error` if the connection closes early. What comes after that is
+ * left to the caller.
  */
 export const readBody = (
   req: http.IncomingMessage,
   maxBytes: number,
+  { onChunk, signal }: ReadBodyOptions = {},
 ): Promise<Buffer> =>
   new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    req.on("data", (chunk: Buffer) => {
-      size += chunk.length;
-      if (size > maxBytes) {
-        req.pause();
-        reject(new BodyTooLargeError(`body is over ${maxBytes} bytes`));
-        return;
-      }
-      chunks.push(chunk);
-    });
-    req.on("end", () => resolve(Buffer.concat(chunks)));
-    req.on("error", reject);
-    req.on("close", () => {
-      if (!req.complete) reject(new Error("body was cut"));
+    const tooLarge = new BodyTooLargeError(`body is over ${maxBytes} bytes`);
+    const sent = req.headers["content-length"];
+    const length = sent === undefined ? undefined : Number(sent);
+    if (length !== undefined && length > maxBytes) return reject(tooLarge);
+    const received = new ByteBuffer(length);
+    const fail = (err: Error) => {
+      req.off("data", onData);
+      // The listeners below outlive the reading.
+      received.take();
+      reject(err);
+    };
+    const onData = (chunk: Buffer) => {
+      const size = received.size + chunk.length;
+      if (size > maxBytes) return fail(tooLarge);
+      received.append(chunk);
+      onChunk?.(chunk.length, size);
+    };
+    if (signal?.aborted === true) return reject(signal.reason as Error);
+    signal?.addEventListener("abort", () => fail(signal.reason as Error));
+    req.on("data", onData);
+    req.once("end", () => resolve(received.take()));
+    req.once("error", fail);
+    req.once("close", () => {
+      if (!req.complete) fail(new Error("body was cut"));
     });
   });
 
