Bodies of requests are collected in blocks, which do not grow

Callers saw nothing; found while crowds of bodies were played: an entry's resident memory rose from crowd to crowd (214, 232, 252, 273 MB) although what callers held did not.

Cause: a buffer that doubles leaves freed memory of many sizes behind, which malloc keeps.

Change: large chunks and the first are kept as they are, others are copied to blocks of 16 kB; one copy at the end.

--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -2,7 +2,7 @@
 import type http from "node:http";
 import type { AddressInfo, Server } from "node:net";
 
-import { ByteBuffer } from "../shared/byteBuffer.js";
+import { ByteBlocks } from "../shared/byteBlocks.js";
 
 /** Splits "IP:port"; removes the brackets of an IPv6 address. */
 export const splitAddress = (text: string): { host: string; port: number } => {
@@ -48,11 +48,11 @@
     const sent = req.headers["content-length"];
     const length = sent === undefined ? undefined : Number(sent);
     if (length !== undefined && length > maxBytes) return reject(tooLarge);
-    const received = new ByteBuffer(length);
+    const received = new ByteBlocks();
     const fail = (err: Error) => {
       req.off("data", onData);
       // The listeners below outlive the reading.
-      received.take();
+      received.clear();
       reject(err);
     };
     const onData = (chunk: Buffer) => {
--- a/src/shared/byteBuffer.ts
+++ b/src/shared/byteBuffer.ts
@@ -13,9 +13,6 @@
   private isOwn = false;
   private used = 0;
 
-  /** `expectedBytes`: reserved once a quarter of it has arrived. */
-  constructor(private readonly expectedBytes?: number) {}
-
   get size(): number {
     return this.used;
   }
@@ -49,10 +46,7 @@
 
   private reserve(size: number): void {
     if (this.isOwn && size <= this.store.length) return;
-    const doubled = Math.max(MIN_CAPACITY, size, this.used * 2);
-    const expected = this.expectedBytes ?? doubled;
-    const isBegun = doubled * 2 >= expected;
-    const capacity = isBegun ? Math.max(size, expected) : doubled;
+    const capacity = Math.max(MIN_CAPACITY, size, this.used * 2);
     const grown = Buffer.allocUnsafe(capacity);
     this.store.copy(grown, 0, 0, this.used);
     this.store = grown;
