An entry bounds what callers hold of it, and how its time is divided

Callers saw: crowds that keep to no limit ended an entry within a second, or kept it busy until nobody else was served.

Causes: nothing read the memory or the descriptors of the machine. A body was kept from its first byte and read before any check, without a bound on its time. A refused body was read on without end. Each request sent ahead was served at once, also thousands of one read. One read of a connection brought up to 32 blocks of 64 kB, of each of them, before any other request went on. Answers that nobody reads were kept without a bound.

Ruled out: a bound for each case (they add up); closing later, so that the client does not come back at once (Node keeps what it has parsed: 5 kB for each request, out of heap at 17 connections); refusing heads that don't fit behind others (they are kept until their turn).

Change (src/callers): - CallerMemory counts heads, bodies and unread answers of all callers; its bound follows from limits.memoryMb. Beyond it those that have held most for longest give way: a body that is not whole is refused with 503 (not run, nothing was sent), a connection is closed. Requests in progress are spared. - CallerConnections bounds connections by limits.maxFds, closing the one that has rested longest; requests ahead on one connection (64, four served at a time); heads that have not ended. - LoopTurns reads connections whose input takes much work one at a time and leaves the loop as much time as that took. Node resumes a connection after each message, so that it is paused again at each resume. - CallerExchange reads a body within the request's time, and reads away a refused one up to its limit within 2 s. - BufferReclaimer collects garbage once unused buffers take too much: V8 waits for half of its heap's limit. - Bodies of replies are bounded by the memory as well; fields of a head are no longer dropped from the 2,000th on; heads are looked at each second.

--- a/soak/daemonProcess.ts
+++ b/soak/daemonProcess.ts
@@ -20,6 +20,13 @@
 interface StartedLine {
   message?: string;
   callers?: string;
+  ready?: string;
+}
+
+/** What is run: by default the compiled program, without arguments for Node. */
+interface DaemonProgram {
+  script: string;
+  nodeArgs: string[];
 }
 
 export class DaemonProcess {
@@ -27,6 +34,8 @@
   life = 0;
   /** Address that callers connect to; undefined while it is not up. */
   callerAddress: string | undefined;
+  /** Address of the health check; undefined while it is not up. */
+  readyAddress: string | undefined;
   readonly logLines: string[] = [];
   private child: ChildProcess | undefined;
   private exited: Promise<void> = Promise.resolve();
@@ -35,8 +44,17 @@
   constructor(
     readonly machine: Omit<MachineSettings, "isFirstStart">,
     private readonly folder: string,
+    private readonly program: DaemonProgram = {
+      script: DAEMON_SCRIPT,
+      nodeArgs: [],
+    },
   ) {}
 
+  /** The running process, if any. */
+  get process(): ChildProcess | undefined {
+    return this.child;
+  }
+
   get id(): string {
     return this.machine.id;
   }
@@ -51,7 +69,8 @@
     const file = path.join(this.folder, `${this.id}.yaml`);
     const isFirstStart = this.life === 0;
     writeFileSync(file, settingsText({ ...this.machine, isFirstStart }));
-    const child = spawn(process.execPath, [DAEMON_SCRIPT], {
+    const { script, nodeArgs } = this.program;
+    const child = spawn(process.execPath, [...nodeArgs, script], {
       env: { PATH: process.env.PATH, ...settingsEnvironment(file) },
       stdio: ["ignore", "pipe", "pipe"],
     });
@@ -61,6 +80,7 @@
       child.on("close", () => {
         this.child = undefined;
         this.callerAddress = undefined;
+        this.readyAddress = undefined;
         resolve();
       }),
     );
@@ -68,9 +88,10 @@
     const started = new Promise<void>((resolve) => {
       createInterface({ input: child.stdout! }).on("line", (line) => {
         this.appendLog(line);
-        const { message, callers } = JSON.parse(line) as StartedLine;
+        const { message, callers, ready } = JSON.parse(line) as StartedLine;
         if (message !== "started") return;
         this.callerAddress = callers;
+        this.readyAddress = ready;
         resolve();
       });
     });
--- a/src/gateway/callerRequest.ts
+++ b/src/gateway/callerRequest.ts
@@ -1,6 +1,7 @@
 /** The state of a caller's request while it is served, and its response. */
 import type { ServerResponse } from "node:http";
 
+import type { CallerExchange } from "../callers/index.js";
 import { Cancellation } from "../shared/cancellation.js";
 import type { RequestFailure } from "../shared/errors.js";
 import type { Log, LogFields, Metrics } from "../telemetry/index.js";
@@ -19,6 +20,7 @@
 
 export interface CallerRequestOptions {
   res: ServerResponse;
+  exchange: Pick<CallerExchange, "holdAnswer" | "releaseAnswer">;
   head: InboundHead;
   route: Route;
   service: string;
@@ -155,6 +157,7 @@
     headers.push("Content-Length", String(body.length));
     this.writeHead(status, headers);
     this.options.onSent?.(body.length);
+    this.options.exchange.holdAnswer(body.length);
     this.res.end(body);
   }
 
@@ -171,8 +174,12 @@
 
   /** Writes a part of a streamed response; false: wait for `drain`. */
   writePart(bytes: Buffer): boolean {
-    this.options.onSent?.(bytes.length);
-    return this.res.write(bytes);
+    const { exchange, onSent } = this.options;
+    onSent?.(bytes.length);
+    if (this.res.write(bytes)) return true;
+    exchange.holdAnswer(this.res.writableLength);
+    this.res.once("drain", () => exchange.releaseAnswer());
+    return false;
   }
 
   /** Logs the end of a stream, also if its caller has disconnected. */
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -1,6 +1,8 @@
 /** Starts a gateway: an entry that sends to replicas directly, without a side. */
 import http from "node:http";
 
+import { CallerBounds } from "../callers/index.js";
+import type { ProcessLimits } from "../callers/index.js";
 import { listen } from "../http/index.js";
 import type { Daemon } from "../daemon/types.js";
 import { errText } from "../shared/utils.js";
@@ -59,6 +61,8 @@
   processorShare: number;
   /** Rate of its VM's link, bytes per ms; undefined: it has no bound. */
   linkBytesPerMs?: number;
+  /** What the VM has for this process; undefined fields: defaults. */
+  process?: ProcessLimits;
   /** Address of the metrics server; undefined: none is started. */
   metricsAddress?: string;
   /** How long a lease is valid after its last renewal, ms. */
@@ -91,7 +95,8 @@
     rng,
     now,
   });
-  const upstream = new UpstreamClient(link);
+  const callers = new CallerBounds(settings.process ?? {}, parts);
+  const upstream = new UpstreamClient(link, callers.limits.maxReplyBytes);
   const state = new GatewayState(
     source,
     log,
@@ -171,6 +176,7 @@
     budgets,
     quarantine,
     link,
+    bounds: callers,
     keyBounds: settings.keyBounds,
     onBegun: role.onBegun,
     plain: new PlainFlow({
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -5,7 +5,13 @@
 import http from "node:http";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 
-import { BodyTooLargeError, readBody } from "../http/index.js";
+import { BodyTimeoutError, NoRoomError } from "../callers/index.js";
+import type {
+  CallerBounds,
+  CallerConnections,
+  CallerExchange,
+} from "../callers/index.js";
+import { BodyTooLargeError } from "../http/index.js";
 import type { RequestFailure } from "../shared/errors.js";
 import type { Rng } from "../shared/rng.js";
 import { errText } from "../shared/utils.js";
@@ -20,11 +26,16 @@
 import { drawService } from "./routeTable.js";
 import type { RouteTable } from "./routeTable.js";
 import type { CallerLimits, InboundHead, Route } from "./types.js";
+import { deadlineFailure } from "./verdicts.js";
 import { checkKey } from "../workspaces/index.js";
 import type { KeyBounds, CallerIdentity } from "../workspaces/index.js";
 
-/** Header size limit, bytes; above what the configuration allows callers. */
+/** Header size limit until a configuration is known, bytes. */
 const MAX_HEADER_BYTES = 64 * 1024;
+/** Smallest field of a header with its line end, bytes. */
+const MIN_FIELD_BYTES = 4;
+/** Interval of looking for heads that take too long, ms. */
+const CHECK_INTERVAL_MS = 1000;
 /**
  * Added to the configured timeouts, ms: callers reuse connections until shortly
  * before their idle timeout.
@@ -33,6 +44,8 @@
 /** Retry delay for callers while no configuration is known, ms. */
 const NO_CONFIG_RETRY_MS = 500;
 
+/** Retry delay for callers whose body there is no room for, ms. */
+const NO_ROOM_RETRY_MS = 500;
 /** Retry delay while this process stops, ms; another then takes the request. */
 const STOPPING_RETRY_MS = 100;
 
@@ -47,6 +60,7 @@
   budgets: RetryBudgets;
   quarantine: Pick<QuarantineManager, "admit" | "onRequestEnd">;
   link: Pick<EntryLink, "onAnswered">;
+  bounds: CallerBounds;
   keyBounds: KeyBounds;
   /** Called once a request of a workspace has begun to run, `agoMs` ago. */
   onBegun(workspace: string, agoMs: number): void;
@@ -58,6 +72,14 @@
   now: () => number;
 }
 
+/** A request as it came in. */
+interface Inbound {
+  req: IncomingMessage;
+  res: ServerResponse;
+  exchange: CallerExchange;
+  arrivedAt: number;
+}
+
 /** Result of routing and the key check, before the body is read. */
 interface Destination {
   route: Route;
@@ -76,6 +98,11 @@
   retryAfterMs: NO_CONFIG_RETRY_MS,
 };
 
+const NO_ROOM: RequestFailure = {
+  ...failure(503, "overloaded", "callers hold too much of this process"),
+  retryAfterMs: NO_ROOM_RETRY_MS,
+};
+
 const STOPPING: RequestFailure = {
   ...failure(503, "leaving", "this process is about to stop"),
   retryAfterMs: STOPPING_RETRY_MS,
@@ -90,22 +117,33 @@
 
 export class GatewayServer {
   readonly http: Server;
-  /** Requests without a complete response. */
-  inFlight = 0;
+  private readonly connections: CallerConnections;
   private drain: Drain | undefined;
   /** Longest deadline that callers sent, ms, by route. */
   private readonly maxDeadlines = new Map<string, number>();
 
   constructor(private readonly options: GatewayServerOptions) {
     this.http = http.createServer(
-      { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 },
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        requestTimeout: 0,
+        connectionsCheckingInterval: CHECK_INTERVAL_MS,
+      },
       (req, res) => this.onRequest(req, res),
     );
+    this.connections = options.bounds.guard(this.http, "callers");
+  }
+
+  /** Requests without a complete response. */
+  get inFlight(): number {
+    return this.connections.inFlight;
   }
 
   setLimits(limits: CallerLimits): void {
-    this.http.headersTimeout = limits.headerTimeoutMs + IDLE_MARGIN_MS;
-    this.http.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS;
+    const { headerTimeoutMs, idleTimeoutMs, maxHeaderBytes } = limits;
+    this.http.headersTimeout = headerTimeoutMs + IDLE_MARGIN_MS;
+    this.http.keepAliveTimeout = idleTimeoutMs + IDLE_MARGIN_MS;
+    this.http.maxHeadersCount = Math.ceil(maxHeaderBytes / MIN_FIELD_BYTES);
   }
 
   /**
@@ -117,47 +155,29 @@
   }
 
   private onRequest(req: IncomingMessage, res: ServerResponse): void {
-    this.inFlight += 1;
-    const { socket } = req;
-    // Node closes only the response whose turn it is on the connection.
-    const closeWaiting = () => {
-      if (res.socket === null) res.emit("close");
-    };
-    socket.once("close", closeWaiting);
-    res.once("close", () => {
-      this.inFlight -= 1;
-      socket.off("close", closeWaiting);
-    });
     if (this.drain !== undefined) res.setHeader("Connection", "close");
-    this.serve(req, res).catch((err) => {
-      this.options.log.error("request handler failed", { why: errText(err) });
-      res.destroy();
+    const arrivedAt = this.options.now();
+    this.connections.serve(req, res, (exchange) => {
+      this.serve({ req, res, exchange, arrivedAt }).catch((err) => {
+        this.options.log.error("request handler failed", { why: errText(err) });
+        res.destroy();
+      });
     });
   }
 
-  private async serve(
-    req: IncomingMessage,
-    res: ServerResponse,
-  ): Promise<void> {
-    const { codec, state, now } = this.options;
-    const arrivedAt = now();
-    const head = codec.decode(req);
-    if (isFailure(head)) return this.refuse(req, res, "", head);
+  private async serve(inbound: Inbound): Promise<void> {
+    const { codec, state } = this.options;
+    if (inbound.exchange.isRefused) return this.refuse(inbound, "", NO_ROOM);
+    const head = codec.decode(inbound.req);
+    if (isFailure(head)) return this.refuse(inbound, "", head);
     const table = state.routes;
-    if (table === undefined) return this.refuse(req, res, head.id, NO_CONFIG);
+    if (table === undefined) return this.refuse(inbound, head.id, NO_CONFIG);
     const destination = this.resolveDestination(head, table);
     if ("verdict" in destination)
-      return this.refuse(req, res, head.id, destination);
-    const limit = table.config.limits.maxBodyBytes;
-    const body = await this.readBody(req, res, head, limit);
+      return this.refuse(inbound, head.id, destination);
+    const body = await this.readBody(inbound, head, destination.route);
     if (body === undefined) return;
-    const caller = this.createCallerRequest(
-      res,
-      head,
-      destination,
-      body,
-      arrivedAt,
-    );
+    const caller = this.createCallerRequest(inbound, head, destination, body);
     const isEngine = table.service(destination.service)?.engine !== undefined;
     const flow = isEngine ? this.options.stream : this.options.plain;
     const { quarantine } = this.options;
@@ -198,24 +218,20 @@
     const now = this.options.now();
     const { acceptsAllUntil, endsAt } = this.drain;
     if (now < acceptsAllUntil) return true;
-    const budgetMs = Math.min(
-      head.deadlineMs ?? route.timeoutMs,
-      route.timeoutMs,
-    );
-    return now + budgetMs < endsAt;
+    return now + budgetMs(route, head) < endsAt;
   }
 
   private createCallerRequest(
-    res: ServerResponse,
+    { res, exchange, arrivedAt }: Inbound,
     head: InboundHead,
     { route, service, claim }: Destination,
     body: Buffer,
-    arrivedAt: number,
   ): CallerRequest {
     const { codec, log, metrics, now, budgets, onBegun } = this.options;
     budgets.recordRequest(service);
     return new CallerRequest({
       res,
+      exchange,
       head,
       route,
       service,
@@ -240,28 +256,30 @@
     return longest;
   }
 
+  /** Undefined: the request is refused or cut. */
   private async readBody(
-    req: IncomingMessage,
-    res: ServerResponse,
+    inbound: Inbound,
     head: InboundHead,
-    limit: number,
+    route: Route,
   ): Promise<Buffer | undefined> {
+    const waitedMs = this.options.now() - inbound.arrivedAt;
+    const leftMs = Math.max(0, budgetMs(route, head) - waitedMs);
     try {
-      return await readBody(req, limit);
+      return await inbound.exchange.readBody(this.maxBodyBytes, leftMs);
     } catch (err) {
-      if (!(err instanceof BodyTooLargeError)) {
-        res.destroy();
-        return undefined;
-      }
-      const tooLarge = failure(413, "body_too_large", err.message);
-      this.refuse(req, res, head.id, tooLarge);
+      const why = bodyFailure(err);
+      if (why === undefined) inbound.res.destroy();
+      else this.refuse(inbound, head.id, why);
       return undefined;
     }
   }
 
+  private get maxBodyBytes(): number {
+    return this.options.state.routes?.config.limits.maxBodyBytes ?? 0;
+  }
+
   private refuse(
-    req: IncomingMessage,
-    res: ServerResponse,
+    { req, res, exchange }: Inbound,
     id: string,
     why: RequestFailure,
   ): void {
@@ -270,10 +288,24 @@
     log.info("request", {
       requestId: id,
       outcome: why.code,
+      why: why.message,
       host: req.headers.host,
       configuration: this.options.state.routes?.version,
     });
-    req.resume();
     sendFailure(res, codec, why, id);
+    exchange.discardBody(this.maxBodyBytes);
   }
 }
+
+/** The time that a request has from its arrival, ms. */
+const budgetMs = (route: Route, { deadlineMs }: InboundHead): number =>
+  Math.min(deadlineMs ?? route.timeoutMs, route.timeoutMs);
+
+/** Why a body was not read; undefined if its connection is closed. */
+const bodyFailure = (err: unknown): RequestFailure | undefined => {
+  if (err instanceof BodyTooLargeError)
+    return failure(413, "body_too_large", err.message);
+  if (err instanceof NoRoomError) return NO_ROOM;
+  if (err instanceof BodyTimeoutError) return deadlineFailure("not-run");
+  return undefined;
+};
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -69,6 +69,7 @@
 
 /** Limits on callers' requests. */
 export interface CallerLimits {
+  maxHeaderBytes: number;
   maxBodyBytes: number;
   headerTimeoutMs: number;
   idleTimeoutMs: number;
--- a/src/gateway/upstreamClient.ts
+++ b/src/gateway/upstreamClient.ts
@@ -21,8 +21,7 @@
 const REFUSED_CODE = "ECONNREFUSED";
 const KEEP_ALIVE_HINT = /timeout=(\d+)/;
 const MAX_IDLE_SOCKETS = 128;
-/** What all replies together may keep in memory, bytes. */
-const MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
+const MAX_REPLY_BYTES = 64 * 1024 * 1024;
 
 /** One request to a replica. */
 export interface UpstreamRequest {
@@ -99,9 +98,15 @@
 export class UpstreamClient {
   /** Connection pools, by service. */
   private readonly agents = new Map<string, http.Agent>();
-  private readonly buffers = new ReplyBuffers(MAX_BUFFERED_BYTES);
-
-  constructor(private readonly observer?: SendObserver) {}
+  private readonly buffers: ReplyBuffers;
+
+  /** `maxReplyBytes`: what all replies together may keep in memory. */
+  constructor(
+    private readonly observer?: SendObserver,
+    maxReplyBytes = MAX_REPLY_BYTES,
+  ) {
+    this.buffers = new ReplyBuffers(maxReplyBytes);
+  }
 
   /** Resolves with the response head, or with what is known of the failure. */
   send(request: UpstreamRequest): Promise<SendOutcome> {
--- a/standins/plainService.ts
+++ b/standins/plainService.ts
@@ -26,7 +26,12 @@
   body: string;
 }
 
-const options = readOptions({ delayMs: 5, address: "127.0.0.1:0" });
+const options = readOptions({
+  delayMs: 5,
+  address: "127.0.0.1:0",
+  /** Whether it keeps what it got. */
+  isRecording: true,
+});
 let faults: Faults = {
   cross: 0,
   cut: 0,
@@ -44,7 +49,8 @@
   const requestId = String(req.headers["x-request-id"] ?? "");
   const key = String(req.headers["idempotency-key"] ?? "");
   const text = body.toString("utf8");
-  runs.push({ requestId, key, path: url.pathname, body: text });
+  if (options.isRecording)
+    runs.push({ requestId, key, path: url.pathname, body: text });
   if (faults.dieAfterRun) process.exit(1);
   active += 1;
   await delay(Number(url.searchParams.get("delayMs") ?? faults.delayMs));
@@ -64,6 +70,8 @@
   const responseId = isCrossed ? "some-other-request" : requestId;
   const echo = isCrossed ? '{"of":"another"}' : text;
   const answer = { answerTo: responseId, path: url.pathname, echo };
+  const bytes = Number(url.searchParams.get("bytes") ?? 0);
+  if (bytes > 0) Object.assign(answer, { fill: "x".repeat(bytes) });
   reply(res, 200, answer, { "x-request-id": responseId });
 };
 
--- a/tests/gateway/state.test.ts
+++ b/tests/gateway/state.test.ts
@@ -34,7 +34,12 @@
     version: 3,
     routes: [route("short", "/a/"), route("long", "/a/b/")],
     services: [],
-    limits: { maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
     workspaces: undefined,
   });
 
@@ -376,7 +381,12 @@
       version: 1,
       routes: [],
       services: [{ name: "model", maxConnections: 9, engine }],
-      limits: { maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+      limits: {
+        maxHeaderBytes: 16_384,
+        maxBodyBytes: 1,
+        headerTimeoutMs: 1,
+        idleTimeoutMs: 1,
+      },
       workspaces: undefined,
     };
     state.onConfigItem({ name: "main", revision: 1, value }, "list");
--- a/tests/support/fleet.ts
+++ b/tests/support/fleet.ts
@@ -39,6 +39,8 @@
   sites?: { name: string; region: string; domain: string }[];
   workspaces?: { name: string; weight: number }[];
   entry?: object;
+  /** Arguments for Node of entries and sides. */
+  nodeArgs?: string[];
   objectApi?: object;
   vmList?: boolean;
   /** Puts the fault proxy between the processes and the object API. */
@@ -348,6 +350,8 @@
   private startDaemon(name: string, settings: object): Promise<Program> {
     const file = path.join(this.folder, `${name}-${Date.now()}.yaml`);
     writeFileSync(file, stringify(settings));
-    return startProgram(name, "src/daemon/main.js", ["--settings", file]);
+    const { nodeArgs = [] } = this.spec;
+    const args = ["--settings", file];
+    return startProgram(name, "src/daemon/main.js", args, 1, nodeArgs);
   }
 }
