--- a/src/callers/index.ts
+++ b/src/callers/index.ts
@@ -4,3 +4,4 @@
 export { BodyTimeoutError, NoRoomError } from "./callerExchange.js";
 export type { CallerExchange } from "./callerExchange.js";
 export type { ProcessLimits } from "./callerLimits.js";
+export { newProbeServer } from "./probeServer.js";
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -1,7 +1,5 @@
 /** Starts a gateway: an entry that sends to replicas directly, without a side. */
-import http from "node:http";
-
-import { CallerBounds } from "../callers/index.js";
+import { CallerBounds, newProbeServer } from "../callers/index.js";
 import type { ProcessLimits } from "../callers/index.js";
 import { listen } from "../http/index.js";
 import type { Daemon } from "../daemon/types.js";
@@ -10,7 +8,7 @@
 import { EntryLink } from "./entryLink.js";
 import { GatewayServer } from "./gatewayServer.js";
 import { GatewayState } from "./gatewayState.js";
-import { newMetricsServer } from "./metricsServer.js";
+import { sendMetrics } from "./metricsAnswer.js";
 import { createPlacementRole } from "./placementRole.js";
 import { PlainFlow } from "./plainFlow.js";
 import type { GatewayDependencies } from "./gatewayDependencies.js";
@@ -210,7 +208,7 @@
     },
   );
   let isStopping = false;
-  const ready = http.createServer((_req, res) => {
+  const ready = newProbeServer(callers, "ready", (res) => {
     const isReady = state.isReady && !isStopping;
     res.writeHead(isReady ? 200 : 503, { "content-length": 0 });
     res.end();
@@ -220,7 +218,9 @@
     ready: await listen(ready, settings.readyAddress),
     peers: role.peerAddress,
   };
-  const metricsServer = newMetricsServer(metrics);
+  const metricsServer = newProbeServer(callers, "metrics", (res) =>
+    sendMetrics(res, metrics),
+  );
   const { metricsAddress } = settings;
   if (metricsAddress !== undefined) {
     // Serving requests matters more than metrics: start without the metrics
