The project's own servers bound their callers as well

Callers saw, on an entry of the project's own deployment: the same faults as on the platform (its readBody and servers were the same; each connection's requests were all served at once, refused bodies read on).

Change: callers', operators' and the side's servers are guarded by the same CallerBounds.

--- a/src/entry/callerFailure.ts
+++ b/src/entry/callerFailure.ts
@@ -7,6 +7,7 @@
 
 const NO_UPSTREAM_RETRY_MS = 500;
 const NO_CONFIGURATION_RETRY_MS = 1000;
+const NO_ROOM_RETRY_MS = 500;
 
 export const deadlineFailure = (verdict: Verdict): RequestFailure => ({
   status: 504,
@@ -31,6 +32,14 @@
   retryAfterMs: NO_CONFIGURATION_RETRY_MS,
 });
 
+export const noRoomFailure = (message: string): RequestFailure => ({
+  status: 503,
+  code: "overloaded",
+  message,
+  verdict: "not-run",
+  retryAfterMs: NO_ROOM_RETRY_MS,
+});
+
 export const bodyTooLargeFailure = (message: string): RequestFailure => ({
   status: 413,
   code: "body_too_large",
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -2,24 +2,38 @@
 import http from "node:http";
 
 import type { ConfigState } from "../config/index.js";
-import { BodyTooLargeError, readBody, sendJson } from "../http/index.js";
+import { BodyTimeoutError, NoRoomError } from "../callers/index.js";
+import type {
+  CallerBounds,
+  CallerConnections,
+  CallerExchange,
+} from "../callers/index.js";
+import { BodyTooLargeError, sendJson } from "../http/index.js";
 import { errText } from "../shared/utils.js";
 import type { EntrySettings } from "../settings/index.js";
 import type { Log } from "../telemetry/index.js";
 import {
   bodyTooLargeFailure,
+  deadlineFailure,
   noConfigurationFailure,
+  noRoomFailure,
   sendCallerFailure,
 } from "./callerFailure.js";
 import { newRequestId } from "./requestFlow.js";
 import type { RequestFlow } from "./requestFlow.js";
+import type { CallerRequest } from "./types.js";
 import { planRequest } from "./requestPlan.js";
 
 const HEADERS_TIMEOUT_MS = 10_000;
 const BODY_TIMEOUT_MS = 60_000;
+/** Interval of looking for heads that take too long, ms. */
+const CHECK_INTERVAL_MS = 1000;
+/** Smallest field of a header with its line end, bytes. */
+const MIN_FIELD_BYTES = 4;
 
 export interface CallerServerOptions {
   settings: EntrySettings;
+  bounds: CallerBounds;
   flow: RequestFlow;
   config: () => ConfigState | undefined;
   log: Log;
@@ -28,6 +42,7 @@
 
 export class CallerServer {
   readonly server: http.Server;
+  private readonly connections: CallerConnections;
   private isLeaving = false;
   private inFlight = 0;
   private onIdle: (() => void) | undefined;
@@ -39,10 +54,19 @@
         maxHeaderSize: limits.maxHeaderBytes,
         headersTimeout: HEADERS_TIMEOUT_MS,
         requestTimeout: BODY_TIMEOUT_MS,
+        connectionsCheckingInterval: CHECK_INTERVAL_MS,
       },
-      (req, res) => void this.onRequest(req, res),
+      (req, res) =>
+        this.connections.serve(
+          req,
+          res,
+          (exchange) => void this.onRequest(req, res, exchange),
+        ),
     );
-    this.server.maxConnections = limits.maxConnections;
+    const { maxHeaderBytes, maxConnections } = limits;
+    this.server.maxHeadersCount = Math.ceil(maxHeaderBytes / MIN_FIELD_BYTES);
+    const { bounds } = options;
+    this.connections = bounds.guard(this.server, "callers", { maxConnections });
   }
 
   /** Whether the load balancer should send requests to this entry. */
@@ -66,21 +90,28 @@
   private async onRequest(
     req: http.IncomingMessage,
     res: http.ServerResponse,
+    exchange: CallerExchange,
   ): Promise<void> {
     if (this.isLeaving) res.setHeader("connection", "close");
     const path = (req.url ?? "/").split("?")[0] ?? "/";
-    if (path === "/healthz") return sendJson(res, 200, { ok: true });
-    if (path === "/readyz") {
-      return sendJson(res, this.isReady ? 200 : 503, { ready: this.isReady });
+    if (path === "/healthz" || path === "/readyz") {
+      this.answerProbe(res, path);
+      return exchange.discardBody(0);
     }
     this.inFlight += 1;
     res.on("close", () => this.onClosed());
     const id = newRequestId();
     try {
-      await this.serve(req, res, path, id);
+      await this.serve({ id, req, res, exchange }, path);
     } catch (err) {
       this.onRequestError(res, id, err);
     }
+    exchange.discardBody(this.options.settings.limits.maxBodyBytes);
+  }
+
+  private answerProbe(res: http.ServerResponse, path: string): void {
+    if (path === "/healthz") return sendJson(res, 200, { ok: true });
+    sendJson(res, this.isReady ? 200 : 503, { ready: this.isReady });
   }
 
   private onClosed(): void {
@@ -89,10 +120,8 @@
   }
 
   private async serve(
-    req: http.IncomingMessage,
-    res: http.ServerResponse,
+    { id, req, res, exchange }: Omit<CallerRequest, "plan" | "arrivedAt">,
     path: string,
-    id: string,
   ): Promise<void> {
     const arrivedAt = this.options.now();
     const state = this.options.config();
@@ -103,7 +132,7 @@
       return sendJson(res, 200, modelList(state));
     }
     const { maxBodyBytes } = this.options.settings.limits;
-    const body = await readBody(req, maxBodyBytes);
+    const body = await exchange.readBody(maxBodyBytes, BODY_TIMEOUT_MS);
     const result = planRequest(state.config, {
       method: req.method ?? "GET",
       path,
@@ -113,8 +142,8 @@
     if (result.kind === "failure") {
       return sendCallerFailure(res, id, result.failure);
     }
-    const request = { id, req, res, plan: result.plan, arrivedAt };
-    await this.options.flow.run(request);
+    const { plan } = result;
+    await this.options.flow.run({ id, req, res, exchange, plan, arrivedAt });
   }
 
   private onRequestError(
@@ -122,10 +151,12 @@
     id: string,
     err: unknown,
   ): void {
-    if (err instanceof BodyTooLargeError) {
-      res.setHeader("connection", "close");
+    if (err instanceof BodyTooLargeError)
       return sendCallerFailure(res, id, bodyTooLargeFailure(err.message));
-    }
+    if (err instanceof NoRoomError)
+      return sendCallerFailure(res, id, noRoomFailure(err.message));
+    if (err instanceof BodyTimeoutError)
+      return sendCallerFailure(res, id, deadlineFailure("not-run"));
     this.options.log.error("request handler failed", {
       requestId: id,
       cause: errText(err),
--- a/src/entry/entryDaemon.ts
+++ b/src/entry/entryDaemon.ts
@@ -1,4 +1,5 @@
 /** Role `entry`: serves callers' requests and operators' commands. */
+import { CallerBounds } from "../callers/index.js";
 import { StoredClaims } from "../claims/index.js";
 import {
   createGossip,
@@ -43,8 +44,15 @@
   const gossip = createGossip(runtime, membership);
   peerServer.setHandlers(gossip);
   const client = createSideClient(runtime, router, membership, gossip);
-  const callers = createCallerServer(runtime, settings, router, client);
-  const operators = createOperatorServer(runtime, settings, router, membership);
+  const bounds = new CallerBounds(settings.limits, runtime);
+  const callers = createCallerServer(runtime, settings, bounds, router, client);
+  const operators = createOperatorServer(
+    runtime,
+    settings,
+    bounds,
+    router,
+    membership,
+  );
   followMembers(membership, router, now);
   keeper.onChange(({ config }) => {
     const ids = config.services.flatMap((item) =>
@@ -98,6 +106,7 @@
 const createCallerServer = (
   { keeper, log, metrics, now, store }: Runtime,
   settings: EntrySettings,
+  bounds: CallerBounds,
   router: Router,
   client: SideClient,
 ): CallerServer => {
@@ -119,13 +128,14 @@
     now,
   });
   const config = () => keeper.current;
-  return new CallerServer({ settings, flow, config, log, now });
+  return new CallerServer({ settings, bounds, flow, config, log, now });
 };
 
 /** Starts the control loops and creates the server for operators' commands. */
 const createOperatorServer = (
   runtime: Runtime,
   settings: EntrySettings,
+  bounds: CallerBounds,
   router: Router,
   membership: Membership,
 ): OperatorServer => {
@@ -148,6 +158,7 @@
     loops.step(),
   );
   return new OperatorServer({
+    bounds,
     token: settings.operatorToken,
     log,
     context: {
--- a/src/entry/requestFlow.ts
+++ b/src/entry/requestFlow.ts
@@ -266,6 +266,7 @@
         "content-length": answer.body.length,
         [HEADERS.requestId]: request.id,
       });
+      request.exchange.holdAnswer(answer.body.length);
       res.end(answer.body);
     }
     this.recordOutcome(request, "answered");
--- a/src/operator/operatorServer.ts
+++ b/src/operator/operatorServer.ts
@@ -2,7 +2,12 @@
 import http from "node:http";
 
 import { applyConfig, configSchema } from "../config/index.js";
-import { BodyTooLargeError, readBody, sendJson } from "../http/index.js";
+import type {
+  CallerBounds,
+  CallerConnections,
+  CallerExchange,
+} from "../callers/index.js";
+import { BodyTooLargeError, sendJson } from "../http/index.js";
 import { parseStatement, StatementError } from "../query/index.js";
 import { InvalidInputError } from "../shared/errors.js";
 import { parseCheckedYaml } from "../settings/index.js";
@@ -12,6 +17,9 @@
 import type { ActionResult, OperatorContext } from "./types.js";
 
 const MAX_BODY_BYTES = 1_048_576;
+const BODY_TIMEOUT_MS = 10_000;
+const MAX_CONNECTIONS = 64;
+const MAX_PENDING = 8;
 const MAX_NAME_CHARS = 64;
 const BEARER = "Bearer ";
 
@@ -34,35 +42,51 @@
 };
 
 export interface OperatorServerOptions {
+  bounds: CallerBounds;
   token: string | undefined;
   context: Omit<OperatorContext, "by">;
   log: Log;
 }
 
 export class OperatorServer {
-  readonly server = http.createServer(
-    (req, res) => void this.onRequest(req, res),
+  readonly server = http.createServer((req, res) =>
+    this.connections.serve(
+      req,
+      res,
+      (exchange) => void this.onRequest(req, res, exchange),
+    ),
   );
+  private readonly connections: CallerConnections;
 
-  constructor(private readonly options: OperatorServerOptions) {}
+  constructor(private readonly options: OperatorServerOptions) {
+    this.connections = options.bounds.guard(this.server, "operators", {
+      maxConnections: MAX_CONNECTIONS,
+      maxPending: MAX_PENDING,
+    });
+  }
 
   private async onRequest(
     req: http.IncomingMessage,
     res: http.ServerResponse,
+    exchange: CallerExchange,
   ): Promise<void> {
     let answer: OperatorAnswer;
     try {
-      answer = await this.answer(req);
+      answer = await this.answer(req, exchange);
     } catch (err) {
       answer = this.answerError(err);
     }
     sendJson(res, STATUS[answer.kind], answer);
+    exchange.discardBody(MAX_BODY_BYTES);
   }
 
-  private async answer(req: http.IncomingMessage): Promise<OperatorAnswer> {
+  private async answer(
+    req: http.IncomingMessage,
+    exchange: CallerExchange,
+  ): Promise<OperatorAnswer> {
     const error = this.authErrorOf(req);
     if (error !== undefined) return { kind: "unauthorized", text: error };
-    const body = await readBody(req, MAX_BODY_BYTES);
+    const body = await exchange.readBody(MAX_BODY_BYTES, BODY_TIMEOUT_MS);
     const by = this.operatorNameOf(req);
     const ctx: OperatorContext = { ...this.options.context, by };
     const text = body.toString("utf8");
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -74,6 +74,11 @@
     ),
     maxHeaderBytes: count("Largest header block, bytes", 16_384, 1024),
     maxConnections: count("Open connections from callers", 10_000),
+    memoryMb: count(
+      "Memory that the VM has for the process, MB; callers may hold a part",
+      512,
+    ),
+    maxFds: count("Descriptors that the process may have", 16_384, 1024),
   })
   .describe("Bounds on what a caller may send")
   .prefault({});
--- a/src/side/dataServer.ts
+++ b/src/side/dataServer.ts
@@ -9,7 +9,12 @@
 import http from "node:http";
 
 import type { Admission } from "../admission/index.js";
-import { forwardedHeaders, readBody } from "../http/index.js";
+import type {
+  CallerBounds,
+  CallerConnections,
+  CallerExchange,
+} from "../callers/index.js";
+import { forwardedHeaders } from "../http/index.js";
 import type { LoadReport } from "../routing/index.js";
 import { HEADERS } from "../shared/constants.js";
 import type { RequestFailure } from "../shared/errors.js";
@@ -33,9 +38,11 @@
 
 const EXPIRE_PERIOD_MS = 50;
 const DRAINING_RETRY_MS = 1000;
+const BODY_TIMEOUT_MS = 60_000;
 
 export interface DataServerOptions {
   settings: SideSettings;
+  bounds: CallerBounds;
   admission: Admission;
   gate: SideGate;
   cache: CacheModel;
@@ -46,6 +53,7 @@
 
 export class DataServer {
   readonly server: http.Server;
+  private readonly connections: CallerConnections;
   private readonly queued = new Map<string, SideRequest>();
   private readonly agent = new http.Agent({ keepAlive: true });
   private readonly timer: NodeJS.Timeout;
@@ -55,9 +63,13 @@
     const { limits } = options.settings;
     this.server = http.createServer(
       { maxHeaderSize: limits.maxHeaderBytes },
-      (req, res) => this.onRequest(req, res),
+      (req, res) => this.onArrival(req, res),
     );
-    this.server.on("checkContinue", (req, res) => this.onRequest(req, res));
+    this.server.on("checkContinue", (req, res) => this.onArrival(req, res));
+    const { maxConnections } = limits;
+    this.connections = options.bounds.guard(this.server, "entries", {
+      maxConnections,
+    });
     this.server.keepAliveTimeout = 0;
     this.server.requestTimeout = 0;
     this.timer = setInterval(() => this.admitWaiting(), EXPIRE_PERIOD_MS);
@@ -71,8 +83,18 @@
     this.server.closeIdleConnections();
   }
 
-  private onRequest(req: http.IncomingMessage, res: http.ServerResponse) {
-    const request = this.toSideRequest(req, res);
+  private onArrival(req: http.IncomingMessage, res: http.ServerResponse): void {
+    this.connections.serve(req, res, (exchange) =>
+      this.onRequest(req, res, exchange),
+    );
+  }
+
+  private onRequest(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+    exchange: CallerExchange,
+  ): void {
+    const request = this.toSideRequest(req, res, exchange);
     const refusal = this.refusalOf(request);
     if (refusal !== undefined) return this.refuse(request, refusal);
     res.on("close", () => this.onClosed(request));
@@ -91,13 +113,22 @@
   private toSideRequest(
     req: http.IncomingMessage,
     res: http.ServerResponse,
+    exchange: CallerExchange,
   ): SideRequest {
     this.sequence += 1;
     const { cache, now } = this.options;
     const prefixes = parsePrefixes(req.headers);
     const cached = cache.cachedTokens(prefixes);
     const arrival = parseArrival(req.headers, this.sequence, cached, now());
-    return { id: arrival.id, req, res, arrival, prefixes, pendingPrefixes: [] };
+    return {
+      id: arrival.id,
+      req,
+      res,
+      exchange,
+      arrival,
+      prefixes,
+      pendingPrefixes: [],
+    };
   }
 
   private refusalOf({ req }: SideRequest): RequestFailure | undefined {
@@ -120,6 +151,7 @@
 
   private refuse(request: SideRequest, failure: RequestFailure): void {
     sendFailure(request.res, failure, this.replyHeaders());
+    request.exchange.discardBody(this.options.settings.limits.maxBodyBytes);
   }
 
   private replyHeaders(): Record<string, string> {
@@ -216,13 +248,13 @@
   }
 
   private async receiveBody(request: SideRequest): Promise<void> {
-    const { req, res } = request;
-    const { limits } = this.options.settings;
+    const { res, exchange } = request;
+    const { maxBodyBytes } = this.options.settings.limits;
     request.pendingPrefixes = this.options.cache.add(request.prefixes);
     res.writeContinue();
     let body: Buffer;
     try {
-      body = await readBody(req, limits.maxBodyBytes);
+      body = await exchange.readBody(maxBodyBytes, BODY_TIMEOUT_MS);
     } catch (err) {
       // The body was not fully received, so nothing was sent to the upstream.
       this.options.log.debug("request body not read", {
--- a/src/side/sideDaemon.ts
+++ b/src/side/sideDaemon.ts
@@ -2,6 +2,7 @@
 import { randomUUID } from "node:crypto";
 
 import { Admission } from "../admission/index.js";
+import { CallerBounds } from "../callers/index.js";
 import type { AdmissionLimits } from "../admission/index.js";
 import type { Config } from "../config/index.js";
 import {
@@ -87,6 +88,7 @@
   });
   const data = new DataServer({
     settings,
+    bounds: new CallerBounds(settings.limits, runtime),
     admission,
     gate,
     cache,
--- a/src/side/types.ts
+++ b/src/side/types.ts
@@ -1,6 +1,7 @@
 /** Types of the side's request processing. */
 import type http from "node:http";
 
+import type { CallerExchange } from "../callers/index.js";
 import type { Arrival } from "../admission/index.js";
 
 /** A request in progress at the side. */
@@ -8,6 +9,7 @@
   id: string;
   req: http.IncomingMessage;
   res: http.ServerResponse;
+  exchange: CallerExchange;
   arrival: Arrival;
   /** Hashes of the prompt's prefixes, shortest first. */
   prefixes: readonly string[];
