Soak: clients that keep to no limit, and processes that end by themselves

A profile of its own (seeds with remainder 16 by 20): crowds of 5 to 150 connections, 13 kinds, at an entry's callers or ready for 0.5 to 2 s, while the other faults strike the same entries. Those on a route never end their requests, so that what replicas run stays what callers sent. A process that ends without having been stopped or killed breaks a promise, in all profiles.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -196,6 +196,12 @@
   return violations;
 };
 
+const noProcessEndsByItself: Check = ({ processEnds }) =>
+  processEnds.map(({ process, at }) => ({
+    promise: "no process ends by itself",
+    what: `${process} at ${Math.round(at)}`,
+  }));
+
 const CHECKS: readonly Check[] = [
   answersAreComplete,
   atMostOnce,
@@ -205,6 +211,7 @@
   changesTakeEffect,
   plannedStopCutsNothing,
   fencesHaveOneHolder,
+  noProcessEndsByItself,
   ...ATTEMPT_CHECKS,
   ...SIGNAL_CHECKS,
   ...STREAM_CHECKS,
--- a/soak/daemonProcess.ts
+++ b/soak/daemonProcess.ts
@@ -40,6 +40,9 @@
   private child: ChildProcess | undefined;
   private exited: Promise<void> = Promise.resolve();
   isPaused = false;
+  /** Called if it ends without having been stopped or killed. */
+  onUnexpectedEnd: () => void = () => undefined;
+  private isEnding = false;
 
   constructor(
     readonly machine: Omit<MachineSettings, "isFirstStart">,
@@ -76,11 +79,13 @@
     });
     this.child = child;
     this.life += 1;
+    this.isEnding = false;
     this.exited = new Promise((resolve) =>
       child.on("close", () => {
         this.child = undefined;
         this.callerAddress = undefined;
         this.readyAddress = undefined;
+        if (!this.isEnding) this.onUnexpectedEnd();
         resolve();
       }),
     );
@@ -101,6 +106,7 @@
   signal(name: NodeJS.Signals): void {
     if (name === "SIGSTOP") this.isPaused = true;
     if (name === "SIGCONT") this.isPaused = false;
+    if (name === "SIGTERM" || name === "SIGKILL") this.isEnding = true;
     this.child?.kill(name);
   }
 
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -5,6 +5,7 @@
 import { LINK_MODES } from "../standins/faultLink.js";
 import { drawOne } from "./draw.js";
 import type { DaemonProcess } from "./daemonProcess.js";
+import { ENDED_KINDS, startCrowd, UNENDED_KINDS } from "./hostileCrowd.js";
 import type { SoakFleet, SoakReplica } from "./fleet.js";
 import type { FaultRecord } from "./types.js";
 
@@ -75,6 +76,9 @@
 const LEAVING_MS = 4500;
 /** How often one entry ends in a series. */
 const SHORT_LIVES_IN_SERIES = 5;
+/** Connections of a crowd of clients, and how long it stays, s. */
+const CROWD_SIZES = [5, 20, 60, 150] as const;
+const CROWD_SECONDS = [0.5, 1, 2] as const;
 
 const processId = ({ id }: DaemonProcess): string => id;
 const replicaId = ({ standin }: SoakReplica): string => standin.options.id;
@@ -443,6 +447,28 @@
   }),
 ];
 
+/** Clients that keep to no limit, at any entry, also while faults strike it. */
+const HOSTILE_CLIENTS: readonly AnyFault[] = [
+  defineFault({
+    name: "clients keep to no limit",
+    isPlanned: false,
+    target: ({ fleet, draw }) =>
+      draw(fleet.entries.filter(({ callerAddress }) => callerAddress)),
+    nameOf: ({ id }) => `clients of ${id}`,
+    run: async (target, { draw, setVariant }) => {
+      const kind = draw([...UNENDED_KINDS, ...ENDED_KINDS]) ?? "silent";
+      const isAtReady = draw([true, false, false]) ?? false;
+      setVariant(isAtReady ? `${kind} at ready` : kind);
+      const { callerAddress, readyAddress } = target;
+      const address = (isAtReady ? readyAddress : callerAddress) ?? "";
+      const connections = draw(CROWD_SIZES) ?? 1;
+      const seconds = draw(CROWD_SECONDS) ?? 1;
+      const crowd = await startCrowd(kind, address, connections, seconds);
+      await crowd.ended;
+    },
+  }),
+];
+
 /**
  * `planned`: planned work only; the others: those faults in addition to the ones of `all`.
  */
@@ -456,7 +482,8 @@
   | "endings"
   | "replies"
   | "parts"
-  | "lives";
+  | "lives"
+  | "clients";
 
 const FAULTS: Readonly<Record<FaultProfile, readonly AnyFault[]>> = {
   planned: PLANNED,
@@ -468,6 +495,11 @@
   endings: [...PLANNED, ...UNPLANNED, ...Array(12).fill(ENDINGS).flat()],
   replies: [...PLANNED, ...UNPLANNED, ...Array(12).fill(REPLIES).flat()],
   parts: [...PLANNED, ...UNPLANNED, ...Array(12).fill(DEADLY_PARTS).flat()],
+  clients: [
+    ...PLANNED,
+    ...UNPLANNED,
+    ...Array(12).fill(HOSTILE_CLIENTS).flat(),
+  ],
   lives: [...PLANNED, ...UNPLANNED, ...Array(12).fill(SHORT_LIVES).flat()],
 };
 
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -73,6 +73,7 @@
     faults: [],
     news: [],
     stalls: [],
+    processEnds: [],
     retryLimits: retryLimitsOf("all"),
   };
   version = 0;
@@ -275,7 +276,10 @@
       contactMs: CONTACT_MS,
       retryLimits: this.records.retryLimits,
     };
-    this.processes.push(new DaemonProcess(machine, this.folder));
+    const item = new DaemonProcess(machine, this.folder);
+    item.onUnexpectedEnd = () =>
+      this.records.processEnds.push({ process: id, at: this.now() });
+    this.processes.push(item);
   }
 
   private behave(replica: SoakReplica, arrival: Arrival): Behaviour {
--- a/soak/profile.ts
+++ b/soak/profile.ts
@@ -27,6 +27,8 @@
 const REPLIES_REMAINDER = 12;
 const PARTS_INTERVAL = 20;
 const PARTS_REMAINDER = 11;
+const CLIENTS_INTERVAL = 20;
+const CLIENTS_REMAINDER = 16;
 const LIVES_INTERVAL = 20;
 const LIVES_REMAINDER = 13;
 
@@ -38,6 +40,7 @@
   if (seed % ENDINGS_INTERVAL === ENDINGS_REMAINDER) return "endings";
   if (seed % REPLIES_INTERVAL === REPLIES_REMAINDER) return "replies";
   if (seed % PARTS_INTERVAL === PARTS_REMAINDER) return "parts";
+  if (seed % CLIENTS_INTERVAL === CLIENTS_REMAINDER) return "clients";
   if (seed % LIVES_INTERVAL === LIVES_REMAINDER) return "lives";
   return seed % SIGNALS_INTERVAL === SIGNALS_REMAINDER ? "signals" : "all";
 };
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -161,6 +161,12 @@
   at: number;
 }
 
+/** A process that ended without having been stopped or killed. */
+export interface ProcessEndRecord {
+  process: string;
+  at: number;
+}
+
 /** A stall of the event loop that callers and replicas share. */
 export interface StallRecord {
   from: number;
@@ -179,6 +185,7 @@
   faults: FaultRecord[];
   news: ChangeRecord[];
   stalls: StallRecord[];
+  processEnds: ProcessEndRecord[];
   /** As in the settings of the entries. */
   retryLimits: RetryLimits;
 }
--- a/tests/soak/checks.test.ts
+++ b/tests/soak/checks.test.ts
@@ -87,6 +87,7 @@
   faults: [],
   news: [],
   stalls: [],
+  processEnds: [],
   retryLimits: retryLimitsOf("all"),
   ...overrides,
 });
@@ -95,6 +96,13 @@
   findViolations(records(overrides)).map((item) => item.promise);
 
 describe("soak checks", () => {
+  it("find a process that ended by itself", () => {
+    const processEnds = [{ process: "entry-0", at: 100 }];
+    expect(violatedPromises({ processEnds })).to.eql([
+      "no process ends by itself",
+    ]);
+  });
+
   it("find no violation in a correct run", () => {
     const calls = [call(), stream({ id: "b", answerId: "b" })];
     const runs = [run("a"), run("b", "engine-0")];
--- a/tests/soak/seeds.test.ts
+++ b/tests/soak/seeds.test.ts
@@ -25,6 +25,7 @@
   { seed: 17, why: "answers of every framing that break off anywhere" },
   { seed: 32, why: "replies of other requests, and bytes without end" },
   { seed: 13, why: "entries that end again and again while replicas refuse" },
+  { seed: 16, why: "clients that keep to no limit" },
   { seed: 4, why: "signals of replicas, and a store back from a copy" },
 ];
 
