Bounds on callers cost an ordinary request less

Change: no bound on the new space; no AbortController a request; no immediate for each turn of the loop with a request; the collector of garbage is made once it is needed.

--- a/src/callers/bufferReclaimer.ts
+++ b/src/callers/bufferReclaimer.ts
@@ -6,6 +6,7 @@
 import { runInNewContext } from "node:vm";
 
 export class BufferReclaimer {
+  private collector: (() => void) | undefined;
   /** Bytes that were let go since the last look. */
   private released = 0;
   private isScheduled = false;
@@ -13,7 +14,7 @@
   constructor(
     private readonly maxBytes: number,
     private readonly allocated = () => process.memoryUsage().arrayBuffers,
-    private readonly collect = garbageCollector(),
+    private readonly newCollector = garbageCollector,
   ) {}
 
   /** Counts bytes that are no longer used; `held` still are. */
@@ -28,6 +29,11 @@
       if (this.allocated() - held > this.maxBytes) this.collect();
     });
   }
+
+  private collect(): void {
+    this.collector ??= this.newCollector();
+    this.collector();
+  }
 }
 
 const garbageCollector = (): (() => void) => {
--- a/src/callers/callerExchange.ts
+++ b/src/callers/callerExchange.ts
@@ -2,6 +2,7 @@
 import type http from "node:http";
 
 import { readBody } from "../http/index.js";
+import { Cancellation } from "../shared/cancellation.js";
 import type { CallerMemory, Holding } from "./callerMemory.js";
 import type { LoopTurns } from "./loopTurns.js";
 import type { CloseReason } from "./types.js";
@@ -14,6 +15,7 @@
 /** Work of taking a chunk of a body, and bytes of it, as for `LoopTurns`. */
 const CHUNK_WORK = 1;
 const BYTES_PER_WORK = 512;
+const NOT_IN_TIME = "its body is not whole in time";
 const NO_ROOM = "callers hold all the memory that there is for them";
 
 /** Thrown if the memory for callers has no room for a request. */
@@ -37,7 +39,9 @@
   /** Whether its body is whole and its answer is not. */
   isInProgress = false;
   private readonly holding: Holding;
-  private readonly reading = new AbortController();
+  private readonly reading = new Cancellation();
+  /** Why reading the body was cancelled. */
+  private failure: Error | undefined;
   private bodyBytes = 0;
   private answerBytes = 0;
   /** Gives up what it holds. */
@@ -59,14 +63,15 @@
    */
   async readBody(maxBytes: number, timeoutMs: number): Promise<Buffer> {
     const { req, memory, turns, headBytes } = this.options;
-    const { signal } = this.reading;
     const closeConnection = this.giveUp;
-    this.giveUp = () => this.reading.abort(new NoRoomError(NO_ROOM));
+    this.giveUp = () => this.cancelReading(new NoRoomError(NO_ROOM));
     const length = Number(req.headers["content-length"] ?? 0);
     const hasRoom = !this.isRefused && memory.hasRoomFor(length);
     if (length <= maxBytes && !hasRoom) this.giveUp();
-    const timeout = new BodyTimeoutError("its body is not whole in time");
-    const timer = setTimeout(() => this.reading.abort(timeout), timeoutMs);
+    const timer = setTimeout(
+      () => this.cancelReading(new BodyTimeoutError(NOT_IN_TIME)),
+      timeoutMs,
+    );
     const onChunk = (chunkBytes: number, bodyBytes: number) => {
       turns.record(req.socket, CHUNK_WORK + chunkBytes / BYTES_PER_WORK);
       // The chunk itself: the body has a copy.
@@ -75,14 +80,15 @@
       this.holding.set(headBytes + bodyBytes);
     };
     try {
-      const body = await readBody(req, maxBytes, { onChunk, signal });
+      const cancellation = this.reading;
+      const body = await readBody(req, maxBytes, { onChunk, cancellation });
       this.begin();
       return body;
     } catch (err) {
       memory.recordReleased(this.bodyBytes);
       this.bodyBytes = 0;
       this.holding.set(headBytes);
-      throw err;
+      throw this.failure ?? err;
     } finally {
       clearTimeout(timer);
       this.giveUp = closeConnection;
@@ -138,6 +144,11 @@
     this.options.memory.recordReleased(this.bodyBytes + this.answerBytes);
   }
 
+  private cancelReading(failure: Error): void {
+    this.failure ??= failure;
+    this.reading.cancel();
+  }
+
   private begin(): void {
     this.isInProgress = true;
     this.holding.pin();
--- a/src/callers/callerMemory.ts
+++ b/src/callers/callerMemory.ts
@@ -71,7 +71,7 @@
     return this.total;
   }
 
-  /** `evict` is called at most once, and may release the holding itself. */
+  /** `evict` is called once the holding was released for another one. */
   hold(evict: () => void): Holding {
     return new CountedHolding(this, evict);
   }
--- a/src/callers/loopTurns.ts
+++ b/src/callers/loopTurns.ts
@@ -7,8 +7,9 @@
  */
 import type { Socket } from "node:net";
 
-/** Work in one turn of the loop from which a connection waits for its slot. */
+/** Work within some time, ms, from which a connection waits for its slot. */
 const MAX_SOCKET_WORK = 250;
+const WORK_WINDOW_MS = 1;
 /** Work of a request that starts at once. */
 const MAX_SMALL_WORK = 250;
 /** What a slot is used for: a new connection, another one, or a request. */
@@ -34,8 +35,8 @@
 }
 
 export class LoopTurns {
-  /** Work done for a connection since the last turn. */
-  private readonly work = new Map<Socket, number>();
+  /** Work done for connections, each since the instant `at`. */
+  private readonly work = new Map<Socket, { at: number; total: number }>();
   /** Connections that are not read until they get a slot. */
   private readonly fresh = new Set<Socket>();
   private readonly heavy = new Set<Socket>();
@@ -59,9 +60,12 @@
 
   /** Records work that the input of a connection took. */
   record(socket: Socket, work: number): void {
-    const total = (this.work.get(socket) ?? 0) + work;
-    this.work.set(socket, total);
-    this.schedule();
+    const now = this.now();
+    const before = this.work.get(socket);
+    const isRecent = before !== undefined && now - before.at < WORK_WINDOW_MS;
+    const at = isRecent ? before.at : now;
+    const total = (isRecent ? before.total : 0) + work;
+    this.work.set(socket, { at, total });
     if (total >= MAX_SOCKET_WORK) this.wait(socket, this.heavy);
   }
 
@@ -97,13 +101,12 @@
     this.isScheduled = true;
     const restMs = this.restUntil - this.now();
     const endTurn = () => this.endTurn();
-    if (restMs > 0 && this.work.size === 0) setTimeout(endTurn, restMs);
+    if (restMs > 0 && this.slotAt === undefined) setTimeout(endTurn, restMs);
     else setImmediate(endTurn);
   }
 
   private endTurn(): void {
     this.isScheduled = false;
-    this.work.clear();
     const now = this.now();
     if (this.slotAt !== undefined && this.waiting > 1)
       this.restUntil = now + Math.min(MAX_REST_MS, now - this.slotAt);
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -2,6 +2,7 @@
 import type http from "node:http";
 import type { AddressInfo, Server } from "node:net";
 
+import type { Cancellation } from "../shared/cancellation.js";
 import { ByteBlocks } from "../shared/byteBlocks.js";
 
 /** Splits "IP:port"; removes the brackets of an IPv6 address. */
@@ -29,8 +30,8 @@
 export interface ReadBodyOptions {
   /** Called for each chunk with its size and that of the body so far, bytes. */
   onChunk?(chunkBytes: number, bodyBytes: number): void;
-  /** Ends the reading; it then rejects with the signal's reason. */
-  signal?: AbortSignal;
+  /** Ends the reading, which then rejects with `Error`. */
+  cancellation?: Cancellation;
 }
 
 /**
@@ -41,7 +42,7 @@
 export const readBody = (
   req: http.IncomingMessage,
   maxBytes: number,
-  { onChunk, signal }: ReadBodyOptions = {},
+  { onChunk, cancellation }: ReadBodyOptions = {},
 ): Promise<Buffer> =>
   new Promise((resolve, reject) => {
     const tooLarge = new BodyTooLargeError(`body is over ${maxBytes} bytes`);
@@ -61,9 +62,8 @@
       received.append(chunk);
       onChunk?.(chunk.length, size);
     };
-    if (signal?.aborted === true) return reject(signal.reason as Error);
-    signal?.addEventListener("abort", () => fail(signal.reason as Error));
     req.on("data", onData);
+    cancellation?.onCancel(() => fail(new Error("reading was cancelled")));
     req.once("end", () => resolve(received.take()));
     req.once("error", fail);
     req.once("close", () => {
