Requests make no error, no timer and no module that they don't need

Cause, by a profile of an entry at 200 requests a second: the error for a body over the limit was made for each request, with its stack (70 of 350 ms in the callers' server); the interval that looks at heads was set and cleared with each connection that came alone; node:v8 and node:vm were loaded by each process.

Change: made once they are needed; the time of bodies is looked at by the same interval.

--- a/src/callers/bufferReclaimer.ts
+++ b/src/callers/bufferReclaimer.ts
@@ -2,11 +2,9 @@
  * Collects garbage once buffers that are no longer used take too much. V8 waits
  * with them for half of its heap's limit, which may be more than the VM has.
  */
-import { setFlagsFromString } from "node:v8";
-import { runInNewContext } from "node:vm";
 
 export class BufferReclaimer {
-  private collector: (() => void) | undefined;
+  private collector: Promise<() => void> | undefined;
   /** Bytes that were let go since the last look. */
   private released = 0;
   private isScheduled = false;
@@ -26,17 +24,21 @@
     setImmediate(() => {
       this.isScheduled = false;
       this.released = 0;
-      if (this.allocated() - held > this.maxBytes) this.collect();
+      if (this.allocated() - held > this.maxBytes) void this.collect();
     });
   }
 
-  private collect(): void {
+  private async collect(): Promise<void> {
     this.collector ??= this.newCollector();
-    this.collector();
+    const collector = await this.collector;
+    collector();
   }
 }
 
-const garbageCollector = (): (() => void) => {
+/** Loaded once it is needed: both modules take memory. */
+const garbageCollector = async (): Promise<() => void> => {
+  const { setFlagsFromString } = await import("node:v8");
+  const { runInNewContext } = await import("node:vm");
   setFlagsFromString("--expose-gc");
   return runInNewContext("gc") as () => void;
 };
--- a/src/callers/callerConnections.ts
+++ b/src/callers/callerConnections.ts
@@ -12,8 +12,8 @@
 
 /** Requests of one connection that are served at the same time. */
 const MAX_CONCURRENT = 4;
-/** Pause between two looks at heads that have not ended, ms. */
-const HEAD_CHECK_MS = 250;
+/** Pause between two looks at heads and bodies that have not ended, ms. */
+const CHECK_INTERVAL_MS = 250;
 /** What a head takes while it is read, for each of its first bytes. */
 const BYTES_PER_HEAD_BYTE = 20;
 const MAX_COUNTED_HEAD_BYTES = 16 * 1024;
@@ -55,7 +55,6 @@
   /** Those without a request, the one that has rested for longest first. */
   private readonly resting = new Set<Connection>();
   private readonly turns: LoopTurns;
-  private timer: NodeJS.Timeout | undefined;
 
   constructor(
     server: http.Server,
@@ -63,6 +62,8 @@
   ) {
     this.turns = new LoopTurns(options.now);
     server.on("connection", (socket: Socket) => this.onConnection(socket));
+    const timer = setInterval(() => this.check(), CHECK_INTERVAL_MS).unref();
+    server.on("close", () => clearInterval(timer));
   }
 
   /**
@@ -89,6 +90,7 @@
       req,
       memory: this.options.memory,
       turns: this.turns,
+      now: this.options.now,
       headBytes: REQUEST_BYTES + fields * FIELD_BYTES,
       close: (reason) => this.close(connection, reason),
     });
@@ -149,7 +151,6 @@
     };
     this.all.set(socket, connection);
     this.resting.add(connection);
-    this.timer ??= setInterval(() => this.checkHeads(), HEAD_CHECK_MS).unref();
     socket.once("close", () => this.onClosed(connection));
     this.turns.admit(socket);
   }
@@ -185,18 +186,13 @@
     return undefined;
   }
 
-  /** Counts heads that have not ended: Node shows them only once they have. */
-  private checkHeads(): void {
-    for (const { socket, lastRequest, readBefore, head } of this.all.values()) {
-      if (lastRequest?.complete === false) continue;
-      const bytes = socket.bytesRead - readBefore;
-      if (bytes === 0) continue;
-      const headBytes = Math.min(bytes, MAX_COUNTED_HEAD_BYTES);
-      head.set(headBytes * BYTES_PER_HEAD_BYTE);
+  private check(): void {
+    const now = this.options.now();
+    for (const connection of this.all.values()) {
+      if (connection.lastRequest?.complete !== false) countHead(connection);
+      for (const exchange of connection.pending.values())
+        exchange.checkBody(now);
     }
-    if (this.all.size > 0) return;
-    clearInterval(this.timer);
-    this.timer = undefined;
   }
 
   private close(connection: Connection, reason: CloseReason): void {
@@ -211,3 +207,10 @@
     this.resting.delete(connection);
   }
 }
+
+/** Counts a head that has not ended: Node shows it only once it has. */
+const countHead = ({ socket, readBefore, head }: Connection): void => {
+  const bytes = socket.bytesRead - readBefore;
+  if (bytes === 0) return;
+  head.set(Math.min(bytes, MAX_COUNTED_HEAD_BYTES) * BYTES_PER_HEAD_BYTE);
+};
--- a/src/callers/callerExchange.ts
+++ b/src/callers/callerExchange.ts
@@ -28,6 +28,7 @@
   req: http.IncomingMessage;
   memory: CallerMemory;
   turns: LoopTurns;
+  now: () => number;
   /** What the request takes besides its body and answer. */
   headBytes: number;
   close(reason: CloseReason): void;
@@ -40,6 +41,8 @@
   isInProgress = false;
   private readonly holding: Holding;
   private readonly reading = new Cancellation();
+  /** When the body that is read must be whole, ms. */
+  private bodyDueAt: number | undefined;
   /** Why reading the body was cancelled. */
   private failure: Error | undefined;
   private bodyBytes = 0;
@@ -68,10 +71,7 @@
     const length = Number(req.headers["content-length"] ?? 0);
     const hasRoom = !this.isRefused && memory.hasRoomFor(length);
     if (length <= maxBytes && !hasRoom) this.giveUp();
-    const timer = setTimeout(
-      () => this.cancelReading(new BodyTimeoutError(NOT_IN_TIME)),
-      timeoutMs,
-    );
+    this.bodyDueAt = this.options.now() + timeoutMs;
     const onChunk = (chunkBytes: number, bodyBytes: number) => {
       turns.record(req.socket, CHUNK_WORK + chunkBytes / BYTES_PER_WORK);
       // The chunk itself: the body has a copy.
@@ -90,11 +90,17 @@
       this.holding.set(headBytes);
       throw this.failure ?? err;
     } finally {
-      clearTimeout(timer);
+      this.bodyDueAt = undefined;
       this.giveUp = closeConnection;
     }
   }
 
+  /** Gives up a body that is not whole in time. */
+  checkBody(now: number): void {
+    if (this.bodyDueAt === undefined || now < this.bodyDueAt) return;
+    this.cancelReading(new BodyTimeoutError(NOT_IN_TIME));
+  }
+
   /** Counts what its caller has not read of the answer; it may be closed for it. */
   holdAnswer(bytes: number): void {
     this.isInProgress = false;
--- a/src/callers/loopTurns.ts
+++ b/src/callers/loopTurns.ts
@@ -51,6 +51,7 @@
 
   /** A new connection is read at once, unless others wait for their slots. */
   admit(socket: Socket): void {
+    this.work.set(socket, { at: 0, total: 0 });
     // Node resumes a connection after each message and chunk that it has parsed.
     socket.on("resume", () => {
       if (this.fresh.has(socket) || this.heavy.has(socket)) socket.pause();
@@ -60,13 +61,15 @@
 
   /** Records work that the input of a connection took. */
   record(socket: Socket, work: number): void {
+    const recent = this.work.get(socket);
+    if (recent === undefined) return;
     const now = this.now();
-    const before = this.work.get(socket);
-    const isRecent = before !== undefined && now - before.at < WORK_WINDOW_MS;
-    const at = isRecent ? before.at : now;
-    const total = (isRecent ? before.total : 0) + work;
-    this.work.set(socket, { at, total });
-    if (total >= MAX_SOCKET_WORK) this.wait(socket, this.heavy);
+    if (now - recent.at >= WORK_WINDOW_MS) {
+      recent.at = now;
+      recent.total = 0;
+    }
+    recent.total += work;
+    if (recent.total >= MAX_SOCKET_WORK) this.wait(socket, this.heavy);
   }
 
   /** Starts a request at once, or in a slot if it takes much work. */
--- a/src/http/server.ts
+++ b/src/http/server.ts
@@ -45,10 +45,10 @@
   { onChunk, cancellation }: ReadBodyOptions = {},
 ): Promise<Buffer> =>
   new Promise((resolve, reject) => {
-    const tooLarge = new BodyTooLargeError(`body is over ${maxBytes} bytes`);
     const sent = req.headers["content-length"];
     const length = sent === undefined ? undefined : Number(sent);
-    if (length !== undefined && length > maxBytes) return reject(tooLarge);
+    if (length !== undefined && length > maxBytes)
+      return reject(tooLarge(maxBytes));
     const received = new ByteBlocks();
     const fail = (err: Error) => {
       req.off("data", onData);
@@ -58,7 +58,7 @@
     };
     const onData = (chunk: Buffer) => {
       const size = received.size + chunk.length;
-      if (size > maxBytes) return fail(tooLarge);
+      if (size > maxBytes) return fail(tooLarge(maxBytes));
       received.append(chunk);
       onChunk?.(chunk.length, size);
     };
@@ -71,6 +71,9 @@
     });
   });
 
+const tooLarge = (maxBytes: number): Error =>
+  new BodyTooLargeError(`body is over ${maxBytes} bytes`);
+
 /** Sends a JSON response unless headers were sent or the socket is closed. */
 export const sendJson = (
   res: http.ServerResponse,
