--- a/src/callers/callerConnections.ts
+++ b/src/callers/callerConnections.ts
@@ -41,7 +41,8 @@
   waiting: (() => void)[];
   /** How many are served now. */
   active: number;
-  lastRequest: http.IncomingMessage | undefined;
+  /** Requests whose end has not been read. */
+  unended: number;
   /** Bytes that had been read when the last request ended. */
   readBefore: number;
   /** What a head that has not ended takes. */
@@ -127,9 +128,12 @@
 
   private recordHead(connection: Connection, req: http.IncomingMessage): void {
     const { socket, head } = connection;
-    connection.lastRequest = req;
+    connection.unended += 1;
     connection.readBefore = socket.bytesRead;
-    req.once("end", () => (connection.readBefore = socket.bytesRead));
+    req.once("end", () => {
+      connection.unended -= 1;
+      connection.readBefore = socket.bytesRead;
+    });
     head.release();
   }
 
@@ -145,7 +149,7 @@
       pending: new Map(),
       waiting: [],
       active: 0,
-      lastRequest: undefined,
+      unended: 0,
       readBefore: 0,
       head,
     };
@@ -189,7 +193,7 @@
   private check(): void {
     const now = this.options.now();
     for (const connection of this.all.values()) {
-      if (connection.lastRequest?.complete !== false) countHead(connection);
+      if (connection.unended === 0) countHead(connection);
       for (const exchange of connection.pending.values())
         exchange.checkBody(now);
     }
