--- a/standins/hostileClients.ts
+++ b/standins/hostileClients.ts
@@ -158,7 +158,6 @@
 ];
 
 const endsAt = Date.now() + seconds * 1000;
-const open = new Set<Socket>();
 let closes = 0;
 
 const writeAll = async (socket: Socket, client: number): Promise<void> => {
@@ -178,10 +177,8 @@
   if (Date.now() > endsAt) return;
   const { host, port } = splitAddress(address);
   const socket = net.connect({ host, port, noDelay: true });
-  open.add(socket);
   socket.on("error", () => undefined);
   socket.on("close", () => {
-    open.delete(socket);
     closes += 1;
     setTimeout(() => connect(client), RECONNECT_MS);
   });
