--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -202,6 +202,11 @@
     const file = path.join(HERE, "replica.mjs");
     const args = [file, JSON.stringify(settings)];
     const child = this.#spawn(args, {}, true);
+    child.once("exit", (code) => {
+      if (code === null) return;
+      this.note(`the stand-in ${id} failed`);
+      this.end(NOT_RUN);
+    });
     const replica = { id, address, options, child };
     this.replicas.push(replica);
     createInterface({ input: child.stdout }).on("line", (line) =>
--- a/review/lib-2/replica.mjs
+++ b/review/lib-2/replica.mjs
@@ -14,6 +14,7 @@
 const settings = JSON.parse(process.argv[2]);
 const { id, service, address, heartbeatMs, slots, workMs } = settings;
 const {
+  readMs = 0,
   events = 0,
   eventMs = 0,
   switchMs = 3000,
@@ -132,12 +133,19 @@
     "Content-Type": "text/event-stream",
   });
   res.flushHeaders();
-  const timer = setInterval(() => {
-    event += 1;
-    res.write(`id: ${event}\ndata: piece ${event}\n\n`);
-    if (event >= events) res.end();
-  }, eventMs);
+  let timer;
+  const sendEvents = () => {
+    timer = setInterval(() => {
+      event += 1;
+      res.write(`id: ${event}\ndata: piece ${event}\n\n`);
+      if (event >= events) res.end();
+    }, eventMs);
+  };
+  // Without the memory of a prefill it reads the prompt at half the pace.
+  const hasMemory = req.headers["kv-source"] !== undefined;
+  const reading = setTimeout(sendEvents, hasMemory ? 0 : 2 * readMs);
   res.on("close", () => {
+    clearTimeout(reading);
     clearInterval(timer);
     release();
   });
