--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -19,6 +19,7 @@
 const SCHEDULER_HEAP = "--max-old-space-size=96";
 const PROGRAM = "target/main.mjs";
 const READY_WAIT_MS = 20_000;
+const PAUSE_CHECK_MS = 20;
 const HERE = path.dirname(fileURLToPath(import.meta.url));
 const ROOT = path.resolve(HERE, "../..");
 
@@ -95,6 +96,8 @@
   arrivals = [];
   orders = [];
   lines = [];
+  /** Longest time for which this process, and the store in it, stood still, ms. */
+  longestPauseMs = 0;
   #children = new Set();
   #startedAt = performance.now();
 
@@ -102,6 +105,12 @@
     this.recordFile = recordFile;
     this.folder = mkdtempSync(path.join(tmpdir(), "snowgate-case-"));
     process.on("exit", () => this.#kill());
+    let last = performance.now();
+    setInterval(() => {
+      const pauseMs = performance.now() - last - PAUSE_CHECK_MS;
+      this.longestPauseMs = Math.max(this.longestPauseMs, pauseMs);
+      last = performance.now();
+    }, PAUSE_CHECK_MS).unref();
     for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"])
       process.on(signal, () => process.exit(NOT_RUN));
   }
