review: a call of a former holder arrives with an older fencing token (case 4)

Cause, as read: exchange() gives up a call by closing its connection, so that a cut holds the call up and delivers it afterwards; calls to replicas are reset.

--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,177 +1,144 @@
 /**
- * All replicas of a model service crash at once and come back 5 s later. A
- * request that many clients send alike must be served again afterwards.
+ * The holder of the usage duty is cut off while it calls the platform. Its call
+ * must not arrive after that of the next holder, with an older fencing token.
  */
 import http from "node:http";
 import path from "node:path";
 import { fileURLToPath } from "node:url";
 
 import {
-  attempt,
   BROKEN,
   Deployment,
   HELD,
-  isServed,
   LIMITS,
-  newId,
+  NOT_RUN,
   sleep,
 } from "../lib-2/deployment.mjs";
+import { Link } from "../lib-2/link.mjs";
 
 const HERE = path.dirname(fileURLToPath(import.meta.url));
 const HAS_TROUBLE = process.env.TROUBLE !== "0";
-const HOST = "parts.example";
-const CRASH_AT_S = 7;
-const DOWN_S = 5;
-const DAY_S = 95;
-/** Requests a second of each kind. */
-const RATES = { kiosk: 20, guest: 20 };
-const DEADLINE_MS = 4000;
-const CLIENTS_RETRIES = 1;
-/** What a kind must be served, of the share of all requests. */
-const LEAST_SHARE = 0.25;
-
-const route = (name) => ({
-  name,
-  host: HOST,
-  pathPrefix: `/${name}/`,
-  service: "lm-catalogo",
-  routeType: "stream",
-  timeoutMs: DEADLINE_MS,
-  targetLatencyMs: 400,
-  gapTargetMs: 200,
-  maxAttempts: 2,
-  priority: 0,
-  resumable: false,
-  sticky: true,
-});
+const SERVICE = "lm-catalogo";
+const CUT_MS = 5500;
+const THAW_MS = 300;
+const REPORTS_BEFORE = 3;
+const AFTER_MS = 12_000;
+const MAX_WAIT_MS = 60_000;
 
 const CONFIG = {
   version: 3,
-  routes: [route("kiosk"), route("guest")],
+  routes: [],
   services: [
     {
-      name: "lm-catalogo",
-      maxConnections: 490,
+      name: SERVICE,
+      maxConnections: 370,
       healthPath: "/healthz",
       engine: {
-        slots: 48,
-        kvCapacityTokens: 400_000,
+        slots: 32,
+        kvCapacityTokens: 305_000,
         handleTtlS: 5,
         switchS: 3,
       },
     },
   ],
+  tenants: [{ name: "huka270", apiKeys: ["key-1"], priority: 0 }],
   limits: LIMITS,
 };
 
-const engine = (stage, at) => ({
-  service: "lm-catalogo",
-  host: `127.0.3.${at + 1}`,
-  stage,
-  slots: 48,
-  workMs: 20,
-  events: 40,
-  eventMs: 30,
-  switchMs: 3000,
-});
-const ENGINES = ["prefill", "prefill", "decode", "decode", "decode"].map(
-  engine,
-);
-
 const deployment = new Deployment(path.join(HERE, "record.txt"));
 const { store } = deployment;
+
+/** Calls as the platform gets them. */
+const calls = [];
+const cloud = http.createServer((req, res) => {
+  const chunks = [];
+  req.on("data", (chunk) => chunks.push(chunk));
+  req.on("end", () => {
+    const body = Buffer.concat(chunks).toString();
+    const holder = req.headers["lease-holder"];
+    const fence = Number(req.headers["fencing-token"]);
+    calls.push({ holder, fence, body, at: performance.now() });
+    deployment.note(`platform gets ${req.url} ${holder} ${fence} ${body}`);
+    res.writeHead(200, { "Content-Length": 0 });
+    res.end();
+  });
+});
+cloud.keepAliveTimeout = 20_000;
+await new Promise((resolve) => cloud.listen(0, "127.0.0.2", resolve));
+const cloudAddress = `127.0.0.2:${cloud.address().port}`;
+
 await store.listen("127.0.0.1");
 store.put("config", "main", CONFIG);
-const first = [];
-for (const options of ENGINES) first.push(await deployment.addReplica(options));
+deployment.moreBounds =
+  "  reportWindowS: 5\n  usageOff: 0.05\n  usageLateS: 10\n";
+deployment.prepare = async (machine) => {
+  const toStore = await new Link(store.address).listen("127.0.4.1");
+  const toCloud = await new Link(cloudAddress).listen("127.0.4.1");
+  machine.store = toStore.address;
+  machine.more = `cloud: { address: "${toCloud.address}", duties: ["usage"] }\n`;
+  machine.links = { toStore, toCloud };
+};
+for (let at = 0; at < 4; at += 1)
+  await deployment.addReplica({
+    service: SERVICE,
+    stage: at === 0 ? "prefill" : "decode",
+    slots: 32,
+  });
 for (let at = 0; at < 2; at += 1) await deployment.addMachine("entry", at);
 for (let at = 0; at < 3; at += 1) await deployment.addMachine("scheduler", at);
 await deployment.waitUntilReady();
-await sleep(4000);
-const entries = deployment.machines.filter(({ role }) => role === "entry");
-const agent = new http.Agent({ keepAlive: true });
-
-const results = { kiosk: [], guest: [] };
 
-/** One request of a client, with its retry on the other entry. */
-const request = async (kind, number) => {
-  const until = performance.now() + DEADLINE_MS;
-  const isAlike = kind === "kiosk";
-  const own = isAlike ? "ab12" : (0x1000 + number).toString(16);
-  const body = isAlike ? "does part 4711 fit?" : `question ${number}`;
-  const sentS = deployment.now();
-  let last;
-  for (let tries = 0; tries <= CLIENTS_RETRIES; tries += 1) {
-    last = await attempt(agent, entries[(number + tries) % entries.length], {
-      method: "POST",
-      host: HOST,
-      target: `/${kind}/ask`,
-      id: newId(kind),
-      deadlineMs: until - performance.now(),
-      body,
-      headers: {
-        Model: "m",
-        "Token-Count": "100,20",
-        "Prefix-Hash": `5c1e07a2:60,${own}:40`,
-      },
-    });
-    const { status, why, retryAfterMs } = last;
-    const mayRetry = why === "whole" && [408, 421, 429, 503].includes(status);
-    const leftMs = until - performance.now();
-    if (!mayRetry || leftMs < 100) break;
-    await sleep(Math.min(retryAfterMs, leftMs / 3));
+const waitFor = async (isDone) => {
+  const until = performance.now() + MAX_WAIT_MS;
+  while (!isDone()) {
+    if (performance.now() > until) deployment.end(NOT_RUN);
+    await sleep(5);
   }
-  const served = isServed(last);
-  results[kind].push({ sentS, served, status: last.status });
-  const note = `${kind} sent ${sentS.toFixed(3)} ${last.id} ${last.entry}`;
-  const text = last.why === "whole" && !served ? last.text : "";
-  deployment.note(`${note}: ${last.status} ${last.why} ${text}`);
 };
+await waitFor(() => calls.length >= REPORTS_BEFORE);
+const holder = calls.at(-1).holder;
+const { links } = deployment.machines.find(({ node }) => node === holder);
 
-const begunS = deployment.now();
-const dayS = () => deployment.now() - begunS;
-const open = new Set();
-let number = 0;
-const timers = Object.entries(RATES).map(([kind, perS]) =>
-  setInterval(() => {
-    number += 1;
-    const done = request(kind, number).finally(() => open.delete(done));
-    open.add(done);
-  }, 1000 / perS),
-);
-
-await sleep(CRASH_AT_S * 1000);
+let healedAt = Infinity;
 if (HAS_TROUBLE) {
-  deployment.note("all replicas crash");
-  for (const { child } of first) child.kill("SIGKILL");
-  await sleep(DOWN_S * 1000);
-  deployment.note("the replicas start again");
-  for (const [at, options] of ENGINES.entries())
-    await deployment.addReplica({ ...options, address: first[at].address });
+  // The cut begins once the store's answer to the next report has come.
+  let isWritten = false;
+  store.onCall = ({ method, kind }) => {
+    if (kind === "duties" && method !== "GET") isWritten = true;
+    return "serve";
+  };
+  await new Promise((resolve) => {
+    links.toStore.onAnswer = (chunk) => {
+      if (!isWritten || !chunk.includes("windowSeq")) return;
+      links.toStore.cut();
+      links.toCloud.cut();
+      links.toStore.onAnswer = () => undefined;
+      resolve();
+    };
+  });
+  deployment.note(`${holder} is cut off from the platform`);
+  await sleep(CUT_MS);
+  links.toStore.heal();
+  links.toCloud.heal();
+  healedAt = performance.now();
+  deployment.note(`the link of ${holder} has healed`);
+} else {
+  await sleep(CUT_MS);
 }
-await sleep((DAY_S - dayS()) * 1000);
-for (const timer of timers) clearInterval(timer);
-await Promise.all(open);
+await sleep(AFTER_MS);
 
-const share = (list) =>
-  list.filter(({ served }) => served).length / Math.max(1, list.length);
-const all = [...results.kiosk, ...results.guest];
-const lateS = begunS + CRASH_AT_S + DOWN_S + 15;
-const late = (list) => list.filter(({ sentS }) => sentS >= lateS);
-for (const kind of ["kiosk", "guest"]) {
-  const list = results[kind];
-  deployment.note(
-    `${kind}: ${list.length} sent, served ${share(list).toFixed(3)}; ` +
-      `sent 15 s after the return or later ${late(list).length}, ` +
-      `served ${share(late(list)).toFixed(3)}`,
-  );
+let highest = 0;
+let stale = 0;
+for (const { holder: name, fence, at } of calls) {
+  const sinceMs = Math.round(at - healedAt);
+  if (fence < highest && !(sinceMs >= 0 && sinceMs <= THAW_MS)) {
+    stale += 1;
+    deployment.note(
+      `call of ${name} with ${fence} after ${highest}, ` +
+        `${sinceMs} ms after its link had healed`,
+    );
+  }
+  highest = Math.max(highest, fence);
 }
-deployment.note(`all: served ${share(all).toFixed(3)}`);
-for (const { node, log } of deployment.machines)
-  for (const line of log)
-    if (line.includes("quarantine") && !line.includes('requestId":"kiosk-'))
-      deployment.note(`${node} ${line}`);
-const isBroken = Object.values(results).some(
-  (list) => share(list) < LEAST_SHARE * share(all),
-);
-deployment.end(isBroken ? BROKEN : HELD);
+deployment.note(`${calls.length} calls, ${stale} with an older fence`);
+deployment.end(stale > 0 ? BROKEN : HELD);
--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -81,13 +81,16 @@
   requireFence: false
   leaseMs: 3000
   thawMs: 300
-platform: { address: "${machine.store}", form: "objects", writesPerS: 400, readsPerS: 2000, historyS: 20, valueBytes: 1048576, ttlMinMs: 1000 }
+${machine.moreBounds}platform: { address: "${machine.store}", form: "objects", writesPerS: 400, readsPerS: 2000, historyS: 20, valueBytes: 1048576, ttlMinMs: 1000 }
 ${machine.more}`;
 
 export class Deployment {
   store = new Store(HEARTBEAT_MS);
   /** Lines added to all settings files. */
   moreSettings = "";
+  moreBounds = "";
+  /** Changes a machine before it starts. */
+  prepare = async () => undefined;
   machines = [];
   replicas = [];
   /** Requests that replicas began to run: id, replica, path and time. */
@@ -161,6 +164,7 @@
       zone: "abc"[at % 3],
       bootstrap: true,
       more: this.moreSettings,
+      moreBounds: this.moreBounds,
       store: this.store.address,
       cpuShare: role === "entry" ? 0.513 : 0.54,
       memoryMb: role === "entry" ? 350 : 282,
@@ -173,6 +177,7 @@
       log: [],
     };
     this.machines.push(machine);
+    await this.prepare(machine);
     this.startMachine(machine);
     return machine;
   }
