--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -38,7 +38,9 @@
 /** From the entry of a new replica to the end of the old one's. */
 const HANDOVER_MS = 20;
 /** A machine that is too busy for the store to answer in time judges nothing. */
-const MAX_PAUSE_MS = 300;
+const MAX_PAUSE_MS = 700;
+/** Time after the end of an entry in which the store must not stand still. */
+const JUDGED_MS = 2500;
 /** How long a replica serves on after its entry has gone. */
 const SERVES_ON_MS = 6000;
 
@@ -167,10 +169,19 @@
 clearInterval(timer);
 await Promise.all(open);
 
+/** Whether the store stood still while the end of a replica was made known. */
+const isDisturbed = (id) => {
+  const at = removedAt.get(id);
+  return deployment.pauses.some(
+    ({ endedAt, pauseMs }) =>
+      endedAt >= at && endedAt - pauseMs <= at + JUDGED_MS,
+  );
+};
+
 let late = 0;
 for (const { got, replica, isPrefill, gotAt } of deployment.arrivals) {
   const sinceMs = gotAt - (removedAt.get(replica) ?? Infinity);
-  if (sinceMs <= DRAIN_MS) continue;
+  if (sinceMs <= DRAIN_MS || isDisturbed(replica)) continue;
   late += 1;
   const what = isPrefill ? "prefill" : "run";
   deployment.note(`${what} of ${got} reached ${replica} after ${sinceMs} ms`);
@@ -189,8 +200,11 @@
   for (const line of log)
     if (/store lost|store regained|replica (gone|vanished)/.test(line))
       deployment.note(`${node} ${line}`);
-const pauseMs = Math.round(deployment.longestPauseMs);
-deployment.note(`the store stood still for ${pauseMs} ms at most`);
+const pauseMs = Math.max(0, ...deployment.pauses.map((item) => item.pauseMs));
+deployment.note(
+  `the store stood still for ${Math.round(pauseMs)} ms at most; ` +
+    `${[...removedAt.keys()].filter(isDisturbed).length} replicas not judged`,
+);
 if (pauseMs > MAX_PAUSE_MS) deployment.end(NOT_RUN);
 if (served < sent / 2) deployment.end(NOT_RUN);
 deployment.end(late > 0 ? BROKEN : HELD);
--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -20,6 +20,8 @@
 const PROGRAM = "target/main.mjs";
 const READY_WAIT_MS = 20_000;
 const PAUSE_CHECK_MS = 20;
+/** Shorter pauses are not kept. */
+const MIN_PAUSE_MS = 100;
 const HERE = path.dirname(fileURLToPath(import.meta.url));
 const ROOT = path.resolve(HERE, "../..");
 
@@ -99,8 +101,8 @@
   arrivals = [];
   orders = [];
   lines = [];
-  /** Longest time for which this process, and the store in it, stood still, ms. */
-  longestPauseMs = 0;
+  /** When this process, and the store in it, stood still: its end and length, ms. */
+  pauses = [];
   #children = new Set();
   #startedAt = performance.now();
 
@@ -111,7 +113,8 @@
     let last = performance.now();
     setInterval(() => {
       const pauseMs = performance.now() - last - PAUSE_CHECK_MS;
-      this.longestPauseMs = Math.max(this.longestPauseMs, pauseMs);
+      if (pauseMs >= MIN_PAUSE_MS)
+        this.pauses.push({ endedAt: Date.now(), pauseMs });
       last = performance.now();
     }, PAUSE_CHECK_MS).unref();
     for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"])
