--- a/review/lib-2/replica.mjs
+++ b/review/lib-2/replica.mjs
@@ -178,9 +178,9 @@
     return refuse(res, requestId ?? "", MISDIRECTED);
   if (requestId === undefined) return refuse(res, "", 400);
   const isPrefill = req.headers.stage === "prefill";
-  tell({ got: requestId, replica: id, isPrefill, gotAt });
   if (stage !== undefined && isPrefill !== (stage === "prefill"))
     return refuse(res, requestId, MISDIRECTED);
+  tell({ got: requestId, replica: id, isPrefill, gotAt });
   if (isBusy || (running >= slots && waiting.length >= queue))
     return refuse(res, requestId, UNAVAILABLE);
   const deadlineAt = Date.now() + Number(req.headers["deadline-ms"] ?? 60_000);
