Reset the connection of a call that is given up

Cause: exchange() closed the connection of a call that timed out in the regular way. The kernel goes on sending unacknowledged bytes, so the call arrived when TCP sent it again after the cut. Ruled out: a call without a fresh lease, and a next holder that does not wait (it waited 3.5 s).

Change: abortRequest() resets the connection. Used by calls to the store, the duty endpoint and engines' admin APIs, from entry to side, from side to upstream, for answers that are no answers; a process that exits resets its open calls.

--- a/src/daemon/stopSignals.ts
+++ b/src/daemon/stopSignals.ts
@@ -1,4 +1,5 @@
 /** Graceful shutdown on SIGTERM or SIGINT. */
+import { abortOpenExchanges } from "../http/index.js";
 import { errText } from "../shared/utils.js";
 import type { Daemon } from "./types.js";
 
@@ -20,6 +21,7 @@
       },
     );
   };
+  process.once("exit", abortOpenExchanges);
   process.on("SIGTERM", stop);
   process.on("SIGINT", stop);
 };
--- a/src/entry/sideClient.ts
+++ b/src/entry/sideClient.ts
@@ -1,6 +1,7 @@
 /** HTTP client with which an entry sends requests to sides. */
 import http from "node:http";
 
+import { abortRequest } from "../http/index.js";
 import { HEADERS } from "../shared/constants.js";
 import type { RequestFailure } from "../shared/errors.js";
 import { isVerdict } from "../shared/verdict.js";
@@ -84,17 +85,17 @@
         },
       });
       const timer = setTimeout(
-        () => req.destroy(new Error("no answer in time")),
+        () => abortRequest(req, "no answer in time"),
         attempt.timeoutMs,
       );
       const connectTimer = setTimeout(() => {
-        if (req.socket?.connecting) req.destroy(new Error("no connection"));
+        if (req.socket?.connecting) abortRequest(req, "no connection");
       }, attempt.connectTimeoutMs);
       const clearTimers = () => {
         clearTimeout(timer);
         clearTimeout(connectTimer);
       };
-      const onAbort = () => req.destroy(new Error("given up"));
+      const onAbort = () => abortRequest(req, "given up");
       attempt.signal.addEventListener("abort", onAbort, { once: true });
       req.on("continue", () => {
         if (attempt.signal.aborted) return;
@@ -126,7 +127,7 @@
             resolve({ kind: "failure", failure, fault: faultOf(failure) });
           });
         }
-        resolve({ kind: "response", res, abort: () => req.destroy() });
+        resolve({ kind: "response", res, abort: onAbort });
       });
       req.flushHeaders();
     });
--- a/src/gateway/upstreamClient.ts
+++ b/src/gateway/upstreamClient.ts
@@ -6,7 +6,11 @@
 import net from "node:net";
 import type { Socket } from "node:net";
 
-import { failOnNonAnswers, splitAddress } from "../http/index.js";
+import {
+  failOnNonAnswers,
+  resetConnection,
+  splitAddress,
+} from "../http/index.js";
 import type { Cancellation } from "../shared/cancellation.js";
 import type { Verdict } from "../shared/verdict.js";
 import { ReplyBuffers } from "./replyBuffers.js";
@@ -131,9 +135,7 @@
         agent: this.agent(request.service),
       });
       const stopListening = request.cancellation.onCancel(() => {
-        // A reset instead of a regular close drops the bytes in transit, so
-        // that a peer that was unreachable or stalled does not get them.
-        if (isConnected) req.socket?.resetAndDestroy();
+        if (isConnected) resetConnection(req.socket);
         reply?.drop("cancelled");
         req.destroy(new Error("cancelled"));
         // Before the connection is up, Node emits no error until it is.
--- a/src/http/nonAnswers.ts
+++ b/src/http/nonAnswers.ts
@@ -1,5 +1,8 @@
 /** What a peer may send instead of an answer: informational ones, or a switch. */
 import type { ClientRequest } from "node:http";
+import type { Socket } from "node:net";
+
+import { abortRequest, resetConnection } from "./abortRequest.js";
 
 /** Informational answers (1xx) to one request; more than these are no answer. */
 const MAX_INFORMATIONAL = 16;
@@ -10,11 +13,11 @@
   req.on("information", () => {
     count += 1;
     if (count > MAX_INFORMATIONAL)
-      req.destroy(new Error("too many informational answers"));
+      abortRequest(req, "too many informational answers");
   });
   // Node has detached the socket by then, and reports its end no more.
   req.once("upgrade", (_res, socket) => {
-    socket.destroy();
+    resetConnection(socket as Socket);
     req.emit("error", new Error("the answer switches protocols"));
   });
 };
--- a/src/http/request.ts
+++ b/src/http/request.ts
@@ -3,6 +3,7 @@
 
 import { ByteBuffer } from "../shared/byteBuffer.js";
 import type { Cancellation } from "../shared/cancellation.js";
+import { abortRequest } from "./abortRequest.js";
 import { KeptConnections } from "./keptConnections.js";
 import { failOnNonAnswers } from "./nonAnswers.js";
 
@@ -12,6 +13,14 @@
 /** Largest response with all of its framing, bytes; a page of a list has 1 MB. */
 const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 
+/** Requests without a whole response. */
+const openRequests = new Set<http.ClientRequest>();
+
+/** Gives up all calls of this process, which is about to end. */
+export const abortOpenExchanges = (): void => {
+  for (const req of [...openRequests]) abortRequest(req, "the process ends");
+};
+
 /** A complete response; the body is not parsed. */
 export interface JsonResponse {
   status: number;
@@ -39,11 +48,14 @@
   /** Raw body, sent unchanged if `body` is absent. */
   text?: string;
   timeoutMs: number;
-  /** Closes the connection when it is cancelled. */
+  /** Resets the connection when it is cancelled. */
   cancellation?: Cancellation;
 }
 
-/** Sends a request and buffers the response; rejects with `ExchangeError`. */
+/**
+ * Sends a request and buffers the response; rejects with `ExchangeError`. A
+ * request that is given up can't arrive afterwards.
+ */
 export const exchange = (options: ExchangeOptions): Promise<JsonResponse> =>
   new Promise((resolve, reject) => {
     const body =
@@ -61,8 +73,9 @@
           : { "content-length": Buffer.byteLength(body) }),
       },
     });
+    openRequests.add(req);
     const giveUp = (why: string) => {
-      req.destroy(new Error(why));
+      abortRequest(req, why);
       const { port } = new URL(options.url);
       agent.closeIdleSince(req.host, port, begunAt);
     };
@@ -74,6 +87,7 @@
     const detach = options.cancellation?.onCancel(() => giveUp("cancelled"));
     let stopCounting = () => undefined as void;
     const settled = () => {
+      openRequests.delete(req);
       clearTimeout(timer);
       detach?.();
       stopCounting();
@@ -86,7 +100,7 @@
       const readBefore = socket.bytesRead;
       const count = () => {
         if (socket.bytesRead - readBefore > MAX_RESPONSE_BYTES)
-          req.destroy(new Error(`answer is over ${MAX_RESPONSE_BYTES} bytes`));
+          abortRequest(req, `answer is over ${MAX_RESPONSE_BYTES} bytes`);
       };
       socket.on("data", count);
       stopCounting = () => void socket.off("data", count);
--- a/src/side/dataServer.ts
+++ b/src/side/dataServer.ts
@@ -14,7 +14,7 @@
   CallerConnections,
   CallerExchange,
 } from "../callers/index.js";
-import { forwardedHeaders } from "../http/index.js";
+import { abortRequest, forwardedHeaders } from "../http/index.js";
 import type { LoadReport } from "../routing/index.js";
 import { HEADERS } from "../shared/constants.js";
 import type { RequestFailure } from "../shared/errors.js";
@@ -277,7 +277,7 @@
       requestId: String(req.headers[HEADERS.requestId]),
       echoesRequestId: upstream.echoesRequestId,
       onRequest: (upstreamReq) => {
-        res.on("close", () => upstreamReq.destroy());
+        res.on("close", () => abortRequest(upstreamReq, "given up"));
       },
     });
     if (result.kind === "failure") return this.refuse(request, result.failure);
--- a/src/side/upstreamCall.ts
+++ b/src/side/upstreamCall.ts
@@ -1,7 +1,11 @@
 /** Sends a request from a side to its upstream. */
 import http from "node:http";
 
-import { failOnNonAnswers, forwardedHeaders } from "../http/index.js";
+import {
+  abortRequest,
+  failOnNonAnswers,
+  forwardedHeaders,
+} from "../http/index.js";
 import { HEADERS } from "../shared/constants.js";
 import type { RequestFailure } from "../shared/errors.js";
 import { errText } from "../shared/utils.js";
@@ -63,7 +67,7 @@
     upstreamReq.on("response", (res) => {
       const echoed = res.headers[HEADERS.requestId];
       if (options.echoesRequestId && echoed !== requestId) {
-        upstreamReq.destroy();
+        abortRequest(upstreamReq, "the response is of another request");
         return resolve({ kind: "failure", failure: mismatchedResponse() });
       }
       resolve({ kind: "response", res, req: upstreamReq });
