Count the grace of a vanished replica from the store's removal

Cause: a cut of a waiting watch counted as trouble of the store for 3 s. The grace for vanished entries (1.7 s) began when this process heard of the removal, up to 0.3 s late; sends asked a list that is swept each 0.3 s.

Change: a lone cut, whose next call is answered, is no trouble. Watches tell since when a change can have been made; the grace counts from there, is derived from drainMs with a margin for transit, and is checked when a request is written, on every path (ReplicaSet.isReady). Schedulers know drainMs too.

Tests that passed a boolean for the store's trouble now pass the stability with its instant; their expectations are unchanged.

--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -101,7 +101,10 @@
     now,
     leaseNow,
     (config) => server.setLimits(config.limits),
-    settings.drainMs * LAST_RESORT_FRACTION,
+    {
+      lastResortMs: settings.drainMs * LAST_RESORT_FRACTION,
+      drainMs: settings.drainMs,
+    },
   );
   const { replicas } = state;
   const rates = new RateLimits(rng);
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -3,13 +3,13 @@
  * The configuration is never replaced by an older one.
  */
 import type { EngineView } from "../scheduling/index.js";
-import type { FeedChange, FeedItem } from "../store/index.js";
+import type { FeedChange, FeedItem, StoreStability } from "../store/index.js";
 import { errText } from "../shared/utils.js";
 import type { Log } from "../telemetry/index.js";
 import { ConfigFreshness } from "../workspaces/index.js";
 import type { ConfigNews } from "../workspaces/index.js";
 import { ReplicaSet } from "./replicaSet.js";
-import type { ReplicaChange } from "./replicaSet.js";
+import type { ReplicaChange, ReplicaSetOptions } from "./replicaSet.js";
 import { RouteTable } from "./routeTable.js";
 import type { GatewayConfig, GatewayService, Replica } from "./types.js";
 
@@ -67,10 +67,9 @@
     /** Clock for the age of proofs; see `newLeaseClock`. */
     private readonly leaseNow: () => number,
     private readonly onConfig: (config: GatewayConfig) => void,
-    /** See `ReplicaSet`. */
-    lastResortMs = 0,
+    replicaSet: ReplicaSetOptions = {},
   ) {
-    this.replicas = new ReplicaSet(lastResortMs);
+    this.replicas = new ReplicaSet(replicaSet);
   }
 
   get routes(): RouteTable | undefined {
@@ -156,14 +155,14 @@
     this.onConfigProven(sentAt - ageMs);
   }
 
-  onReplicaList(items: readonly FeedItem[], inTrouble: boolean): void {
+  onReplicaList(items: readonly FeedItem[], stability: StoreStability): void {
     const listed = items.flatMap((item) => {
       const replica = this.readReplica(item);
       return replica === undefined
         ? []
         : [{ replica, revision: item.revision }];
     });
-    const changes = this.replicas.replace(listed, this.now(), inTrouble);
+    const changes = this.replicas.replace(listed, this.now(), stability);
     this.logChanges(changes);
     this.hasReplicas = true;
   }
@@ -173,10 +172,10 @@
     this.hasReplicas = false;
   }
 
-  onReplicaChange(change: FeedChange, inTrouble: boolean): void {
+  onReplicaChange(change: FeedChange, stability: StoreStability): void {
     const { item, isRemoved } = change;
     if (isRemoved) {
-      const gone = this.replicas.remove(item.name, this.now(), inTrouble);
+      const gone = this.replicas.remove(item.name, this.now(), stability);
       if (gone !== undefined) this.logChanges([gone]);
       return;
     }
--- a/src/gateway/replicaSet.ts
+++ b/src/gateway/replicaSet.ts
@@ -4,17 +4,38 @@
  * while the store is unstable may have expired although its replica is alive,
  * so it is kept for a short grace period before it is removed. No I/O.
  */
+import type { StoreStability } from "../store/index.js";
 import { ReplicaSignals } from "./replicaSignals.js";
 import type { EngineReport, Replica } from "./types.js";
 
 /**
- * How long a replica is still used after its entry vanished while the store
- * was unstable, ms. Live replicas rewrite their entries within two seconds. The
- * time limit for leaving replicas is two seconds on the smallest deployments,
- * so the grace period ends slightly earlier.
+ * Longest time for which a replica is still used after its entry may have
+ * vanished from an unstable store, ms. Live replicas rewrite their entries
+ * within two seconds of the store's return.
  */
+const MAX_VANISHED_GRACE_MS = 3000;
+/**
+ * Part of the drain time that is left for a request to arrive, ms: one that is
+ * sent at the end of the grace period may be transmitted twice.
+ */
+const ARRIVAL_MARGIN_MS = 300;
+/** Grace period where the drain time is not known, ms. */
 export const VANISHED_GRACE_MS = 1700;
 
+/** Times of a replica set; absent: see each. */
+export interface ReplicaSetOptions {
+  /** See `Availability`; 0 if absent. */
+  lastResortMs?: number;
+  /** How long a leaving replica continues to serve, ms; 0 or absent: unknown. */
+  drainMs?: number;
+}
+
+/** The grace period counts from the store's removal, not from its news. */
+export const vanishedGraceMs = (drainMs: number): number =>
+  drainMs === 0
+    ? VANISHED_GRACE_MS
+    : Math.min(MAX_VANISHED_GRACE_MS, Math.max(0, drainMs - ARRIVAL_MARGIN_MS));
+
 /**
  * How long a replica is not used after another one responded at its address,
  * ms. A crashed replica's entry expires after three heartbeats, a few seconds.
@@ -27,8 +48,8 @@
   revision: number;
   /** Not used before this instant: another replica has its address, ms. */
   misdirectedUntil: number;
-  /** Instant at which its entry vanished, ms; undefined while listed. */
-  vanishedAt: number | undefined;
+  /** End of its use once its entry has vanished, ms; Infinity while listed. */
+  usedUntil: number;
 }
 
 /** A replica and the revision of its entry's last change. */
@@ -85,15 +106,23 @@
   /** Incremented on each change. */
   revision = 0;
 
-  /** `lastResortMs`: see `Availability`. */
-  constructor(lastResortMs = 0) {
+  private readonly graceMs: number;
+
+  constructor({ lastResortMs = 0, drainMs = 0 }: ReplicaSetOptions = {}) {
     this.signals = new ReplicaSignals(this, lastResortMs);
+    this.graceMs = vanishedGraceMs(drainMs);
   }
 
   get(id: string): Replica | undefined {
     return this.entries.get(id)?.replica;
   }
 
+  /** Whether it is ready, and its entry listed or missing for a short time. */
+  isReady(id: string, now: number): boolean {
+    const known = this.entries.get(id);
+    return known?.replica.state === "ready" && now < known.usedUntil;
+  }
+
   /**
    * Adds or updates an entry; `revision`: store revision of that write. A newer
    * incarnation replaces the previous one; writes of an older one are ignored.
@@ -118,24 +147,27 @@
       replica,
       revision,
       misdirectedUntil: known?.misdirectedUntil ?? 0,
-      vanishedAt: undefined,
+      usedUntil: Infinity,
     });
     changes.push({ kind: known === undefined ? "added" : "changed", replica });
     return changes;
   }
 
-  /** Handles a vanished entry; `inTrouble`: the store was unstable recently. */
+  /** Handles a vanished entry. */
   remove(
     name: string,
     now: number,
-    inTrouble: boolean,
+    { inTrouble, changedAfter }: StoreStability,
   ): ReplicaChange | undefined {
     const known = this.byName(name);
     if (known === undefined) return undefined;
     const { replica } = known;
-    if (!inTrouble || replica.state !== "ready") return this.delete(replica);
+    const removedAt = Math.min(now, changedAfter);
+    const usedUntil = Math.min(known.usedUntil, removedAt + this.graceMs);
+    const isReady = replica.state === "ready";
+    if (!inTrouble || !isReady || usedUntil <= now) return this.delete(replica);
     this.revision += 1;
-    known.vanishedAt ??= now;
+    known.usedUntil = usedUntil;
     return { kind: "vanished", replica };
   }
 
@@ -149,13 +181,13 @@
   replace(
     listed: readonly ListedReplica[],
     now: number,
-    inTrouble: boolean,
+    stability: StoreStability,
   ): ReplicaChange[] {
     const names = new Set(listed.map(({ replica }) => replica.name));
     const changes: ReplicaChange[] = [];
     for (const name of [...this.idsByName.keys()]) {
       if (names.has(name)) continue;
-      const change = this.remove(name, now, inTrouble);
+      const change = this.remove(name, now, stability);
       if (change !== undefined) changes.push(change);
     }
     for (const { replica, revision } of listed) {
@@ -189,10 +221,8 @@
   /** Removes entries whose grace period is over. */
   removeExpired(now: number): ReplicaChange[] {
     const gone: ReplicaChange[] = [];
-    for (const { replica, vanishedAt } of [...this.entries.values()]) {
-      if (vanishedAt === undefined) continue;
-      if (now - vanishedAt < VANISHED_GRACE_MS) continue;
-      gone.push(this.delete(replica));
+    for (const { replica, usedUntil } of [...this.entries.values()]) {
+      if (now >= usedUntil) gone.push(this.delete(replica));
     }
     return gone;
   }
@@ -222,11 +252,9 @@
       }
     }
     const found: Replica[] = [];
-    for (const { replica, vanishedAt } of newest.values()) {
-      if (replica.service !== service || replica.state !== "ready") continue;
-      const isLost =
-        vanishedAt !== undefined && now - vanishedAt >= VANISHED_GRACE_MS;
-      if (!isLost) found.push(replica);
+    for (const { replica } of newest.values()) {
+      if (replica.service !== service) continue;
+      if (this.isReady(replica.id, now)) found.push(replica);
     }
     return this.signals.withoutLeaving(found, now);
   }
@@ -247,13 +275,12 @@
     let until = Infinity;
     for (const {
       replica,
-      vanishedAt,
+      usedUntil,
       misdirectedUntil,
     } of this.entries.values()) {
       if (misdirectedUntil > now) until = Math.min(until, misdirectedUntil);
       until = Math.min(until, signals.leavingUnchangedUntil(replica.id, now));
-      if (vanishedAt === undefined) continue;
-      until = Math.min(until, vanishedAt + VANISHED_GRACE_MS);
+      until = Math.min(until, usedUntil);
     }
     return until;
   }
--- a/src/gateway/replicaSignals.ts
+++ b/src/gateway/replicaSignals.ts
@@ -16,6 +16,8 @@
   /** Incremented on each change of the usable replicas. */
   revision: number;
   get(id: string): Replica | undefined;
+  /** Whether its entry allows work to be sent to it now. */
+  isReady(id: string, now: number): boolean;
   usable(service: string, now: number): Replica[];
 }
 
@@ -113,7 +115,7 @@
     now: number,
     unavailable: UnavailableReason | undefined,
   ): string | undefined {
-    if (this.replicas.get(id)?.state !== "ready") {
+    if (!this.replicas.isReady(id, now)) {
       return "the replica is leaving or gone";
     }
     if (unavailable?.kind === "backing-off")
--- a/src/gateway/schedulerDaemon.ts
+++ b/src/gateway/schedulerDaemon.ts
@@ -29,6 +29,8 @@
   keyBounds: KeyBounds;
   /** Undefined if the platform requires no usage reports. */
   usage: UsageWindows | undefined;
+  /** How long a replica keeps serving after its leaving signal, ms. */
+  drainMs: number;
 }
 
 export const startScheduler = async (
@@ -39,7 +41,9 @@
   const { id } = settings;
   const supervisor = new Supervisor(log);
   const upstream = new UpstreamClient();
-  const state = new GatewayState(source, log, now, leaseNow, () => undefined);
+  const state = new GatewayState(source, log, now, leaseNow, () => undefined, {
+    drainMs: settings.drainMs,
+  });
   const { replicas } = state;
   const rates = new RateLimits(rng);
   const client = new ReplicaClient({
--- a/src/gateway/storeWatch.ts
+++ b/src/gateway/storeWatch.ts
@@ -86,9 +86,9 @@
       isActive: isActive.replicas,
       handlers: {
         onIdle: () => state.onReplicasStale(),
-        onList: (items, inTrouble) => state.onReplicaList(items, inTrouble),
-        onChange: (change, inTrouble) =>
-          state.onReplicaChange(change, inTrouble),
+        onList: (items, stability) => state.onReplicaList(items, stability),
+        onChange: (change, stability) =>
+          state.onReplicaChange(change, stability),
       },
     });
   }
--- a/src/http/request.ts
+++ b/src/http/request.ts
@@ -28,11 +28,15 @@
   text: string;
 }
 
-/** Thrown by `exchange`; `sent`: the request may have left this process. */
+/**
+ * Thrown by `exchange`; `sent`: the request may have left this process; `isCut`:
+ * the peer closed its connection before a whole answer.
+ */
 export class ExchangeError extends Error {
   constructor(
     message: string,
     readonly sent: boolean,
+    readonly isCut = false,
   ) {
     super(message);
   }
@@ -62,6 +66,7 @@
       options.body === undefined ? options.text : JSON.stringify(options.body);
     const begunAt = performance.now();
     let connected = false;
+    let isGivenUp = false;
     const req = http.request(options.url, {
       method: options.method,
       agent,
@@ -75,6 +80,7 @@
     });
     openRequests.add(req);
     const giveUp = (why: string) => {
+      isGivenUp = true;
       abortRequest(req, why);
       const { port } = new URL(options.url);
       agent.closeIdleSince(req.host, port, begunAt);
@@ -94,7 +100,8 @@
     };
     const fail = (err: Error) => {
       settled();
-      reject(new ExchangeError(err.message, connected));
+      const isCut = connected && !isGivenUp;
+      reject(new ExchangeError(err.message, connected, isCut));
     };
     req.on("socket", (socket) => {
       const readBefore = socket.bytesRead;
--- a/src/shared/errors.ts
+++ b/src/shared/errors.ts
@@ -12,6 +12,9 @@
 /** The platform's object API did not answer, or refused the call. */
 export const StoreError = SnowgateError.subclass("StoreError");
 
+/** The object API closed the connection of a call that waited for its answer. */
+export const StoreCutError = StoreError.subclass("StoreCutError");
+
 /** An operator's order that could not be given or carried out. */
 export const OrderError = SnowgateError.subclass("OrderError");
 
--- a/src/store/feedWatch.ts
+++ b/src/store/feedWatch.ts
@@ -5,11 +5,12 @@
 import csp from "js-csp";
 
 import { Cancellation } from "../shared/cancellation.js";
+import { StoreCutError } from "../shared/errors.js";
 import { errText } from "../shared/utils.js";
 import type { Outcome, Supervisor } from "../tasks/index.js";
 import { settle } from "../tasks/index.js";
 import type { FeedChanges } from "./feed.js";
-import type { FeedWatchOptions } from "./feedWatchOptions.js";
+import type { FeedWatchOptions, StoreStability } from "./feedWatchOptions.js";
 import { lastChangeOf } from "./holderVouches.js";
 import type { SeenRevision, Vouch } from "./holderVouches.js";
 import { changePauseMs, retryDueAt } from "./watchPauses.js";
@@ -65,6 +66,8 @@
   /** Pause after the last answer if it had changes, ms; otherwise 0. */
   private changePauseMs = 0;
   private lastFailureAt = -Infinity;
+  /** The store's answers so far reflect its state at this instant or later, ms. */
+  private stateAsOf = -Infinity;
   /** Time of the store's last answer, ms. */
   private lastAnswerAt = -Infinity;
   /** Store position of the last change of this kind. */
@@ -127,7 +130,9 @@
     } catch (err) {
       this.failures += 1;
       if (this.failures === 1) this.lostAt = now();
-      this.lastFailureAt = now();
+      // A store that works may cut a call that waits, and answers the next one.
+      const isLoneCut = this.failures === 1 && err instanceof StoreCutError;
+      if (!isLoneCut) this.lastFailureAt = now();
       this.failedCall = {
         failures: this.failures,
         failedAt: now(),
@@ -179,12 +184,18 @@
     return now() - this.lastFailureAt < INSTABILITY_MS;
   }
 
+  private get stability(): StoreStability {
+    const { inTrouble, lastFailureAt, stateAsOf } = this;
+    return { inTrouble, changedAfter: Math.max(lastFailureAt, stateAsOf) };
+  }
+
   private async readList(): Promise<void> {
     const { feed, kind, handlers, now } = this.options;
     const sentAt = now();
     const suspendedMs = this.suspendedMs();
     const list = await feed.list(kind);
-    handlers.onList(list.items, this.inTrouble);
+    handlers.onList(list.items, this.stability);
+    this.stateAsOf = sentAt;
     this.revision = list.revision;
     this.seenRevision = this.isFirstList
       ? Math.max(0, ...list.items.map((item) => item.revision))
@@ -220,9 +231,10 @@
       return;
     }
     for (const change of reply.changes) {
-      handlers.onChange(change, this.inTrouble);
+      handlers.onChange(change, this.stability);
     }
     const hasChanges = reply.changes.length > 0;
+    this.stateAsOf = hasChanges ? sentAt : sentAt + waitMs;
     this.revision = reply.revision;
     if (hasChanges) this.seenRevision = lastChangeOf(reply);
     const answeredAt = now();
--- a/src/store/feedWatchOptions.ts
+++ b/src/store/feedWatchOptions.ts
@@ -16,10 +16,21 @@
   suspendedMs?: number;
 }
 
+/** How far an answer's removals can be trusted, and how old they may be. */
+export interface StoreStability {
+  /** Whether the store was unstable recently: entries may lapse meanwhile. */
+  inTrouble: boolean;
+  /**
+   * Instant before which a stable store has not made the changes, ms: it
+   * answered, or failed a call, then.
+   */
+  changedAfter: number;
+}
+
 export interface FeedHandlers {
   /** Receives the complete list; also after a gap in the history. */
-  onList(items: FeedItem[], inTrouble: boolean): void;
-  onChange(change: FeedChange, inTrouble: boolean): void;
+  onList(items: FeedItem[], stability: StoreStability): void;
+  onChange(change: FeedChange, stability: StoreStability): void;
   /** Called once everything in this answer was handled. */
   onAnswer?(answer: FeedAnswer): void;
   /** Watching has stopped until the next list. */
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -14,7 +14,7 @@
 export { decodePosition, StoreEra, encodePosition } from "./position.js";
 export type { EraUpdate, StorePosition } from "./position.js";
 export { FeedWatch, watchWaitMs } from "./feedWatch.js";
-export type { FeedAnswer } from "./feedWatchOptions.js";
+export type { FeedAnswer, StoreStability } from "./feedWatchOptions.js";
 export { maxChangePauseMs, StoreRecovery } from "./watchPauses.js";
 export type { ChangeBounds } from "./watchPauses.js";
 export {
--- a/tests/gateway/availability.test.ts
+++ b/tests/gateway/availability.test.ts
@@ -8,6 +8,7 @@
   UNPROVEN_LEAVING_MS,
   Availability,
 } from "../../src/gateway/availability.js";
+import { STABLE } from "../support/stability.js";
 
 const NO_SIGNAL = { isLeaving: false, backOffMs: undefined };
 const LEAVING = { isLeaving: true, backOffMs: undefined };
@@ -168,7 +169,7 @@
     expect(usableNames(replicas, 1)).to.deep.equal(["b"]);
     replicas.put(replica("a"), 9);
     expect(usableNames(replicas, 2)).to.deep.equal(["b"]);
-    replicas.replace([{ replica: replica("b") }], 3, false);
+    replicas.replace([{ replica: replica("b") }], 3, STABLE);
     put(replicas, replica("a"));
     expect(usableNames(replicas, 4)).to.deep.equal(["b"]);
     expect(replicas.signals.refusal("a", 4)).to.be.a("string");
@@ -195,7 +196,7 @@
   });
 
   it("are used briefly while leaving if there is no other replica", () => {
-    const replicas = new ReplicaSet(1000);
+    const replicas = new ReplicaSet({ lastResortMs: 1000 });
     put(replicas, replica("a"), replica("b"));
     replicas.signals.record("a", LEAVING, true, 0);
     expect(usableNames(replicas, 10)).to.deep.equal(["b"]);
--- a/tests/gateway/state.test.ts
+++ b/tests/gateway/state.test.ts
@@ -13,6 +13,7 @@
 import type { GatewayConfig, Replica, Route } from "../../src/gateway/index.js";
 import { LogRateLimiter } from "../../src/telemetry/logRateLimiter.js";
 import { LineWriter } from "../../src/telemetry/lineWriter.js";
+import { STABLE, unstableSince } from "../support/stability.js";
 
 const route = (name: string, pathPrefix: string, weights = [1]): Route => ({
   name,
@@ -100,6 +101,9 @@
   });
 });
 
+/** A packet that is lost is sent again after this, ms. */
+const LOST_PACKET_MS = 200;
+
 describe("replicas", () => {
   const replica = (id: string, more: Partial<Replica> = {}): Replica => ({
     id,
@@ -120,23 +124,44 @@
     const set = new ReplicaSet();
     for (const id of ["a", "b", "c"]) set.put(replica(id));
     set.put(replica("a", { state: "draining" }));
-    set.remove("b", 0, false);
+    set.remove("b", 0, STABLE);
     expect(ids(set, 0)).to.deep.equal(["c"]);
   });
 
   it("keep one that disappears while the store is unavailable for a grace period", () => {
     const set = new ReplicaSet();
     set.put(replica("a"));
-    set.remove("a", 0, true);
+    set.remove("a", 0, unstableSince(0));
     expect(ids(set, VANISHED_GRACE_MS - 1)).to.deep.equal(["a"]);
     expect(ids(set, VANISHED_GRACE_MS)).to.deep.equal([]);
     expect(set.removeExpired(VANISHED_GRACE_MS)).to.have.length(1);
   });
 
+  describe("whose entry vanished from an unstable store", () => {
+    const REMOVED_AT = 1000;
+    const HEARD_AT = 1900;
+
+    for (const drainMs of [1000, 2000, 3000, 20_000]) {
+      it(`get no request later than the drain time of ${drainMs} ms after the store's removal`, () => {
+        const set = new ReplicaSet({ drainMs });
+        set.put(replica("a"));
+        set.remove("a", HEARD_AT, unstableSince(REMOVED_AT));
+        // The set is not swept: what is sent is checked by itself.
+        const refusal = (now: number) => set.signals.refusalAtSend("a", now);
+        const lastAt = REMOVED_AT + drainMs - LOST_PACKET_MS;
+        expect(ids(set, lastAt)).to.deep.equal([]);
+        expect(refusal(lastAt)).to.be.a("string");
+        const isUsed = drainMs >= 2000;
+        expect(ids(set, HEARD_AT)).to.deep.equal(isUsed ? ["a"] : []);
+        expect(refusal(HEARD_AT) === undefined).to.equal(isUsed);
+      });
+    }
+  });
+
   it("keep one that reappears within the grace period", () => {
     const set = new ReplicaSet();
     set.put(replica("a"));
-    set.replace([], 0, true);
+    set.replace([], 0, unstableSince(0));
     set.put(replica("a"));
     expect(ids(set, VANISHED_GRACE_MS * 2)).to.deep.equal(["a"]);
   });
@@ -144,7 +169,7 @@
   it("drop a draining one that disappears, without a grace period", () => {
     const set = new ReplicaSet();
     set.put(replica("a", { state: "draining" }));
-    set.remove("a", 0, true);
+    set.remove("a", 0, unstableSince(0));
     expect(set.size).to.equal(0);
   });
 
@@ -208,7 +233,7 @@
       const set = new ReplicaSet();
       set.put(incarnation(10), 1);
       const listed = [{ replica: incarnation(20), revision: 2 }];
-      const changes = set.replace(listed, 0, true);
+      const changes = set.replace(listed, 0, unstableSince(0));
       expect(kinds(changes)).to.eql(["gone a@10", "added a@20"]);
     });
 
@@ -224,7 +249,7 @@
       const set = new ReplicaSet();
       set.put(incarnation(10), 1);
       set.put(incarnation(20), 2);
-      expect(set.remove("a", 0, false)?.replica.id).to.equal("a@20");
+      expect(set.remove("a", 0, STABLE)?.replica.id).to.equal("a@20");
       expect(set.size).to.equal(0);
     });
 
@@ -258,8 +283,12 @@
   it("do not extend the grace period with a second list while the store is unavailable", () => {
     const set = new ReplicaSet();
     set.put(replica("a"));
-    set.replace([], 0, true);
-    set.replace([], VANISHED_GRACE_MS - 1, true);
+    set.replace([], 0, unstableSince(0));
+    set.replace(
+      [],
+      VANISHED_GRACE_MS - 1,
+      unstableSince(VANISHED_GRACE_MS - 1),
+    );
     expect(ids(set, VANISHED_GRACE_MS)).to.deep.equal([]);
   });
 });
@@ -428,20 +457,23 @@
 
   it("return the same list until something changes", () => {
     const { state } = newState();
-    state.onReplicaChange(listed("a", "decode"), false);
+    state.onReplicaChange(listed("a", "decode"), STABLE);
     const before = state.engines("model");
     expect(state.engines("model")).to.equal(before);
-    state.onReplicaChange(listed("a", "prefill"), false);
+    state.onReplicaChange(listed("a", "prefill"), STABLE);
     expect(ids(state)).to.eql(["a prefill"]);
-    state.onReplicaChange(listed("b", "decode"), false);
+    state.onReplicaChange(listed("b", "decode"), STABLE);
     expect(ids(state)).to.eql(["a prefill", "b decode"]);
   });
 
   it("drop one that disappeared once its grace period is over", () => {
     const { state, clock } = newState();
-    state.onReplicaChange(listed("a", "decode"), false);
+    state.onReplicaChange(listed("a", "decode"), STABLE);
     expect(ids(state)).to.have.length(1);
-    state.onReplicaChange({ ...listed("a", "decode"), isRemoved: true }, true);
+    state.onReplicaChange(
+      { ...listed("a", "decode"), isRemoved: true },
+      unstableSince(0),
+    );
     clock.now = VANISHED_GRACE_MS - 1;
     expect(ids(state)).to.have.length(1);
     clock.now = VANISHED_GRACE_MS;
