Lift quarantines: ends together, sends that ran nothing, lost trials

Cause: replicas that ended together counted as three witnesses; a trial was charged for sends whose connection was refused; without sends left, or with a claim whose answer or process was lost, there was no next trial.

Ruled out: late ends of replicas (none ended after the return).

Change: a request that did well in the 2 s before the first of several ends within 1 s is not barred by them. Sends that are proved to have run nothing charge no trial; a refusal that is cut is no evidence. A lost claim is given back, a trial is over after 15 s, and each bar has a next trial (60 s; 600 s once a replica ended under one). Parts of prompts share all of it.

--- a/src/gateway/callerRequest.ts
+++ b/src/gateway/callerRequest.ts
@@ -69,6 +69,8 @@
   onWritten: () => void = () => undefined;
   /** Ids of the replicas that it was sent to, in order. */
   readonly sentTo: string[] = [];
+  /** Sends among these that are proved to have run nothing. */
+  private sendsNotRun = 0;
   /** How many retries were taken from the budget for it. */
   retries = 0;
 
@@ -142,6 +144,16 @@
     if (workspace !== undefined) this.options.onBegun(workspace.name, agoMs);
   }
 
+  /** The last send has proved to have run nothing. */
+  recordNotRun(): void {
+    this.sendsNotRun += 1;
+  }
+
+  /** How many sends may have run it. */
+  get possibleRuns(): number {
+    return this.sentTo.length - this.sendsNotRun;
+  }
+
   /** Time left until the deadline, ms; never negative. */
   leftMs(): number {
     return Math.max(0, this.deadlineAt - this.options.now());
--- a/src/gateway/engineCalls.ts
+++ b/src/gateway/engineCalls.ts
@@ -9,6 +9,7 @@
 import type { ReplicaSet } from "./replicaSet.js";
 import type { RequestCodec } from "./requestCodec.js";
 import type { PrefillHandle, UpstreamSend } from "./types.js";
+import { hasNotRun } from "./replicaClient.js";
 import type { ReplicaClient, ReplicaOutcome } from "./replicaClient.js";
 import type { SendFailure, UpstreamClient } from "./upstreamClient.js";
 
@@ -114,6 +115,7 @@
       cancellation,
       onWritten: () => caller.onWritten(),
     });
+    if (hasNotRun(outcome)) caller.recordNotRun();
     this.options.ends.track(caller, replica, send.phase, outcome);
     return outcome;
   }
--- a/src/gateway/plainSender.ts
+++ b/src/gateway/plainSender.ts
@@ -13,6 +13,7 @@
 import type { Verdict } from "../shared/verdict.js";
 import type { CallerRequest } from "./callerRequest.js";
 import type { ReplicaChoice, SendEnd } from "./replicaChoice.js";
+import { hasNotRun } from "./replicaClient.js";
 import type { ReplicaClient } from "./replicaClient.js";
 import type { ReplicaEndDetector } from "./replicaEndDetector.js";
 import type { ReplicaSet } from "./replicaSet.js";
@@ -144,6 +145,7 @@
         body,
         cancellation,
       });
+      if (hasNotRun(outcome)) caller.recordNotRun();
       this.options.ends.track(caller, replica, "run", outcome, parent);
       if (outcome.kind === "failed") {
         if (outcome.isUnavailable === true) return unavailable(outcome.why);
--- a/src/gateway/quarantineManager.ts
+++ b/src/gateway/quarantineManager.ts
@@ -25,6 +25,11 @@
 const BATCH_DELAY_MS = 100;
 /** Retry interval after a failed store call, ms. */
 const RETRY_MS = 500;
+/**
+ * Largest body whose digest is computed for each completed request, bytes; that
+ * larger requests did well is not remembered.
+ */
+const MAX_DIGESTED_BYTES = 16 * 1024;
 /** Attempts to write the records that may conflict with other writers. */
 const MAX_CONFLICTS = 4;
 const MS_PER_SECOND = 1000;
@@ -88,6 +93,8 @@
   /** The replica of a completed run has not ended behind it. */
   onSurvived(caller: CallerRequest, isGood: boolean): void {
     this.trials.recordSurvival(caller, isGood);
+    if (isGood && caller.body.length <= MAX_DIGESTED_BYTES)
+      this.quarantine.recordSurvival(caller.digest);
   }
 
   /** Handles the status that is stored with the configuration. */
@@ -97,6 +104,7 @@
       records.map(({ digest, step }) => [digest, step]),
     );
     this.quarantine.applyRecords(records);
+    this.trials.releaseUnanswered();
     this.logRecordChanges();
   }
 
--- a/src/gateway/quarantineTrials.ts
+++ b/src/gateway/quarantineTrials.ts
@@ -22,6 +22,12 @@
 const reservedSends = (caller: CallerRequest, key: string): number =>
   isPartKey(key) ? 1 : maxTrialSends(caller);
 
+/** A trial, and the sends that it reserves. */
+interface Claim {
+  trial: QuarantineRecord;
+  reserved: number;
+}
+
 interface TrialRun {
   /** Records of what is tried. */
   trials: readonly QuarantineRecord[];
@@ -32,6 +38,8 @@
   private readonly runs = new Map<CallerRequest, TrialRun>();
   /** Digests and part keys with a claim in progress. */
   private readonly claiming = new Set<string>();
+  /** Claims whose write got no answer, by digest or part key. */
+  private readonly unanswered = new Map<string, Claim>();
 
   constructor(
     private readonly quarantine: Quarantine,
@@ -41,8 +49,8 @@
 
   /**
    * Claims the trial of a request that is, or has, these suspects; whether it
-   * may run. A lost response of the store counts as no: the trial may then be
-   * claimed although nobody runs it.
+   * may run. A lost response of the store counts as no; `releaseUnanswered`
+   * gives the trial back if it was claimed.
    */
   async claim(
     caller: CallerRequest,
@@ -57,6 +65,24 @@
     }
   }
 
+  /**
+   * Gives back the trials that the store shows as claimed by this process
+   * although it did not run them.
+   */
+  releaseUnanswered(): void {
+    const { quarantine } = this;
+    for (const [digest, { trial, reserved }] of this.unanswered) {
+      const record = quarantine.activeRecord(digest);
+      if (record === undefined || record.step < trial.step) continue;
+      this.unanswered.delete(digest);
+      if (record.step !== trial.step || record.by !== trial.by) continue;
+      const nothing = { sends: 0, hasSurvived: false };
+      const next = quarantine.finishTrial(trial, reserved, nothing);
+      quarantine.applyRecords([next]);
+      this.log.info("unanswered quarantine trial released", { digest });
+    }
+  }
+
   /** Records that a run of the request completed and its replica survived. */
   recordSurvival(caller: CallerRequest, isGood: boolean): void {
     const run = this.runs.get(caller);
@@ -73,7 +99,7 @@
     const { trials, hasSurvived } = run;
     for (const trial of trials) {
       const reserved = reservedSends(caller, trial.digest);
-      const sends = Math.min(caller.sentTo.length, reserved);
+      const sends = Math.min(caller.possibleRuns, reserved);
       const outcome = { sends, hasSurvived };
       const next = this.quarantine.finishTrial(trial, reserved, outcome);
       this.quarantine.applyRecords([next]);
@@ -99,8 +125,18 @@
         quarantine.startTrial(record, reservedSends(caller, record.digest)),
       );
       const outcome = await this.store.writeRecords(this.recordsWith(trials));
-      if (outcome === "failed") return false;
       if (outcome === "conflict") continue;
+      for (const trial of trials) {
+        const { digest } = trial;
+        const reserved = reservedSends(caller, digest);
+        if (outcome === "written") this.unanswered.delete(digest);
+        else this.unanswered.set(digest, { trial, reserved });
+      }
+      if (outcome === "failed") {
+        // The watch may have brought the claim before the call was given up.
+        this.releaseUnanswered();
+        return false;
+      }
       this.runs.set(caller, { trials, hasSurvived: false });
       caller.isTrial = true;
       return true;
--- a/src/gateway/replicaClient.ts
+++ b/src/gateway/replicaClient.ts
@@ -69,6 +69,11 @@
   /** The request's own answer, with a body that is still to be read. */
   | { kind: "answered"; head: ReplyHead; reply: UpstreamReply };
 
+/** Whether it is proved that the replica did not run the request. */
+export const hasNotRun = (outcome: ReplicaOutcome): boolean =>
+  outcome.kind === "refused" ||
+  (outcome.kind === "failed" && outcome.verdict === "not-run");
+
 /** The facts about a sent request that its reply is checked against. */
 interface SentRequest {
   purpose: SendPurpose;
--- a/src/gateway/replicaEndDetector.ts
+++ b/src/gateway/replicaEndDetector.ts
@@ -133,9 +133,11 @@
     }
     const { kind, reply } = outcome;
     void reply.ended().then((end) => {
-      if (end.kind === "cut") return onInterrupted();
+      const isRefused = kind === "refused";
+      if (end.kind === "cut" && !isRefused) return onInterrupted();
+      if (end.kind === "cut") return;
       this.onCompleteAnswer(replica);
-      if (phase !== "run" || kind === "refused") return;
+      if (phase !== "run" || isRefused) return;
       const judged = this.judgeSurvival(caller, replica, reply);
       this.pending.set(caller, judged);
       void judged.then(() => this.pending.delete(caller));
--- a/src/gateway/requestProgress.ts
+++ b/src/gateway/requestProgress.ts
@@ -96,7 +96,7 @@
   const { caller, verdict, rounds, runs } = progress;
   if (caller.cancellation.isCancelled || rounds >= MAX_ROUNDS) return false;
   if (caller.leftMs() < MIN_TIME_LEFT_MS) return false;
-  if (caller.isTrial && caller.sentTo.length > 0) return false;
+  if (caller.isTrial && caller.possibleRuns > 0) return false;
   // Events of an engine whose version is not known fit those of no other.
   const { relay, runnerVersion } = progress;
   if (relay.events > 0 && runnerVersion === undefined) return false;
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -31,18 +31,19 @@
  */
 export const PART_ENDS_TO_BAR = 4;
 /**
- * Shortest time between the first and the last of them, ms: many replicas that
- * end at once were lost with their VMs or their failure domain.
+ * Ends within this time of each other came together, ms: many replicas that end
+ * at once were lost with their VMs or their failure domain.
  */
-export const PART_ENDS_SPAN_MS = 1000;
+export const ENDS_SPAN_MS = 1000;
 /** Different requests with a part under which they ended. */
 export const PART_REQUESTS_TO_BAR = 2;
 /**
- * A part of which a run survived this recently is not barred, ms: when many
- * replicas end at once, popular parts were on each of them.
+ * A part of which a run survived this recently is not barred, nor a request that
+ * had survived this recently when replicas ended together, ms: when many end at
+ * once, popular requests and parts were on each of them.
  */
 export const RECENT_SURVIVAL_MS = 2000;
-/** Parts whose last survival is remembered. */
+/** Parts, and requests, whose last survival is remembered. */
 const MAX_SURVIVALS = 4096;
 /**
  * Delays before the trials of a part, ms, the last one again and again. A trial
@@ -50,18 +51,23 @@
  * A part that has ended the replica of its first trial is hardly sound.
  */
 export const PART_TRIAL_DELAYS_MS = [1500, 60_000, 600_000] as const;
-/** A trial of a part that has no outcome by then has been lost, ms. */
-const PART_TRIAL_TIMEOUT_MS = 15_000;
+/** A trial that has no outcome by then has been lost, ms. */
+export const TRIAL_TIMEOUT_MS = 15_000;
 /**
  * Delay before a trial of a request with several barred suspects, ms: most of
  * them are tried sooner, by requests that have one of them only.
  */
 export const JOINT_TRIAL_DELAY_MS = 10_000;
 /**
- * Total sends of a barred request to replicas in trials, over the whole fleet.
- * Trials tell the cause from a popular request that ran beside three causes.
+ * Sends of a barred request to replicas in trials that may follow each other
+ * closely, over the whole fleet. Trials tell the cause from a popular request
+ * that ran beside three causes.
  */
 export const MAX_TRIAL_SENDS = 3;
+/** Delay before a further trial where these sends are too few for one, ms. */
+export const UNDECIDED_TRIAL_DELAY_MS = 60_000;
+/** Delay before a further trial once a replica ended under one, ms. */
+export const LATE_TRIAL_DELAY_MS = 600_000;
 /**
  * Delay between barring and the first trial, ms: a popular request is barred by
  * chance when many replicas end at once, and the trial must not coincide with
@@ -106,17 +112,40 @@
 const requestCount = (ends: Evidence): number =>
   new Set([...ends.values()].map((text) => text.split(TIME_SEPARATOR)[0])).size;
 
-/** Time between the first and the last end in the evidence, ms. */
-const spanMs = (ends: Evidence): number => {
-  const times = [...ends.values()]
+/** Wall-clock times of the ends in the evidence, ms; some may have none. */
+const endTimes = (ends: Evidence): number[] =>
+  [...ends.values()]
     .map((text) => Number(text.split(TIME_SEPARATOR)[1]))
     .filter((at) => Number.isFinite(at));
+
+/** Time between the first and the last end in the evidence, ms. */
+const spanMs = (ends: Evidence): number => {
+  const times = endTimes(ends);
   return times.length === 0 ? 0 : Math.max(...times) - Math.min(...times);
 };
 
 const partTrialDelayMs = ({ sends }: QuarantineRecord): number =>
   PART_TRIAL_DELAYS_MS[Math.min(sends, PART_TRIAL_DELAYS_MS.length - 1)] ?? 0;
 
+/** Its process ended, or its outcome can't be stored. */
+const isTrialLost = ({ state }: QuarantineRecord, ageMs: number): boolean =>
+  state === "on-trial" && ageMs >= TRIAL_TIMEOUT_MS;
+
+/**
+ * Delay before the next trial of a request; there always is one. A lost trial
+ * counts as one send: a process that ends in it leaves no room for a further
+ * trial of a model request otherwise.
+ */
+const requestTrialDelayMs = (
+  { state, sends }: QuarantineRecord,
+  trialSends: number,
+): number => {
+  const used = state === "on-trial" ? sends - trialSends + 1 : sends;
+  if (used + trialSends <= MAX_TRIAL_SENDS) return TRIAL_DELAY_MS;
+  const hasEnded = sends >= MAX_TRIAL_SENDS;
+  return hasEnded ? LATE_TRIAL_DELAY_MS : UNDECIDED_TRIAL_DELAY_MS;
+};
+
 /** Requests are named by a short form in the evidence against a part. */
 const shortDigest = (digest: string): string => digest.slice(-8);
 
@@ -132,6 +161,10 @@
   private readonly survivals = new LRUCache<string, number>({
     max: MAX_SURVIVALS,
   });
+  /** When a replica last outlived its run of a request, ms; by digest. */
+  private readonly requestSurvivals = new LRUCache<string, number>({
+    max: MAX_SURVIVALS,
+  });
   private readonly records = new Map<string, KnownRecord>();
   /** Body sizes of tracked requests; undefined: must be rebuilt. */
   private sizes: Set<string> | undefined;
@@ -173,7 +206,7 @@
       const { digest, parts, agoMs = 0 } = request;
       const at = Math.round(this.wallNow() - agoMs);
       const evidence = `${shortDigest(digest)}${TIME_SEPARATOR}${at}`;
-      this.suspects.add([digest], incarnation);
+      this.suspects.add([digest], incarnation, `${TIME_SEPARATOR}${at}`);
       this.suspects.add(parts, incarnation, evidence);
       this.endTrials(digest);
     }
@@ -202,6 +235,11 @@
     return { at, cleared, survivedBefore };
   }
 
+  /** Records that a replica has outlived its run of a request. */
+  recordSurvival(digest: string): void {
+    this.requestSurvivals.set(digest, this.now());
+  }
+
   /** The replica of that run ended right behind it. */
   takeBack({ at, cleared, survivedBefore }: Completion): void {
     for (const [key, before] of survivedBefore) {
@@ -225,11 +263,11 @@
     if (known === undefined || known.record.state === "cleared") return FREE;
     const { record, since } = known;
     const ageMs = this.now() - since;
-    const mayTry = isPartKey(key)
-      ? this.mayTryPart(record, ageMs)
-      : record.state === "barred" &&
-        record.sends + trialSends <= MAX_TRIAL_SENDS &&
-        ageMs >= TRIAL_DELAY_MS;
+    const delayMs = isPartKey(key)
+      ? partTrialDelayMs(record)
+      : requestTrialDelayMs(record, trialSends);
+    const isTrialOver = record.state === "barred" || isTrialLost(record, ageMs);
+    const mayTry = isTrialOver && ageMs >= delayMs;
     return mayTry
       ? { kind: "may-try", records: [record] }
       : { kind: "refused", record };
@@ -267,13 +305,6 @@
     return record?.state === "cleared" ? undefined : record;
   }
 
-  private mayTryPart(record: QuarantineRecord, ageMs: number): boolean {
-    const delayMs = partTrialDelayMs(record);
-    const isLost =
-      record.state === "on-trial" && ageMs >= PART_TRIAL_TIMEOUT_MS;
-    return (record.state === "barred" || isLost) && ageMs >= delayMs;
-  }
-
   private ageMs(key: string): number {
     return this.now() - (this.records.get(key)?.since ?? 0);
   }
@@ -371,16 +402,32 @@
 
   /** Whether the evidence is enough to bar a request or a part. */
   private isEnough(key: string, ends: Evidence): boolean {
-    if (!isPartKey(key)) return ends.size >= REPLICA_ENDS_TO_BAR;
+    if (!isPartKey(key))
+      return ends.size >= REPLICA_ENDS_TO_BAR && !this.isBystander(key, ends);
     const survivedAt = this.survivals.get(key) ?? -Infinity;
     return (
       ends.size >= PART_ENDS_TO_BAR &&
-      spanMs(ends) >= PART_ENDS_SPAN_MS &&
+      spanMs(ends) >= ENDS_SPAN_MS &&
       requestCount(ends) >= PART_REQUESTS_TO_BAR &&
       this.now() - survivedAt >= RECENT_SURVIVAL_MS
     );
   }
 
+  /**
+   * Whether a request did well until replicas ended together: these are not
+   * independent of each other, and it is not their cause.
+   */
+  private isBystander(digest: string, ends: Evidence): boolean {
+    const survivedAt = this.requestSurvivals.get(digest);
+    const times = endTimes(ends);
+    // Processes of an earlier version write no times.
+    if (survivedAt === undefined || times.length < ends.size) return false;
+    const survivedAgoMs = this.now() - survivedAt;
+    const firstEndAgoMs = this.wallNow() - Math.min(...times);
+    const isRecent = survivedAgoMs <= firstEndAgoMs + RECENT_SURVIVAL_MS;
+    return isRecent && spanMs(ends) < ENDS_SPAN_MS;
+  }
+
   /**
    * Ends further trials: a replica ended under a trial run by this process, so
    * the request is the cause. Ends under runs from before it was barred don't
--- a/src/quarantine/types.ts
+++ b/src/quarantine/types.ts
@@ -21,9 +21,9 @@
 export const QUARANTINE_STATES = ["barred", "on-trial", "cleared"] as const;
 
 /**
- * - `barred`: does not run, except in a trial while trial sends are left.
+ * - `barred`: does not run, except in trials.
  * - `on-trial`: one process may run it once; no other does until that process
- *   has recorded the outcome.
+ *   has recorded the outcome, or has been silent for too long.
  * - `cleared`: a trial succeeded; the ends counted so far had another cause.
  */
 export type QuarantineState = (typeof QUARANTINE_STATES)[number];
