Fail a request at an answer whose status is no final one

What callers saw: status 000 to 099 ended their connection without an answer, 600 to 999 and a 101 without a switch of protocols were passed on as answers.

Change: receiveAnswer(), the one place through which all HTTP clients get a response, fails the request outside 200 to 599 and resets the connection.

--- a/src/entry/sideClient.ts
+++ b/src/entry/sideClient.ts
@@ -1,7 +1,7 @@
 /** HTTP client with which an entry sends requests to sides. */
 import http from "node:http";
 
-import { abortRequest } from "../http/index.js";
+import { abortRequest, receiveAnswer } from "../http/index.js";
 import { HEADERS } from "../shared/constants.js";
 import type { RequestFailure } from "../shared/errors.js";
 import { isVerdict } from "../shared/verdict.js";
@@ -114,7 +114,7 @@
           fault: isAborted ? "none" : fault,
         });
       });
-      req.on("response", (res) => {
+      receiveAnswer(req, (res) => {
         clearTimers();
         res.on("close", () =>
           attempt.signal.removeEventListener("abort", onAbort),
--- a/src/gateway/upstreamClient.ts
+++ b/src/gateway/upstreamClient.ts
@@ -6,11 +6,7 @@
 import net from "node:net";
 import type { Socket } from "node:net";
 
-import {
-  failOnNonAnswers,
-  resetConnection,
-  splitAddress,
-} from "../http/index.js";
+import { receiveAnswer, resetConnection, splitAddress } from "../http/index.js";
 import type { Cancellation } from "../shared/cancellation.js";
 import type { Verdict } from "../shared/verdict.js";
 import { ReplyBuffers } from "./replyBuffers.js";
@@ -170,7 +166,7 @@
         };
         timer = setTimeout(giveUp, CONNECT_TIMEOUT_MS);
       });
-      req.once("response", (res) => {
+      receiveAnswer(req, (res) => {
         const { address, method } = request;
         const isRefused = async () => (await this.probe(address)) === "refused";
         const { buffers } = this;
@@ -179,7 +175,6 @@
         res.once("close", stopListening);
         resolve(reply);
       });
-      failOnNonAnswers(req);
       req.on("error", (err: NodeJS.ErrnoException) => {
         reply?.onError(err.message);
         fail(err.message, err.code === REFUSED_CODE);
--- a/src/http/request.ts
+++ b/src/http/request.ts
@@ -5,7 +5,7 @@
 import type { Cancellation } from "../shared/cancellation.js";
 import { abortRequest } from "./abortRequest.js";
 import { KeptConnections } from "./keptConnections.js";
-import { failOnNonAnswers } from "./nonAnswers.js";
+import { receiveAnswer } from "./nonAnswers.js";
 
 /** Connection pool for control traffic. */
 const agent = new KeptConnections({ keepAlive: true, maxSockets: 64 });
@@ -115,8 +115,7 @@
       else socket.once("connect", () => (connected = true));
     });
     req.on("error", fail);
-    failOnNonAnswers(req);
-    req.on("response", (res) => {
+    receiveAnswer(req, (res) => {
       const received = new ByteBuffer();
       res.on("data", (chunk: Buffer) => received.append(chunk));
       res.on("error", fail);
--- a/src/side/upstreamCall.ts
+++ b/src/side/upstreamCall.ts
@@ -3,8 +3,8 @@
 
 import {
   abortRequest,
-  failOnNonAnswers,
   forwardedHeaders,
+  receiveAnswer,
 } from "../http/index.js";
 import { HEADERS } from "../shared/constants.js";
 import type { RequestFailure } from "../shared/errors.js";
@@ -63,8 +63,7 @@
         : unreachable(errText(err));
       resolve({ kind: "failure", failure });
     });
-    failOnNonAnswers(upstreamReq);
-    upstreamReq.on("response", (res) => {
+    receiveAnswer(upstreamReq, (res) => {
       const echoed = res.headers[HEADERS.requestId];
       if (options.echoesRequestId && echoed !== requestId) {
         abortRequest(upstreamReq, "the response is of another request");
