Answer what has not ended by the end of a planned stop

What callers saw: requests taken in the grace were cut without an answer when the process ended, also those that no replica had got.

Cause: the end of the grace closed all connections without telling the flows.

Change: requests in flight are ended early, half a second before the process is killed; their flows answer as at a deadline, and connections are closed once the answers are out.

--- a/src/gateway/callerRequest.ts
+++ b/src/gateway/callerRequest.ts
@@ -58,6 +58,7 @@
   private knownPartKeys: readonly string[] | undefined;
   private hasStartedResponse = false;
   private hasBegun = false;
+  private earlyEnd: RequestFailure | undefined;
   /** Time from arrival to the start of the stream, ms. */
   private firstMs: number | undefined;
   /** Whether the caller disconnected before its response was complete. */
@@ -211,7 +212,18 @@
     this.res.destroy();
   }
 
-  fail(failure: RequestFailure): void {
+  /**
+   * Ends the request before its time. The caller gets `notRun` if nothing ran,
+   * else the failure that its flow finds.
+   */
+  endEarly(notRun: RequestFailure): void {
+    this.earlyEnd = notRun;
+    this.cancellation.cancel();
+  }
+
+  fail(cause: RequestFailure): void {
+    const failure =
+      cause.verdict === "not-run" ? (this.earlyEnd ?? cause) : cause;
     if (this.hasStartedResponse) return this.abort(failure.message);
     const fields = {
       verdict: failure.verdict,
--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -29,6 +29,8 @@
 const ACCEPT_ALL_MS = 2600;
 /** Time reserved for the final shutdown at the end of the grace period, ms. */
 const SHUTDOWN_MARGIN_MS = 500;
+/** Time for the answers to requests that the end of the grace ends, ms. */
+const FINAL_ANSWERS_MS = 200;
 const DRAIN_POLL_MS = 50;
 /** Interval of dividing a replica's connections among the entries, ms. */
 const CONNECTION_LIMITS_INTERVAL_MS = 1000;
@@ -275,6 +277,9 @@
     if (now() > acceptsAllUntil && server.inFlight === 0) break;
     await sleep(DRAIN_POLL_MS);
   }
+  server.endRequests();
+  const closesAt = now() + FINAL_ANSWERS_MS;
+  while (server.inFlight > 0 && now() < closesAt) await sleep(DRAIN_POLL_MS);
   server.http.close();
   server.http.closeAllConnections();
 };
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -119,6 +119,8 @@
   readonly http: Server;
   private readonly connections: CallerConnections;
   private drain: Drain | undefined;
+  /** Requests that a flow serves. */
+  private readonly serving = new Set<CallerRequest>();
   /** Longest deadline that callers sent, ms, by route. */
   private readonly maxDeadlines = new Map<string, number>();
 
@@ -154,6 +156,11 @@
     this.drain = drain;
   }
 
+  /** Ends all requests in flight; callers get a final answer where they can. */
+  endRequests(): void {
+    for (const caller of [...this.serving]) caller.endEarly(STOPPING);
+  }
+
   private onRequest(req: IncomingMessage, res: ServerResponse): void {
     if (this.drain !== undefined) res.setHeader("Connection", "close");
     const arrivedAt = this.options.now();
@@ -183,9 +190,11 @@
     const { quarantine } = this.options;
     const quarantineRefusal = await quarantine.admit(caller);
     if (quarantineRefusal !== undefined) return caller.fail(quarantineRefusal);
+    this.serving.add(caller);
     try {
       await flow.run(caller);
     } finally {
+      this.serving.delete(caller);
       void quarantine.onRequestEnd(caller);
     }
   }
