Bound the bytes of a stream that bring no event

Cause: the bound of an event held for what is kept; blank lines end events, so nothing was.

Change: the bound counts from the end of the last event with a field.

--- a/src/gateway/eventSplitter.ts
+++ b/src/gateway/eventSplitter.ts
@@ -50,6 +50,12 @@
   /** The last byte was a CR: an LF that follows belongs to the same line end. */
   private isAfterCr = false;
 
+  /**
+   * Bytes since the end of the last event that had a field: those of the
+   * incomplete one, and of blank lines and comments before it.
+   */
+  bytesSinceEvent = 0;
+
   /** Size of the incomplete event in the buffer, bytes. */
   get pendingBytes(): number {
     return this.pending.size;
@@ -68,6 +74,8 @@
     const lineEnds = new LineEnds(chunk);
     let count = 0;
     let end = 0;
+    /** End of the last event with a field. */
+    let eventEnd = 0;
     let at = 0;
     if (this.isAfterCr && chunk[0] === LF) at = 1;
     if (chunk.length > 0) this.isAfterCr = false;
@@ -76,10 +84,14 @@
       if (lineEnd > at) this.addToLine(chunk[at]);
       if (lineEnd === chunk.length) break;
       at = this.skipLineEnd(chunk, lineEnd);
-      if (!this.endLine()) continue;
+      const ended = this.endLine();
+      if (ended === undefined) continue;
       count += 1;
       end = at;
+      if (ended === "event") eventEnd = at;
     }
+    if (eventEnd > 0) this.bytesSinceEvent = 0;
+    this.bytesSinceEvent += chunk.length - eventEnd;
     if (end === 0) {
       this.pending.append(chunk);
       return { bytes: Buffer.alloc(0), count, lastId: undefined };
@@ -110,15 +122,16 @@
     return at + 1;
   }
 
-  /** Whether an event ends with the line. */
-  private endLine(): boolean {
+  /** What ends with the line; `empty`: blank lines and comments alone. */
+  private endLine(): "event" | "empty" | undefined {
     if (!this.isAtLineStart && !this.isComment) this.hasField = true;
     this.isAtLineStart = true;
     this.lineEnds += 1;
-    if (this.lineEnds < 2) return false;
+    if (this.lineEnds < 2) return undefined;
+    const ended = this.hasField ? "event" : "empty";
     this.lineEnds = 0;
     this.hasField = false;
-    return true;
+    return ended;
   }
 }
 
--- a/src/gateway/streamRelay.ts
+++ b/src/gateway/streamRelay.ts
@@ -12,7 +12,7 @@
 import type { WholeEvents } from "./eventSplitter.js";
 import type { UpstreamReply } from "./upstreamReply.js";
 
-/** Largest event that is held until it is whole, bytes. */
+/** Largest event, with all blank lines and comments before it, bytes. */
 const MAX_EVENT_BYTES = 1024 * 1024;
 
 /** How one run of a stream ended. */
@@ -89,7 +89,7 @@
     const canBeEmpty = framing !== "connection" || this.isContinued;
     reply.contentFault = () => {
       this.restBytes = splitter.pendingBytes;
-      if (splitter.pendingBytes > MAX_EVENT_BYTES)
+      if (splitter.bytesSinceEvent > MAX_EVENT_BYTES)
         return "an event is too large";
       if (splitter.isInsideEvent) return "the stream ended inside an event";
       const isEmpty = this.events === 0 && !canBeEmpty;
@@ -99,7 +99,7 @@
       const whole = splitter.push(chunk);
       if (whole.bytes.length > 0) this.forward(res, whole);
       reply.setBuffered(splitter.pendingBytes);
-      if (splitter.pendingBytes > MAX_EVENT_BYTES) res.destroy();
+      if (splitter.bytesSinceEvent > MAX_EVENT_BYTES) res.destroy();
     });
     const end = await reply.ended();
     if (this.caller.isCallerGone) return { kind: "caller-gone" };
--- a/tests/gateway/streamRelay.test.ts
+++ b/tests/gateway/streamRelay.test.ts
@@ -11,6 +11,7 @@
 import type { RunEnd } from "../../src/gateway/streamRelay.js";
 import { UpstreamClient } from "../../src/gateway/upstreamClient.js";
 import { Cancellation } from "../../src/shared/cancellation.js";
+import { writeEndlessly } from "../../standins/endlessBytes.js";
 import { until } from "../support/until.js";
 import { sendTo } from "../support/upstreamSend.js";
 
@@ -87,3 +88,65 @@
     expect(reader.received).to.equal(FIRST_EVENT + LAST_EVENTS);
   });
 });
+
+describe("a stream of an engine that sends no events, without end", () => {
+  const MAX_PASSED_ON_BYTES = 2 * 1024 * 1024;
+  const FILLS: Record<string, string> = {
+    "blank lines": "\n".repeat(10_000),
+    "blank lines of two bytes": "\r\n".repeat(10_000),
+    "comments between blank lines": ": no event\n\n".repeat(1000),
+  };
+
+  for (const [title, fill] of Object.entries(FILLS)) {
+    it(`is cut: ${title}`, async () => {
+      const server = http.createServer((_req, res) => {
+        res.write(FIRST_EVENT);
+        writeEndlessly(res, fill);
+      });
+      const client = new UpstreamClient();
+      let passedOn = 0;
+      try {
+        const reply = await sendTo(server, client, new Cancellation());
+        const caller = {
+          head: {},
+          isCallerGone: false,
+          res: { destroyed: false },
+          writePart: ({ length }: Buffer) => (passedOn += length) > 0,
+        } as unknown as CallerRequest;
+        const relay = new StreamRelay(caller, () => undefined, monotonicNow);
+        expect((await relay.run(reply)).kind).to.equal("cut");
+        expect(passedOn).to.be.at.most(MAX_PASSED_ON_BYTES);
+      } finally {
+        client.close();
+        server.closeAllConnections();
+        server.close();
+      }
+    });
+  }
+
+  it("goes on for as long as events come between its comments", async () => {
+    const pieces = Array.from(
+      { length: 40 },
+      (_, at) => `${": no event\n\n".repeat(5000)}id: ${at}\ndata: x\n\n`,
+    );
+    const server = http.createServer((_req, res) => res.end(pieces.join("")));
+    const client = new UpstreamClient();
+    const received: Buffer[] = [];
+    try {
+      const reply = await sendTo(server, client, new Cancellation());
+      const caller = {
+        head: {},
+        isCallerGone: false,
+        res: { destroyed: false },
+        writePart: (bytes: Buffer) => received.push(bytes) > 0,
+      } as unknown as CallerRequest;
+      const relay = new StreamRelay(caller, () => undefined, monotonicNow);
+      expect((await relay.run(reply)).kind).to.equal("complete");
+      expect(Buffer.concat(received).toString()).to.equal(pieces.join(""));
+    } finally {
+      client.close();
+      server.closeAllConnections();
+      server.close();
+    }
+  });
+});
