--- a/tests/gateway/engineCalls.test.ts
+++ b/tests/gateway/engineCalls.test.ts
@@ -55,6 +55,7 @@
     head: { method: "POST", target: "/" },
     body: Buffer.alloc(0),
     sentTo: [],
+    recordNotRun: () => undefined,
   } as unknown as CallerRequest;
   const run = (grantedAt = 0) =>
     calls.send(caller, "dec-1", cancellation, {
--- a/tests/gateway/plainSender.test.ts
+++ b/tests/gateway/plainSender.test.ts
@@ -25,6 +25,7 @@
         cancellation: new Cancellation(),
         route: { kind: "safe", maxAttempts: 2 },
         sentTo: [],
+        recordNotRun: () => undefined,
         head: {},
         body: "",
         leftMs: () => 1,
--- a/tests/gateway/secondSendCosts.test.ts
+++ b/tests/gateway/secondSendCosts.test.ts
@@ -72,6 +72,7 @@
     route: { name: "r", kind: "safe", maxAttempts: 2, objectiveMs: 10_000 },
     service: "s",
     sentTo: [],
+    recordNotRun: () => undefined,
     head: {},
     body: "",
     leftMs: () => leftMs,
--- a/tests/gateway/upstreamClient.test.ts
+++ b/tests/gateway/upstreamClient.test.ts
@@ -139,6 +139,8 @@
     const sent = send();
     await untilWaiting(1);
     const socket = waiting[0]?.socket;
+    // The connection is reset.
+    socket?.on("error", () => undefined);
     const fields = "Connection: Upgrade\r\nUpgrade: other\r\n";
     socket?.write(`HTTP/1.1 101 Switching Protocols\r\n${fields}\r\n`);
     expect(await sent).to.include({ kind: "failed", verdict: "may-have-run" });
