--- a/tests/gateway/upstreamClient.test.ts
+++ b/tests/gateway/upstreamClient.test.ts
@@ -1,6 +1,5 @@
 /** Connections to replicas: limits, and whether a failed request may have run. */
 import { expect } from "chai";
-import { once } from "node:events";
 import http from "node:http";
 import type { ServerResponse } from "node:http";
 
@@ -139,12 +138,13 @@
     const sent = send();
     await untilWaiting(1);
     const socket = waiting[0]?.socket;
-    // The connection is reset.
+    // `once` rejects at the error of a connection that is reset.
+    const closed = new Promise((resolve) => socket?.on("close", resolve));
     socket?.on("error", () => undefined);
     const fields = "Connection: Upgrade\r\nUpgrade: other\r\n";
     socket?.write(`HTTP/1.1 101 Switching Protocols\r\n${fields}\r\n`);
     expect(await sent).to.include({ kind: "failed", verdict: "may-have-run" });
-    if (socket?.destroyed === false) await once(socket, "close");
+    await closed;
   });
 
   it("report that a request to a port without a listener has not run", async () => {
