--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -6,7 +6,7 @@
 import { groupBy } from "./groupBy.js";
 import { PART_CHECKS } from "./partChecks.js";
 import { RETRY_CHECKS } from "./retryChecks.js";
-import { SIGNAL_CHECKS } from "./signalChecks.js";
+import { earliestAt, SIGNAL_CHECKS } from "./signalChecks.js";
 import { STREAM_CHECKS } from "./streamChecks.js";
 import { IS_STREAM, IS_RETRYABLE } from "./types.js";
 import type {
@@ -31,6 +31,11 @@
  * machine.
  */
 const MAX_PROPAGATION_MS = 4000;
+/**
+ * A replica may get requests for this long after its entry was removed, ms: the
+ * `drainMs` setting of the processes.
+ */
+const DRAIN_MS = 2000;
 /** Statuses that state that the request did not run and will not. */
 const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
 
@@ -153,6 +158,20 @@
   return violations;
 };
 
+/** An arrival during a stall of the soak's process is recorded after it. */
+const removedReplicasGetNothing: Check = ({ news, arrivals, stalls }) =>
+  news
+    .filter(({ kind }) => kind === "removed")
+    .flatMap(({ subject, at: removedAt }) =>
+      arrivals
+        .filter(({ replica }) => replica === subject)
+        .filter(({ at }) => earliestAt(stalls, at) > removedAt + DRAIN_MS)
+        .map(({ requestId, at }) => ({
+          promise: "no work for replicas that were removed",
+          what: `${subject} got ${requestId} ${Math.round(at - removedAt)} ms later`,
+        })),
+    );
+
 /**
  * A request that ran nowhere because its connection closed as it was sent does
  * not count as cut. Nor does one past its deadline: a machine that hangs for
@@ -209,6 +228,7 @@
   onlySentRequestsRun,
   configNeverGoesBack,
   changesTakeEffect,
+  removedReplicasGetNothing,
   plannedStopCutsNothing,
   fencesHaveOneHolder,
   noProcessEndsByItself,
--- a/soak/daemonProcess.ts
+++ b/soak/daemonProcess.ts
@@ -45,7 +45,7 @@
   private isEnding = false;
 
   constructor(
-    readonly machine: Omit<MachineSettings, "isFirstStart">,
+    public machine: Omit<MachineSettings, "isFirstStart">,
     private readonly folder: string,
     private readonly program: DaemonProgram = {
       script: DAEMON_SCRIPT,
@@ -66,12 +66,16 @@
     return this.child !== undefined && !this.isPaused;
   }
 
+  /** Writes the settings file anew, without a signal to the process. */
+  changeSettings(change: Partial<MachineSettings>): void {
+    this.machine = { ...this.machine, ...change };
+    this.writeSettings(false);
+  }
+
   /** Resolves when the process serves, or has exited. */
   async start(): Promise<void> {
     await this.exited;
-    const file = path.join(this.folder, `${this.id}.yaml`);
-    const isFirstStart = this.life === 0;
-    writeFileSync(file, settingsText({ ...this.machine, isFirstStart }));
+    const file = this.writeSettings(this.life === 0);
     const { script, nodeArgs } = this.program;
     const child = spawn(process.execPath, [...nodeArgs, script], {
       env: { PATH: process.env.PATH, ...settingsEnvironment(file) },
@@ -123,6 +127,13 @@
     await this.exited;
   }
 
+  /** Returns the file's path. */
+  private writeSettings(isFirstStart: boolean): string {
+    const file = path.join(this.folder, `${this.id}.yaml`);
+    writeFileSync(file, settingsText({ ...this.machine, isFirstStart }));
+    return file;
+  }
+
   private appendLog(line: string): void {
     this.logLines.push(line);
     if (this.logLines.length > MAX_LOG_LINES) this.logLines.shift();
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -76,6 +76,8 @@
 const LEAVING_MS = 4500;
 /** How often one entry ends in a series. */
 const SHORT_LIVES_IN_SERIES = 5;
+/** How often the store cuts the waiting watches in a series. */
+const WATCH_CUTS_IN_SERIES = 4;
 /** Connections of a crowd of clients, and how long it stays, s. */
 const CROWD_SIZES = [5, 20, 60, 150] as const;
 const CROWD_SECONDS = [0.5, 1, 2] as const;
@@ -101,10 +103,11 @@
 const misbehaviourFault = (
   name: string,
   behaviours: readonly NamedBehaviour[],
+  isPlanned = false,
 ): AnyFault =>
   defineFault({
     name,
-    isPlanned: false,
+    isPlanned,
     target: anyReplica,
     nameOf: replicaId,
     run: async (target, { draw, wait, setVariant }) => {
@@ -472,8 +475,52 @@
 /**
  * `planned`: planned work only; the others: those faults in addition to the ones of `all`.
  */
+/**
+ * What the platform does without a fault of its own. Requests that are never
+ * answered outlast the grace of processes that stop.
+ */
+const CALM: readonly AnyFault[] = [
+  defineFault({
+    name: "waiting watches cut",
+    isPlanned: true,
+    target: () => "watches",
+    nameOf: (name) => name,
+    run: async (_target, { fleet, wait }) => {
+      for (let cut = 0; cut < WATCH_CUTS_IN_SERIES; cut += 1) {
+        fleet.store.cutWatches();
+        await wait(100, 1200);
+      }
+    },
+  }),
+  defineFault({
+    name: "replica removed from the list",
+    isPlanned: true,
+    target: anyReplica,
+    nameOf: replicaId,
+    run: async (target, { fleet, wait }) => {
+      await fleet.addReplica(target.baseId);
+      fleet.unlistForGood(target);
+      await wait(LEAVING_MS, LEAVING_MS);
+      fleet.removeReplica(target);
+    },
+  }),
+  defineFault({
+    name: "store at another address",
+    isPlanned: true,
+    target: anyProcess,
+    nameOf: processId,
+    run: async (target, { fleet, wait }) => {
+      const closeOld = await fleet.moveStoreLink(target);
+      await wait(1000, 2000);
+      closeOld();
+    },
+  }),
+  misbehaviourFault("replica hangs", ["hang"], true),
+];
+
 export type FaultProfile =
   | "planned"
+  | "calm"
   | "all"
   | "signals"
   | "limits"
@@ -487,6 +534,7 @@
 
 const FAULTS: Readonly<Record<FaultProfile, readonly AnyFault[]>> = {
   planned: PLANNED,
+  calm: [...PLANNED, ...CALM, ...CALM],
   all: [...PLANNED, ...UNPLANNED],
   signals: [...PLANNED, ...UNPLANNED, ...SIGNALS, ...SIGNALS],
   limits: [...PLANNED, ...UNPLANNED, ...Array(8).fill(LIMITED).flat()],
--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -40,6 +40,8 @@
     { behaviour: Behaviour | "break off"; share: number } | undefined;
   /** State in its store entry, or the one to write there next. */
   state: "ready" | "draining";
+  /** Whether its entry was removed for good. */
+  isRemoved: boolean;
 }
 
 const GRACE_MS = 3000;
@@ -172,6 +174,7 @@
       baseId,
       misbehaviour: undefined,
       state: "ready",
+      isRemoved: false,
     };
     if (this.hasAllFramings)
       standin.framing = FRAMINGS[this.incarnations % FRAMINGS.length];
@@ -195,7 +198,7 @@
   /** Writes a replica's entry to the store, unless the replica was removed. */
   register(replica: SoakReplica, state = replica.state): void {
     replica.state = state;
-    if (!this.replicas.includes(replica)) return;
+    if (replica.isRemoved || !this.replicas.includes(replica)) return;
     this.recordListing(replica.standin, state === "ready");
     replica.standin.register(this.store, state, replica.link.address);
   }
@@ -215,6 +218,27 @@
     removeFromList(this.store, replica.standin);
   }
 
+  /** Removes the entry of a replica that goes on serving. */
+  unlistForGood(replica: SoakReplica): void {
+    replica.isRemoved = true;
+    this.unlist(replica);
+    const subject = replica.standin.options.id;
+    this.records.news.push({ kind: "removed", subject, at: this.now() });
+  }
+
+  /**
+   * Gives the store another address, which the settings file of the process
+   * names from now on. Resolves with what closes the present one.
+   */
+  async moveStoreLink(item: DaemonProcess): Promise<() => void> {
+    const { id } = item.machine;
+    const old = this.storeLinks.get(id);
+    const link = await new FaultLink(() => this.store.address).start();
+    this.storeLinks.set(id, link);
+    item.changeSettings({ storeAddress: link.address });
+    return () => old?.stop();
+  }
+
   /** Stops a replica; its address no longer answers. */
   removeReplica(replica: SoakReplica): void {
     this.recordListing(replica.standin, false);
--- a/soak/profile.ts
+++ b/soak/profile.ts
@@ -31,6 +31,8 @@
 const CLIENTS_REMAINDER = 16;
 const LIVES_INTERVAL = 20;
 const LIVES_REMAINDER = 13;
+const CALM_INTERVAL = 20;
+const CALM_REMAINDER = 6;
 
 export const profileOf = (seed: number): FaultProfile => {
   if (seed % PLANNED_INTERVAL === 0) return "planned";
@@ -41,6 +43,7 @@
   if (seed % REPLIES_INTERVAL === REPLIES_REMAINDER) return "replies";
   if (seed % PARTS_INTERVAL === PARTS_REMAINDER) return "parts";
   if (seed % CLIENTS_INTERVAL === CLIENTS_REMAINDER) return "clients";
+  if (seed % CALM_INTERVAL === CALM_REMAINDER) return "calm";
   if (seed % LIVES_INTERVAL === LIVES_REMAINDER) return "lives";
   return seed % SIGNALS_INTERVAL === SIGNALS_REMAINDER ? "signals" : "all";
 };
--- a/soak/signalChecks.ts
+++ b/soak/signalChecks.ts
@@ -90,7 +90,7 @@
  * The earliest time at which an event recorded at `recordedAt` may have
  * occurred: events that arrive during a stall are recorded after it.
  */
-const earliestAt = (
+export const earliestAt = (
   stalls: readonly StallRecord[],
   recordedAt: number,
 ): number => {
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -155,8 +155,8 @@
 
 /** A change that must reach every process within a bounded time. */
 export interface ChangeRecord {
-  kind: "configuration" | "leaving";
-  /** Configuration version, or id of the leaving replica. */
+  kind: "configuration" | "leaving" | "removed";
+  /** Configuration version, or id of the replica. */
   subject: string;
   at: number;
 }
--- a/tests/soak/checks.test.ts
+++ b/tests/soak/checks.test.ts
@@ -377,6 +377,30 @@
     expect(violatedPromises(early)).to.eql([]);
   });
 
+  it("find work for a replica that was removed, but by a stall's backlog", () => {
+    const news = [{ kind: "removed" as const, subject: "plain-0", at: 5000 }];
+    const told = { isLimited: false, isLeaving: false, backOff: undefined };
+    const records = (at: number) => ({
+      calls: [call()],
+      news,
+      arrivals: [
+        {
+          requestId: "a",
+          replica: "plain-0",
+          phase: "run" as const,
+          at,
+          parts: [],
+          told,
+        },
+      ],
+    });
+    const promise = "no work for replicas that were removed";
+    expect(violatedPromises(records(7000))).to.eql([]);
+    expect(violatedPromises(records(7001))).to.eql([promise]);
+    const stalls = [{ from: 6900, until: 7400 }];
+    expect(violatedPromises({ ...records(7450), stalls })).to.eql([]);
+  });
+
   it("find too many retries", () => {
     const calls = [call({ kind: "safe" })];
     const runs = Array.from({ length: 80 }, () => run());
--- a/tests/soak/seeds.test.ts
+++ b/tests/soak/seeds.test.ts
@@ -26,6 +26,7 @@
   { seed: 32, why: "replies of other requests, and bytes without end" },
   { seed: 13, why: "entries that end again and again while replicas refuse" },
   { seed: 16, why: "clients that keep to no limit" },
+  { seed: 26, why: "cut watches, removed replicas and moved stores in calm" },
   { seed: 4, why: "signals of replicas, and a store back from a copy" },
 ];
 
