--- a/tests/exchange.test.ts
+++ b/tests/exchange.test.ts
@@ -34,10 +34,13 @@
   let server: net.Server;
   let socket: Socket | undefined;
 
-  afterEach(() => {
+  const close = (): void => {
     socket?.destroy();
+    socket = undefined;
     server.close();
-  });
+  };
+
+  afterEach(close);
 
   const serve = async (begin: string, endless: string): Promise<string> => {
     server = net.createServer((accepted) => {
@@ -45,7 +48,7 @@
       accepted.on("error", () => undefined);
       accepted.once("data", () => {
         accepted.write(begin);
-        writeEndlessly(accepted, endless);
+        if (endless !== "") writeEndlessly(accepted, endless);
       });
     });
     await new Promise<void>((resolve) =>
@@ -65,4 +68,40 @@
       expect(socket?.bytesWritten).to.be.at.most(MAX_READ_BYTES);
     });
   }
+
+  // The store's trouble would be taken for a cut of a waiting call.
+  it("is not cut where this process ends it", async () => {
+    const cuts: string[] = [];
+    for (const [title, { begin, endless }] of Object.entries(ANSWERS)) {
+      const url = await serve(begin, endless);
+      const call = exchange({ method: "GET", url, timeoutMs: TIMEOUT_MS });
+      const err: unknown = await call.catch((reason: unknown) => reason);
+      if ((err as ExchangeError).isCut) cuts.push(title);
+      close();
+    }
+    expect(cuts).to.eql([]);
+  });
+
+  const CUTS = {
+    head: "HTTP/1.1 200 OK\r\n",
+    body: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n1",
+  };
+  for (const [part, begin] of Object.entries(CUTS)) {
+    it(`is cut where the peer closes in the ${part} of its answer`, async () => {
+      const url = await serve(begin, "");
+      const call = exchange({ method: "GET", url, timeoutMs: TIMEOUT_MS });
+      const failed = call.catch((reason: unknown) => reason);
+      const hasBegun = () => (socket?.bytesWritten ?? 0) > 0;
+      await until(hasBegun, "the answer has begun");
+      socket?.end();
+      expect(await failed).to.have.property("isCut", true);
+    });
+
+    it(`is not cut where it times out in the ${part} of its answer`, async () => {
+      const url = await serve(begin, "");
+      const call = exchange({ method: "GET", url, timeoutMs: 200 });
+      const err: unknown = await call.catch((reason: unknown) => reason);
+      expect(err).to.have.property("isCut", false);
+    });
+  }
 });
