Fetch the members of a peer that is a stranger

A process sends the rumour of itself a few times only; sides that start first spend theirs on each other. Differing views were counted over all peers, and an exchange with the other entry, whose view is the same, began the count anew. So nothing of what the VM list says reached the sides: a leaving VM went on getting work.

Change: a peer that is unknown after its rumours were merged has all its members fetched at once, by either end of the exchange.

--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -83,6 +83,7 @@
 
   exchange(digest: Digest): Digest {
     this.mergeRumours(digest);
+    if (this.isStranger(digest.from)) void this.pullMembers(digest.peerAddress);
     if (digest.configNumber > this.options.keeper.number) {
       void this.pullConfig(digest.peerAddress);
     }
@@ -189,14 +190,23 @@
     return state === "suspect" || state === "gone";
   }
 
-  /** Fetches all members after repeated mismatches, as rumours can be lost. */
+  /**
+   * Whether a peer is unknown although its rumours were merged: it has sent the
+   * one of itself as often as it does, to others.
+   */
+  private isStranger(id: string): boolean {
+    return this.options.membership.get(id) === undefined;
+  }
+
+  /** Fetches all members of a stranger, or after repeated mismatches. */
   private async compareMembers(reply: Digest, address: string): Promise<void> {
     if (reply.membersHash === this.options.membership.hash) {
       this.hashMismatches = 0;
       return;
     }
     this.hashMismatches += 1;
-    if (this.hashMismatches < MAX_HASH_MISMATCHES) return;
+    const isDue = this.hashMismatches >= MAX_HASH_MISMATCHES;
+    if (!isDue && !this.isStranger(reply.from)) return;
     this.hashMismatches = 0;
     await this.pullMembers(address);
   }
--- a/tests/gossip.test.ts
+++ b/tests/gossip.test.ts
@@ -9,6 +9,8 @@
 
 const SIZE = 12;
 const ROUND_MS = 1000;
+/** Rounds after which no member sends a rumour any more. */
+const SPENT_ROUNDS = 50;
 
 /** Processes that talk directly, in two halves that can be parted. */
 const startNet = () => {
@@ -62,21 +64,34 @@
 };
 
 describe("gossip", () => {
+  let { net, round, counts } = startNet();
+
+  beforeEach(() => ({ net, round, counts } = startNet()));
+
+  const everywhere = (state: string, count: number) =>
+    counts(state).every((item) => item === count);
+  const roundsUntil = async (state: string, count: number) => {
+    for (let rounds = 0; rounds < 400; rounds += 1) {
+      if (everywhere(state, count)) return;
+      await round();
+    }
+    expect(counts(state), `${state} everywhere`).to.deep.equal([]);
+  };
+
   it("parted halves hold each other for gone, and find back", async () => {
-    const { net, round, counts } = startNet();
-    const everywhere = (state: string, count: number) =>
-      counts(state).every((item) => item === count);
-    const roundsUntil = async (state: string, count: number) => {
-      for (let rounds = 0; rounds < 400; rounds += 1) {
-        if (everywhere(state, count)) return;
-        await round();
-      }
-      expect(counts(state), `${state} everywhere`).to.deep.equal([]);
-    };
     await roundsUntil("alive", SIZE);
     net.isParted = true;
     await roundsUntil("gone", SIZE / 2);
     net.isParted = false;
     await roundsUntil("alive", SIZE);
   });
+
+  // Guards against groups that stay strangers, their rumours being spent.
+  it("groups that begin apart find each other", async () => {
+    net.isParted = true;
+    await roundsUntil("alive", SIZE / 2);
+    for (let rounds = 0; rounds < SPENT_ROUNDS; rounds += 1) await round();
+    net.isParted = false;
+    await roundsUntil("alive", SIZE);
+  });
 });
