--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -472,9 +472,6 @@
   }),
 ];
 
-/**
- * `planned`: planned work only; the others: those faults in addition to the ones of `all`.
- */
 /**
  * What the platform does without a fault of its own. Requests that are never
  * answered outlast the grace of processes that stop.
@@ -518,6 +515,10 @@
   misbehaviourFault("replica hangs", ["hang"], true),
 ];
 
+/**
+ * `planned`: planned work only; `calm`: also what the platform does in calm; the
+ * others: those faults in addition to the ones of `all`.
+ */
 export type FaultProfile =
   | "planned"
   | "calm"
--- a/src/peers/gossip.ts
+++ b/src/peers/gossip.ts
@@ -191,8 +191,8 @@
   }
 
   /**
-   * Whether a peer is unknown although its rumours were merged: it has sent the
-   * one of itself as often as it does, to others.
+   * Whether a peer is unknown even after its rumours were merged: it has sent
+   * the one of itself to others, as often as it sends any.
    */
   private isStranger(id: string): boolean {
     return this.options.membership.get(id) === undefined;
--- a/tests/soak/checks.test.ts
+++ b/tests/soak/checks.test.ts
@@ -377,7 +377,7 @@
     expect(violatedPromises(early)).to.eql([]);
   });
 
-  it("find work for a replica that was removed, but by a stall's backlog", () => {
+  it("find work for a replica that was removed, unless a stall may have delayed it", () => {
     const news = [{ kind: "removed" as const, subject: "plain-0", at: 5000 }];
     const told = { isLimited: false, isLeaving: false, backOff: undefined };
     const records = (at: number) => ({
