--- a/soak/fleet.ts
+++ b/soak/fleet.ts
@@ -233,9 +233,8 @@
   async moveStoreLink(item: DaemonProcess): Promise<() => void> {
     const { id } = item.machine;
     const old = this.storeLinks.get(id);
-    const link = await new FaultLink(() => this.store.address).start();
-    this.storeLinks.set(id, link);
-    item.changeSettings({ storeAddress: link.address });
+    const { address: storeAddress } = await this.addStoreLink(id);
+    item.changeSettings({ storeAddress });
     return () => old?.stop();
   }
 
@@ -283,18 +282,24 @@
     else engines.push({ replica, version, from: this.now(), until: Infinity });
   }
 
+  /** A new link from a process to the store, in place of the present one. */
+  private async addStoreLink(id: string): Promise<FaultLink> {
+    const link = await new FaultLink(() => this.store.address).start();
+    this.storeLinks.set(id, link);
+    return link;
+  }
+
   private async addProcess(
     role: "entry" | "scheduler",
     id: string,
     at: number,
   ): Promise<void> {
-    const link = await new FaultLink(() => this.store.address).start();
-    this.storeLinks.set(id, link);
+    const { address: storeAddress } = await this.addStoreLink(id);
     const machine = {
       id,
       role,
       zone: `zone-${at % ZONES}`,
-      storeAddress: link.address,
+      storeAddress,
       graceMs: GRACE_MS,
       leaseMs: LEASE_MS,
       contactMs: CONTACT_MS,
