Connections that close amid a refused body leave nothing behind

Cause: two rules of src/callers. A refused request's body is read away for up to 2 s; Node tells a request whose response has ended nothing of the end of its connection, so the timer held the request, its connection and its parser for 2 s after that. And heads that have not ended were counted every 250 ms only: within that time crowds of them grew the live heap from 20 to 60 MB (trace of the garbage collector).

Change: the end of a connection ends the reading of its bodies. Heads are counted every 50 ms.

--- a/src/callers/callerConnections.ts
+++ b/src/callers/callerConnections.ts
@@ -12,8 +12,12 @@
 
 /** Requests of one connection that are served at the same time. */
 const MAX_CONCURRENT = 4;
-/** Pause between two looks at heads and bodies that have not ended, ms. */
-const CHECK_INTERVAL_MS = 250;
+/**
+ * Pauses between two looks at heads and at bodies that have not ended, ms. What
+ * heads take is counted at these looks only, and bounded no sooner.
+ */
+const HEADS_INTERVAL_MS = 50;
+const BODIES_INTERVAL_MS = 250;
 /** What a head takes while it is read, for each of its first bytes. */
 const BYTES_PER_HEAD_BYTE = 20;
 const MAX_COUNTED_HEAD_BYTES = 16 * 1024;
@@ -42,7 +46,7 @@
   /** How many are served now. */
   active: number;
   /** Requests whose end has not been read. */
-  unended: number;
+  unended: Set<CallerExchange>;
   /** Bytes that had been read when the last request ended. */
   readBefore: number;
   /** What a head that has not ended takes. */
@@ -63,8 +67,11 @@
   ) {
     this.turns = new LoopTurns(options.now);
     server.on("connection", (socket: Socket) => this.onConnection(socket));
-    const timer = setInterval(() => this.check(), CHECK_INTERVAL_MS).unref();
-    server.on("close", () => clearInterval(timer));
+    const timers = [
+      setInterval(() => this.checkHeads(), HEADS_INTERVAL_MS).unref(),
+      setInterval(() => this.checkBodies(), BODIES_INTERVAL_MS).unref(),
+    ];
+    server.on("close", () => timers.forEach(clearInterval));
   }
 
   /**
@@ -83,7 +90,6 @@
     if (pending.size >= this.options.maxPending)
       return this.close(connection, "sent-ahead");
     this.resting.delete(connection);
-    this.recordHead(connection, req);
     const fields = req.rawHeaders.length / 2;
     const work = REQUEST_WORK + fields * FIELD_WORK;
     this.turns.record(socket, work);
@@ -95,6 +101,7 @@
       headBytes: REQUEST_BYTES + fields * FIELD_BYTES,
       close: (reason) => this.close(connection, reason),
     });
+    this.recordHead(connection, req, exchange);
     // Behind others, its refusal would wait for them, and hold it meanwhile.
     if (exchange.isRefused && pending.size > 0)
       return this.close(connection, "memory");
@@ -126,12 +133,16 @@
     else if (active < MAX_CONCURRENT) waiting.shift()?.();
   }
 
-  private recordHead(connection: Connection, req: http.IncomingMessage): void {
-    const { socket, head } = connection;
-    connection.unended += 1;
+  private recordHead(
+    connection: Connection,
+    req: http.IncomingMessage,
+    exchange: CallerExchange,
+  ): void {
+    const { socket, head, unended } = connection;
+    unended.add(exchange);
     connection.readBefore = socket.bytesRead;
     req.once("end", () => {
-      connection.unended -= 1;
+      unended.delete(exchange);
       connection.readBefore = socket.bytesRead;
     });
     head.release();
@@ -149,7 +160,7 @@
       pending: new Map(),
       waiting: [],
       active: 0,
-      unended: 0,
+      unended: new Set(),
       readBefore: 0,
       head,
     };
@@ -160,10 +171,12 @@
   }
 
   private onClosed(connection: Connection): void {
-    const { socket, pending, waiting, head } = connection;
+    const { socket, pending, waiting, unended, head } = connection;
     this.remove(connection);
     this.turns.remove(socket);
     head.release();
+    // Node tells a request whose response has ended nothing of this.
+    for (const exchange of unended) exchange.stopReading();
     waiting.length = 0;
     // Node closes only the response whose turn it is on the connection.
     for (const res of pending.keys()) {
@@ -190,10 +203,14 @@
     return undefined;
   }
 
-  private check(): void {
+  private checkHeads(): void {
+    for (const connection of this.all.values())
+      if (connection.unended.size === 0) countHead(connection);
+  }
+
+  private checkBodies(): void {
     const now = this.options.now();
     for (const connection of this.all.values()) {
-      if (connection.unended === 0) countHead(connection);
       for (const exchange of connection.pending.values())
         exchange.checkBody(now);
     }
--- a/src/callers/callerExchange.ts
+++ b/src/callers/callerExchange.ts
@@ -45,6 +45,7 @@
   private bodyDueAt: number | undefined;
   /** Why reading the body was cancelled. */
   private failure: Error | undefined;
+  private discardTimer: NodeJS.Timeout | undefined;
   private bodyBytes = 0;
   private answerBytes = 0;
   /** Gives up what it holds. */
@@ -123,13 +124,13 @@
    */
   discardBody(maxBytes: number): void {
     const { req, close, turns, memory } = this.options;
-    if (req.complete) return void req.resume();
+    if (req.complete || req.socket.destroyed) return void req.resume();
     const length = Number(req.headers["content-length"] ?? 0);
     const allowed = length > maxBytes ? 0 : maxBytes;
     let left = Math.max(allowed, MAX_DISCARDED_EXCESS_BYTES);
     let chunks = 0;
     const giveUp = () => close("body-not-ended");
-    const timer = setTimeout(giveUp, DISCARD_TIMEOUT_MS);
+    this.discardTimer = setTimeout(giveUp, DISCARD_TIMEOUT_MS);
     req.on("data", (chunk: Buffer) => {
       turns.record(req.socket, CHUNK_WORK + chunk.length / BYTES_PER_WORK);
       memory.recordReleased(chunk.length);
@@ -138,11 +139,16 @@
       if (left < 0 || chunks > MAX_DISCARDED_CHUNKS) giveUp();
     });
     req.on("error", () => undefined);
-    req.once("end", () => clearTimeout(timer));
-    req.once("close", () => clearTimeout(timer));
+    req.once("end", () => this.stopReading());
+    req.once("close", () => this.stopReading());
     req.resume();
   }
 
+  /** Nothing more of its body arrives. */
+  stopReading(): void {
+    clearTimeout(this.discardTimer);
+  }
+
   /** The response has ended, or its connection is closed. */
   end(): void {
     this.isInProgress = false;
--- a/src/http/abortRequest.ts
+++ b/src/http/abortRequest.ts
@@ -2,12 +2,18 @@
 import type { ClientRequest } from "node:http";
 import type { Socket } from "node:net";
 
+const aborted = new WeakSet<ClientRequest>();
+
+/** Whether this process ended the request, not its peer. */
+export const isAborted = (req: ClientRequest): boolean => aborted.has(req);
+
 /**
  * Resets the connection. After a regular close the kernel goes on sending what
  * is unacknowledged, so that a peer that was cut off receives the request later.
  */
 export const abortRequest = (req: ClientRequest, why: string): void => {
   if (req.destroyed) return;
+  aborted.add(req);
   resetConnection(req.socket);
   req.destroy(new Error(why));
 };
--- a/src/http/request.ts
+++ b/src/http/request.ts
@@ -3,7 +3,7 @@
 
 import { ByteBuffer } from "../shared/byteBuffer.js";
 import type { Cancellation } from "../shared/cancellation.js";
-import { abortRequest } from "./abortRequest.js";
+import { abortRequest, isAborted } from "./abortRequest.js";
 import { KeptConnections } from "./keptConnections.js";
 import { receiveAnswer } from "./nonAnswers.js";
 
@@ -13,6 +13,12 @@
 /** Largest response with all of its framing, bytes; a page of a list has 1 MB. */
 const MAX_RESPONSE_BYTES = 16 * 1024 * 1024;
 
+/** Errors of a connection that the peer has closed. */
+const CLOSED_BY_PEER = ["ECONNRESET", "EPIPE"];
+
+const connectionReset = (message: string): NodeJS.ErrnoException =>
+  Object.assign(new Error(message), { code: "ECONNRESET" });
+
 /** Requests without a whole response. */
 const openRequests = new Set<http.ClientRequest>();
 
@@ -66,7 +72,6 @@
       options.body === undefined ? options.text : JSON.stringify(options.body);
     const begunAt = performance.now();
     let connected = false;
-    let isGivenUp = false;
     const req = http.request(options.url, {
       method: options.method,
       agent,
@@ -80,7 +85,6 @@
     });
     openRequests.add(req);
     const giveUp = (why: string) => {
-      isGivenUp = true;
       abortRequest(req, why);
       const { port } = new URL(options.url);
       agent.closeIdleSince(req.host, port, begunAt);
@@ -98,9 +102,10 @@
       detach?.();
       stopCounting();
     };
-    const fail = (err: Error) => {
+    const fail = (err: NodeJS.ErrnoException) => {
       settled();
-      const isCut = connected && !isGivenUp;
+      const isClosedByPeer = CLOSED_BY_PEER.includes(err.code ?? "");
+      const isCut = connected && isClosedByPeer && !isAborted(req);
       reject(new ExchangeError(err.message, connected, isCut));
     };
     req.on("socket", (socket) => {
@@ -120,7 +125,7 @@
       res.on("data", (chunk: Buffer) => received.append(chunk));
       res.on("error", fail);
       res.on("close", () => {
-        if (!res.complete) return fail(new Error("answer was cut"));
+        if (!res.complete) return fail(connectionReset("answer was cut"));
         settled();
         resolve({
           status: res.statusCode ?? 0,
--- a/tests/callers/callerConnections.test.ts
+++ b/tests/callers/callerConnections.test.ts
@@ -21,6 +21,9 @@
 const HEAD = "POST / HTTP/1.1\r\nHost: h\r\n";
 const EMPTY_REQUEST = `${HEAD}Content-Length: 0\r\n\r\n`;
 
+const activeTimers = (): number =>
+  process.getActiveResourcesInfo().filter((kind) => kind === "Timeout").length;
+
 type Handler = (
   exchange: CallerExchange,
   res: http.ServerResponse,
@@ -199,6 +202,24 @@
     });
   });
 
+  it("leave no timer behind when they close amid a refused body", async () => {
+    let left = 0;
+    handle = (exchange, res) => {
+      res.socket?.once("close", () => (left += 1));
+      res.writeHead(503).end();
+      exchange.discardBody(MAX_BODY_BYTES);
+    };
+    const before = activeTimers();
+    for (let client = 1; client <= 20; client += 1) {
+      const { socket, text } = await connect();
+      socket.write(`${HEAD}Content-Length: 3\r\n\r\nab`);
+      await until(() => text().startsWith("HTTP/1.1 503"));
+      socket.destroy();
+      await until(() => left === client);
+    }
+    expect(activeTimers()).to.be.below(before + 3);
+  });
+
   it("leave nothing held once they are closed", async () => {
     handle = () => undefined;
     const { socket } = await connect();
