--- a/src/workspaces/configFreshness.ts
+++ b/src/workspaces/configFreshness.ts
@@ -14,6 +14,9 @@
  */
 export const MAX_WATCH_LAG_MS = 1000;
 
+/** What a store's timer may leave out of a wait, ms. */
+const MAX_EARLY_MS = 1;
+
 /**
  * Returns the time for which a store answer is a proof. The store can have read
  * its state as early as when the call was sent. Only an answer without changes
@@ -22,9 +25,10 @@
 export const provenAt = (answer: FeedAnswer): number => {
   const { sentAt, answeredAt, waitMs, hasChanges, suspendedMs = 0 } = answer;
   // Excludes suspensions, as the store does not wait during them.
-  const hasWaited = answeredAt - sentAt >= waitMs;
-  const asOf = hasChanges || !hasWaited ? sentAt : sentAt + waitMs;
-  return asOf + suspendedMs;
+  const missingMs = Math.max(0, sentAt + waitMs - answeredAt);
+  const hasWaited = missingMs < MAX_EARLY_MS;
+  const endedAt = sentAt + waitMs - (missingMs > 0 ? MAX_EARLY_MS : 0);
+  return (hasChanges || !hasWaited ? sentAt : endedAt) + suspendedMs;
 };
 
 export class ConfigFreshness {
--- a/tests/workspaces/keys.test.ts
+++ b/tests/workspaces/keys.test.ts
@@ -135,6 +135,26 @@
         },
         asOf: 2600,
       },
+      {
+        name: "a wait that a timer of the store ended too soon: 1 ms before its end",
+        answer: {
+          sentAt: 100,
+          answeredAt: 2599.7,
+          waitMs: 2500,
+          hasChanges: false,
+        },
+        asOf: 2599,
+      },
+      {
+        name: "a wait that ended 1 ms early without a change: when it was requested",
+        answer: {
+          sentAt: 100,
+          answeredAt: 2599,
+          waitMs: 2500,
+          hasChanges: false,
+        },
+        asOf: 100,
+      },
       {
         name: "a wait that ended early without a change: when it was requested",
         answer: {
