--- a/standins/hostileClients.ts
+++ b/standins/hostileClients.ts
@@ -20,6 +20,7 @@
   | "slow-body"
   | "short-fields"
   | "stopped-fields"
+  | "fields-at-once"
   | "slow-head"
   | "sent-ahead"
   | "unread-answer"
@@ -137,6 +138,7 @@
     case "short-fields":
       return endlessly(shortFields(client));
     case "stopped-fields":
+    case "fields-at-once":
       return [shortFields(client).subarray(0, -2)];
     case "slow-head":
       return bytewise(request);
@@ -159,6 +161,8 @@
 
 const endsAt = Date.now() + seconds * 1000;
 let closes = 0;
+/** When clients that begin together send what they send. */
+const beginsAt = Date.now() + (seconds * 1000) / 2;
 
 const writeAll = async (socket: Socket, client: number): Promise<void> => {
   for (const bytes of writesOf(client)) {
@@ -189,7 +193,11 @@
       setTimeout(() => socket.resume(), SLOW_GAP_MS);
     });
   }
-  socket.once("connect", () => void writeAll(socket, client));
+  socket.once("connect", () => {
+    if (kind !== "fields-at-once") return void writeAll(socket, client);
+    const waitMs = Math.max(0, beginsAt - Date.now());
+    setTimeout(() => void writeAll(socket, client), waitMs);
+  });
 };
 
 process.stdout.write(`${JSON.stringify({ crowd: address })}\n`);
