Soak: the drain time stands in one place

Cause: the check of removed replicas named the processes' `drainMs` a second time, so that another setting would have left its bound behind.

Change: the check takes the value that the settings file is written with; it is 2,000 ms as before.

--- a/soak/checks.ts
+++ b/soak/checks.ts
@@ -2,6 +2,7 @@
  * Checks the promises of the system against what callers and upstreams
  * recorded. Pure functions from records to violations.
  */
+import { DRAIN_MS } from "../platform/standins/settingsFile.js";
 import { ATTEMPT_CHECKS } from "./attemptChecks.js";
 import { groupBy } from "./groupBy.js";
 import { PART_CHECKS } from "./partChecks.js";
@@ -31,11 +32,6 @@
  * machine.
  */
 const MAX_PROPAGATION_MS = 4000;
-/**
- * A replica may get requests for this long after its entry was removed, ms: the
- * `drainMs` setting of the processes.
- */
-const DRAIN_MS = 2000;
 /** Statuses that state that the request did not run and will not. */
 const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
 
