A list proves that a version is absent only if it was read since

What callers saw: during a release one entry was cut off from the store; streams that had begun on the new version elsewhere were taken up there and went on at the old one (ORDER).

Cause: for a stream that nobody has a record of, the list as this process had it counted as of now, however old it was. A version that had not been heard of was taken for one that did not exist, at entries and at holders.

Ruled out: records (their holders were gone); shorter waits (a dead connection is dead for any wait).

Change: the entry reads the changes since the position it knows, and the list, after the request has come. It names the version and for how long it has followed the list without a gap; the holder takes that as proof if both together cover the longest life of a stream. Gaps are those of the watch, no longer guessed from the time between two looks. While the store can't be read the stream is refused with a time to come back.

The model of lost processes has cut ones.

--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -137,6 +137,7 @@
     state,
     watches,
     feed,
+    source,
     client,
     rates,
     codec,
--- a/src/gateway/gatewayState.ts
+++ b/src/gateway/gatewayState.ts
@@ -8,6 +8,7 @@
 import type { Log } from "../telemetry/index.js";
 import { ConfigFreshness } from "../workspaces/index.js";
 import type { ConfigNews } from "../workspaces/index.js";
+import { ListFreshness } from "./listFreshness.js";
 import { ReplicaSet } from "./replicaSet.js";
 import type { ReplicaChange, ReplicaSetOptions } from "./replicaSet.js";
 import { RouteTable } from "./routeTable.js";
@@ -42,6 +43,7 @@
 
 export class GatewayState {
   readonly replicas: ReplicaSet;
+  readonly replicaList: ListFreshness;
   private readonly freshness = new ConfigFreshness();
   private table: RouteTable | undefined;
   /** The stored object of the active configuration. */
@@ -56,6 +58,8 @@
   onUnreadable: (what: string) => void = () => undefined;
   /** Called with the status that is stored next to the configuration. */
   onStatus: (status: unknown) => void = () => undefined;
+  /** Called after each change to the replicas of a service. */
+  onReplicasChanged: (service: string) => void = () => undefined;
   /** Called for each replica removed from the list. */
   onGone: (replica: Replica) => void = () => undefined;
   private readonly engineListCache = new Map<string, EngineList>();
@@ -70,6 +74,7 @@
     replicaSet: ReplicaSetOptions = {},
   ) {
     this.replicas = new ReplicaSet(replicaSet);
+    this.replicaList = new ListFreshness(leaseNow);
   }
 
   get routes(): RouteTable | undefined {
@@ -170,6 +175,7 @@
   /** The replica list is no longer watched. */
   onReplicasStale(): void {
     this.hasReplicas = false;
+    this.replicaList.onStale();
   }
 
   onReplicaChange(change: FeedChange, stability: StoreStability): void {
@@ -281,6 +287,7 @@
   private logChanges(changes: readonly ReplicaChange[]): void {
     for (const { kind, replica } of changes) {
       if (kind === "gone") this.onGone(replica);
+      this.onReplicasChanged(replica.service);
       this.log.info(`replica ${kind}`, {
         replica: replica.id,
         service: replica.service,
--- a/src/gateway/placementRole.ts
+++ b/src/gateway/placementRole.ts
@@ -17,11 +17,12 @@
 import type { Log, Metrics } from "../telemetry/index.js";
 import type { DutyPort, KeyBounds, UsageWindows } from "../workspaces/index.js";
 import { UsageTracker } from "./usageTracker.js";
-import type { GatewayState } from "./gatewayState.js";
+import type { GatewaySource, GatewayState } from "./gatewayState.js";
 import type { StoreWatches } from "./storeWatch.js";
 import { LeaseHolderTasks } from "./leaseHolderTasks.js";
 import { ConfigProofRequester } from "./configProofRequester.js";
 import type { ReplicaClient } from "./replicaClient.js";
+import { ReplicaListReader } from "./replicaListReader.js";
 import type { RequestCodec } from "./requestCodec.js";
 
 /**
@@ -64,6 +65,7 @@
   state: GatewayState;
   watches: StoreWatches;
   feed: ObjectFeed;
+  source: GatewaySource;
   client: ReplicaClient;
   rates: RateLimits;
   codec: RequestCodec;
@@ -94,16 +96,27 @@
     ? PLACEMENT_LEASE_MS * ENTRY_TAKEOVER_DELAY_LEASES
     : 0;
   let address = options.peerAddress;
+  const streams = new StreamVersions({
+    listedVersions: (service) => state.replicas.listedVersions(service),
+    watchedMs: () => state.replicaList.watchedMs,
+    listAgeMs: () => state.replicaList.ageMs,
+    maxAnswerMs: (service) => state.maxResumableMs(service),
+    now,
+  });
+  state.onReplicasChanged = (service) => streams.observe(service);
+  const replicaList = new ReplicaListReader({
+    feed,
+    source: options.source,
+    position: () => watches.replicasPosition,
+    onListed: (service, version) => streams.noteListed(service, [version]),
+    log,
+  });
   const local: LocalPlacement = new LocalPlacement({
     engines: (service) => state.engines(service),
     sharingProcesses: (service) => placement.sharingProcesses(service),
     permits: rates,
     mayBeTold: (service) => placement.mayBeTold(service),
-    streams: new StreamVersions({
-      listedVersions: (service) => state.replicas.listedVersions(service),
-      maxAnswerMs: (service) => state.maxResumableMs(service),
-      now,
-    }),
+    streams,
     metrics: options.metrics,
     log,
     now,
@@ -122,6 +135,7 @@
     onHolderConnected: (service) => duties?.onHolder(service),
     onHolderReplaced: (service, news) => peers.notifyNewHolder(service, news),
     onConfig: (news, sentAt) => state.onConfigNews(news, sentAt),
+    readReplicas: () => replicaList.read(),
     onHolderNews: (news) => watches.vouches.record(news, now()),
     log,
     metrics: options.metrics,
--- a/src/gateway/schedulerDaemon.ts
+++ b/src/gateway/schedulerDaemon.ts
@@ -77,6 +77,7 @@
     state,
     watches,
     feed,
+    source,
     client,
     rates,
     codec,
--- a/src/gateway/storeWatch.ts
+++ b/src/gateway/storeWatch.ts
@@ -89,6 +89,7 @@
         onList: (items, stability) => state.onReplicaList(items, stability),
         onChange: (change, stability) =>
           state.onReplicaChange(change, stability),
+        onAnswer: (answer) => state.replicaList.onAnswer(answer),
       },
     });
   }
@@ -104,6 +105,11 @@
     return all.filter((item) => item !== undefined);
   }
 
+  /** Store position of the list of replicas; undefined: none is known. */
+  get replicasPosition(): number | undefined {
+    return this.replicas.position;
+  }
+
   /** Whether the last call of the configuration's watch has failed. */
   get isConfigLost(): boolean {
     return this.config.isLost;
--- a/src/gen/snowgate.ts
+++ b/src/gen/snowgate.ts
@@ -139,10 +139,12 @@
   /** Its first events were the answer to an earlier request. */
   isResumed: boolean;
   /**
-   * The only software version that the sender has seen in service for as long
-   * as a stream can last; empty: several, or not known.
+   * The only software version that the sender has seen in service, by a list
+   * read after the request had come; empty: several, or not known.
    */
   soleVersion: string;
+  /** For how long the sender has seen no other. */
+  soleForMs: number;
 }
 
 /** The software version that sent the first event of a stream. */
@@ -2038,7 +2040,7 @@
 };
 
 function createBaseStreamRef(): StreamRef {
-  return { id: "", isResumed: false, soleVersion: "" };
+  return { id: "", isResumed: false, soleVersion: "", soleForMs: 0 };
 }
 
 export const StreamRef: MessageFns<StreamRef> = {
@@ -2052,6 +2054,9 @@
     if (message.soleVersion !== "") {
       writer.uint32(26).string(message.soleVersion);
     }
+    if (message.soleForMs !== 0) {
+      writer.uint32(32).uint32(message.soleForMs);
+    }
     return writer;
   },
 
@@ -2092,6 +2097,14 @@
             message.soleVersion = reader.string();
             continue;
           }
+          case 4: {
+            if (tag !== 32) {
+              break;
+            }
+
+            message.soleForMs = reader.uint32();
+            continue;
+          }
         }
         if ((tag & 7) === 4 || tag === 0) {
           break;
@@ -2117,6 +2130,11 @@
         : isSet(object.sole_version)
         ? globalThis.String(object.sole_version)
         : "",
+      soleForMs: isSet(object.soleForMs)
+        ? globalThis.Number(object.soleForMs)
+        : isSet(object.sole_for_ms)
+        ? globalThis.Number(object.sole_for_ms)
+        : 0,
     };
   },
 
@@ -2131,6 +2149,9 @@
     if (message.soleVersion !== "") {
       obj.soleVersion = message.soleVersion;
     }
+    if (message.soleForMs !== 0) {
+      obj.soleForMs = Math.round(message.soleForMs);
+    }
     return obj;
   },
 
@@ -2142,6 +2163,7 @@
     message.id = object.id ?? "";
     message.isResumed = object.isResumed ?? false;
     message.soleVersion = object.soleVersion ?? "";
+    message.soleForMs = object.soleForMs ?? 0;
     return message;
   },
 };
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -4,6 +4,7 @@
   PlaceAsk,
   PlaceEvent,
   PlaceReply,
+  StreamRef as StreamRefMessage,
   UsageWindow,
 } from "../gen/snowgate.js";
 import type {
@@ -13,6 +14,7 @@
   PlacementEvent,
   Queued,
   PrefillCost,
+  SoleVersion,
   StreamResult,
 } from "../scheduling/index.js";
 import { ORIGIN_SOURCES, REFUSAL_CAUSES } from "../scheduling/index.js";
@@ -65,10 +67,18 @@
   stream: request.stream && {
     id: request.stream.id ?? "",
     isResumed: request.stream.isResumed,
-    soleVersion: request.stream.soleVersion ?? "",
+    soleVersion: request.stream.soleVersion?.version ?? "",
+    soleForMs: toUint32(request.stream.soleVersion?.forMs ?? 0),
   },
 });
 
+/** Older versions leave the time unset: theirs is no proof. */
+const fromSoleVersion = ({
+  soleVersion: version,
+  soleForMs: forMs,
+}: StreamRefMessage): SoleVersion | undefined =>
+  version === "" ? undefined : { version, forMs };
+
 export const fromPlaceAsk = (
   service: string,
   ask: PlaceAsk,
@@ -82,7 +92,7 @@
   stream: ask.stream && {
     id: emptyToUndefined(ask.stream.id),
     isResumed: ask.stream.isResumed,
-    soleVersion: emptyToUndefined(ask.stream.soleVersion),
+    soleVersion: fromSoleVersion(ask.stream),
   },
 });
 
--- a/src/placement/sharedPlacement.ts
+++ b/src/placement/sharedPlacement.ts
@@ -29,6 +29,7 @@
   refuseUnknownStream,
   withBinding,
 } from "./streamVersions.js";
+import { StreamProver } from "./streamProver.js";
 import type { Placement } from "./types.js";
 import type { ConfigNews, WindowCounts } from "../workspaces/index.js";
 
@@ -82,6 +83,11 @@
   onHolderReplaced(service: string, news: NewHolder): void;
   /** The holder's answer to a configuration request sent at `sentAt`. */
   onConfig(news: ConfigNews, sentAt: number): void;
+  /**
+   * Reads the replica list anew; the software versions of all replicas that
+   * have been listed until then are known afterwards. False if that failed.
+   */
+  readReplicas(): Promise<boolean>;
   /** What a holder has seen of the store. */
   onHolderNews(news: HolderNews): void;
   log: Log;
@@ -99,11 +105,13 @@
   private readonly connections = new Map<string, HolderConnection>();
   private readonly inUse = new GrantsInUse();
   private readonly resumptions: ResumptionLog;
+  private readonly prover: StreamProver;
   /** Permits for the rate limits of replicas. */
   readonly permits: RatePermits;
 
   constructor(private readonly options: SharedPlacementOptions) {
     this.resumptions = new ResumptionLog(options);
+    this.prover = new StreamProver(options);
     this.permits = new RatePermits({
       ...options,
       connections: this.connections,
@@ -111,22 +119,34 @@
   }
 
   async place(asked: PlacementRequest): Promise<PlacementAnswer> {
-    const request = this.withKnownVersion(asked);
-    const answer = await this.placeBound(request);
-    if (isUnboundResumption(asked)) this.resumptions.record(request, answer);
+    if (!isUnboundResumption(asked)) return this.placeBound(asked);
+    const { streams } = this.options.local;
+    const request = withBinding(asked, streams.ownBinding(asked));
+    const answer = await this.placeResumption(request);
+    this.resumptions.record(request, answer);
     return answer;
   }
 
-  /** What this process knows of a resumed stream, for the holder to use. */
-  private withKnownVersion(request: PlacementRequest): PlacementRequest {
-    const { stream, service } = request;
-    if (stream === undefined || !isUnboundResumption(request)) return request;
-    const { streams } = this.options.local;
-    const soleVersion = streams.soleVersion(service);
-    return withBinding(
-      { ...request, stream: { ...stream, soleVersion } },
-      streams.ownBinding(request),
-    );
+  /**
+   * Where nobody has a record of the stream, the list may prove that only one
+   * version can have begun it.
+   */
+  private async placeResumption(
+    request: PlacementRequest,
+  ): Promise<PlacementAnswer> {
+    const answer = await this.placeBound(request);
+    const isUnknown =
+      answer.kind === "refused" && answer.why === "unknown-stream";
+    if (!isUnknown || !isUnboundResumption(request)) return answer;
+    const proof = await this.prover.prove(request);
+    switch (proof.kind) {
+      case "several":
+        return answer;
+      case "unread":
+        return proof.refusal;
+      case "sole":
+        return this.placeBound(proof.request);
+    }
   }
 
   private async placeBound(
@@ -160,20 +180,24 @@
 
   /**
    * Whether the answer respects the request's software version, by this
-   * process's own list: a holder of an older build knows no versions. The grant
-   * of one that doesn't is reported as unused.
+   * process's own list: a holder of an older build knows no versions, or takes
+   * a version for the only one by a list that lags. The grant of one that
+   * doesn't is reported as unused.
    */
   private isUsable(
     request: PlacementRequest,
     answer: PlacementAnswer,
   ): boolean {
     if (answer.kind === "refused") return true;
-    const { id, service, runnerVersion } = request;
+    const { id, service, runnerVersion, stream } = request;
     const version = runnerVersion ?? answer.origin?.version;
     if (version === undefined && !isUnboundResumption(request)) return true;
     const { local } = this.options;
     const granted = local.softwareVersionOf(service, answer.runner);
-    if (version !== undefined && granted === version) return true;
+    const isProven =
+      answer.origin?.source !== "sole-version" ||
+      stream?.soleVersion?.version === version;
+    if (version !== undefined && granted === version && isProven) return true;
     this.connections.get(service)?.client?.reportUnused(id);
     return false;
   }
--- a/src/placement/streamVersions.ts
+++ b/src/placement/streamVersions.ts
@@ -8,6 +8,7 @@
   OriginSource,
   PlacementRequest,
   Refusal,
+  SoleVersion,
 } from "../scheduling/index.js";
 import { StreamOrigins } from "./streamOrigins.js";
 import type { StreamOrigin } from "./streamOrigins.js";
@@ -19,6 +20,10 @@
 export interface StreamVersionsOptions {
   /** Software versions of all listed replicas; empty text: not known. */
   listedVersions(service: string): readonly string[];
+  /** How long this process has followed the list without a gap, ms. */
+  watchedMs(): number;
+  /** Age of the state that the followed list is known to reflect, ms. */
+  listAgeMs(): number;
   /** How long one answer of the service may last. */
   maxAnswerMs(service: string): number;
   now: () => number;
@@ -78,34 +83,51 @@
   /**
    * The binding by all that this process knows. A stream that is not recorded
    * began at the only version in service, if no other has served while it can
-   * have begun.
+   * have begun. The sender of the request must have read the list since: what
+   * this process follows may lag behind the process that began the stream.
    */
   binding(request: PlacementRequest): StreamBinding {
     const { service, stream } = request;
     if (!isUnboundResumption(request)) return { kind: "free" };
     const recorded = this.recordedBinding(request);
     if (recorded.kind === "bound") return recorded;
-    this.observe(service);
-    const { history } = this.streamsOf(service);
-    const { onlyListed } = history;
-    const isSeenBySender =
-      onlyListed !== undefined && onlyListed === stream?.soleVersion;
-    const version =
-      this.soleVersion(service) ??
-      (isSeenBySender && !this.hasSeveral(service) ? onlyListed : undefined);
+    const told = stream?.soleVersion;
+    const known = this.soleVersion(service);
+    const isSole = told !== undefined && told.version === known?.version;
     // A replica whose version is not known may be of any.
-    if (version === undefined || version === "") return { kind: "unknown" };
-    return { kind: "bound", version, source: "sole-version" };
+    if (!isSole || told.version === "" || !this.coversSpan(service, told))
+      return { kind: "unknown" };
+    return { kind: "bound", version: told.version, source: "sole-version" };
   }
 
   /**
-   * The only version that has served for as long as a stream can last;
-   * undefined if there were several, or this process has not seen so much.
+   * Whether no other version can have served while a stream of now can have
+   * begun: by the sender's list, or by this process's own one up to an instant
+   * since when the sender has followed it.
    */
-  soleVersion(service: string): string | undefined {
+  private coversSpan(service: string, told: SoleVersion): boolean {
+    const { watchedMs, listAgeMs } = this.options;
+    const spanMs = this.spanMs(service);
+    if (told.forMs >= spanMs) return true;
+    return watchedMs() >= spanMs && listAgeMs() <= told.forMs;
+  }
+
+  /**
+   * The only version that this process knows to have served while a stream of
+   * now can have begun, and for how long it has followed the list.
+   */
+  soleVersion(service: string): SoleVersion | undefined {
     this.observe(service);
     const { history } = this.streamsOf(service);
-    return history.soleVersion(this.spanMs(service), this.options.now());
+    const version = history.only(this.spanMs(service), this.options.now());
+    if (version === undefined) return undefined;
+    return { version, forMs: this.options.watchedMs() };
+  }
+
+  /** Versions that the store lists, or listed since the state known here. */
+  noteListed(service: string, versions: readonly string[]): void {
+    const { history } = this.streamsOf(service);
+    history.note(versions, this.options.now());
   }
 
   /** Whether several versions served while a stream of now can have begun. */
@@ -176,7 +198,8 @@
       : { kind: "bound", version, source: "record" };
   }
 
-  private observe(service: string): void {
+  /** Looks at the list, which has changed. */
+  observe(service: string): void {
     const { listedVersions, now } = this.options;
     const versions = [...new Set(listedVersions(service))];
     this.streamsOf(service).history.observe(versions, now());
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -22,6 +22,7 @@
   Queued,
   Refusal,
   RefusalCause,
+  SoleVersion,
   Stage,
   StreamRef,
   StreamResult,
--- a/src/scheduling/types.ts
+++ b/src/scheduling/types.ts
@@ -30,6 +30,13 @@
   model: string;
 }
 
+/** The only software version in service, as far as a process has seen. */
+export interface SoleVersion {
+  version: string;
+  /** For how long it has seen no other, ms. */
+  forMs: number;
+}
+
 /** Which stream a request is for, over all tries of its caller. */
 export interface StreamRef {
   /** Id of the caller's first request for it; undefined if it names none. */
@@ -37,10 +44,10 @@
   /** Whether its first events were the answer to an earlier request. */
   isResumed: boolean;
   /**
-   * The only software version that the sending process has seen in service for
-   * as long as a stream can last; undefined if there are several, or not known.
+   * By a list that the sending process read after the request had come;
+   * undefined if there are several versions, or it has not read one.
    */
-  soleVersion: string | undefined;
+  soleVersion: SoleVersion | undefined;
 }
 
 /** A request to be placed on engines. Times are in ms. */
--- a/src/store/feedWatch.ts
+++ b/src/store/feedWatch.ts
@@ -157,6 +157,11 @@
     if (recovery !== undefined) recovery.regainedAt = now();
   }
 
+  /** Store position that has been reached; undefined: no list is known. */
+  get position(): number | undefined {
+    return this.revision;
+  }
+
   /** Whether the last call has failed. */
   get isLost(): boolean {
     return this.failures > 0;
@@ -202,7 +207,13 @@
       : list.revision;
     this.isFirstList = false;
     const answeredAt = now();
-    const answer = { sentAt, answeredAt, waitMs: 0, hasChanges: true };
+    const answer = {
+      sentAt,
+      answeredAt,
+      waitMs: 0,
+      hasChanges: true,
+      isList: true,
+    };
     handlers.onAnswer?.({ ...answer, suspendedMs });
   }
 
@@ -245,7 +256,7 @@
     this.changePauseMs = hasChanges
       ? changePauseMs({ previousMs, tookMs, isVouched, maxMs })
       : 0;
-    const answer = { sentAt, answeredAt, waitMs, hasChanges };
+    const answer = { sentAt, answeredAt, waitMs, hasChanges, isList: false };
     handlers.onAnswer?.({ ...answer, suspendedMs });
   }
 
--- a/src/store/feedWatchOptions.ts
+++ b/src/store/feedWatchOptions.ts
@@ -12,6 +12,8 @@
   /** Long-poll duration of the call, ms; 0 for a list call. */
   waitMs: number;
   hasChanges: boolean;
+  /** Whether it is a complete list, not changes; absent: it is not. */
+  isList?: boolean;
   /** Total machine suspension known when the call was sent, ms. */
   suspendedMs?: number;
 }
--- a/tests/gateway/sharedPlacement.test.ts
+++ b/tests/gateway/sharedPlacement.test.ts
@@ -68,6 +68,7 @@
       onHolderReplaced: (service, { address, epoch }) =>
         void replaced.push(`${self} ${service} ${address} ${epoch}`),
       onConfig: silent,
+      readReplicas: () => Promise.resolve(false),
       onHolderNews: silent,
       log: SILENT_LOG,
       metrics,
--- a/tests/gateway/streamVersions.test.ts
+++ b/tests/gateway/streamVersions.test.ts
@@ -7,7 +7,10 @@
 import { fromPlaceAsk, toPlaceAsk } from "../../src/placement/messages.js";
 import { StreamOrigins } from "../../src/placement/streamOrigins.js";
 import { NO_LIMITS } from "../../src/rateLimits/index.js";
-import type { PlacementRequest } from "../../src/scheduling/index.js";
+import type {
+  PlacementRequest,
+  SoleVersion,
+} from "../../src/scheduling/index.js";
 import {
   newLocal,
   placementRequest,
@@ -18,27 +21,77 @@
 /** As long as any stream can last, with the return of its caller. */
 const LIFE_MS = 12_000;
 
+/** The versions in service after each change to the list. */
+class VersionStore {
+  readonly states: string[][] = [["v1"]];
+
+  get newest(): string[] {
+    return this.states.at(-1)!;
+  }
+}
+
 /** One process with its own list and clock. */
 class Process {
-  listed: string[] = ["v1"];
-  versions = this.restarted();
+  /** Whether it gets no changes, and can't read the list. */
+  isCut = false;
+  versions!: StreamVersions;
+  /** States of the store that it knows. */
+  private known = 0;
+  private watchedSince = 0;
+  private heardAt = 0;
 
-  constructor(private readonly clock: { now: number }) {}
+  constructor(
+    private readonly clock: { now: number },
+    readonly store = new VersionStore(),
+  ) {
+    this.restart();
+  }
+
+  /** Sets the list, of which this process is told at once. */
+  set listed(versions: string[]) {
+    this.store.states.push(versions);
+    this.hear();
+  }
 
-  restarted(): StreamVersions {
-    return new StreamVersions({
-      listedVersions: () => this.listed,
+  restart(): void {
+    this.known = this.store.states.length - 1;
+    this.watchedSince = this.clock.now;
+    this.heardAt = this.clock.now;
+    this.versions = new StreamVersions({
+      listedVersions: () => this.store.states[this.known]!,
+      watchedMs: () => this.clock.now - this.watchedSince,
+      listAgeMs: () => this.clock.now - this.heardAt,
       maxAnswerMs: () => ANSWER_MS,
       now: () => this.clock.now,
     });
+    this.versions.observe(SERVICE);
+  }
+
+  /** Gets all changes one by one, unless it is cut. */
+  hear(): void {
+    if (this.isCut) return;
+    while (this.known < this.store.states.length - 1) {
+      this.known += 1;
+      this.versions.observe(SERVICE);
+    }
+    this.heardAt = this.clock.now;
+  }
+
+  /** Reads the list anew; returns the only version then, if there is one. */
+  read(): SoleVersion | undefined {
+    if (this.isCut) return undefined;
+    for (const state of this.store.states.slice(this.known))
+      this.versions.noteListed(SERVICE, state);
+    return this.versions.soleVersion(SERVICE);
   }
 
   /** Watches the list for as long as a stream can last. */
   watch(): this {
     for (let step = 0; step <= LIFE_MS; step += 1000) {
-      this.versions.soleVersion(SERVICE);
+      this.hear();
       this.clock.now += 1000;
     }
+    this.hear();
     return this;
   }
 
@@ -51,12 +104,17 @@
     this.versions.recordGrant({ ...request, answerLeftMs: ANSWER_MS }, version);
   }
 
-  /** The version that may go on; undefined: the stream is refused. */
+  /**
+   * The version that may go on, as this process decides for an entry that has
+   * read the list; undefined: the stream is refused.
+   */
   resume(
     id: string | undefined,
     more: Partial<PlacementRequest> = {},
+    soleVersion = this.read(),
   ): string | undefined {
-    const binding = this.versions.binding({ ...resumed(id), ...more });
+    const request = { ...resumed(id, soleVersion), ...more };
+    const binding = this.versions.binding(request);
     return binding.kind === "bound" ? binding.version : undefined;
   }
 }
@@ -67,9 +125,12 @@
   soleVersion: undefined,
 });
 
-const resumed = (id: string | undefined): PlacementRequest => ({
+const resumed = (
+  id: string | undefined,
+  soleVersion?: SoleVersion,
+): PlacementRequest => ({
   ...placementRequest("try"),
-  stream: { id, isResumed: true, soleVersion: undefined },
+  stream: { id, isResumed: true, soleVersion },
 });
 
 describe("the software version that goes on with a stream", () => {
@@ -131,22 +192,50 @@
     it("is not known to a process that has just started, nor after a gap", () => {
       expect(process.resume("x")).to.equal(undefined);
       process.watch();
-      clock.now += 6000;
+      process.restart();
       expect(process.resume("x")).to.equal(undefined);
     });
 
     it("is known to a young holder if the entry has seen no other", () => {
-      const stream = { id: "x", isResumed: true, soleVersion: "v1" };
-      expect(process.resume("x", { stream })).to.equal("v1");
+      const told = { version: "v1", forMs: LIFE_MS };
+      expect(process.resume("x", {}, told)).to.equal("v1");
       process.listed = ["v1", "v2"];
-      expect(process.resume("x", { stream })).to.equal(undefined);
+      expect(process.resume("x", {}, told)).to.equal(undefined);
       process.listed = ["v2"];
-      expect(process.resume("x", { stream })).to.equal(undefined);
+      expect(process.resume("x", {}, told)).to.equal(undefined);
+    });
+
+    it("is known to a young entry from where the list of an old holder ends", () => {
+      process.watch();
+      clock.now += 2000;
+      const told = (forMs: number) => ({ version: "v1", forMs });
+      expect(process.resume("x", {}, told(2000))).to.equal("v1");
+      expect(process.resume("x", {}, told(1999))).to.equal(undefined);
+    });
+
+    // A cut entry once joined streams of a version that it had not heard of.
+    it("is not taken from a list that was not read since", () => {
+      process.watch();
+      const unread = { stream: resumed("x").stream };
+      expect(process.resume("x", unread)).to.equal(undefined);
+      process.isCut = true;
+      process.listed = ["v1", "v2"];
+      expect(process.resume("x")).to.equal(undefined);
+    });
+
+    it("is not known after another one came and went unheard", () => {
+      process.watch().isCut = true;
+      process.listed = ["v1", "v2"];
+      process.listed = ["v1"];
+      process.isCut = false;
+      expect(process.resume("x")).to.equal(undefined);
+      process.watch();
+      expect(process.resume("x")).to.equal("v1");
     });
 
     it("is not known where a replica names none", () => {
       process.listed = [""];
-      process.watch();
+      process.watch().watch();
       expect(process.resume("x")).to.equal(undefined);
     });
   });
@@ -168,6 +257,8 @@
         pick: fc.nat(40),
       }),
       fc.record({ kind: fc.constant("lose" as const), entry: at }),
+      fc.record({ kind: fc.constant("cut" as const), entry: at }),
+      fc.record({ kind: fc.constant("heal" as const), entry: at }),
       fc.record({ kind: fc.constant("tell" as const), entry: at, holder: at }),
       fc.record({ kind: fc.constant("release" as const), pick: fc.nat(3) }),
       fc.record({ kind: fc.constant("wait" as const), ms: fc.nat(4000) }),
@@ -178,35 +269,38 @@
         fc.array(step, { minLength: 30, maxLength: 120, size: "max" }),
         (steps) => {
           const time = { now: 0 };
+          const store = new VersionStore();
           const all = Array.from(
             { length: PROCESSES },
-            () => new Process(time),
+            () => new Process(time, store),
           );
           const streams: { version: string; until: number }[] = [];
           let released = 1;
-          const lists = (versions: string[]) => {
-            for (const item of all) item.listed = versions;
-          };
           for (const item of steps) {
-            for (const other of all) other.versions.expire();
-            if (item.kind === "wait") time.now += item.ms;
-            if (item.kind === "lose") {
-              const lost = all[item.entry]!;
-              lost.versions = lost.restarted();
+            for (const other of all) {
+              other.hear();
+              other.versions.expire();
             }
+            if (item.kind === "wait") time.now += item.ms;
+            if (item.kind === "lose" && !all[item.entry]!.isCut)
+              all[item.entry]!.restart();
+            if (item.kind === "cut") all[item.entry]!.isCut = true;
+            if (item.kind === "heal") all[item.entry]!.isCut = false;
             if (item.kind === "tell") {
               const told = all[item.entry]!.versions.ownOrigins(SERVICE);
               all[item.holder]!.versions.adoptFromEntry(SERVICE, told);
             }
             if (item.kind === "release") {
-              const before = all[0]!.listed;
+              const before = store.newest;
               if (item.pick > 0) released += 1;
               const isOver = item.pick === 0 && before.length > 1;
-              lists(isOver ? before.slice(1) : [...before, `v${released}`]);
+              store.states.push(
+                isOver ? before.slice(1) : [...before, `v${released}`],
+              );
             }
             if (item.kind === "begin") {
-              const { listed } = all[item.holder]!;
-              const version = listed[item.pick % listed.length]!;
+              const { newest } = store;
+              const version = newest[item.pick % newest.length]!;
               const id = String(streams.length);
               streams.push({ version, until: time.now + LIFE_MS });
               for (const index of new Set([item.entry, item.holder]))
@@ -215,15 +309,12 @@
             if (item.kind === "resume" && streams.length > 0) {
               const id = String(item.pick % streams.length);
               const asked = resumed(id);
-              const { versions } = all[item.entry]!;
-              const soleVersion = versions.soleVersion(SERVICE);
-              const known = versions.ownBinding(asked);
+              const entry = all[item.entry]!;
+              const known = entry.versions.ownBinding(asked);
               const version =
                 known.kind === "bound"
                   ? known.version
-                  : all[item.holder]!.resume(id, {
-                      stream: { id, isResumed: true, soleVersion },
-                    });
+                  : all[item.holder]!.resume(id, {}, entry.read());
               const { version: begun, until } = streams[Number(id)]!;
               if (version === undefined || until <= time.now) continue;
               resumptions += 1;
@@ -309,7 +400,11 @@
   const asked = {
     ...resumed("a"),
     runnerVersion: "v2",
-    stream: { id: "a", isResumed: true, soleVersion: "v1" },
+    stream: {
+      id: "a",
+      isResumed: true,
+      soleVersion: { version: "v1", forMs: 19_000 },
+    },
   };
   const call = PlaceCall.fromPartial({ ask: toPlaceAsk(asked) });
   const { ask } = PlaceCall.decode(PlaceCall.encode(call).finish());
--- a/tests/support/placementPeers.ts
+++ b/tests/support/placementPeers.ts
@@ -27,6 +27,8 @@
 export const newStreamVersions = (): StreamVersions =>
   new StreamVersions({
     listedVersions: () => ["v1"],
+    watchedMs: () => 0,
+    listAgeMs: () => Infinity,
     maxAnswerMs: () => 0,
     now,
   });
