Deny a route only by a configuration that is known to be new enough

Cause: 404, which callers do not repeat, was the answer for any route that this process did not know, however long its reads of the configuration had failed. Found by looking for what else takes "not known here" for "does not exist".

Change: while the reads fail and the proof is older than the bound by which configurations apply, the answer is 503 with a time to come back. With a holder, which proves the configuration, it stays 404.

--- a/src/gateway/gatewayDaemon.ts
+++ b/src/gateway/gatewayDaemon.ts
@@ -182,6 +182,7 @@
     link,
     bounds: callers,
     keyBounds: settings.keyBounds,
+    isConfigLost: () => watches.isConfigLost,
     onBegun: role.onBegun,
     plain: new PlainFlow({
       ...shared,
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -46,6 +46,8 @@
 
 /** Retry delay for callers whose body there is no room for, ms. */
 const NO_ROOM_RETRY_MS = 500;
+/** Retry delay while another process may know more, ms. */
+const RETRY_ELSEWHERE_MS = 100;
 /** Retry delay while this process stops, ms; another then takes the request. */
 const STOPPING_RETRY_MS = 100;
 
@@ -62,6 +64,8 @@
   link: Pick<EntryLink, "onAnswered">;
   bounds: CallerBounds;
   keyBounds: KeyBounds;
+  /** Whether this process's last read of the configuration has failed. */
+  isConfigLost(): boolean;
   /** Called once a request of a workspace has begun to run, `agoMs` ago. */
   onBegun(workspace: string, agoMs: number): void;
   plain: RequestRunner;
@@ -103,6 +107,17 @@
   retryAfterMs: NO_ROOM_RETRY_MS,
 };
 
+const UNKNOWN_ROUTE = failure(404, "unknown_route", "no route fits");
+
+const ROUTES_UNPROVEN: RequestFailure = {
+  ...failure(
+    503,
+    "routes_unproven",
+    "no route fits, and this process can't prove that its routes are new enough",
+  ),
+  retryAfterMs: RETRY_ELSEWHERE_MS,
+};
+
 const STOPPING: RequestFailure = {
   ...failure(503, "leaving", "this process is about to stop"),
   retryAfterMs: STOPPING_RETRY_MS,
@@ -208,7 +223,7 @@
     const route = table.match(head.host, head.target);
     const service = route && drawService(route, head, rng);
     if (route === undefined || service === undefined) {
-      return failure(404, "unknown_route", "no route fits");
+      return this.mayLackRoutes ? ROUTES_UNPROVEN : UNKNOWN_ROUTE;
     }
     const verdict = checkKey({
       keyring: table.keyring,
@@ -222,6 +237,12 @@
     return { route, service, claim: verdict.claim };
   }
 
+  /** Whether newer routes may be in force than this process knows. */
+  private get mayLackRoutes(): boolean {
+    const { state, keyBounds, isConfigLost } = this.options;
+    return isConfigLost() && state.proofAgeMs > keyBounds.applyMs;
+  }
+
   private accepts(route: Route, head: InboundHead): boolean {
     if (this.drain === undefined) return true;
     const now = this.options.now();
--- a/src/shared/errors.ts
+++ b/src/shared/errors.ts
@@ -26,6 +26,7 @@
   | "unknown_model"
   | "unauthorized"
   | "keys_unproven"
+  | "routes_unproven"
   | "no_configuration"
   | "no_upstream"
   | "overloaded"
