A lease with the highest numbers is none

Cause: who takes a lease counts on from the stored epoch. If another writer left the highest whole number, what is written can't be read by the others, and no process becomes a holder that they follow.

Change: a lease whose numbers leave no room to count on is not read as one.

--- a/src/placement/leaseKeeper.ts
+++ b/src/placement/leaseKeeper.ts
@@ -21,12 +21,17 @@
 /** Object kind of leases; each is named after its service. */
 export const LEASE_KIND = "leases";
 
+/** Leaves room to count on: no holder has come near it. */
+const MAX_COUNT = Number.MAX_SAFE_INTEGER / 2;
+
+const countSchema = z.number().int().nonnegative().max(MAX_COUNT);
+
 const leaseSchema = z.object({
   holder: z.string(),
   /** Incremented with each new holder; sent as the fencing number of orders. */
-  epoch: z.number().int().nonnegative(),
+  epoch: countSchema,
   /** Incremented with each renewal. */
-  beat: z.number().int().nonnegative(),
+  beat: countSchema,
   /** Address at which the holder accepts placement requests. */
   address: z.string(),
   /**
